Skeleton: build, checks, base types, HTTP with bounds, interfaces

Cause: nothing existed. Tried first, as the design asks: QHttpServer 6.4.2 with 500 streams at once delivers all whole, but bounds neither a request's size nor its time; a listener that counts bytes before QHttpServer reads them does. Qt's network access caps at six connections a host, so the client is Qt sockets with Boost.Beast's parser (docs/design/0001). Not yet: everything else.

--- /dev/null
+++ b/src/base/EventId.h
@@ -0,0 +1,66 @@
+// Defines the numbered log events; docs/EVENTS.md is the catalogue and is checked against it.
+#pragma once
+
+namespace cranberry {
+
+/// Number and name of each log event. Hundreds group them by aggregate; a number is never
+/// given to another event.
+// X(enumerator, number, name)
+#define CRANBERRY_EVENTS(X)                                                                        \
+    X(DaemonStarted, 1001, "daemon.started")                                                       \
+    X(DaemonReady, 1002, "daemon.ready")                                                           \
+    X(DaemonDraining, 1003, "daemon.draining")                                                     \
+    X(DaemonStopped, 1004, "daemon.stopped")                                                       \
+    X(SettingsInvalid, 1005, "settings.invalid")                                                   \
+    X(RequestAccepted, 1101, "request.accepted")                                                   \
+    X(RequestRefused, 1102, "request.refused")                                                     \
+    X(RequestFinished, 1103, "request.finished")                                                   \
+    X(RequestFailed, 1104, "request.failed")                                                       \
+    X(CallerGone, 1105, "request.caller_gone")                                                     \
+    X(ConnectionRefused, 1106, "connection.refused")                                               \
+    X(PlacementChosen, 1201, "placement.chosen")                                                   \
+    X(PlacementWaiting, 1202, "placement.waiting")                                                 \
+    X(PlacementRefused, 1203, "placement.refused")                                                 \
+    X(TargetLeaving, 1204, "target.leaving")                                                       \
+    X(TargetDead, 1205, "target.dead")                                                             \
+    X(TargetBack, 1206, "target.back")                                                             \
+    X(AttemptSent, 1301, "attempt.sent")                                                           \
+    X(AttemptFailed, 1302, "attempt.failed")                                                       \
+    X(AttemptRetried, 1303, "attempt.retried")                                                     \
+    X(AttemptCancelled, 1304, "attempt.cancelled")                                                 \
+    X(StreamResumed, 1305, "stream.resumed")                                                       \
+    X(StreamDropped, 1306, "stream.dropped")                                                       \
+    X(ClaimWon, 1401, "claim.won")                                                                 \
+    X(ClaimLost, 1402, "claim.lost")                                                               \
+    X(ClaimReleased, 1403, "claim.released")                                                       \
+    X(ClaimUnsettled, 1404, "claim.unsettled")                                                     \
+    X(ClaimAttached, 1405, "claim.attached")                                                       \
+    X(ConfigurationAccepted, 1501, "configuration.accepted")                                       \
+    X(ConfigurationRejected, 1502, "configuration.rejected")                                       \
+    X(ConfigurationInForce, 1503, "configuration.in_force")                                        \
+    X(PlatformDown, 1504, "platform.down")                                                         \
+    X(PlatformBack, 1505, "platform.back")                                                         \
+    X(MemberJoined, 1601, "member.joined")                                                         \
+    X(MemberSuspected, 1602, "member.suspected")                                                   \
+    X(MemberDead, 1603, "member.dead")                                                             \
+    X(MemberLeaving, 1604, "member.leaving")                                                       \
+    X(PeerRejected, 1605, "peer.rejected")                                                         \
+    X(PeerFrameInvalid, 1606, "peer.frame_invalid")                                                \
+    X(QuarantineSuspect, 1701, "quarantine.suspect")                                               \
+    X(QuarantineAdded, 1702, "quarantine.added")                                                   \
+    X(QuarantineReleased, 1703, "quarantine.released")                                             \
+    X(OrderIssued, 1801, "order.issued")                                                           \
+    X(OrderRefused, 1802, "order.refused")                                                         \
+    X(IssuerGained, 1803, "issuer.gained")                                                         \
+    X(IssuerLost, 1804, "issuer.lost")
+
+enum class EventId {
+#define CRANBERRY_EVENT_ENUMERATOR(name, number, text) name = number,
+    CRANBERRY_EVENTS(CRANBERRY_EVENT_ENUMERATOR)
+#undef CRANBERRY_EVENT_ENUMERATOR
+};
+
+/// The dotted name of @p event, as it stands in log lines. Thread-safe.
+const char *eventName(EventId event);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/base/EventLog.cpp
@@ -0,0 +1,75 @@
+#include "base/EventLog.h"
+
+#include <glog/logging.h>
+
+#include <atomic>
+
+namespace cranberry {
+
+namespace {
+
+std::atomic<LogLevel> leastLevel{LogLevel::Info};
+
+bool needsQuotes(const QString &value)
+{
+    if (value.isEmpty())
+        return true;
+    for (const QChar c : value) {
+        if (c.isSpace() || c == u'"' || c == u'=' || !c.isPrint())
+            return true;
+    }
+    return false;
+}
+
+/// Keeps a value on its one line, whatever an outside system put into it.
+QString quoted(const QString &value)
+{
+    QString result = QStringLiteral("\"");
+    for (const QChar c : value) {
+        if (c == u'"' || c == u'\\')
+            result += u'\\';
+        result += c.isPrint() ? c : QChar(u'?');
+    }
+    return result + u'"';
+}
+
+} // namespace
+
+const char *eventName(EventId event)
+{
+    switch (event) {
+#define CRANBERRY_EVENT_NAME(name, number, text)                                                   \
+    case EventId::name:                                                                            \
+        return text;
+        CRANBERRY_EVENTS(CRANBERRY_EVENT_NAME)
+#undef CRANBERRY_EVENT_NAME
+    }
+    return "unknown";
+}
+
+void setLogLevel(LogLevel level)
+{
+    leastLevel = level;
+}
+
+void logEvent(LogLevel level, EventId event, std::initializer_list<EventField> fields)
+{
+    if (level < leastLevel)
+        return;
+    QString line = QStringLiteral("event=%1 name=%2")
+                       .arg(static_cast<int>(event))
+                       .arg(QLatin1String(eventName(event)));
+    for (const EventField &field : fields) {
+        line += u' ' + QLatin1String(field.key) + u'=';
+        line += needsQuotes(field.value) ? quoted(field.value) : field.value;
+    }
+    const std::string text = line.toStdString();
+    if (level >= LogLevel::Error)
+        LOG(ERROR) << text;
+    else if (level == LogLevel::Warning)
+        LOG(WARNING) << text;
+    else
+        LOG(INFO) << text;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/base/WorkerPool.h
@@ -0,0 +1,52 @@
+// Defines WorkerPool, which keeps long computations off the event loop.
+#pragma once
+
+#include <QObject>
+#include <QPointer>
+
+#include <functional>
+#include <memory>
+
+class QThreadPool;
+
+namespace cranberry {
+
+/// Runs work on pool threads and hands the outcome back to the event loop that made the pool.
+class WorkerPool : public QObject
+{
+public:
+    /// Precondition: @p threads is at least 1; an event loop runs in the calling thread.
+    explicit WorkerPool(int threads, QObject *parent = nullptr);
+    /// Waits for work that has started; its outcome is dropped.
+    ~WorkerPool() override;
+
+    /// Runs @p work on a pool thread, then @p done in the thread of the pool object; @p done
+    /// is dropped if @p receiver has gone by then. Only from the thread of the pool object.
+    /// Precondition: @p work touches only what it owns or tables that lock themselves.
+    template <typename Work, typename Done>
+    void run(QObject *receiver, Work work, Done done);
+
+private:
+    void start(std::function<void()> job);
+
+    QThreadPool *m_threads;
+};
+
+// The destructor waits for started work, so `this` is valid on the pool thread.
+template <typename Work, typename Done>
+void WorkerPool::run(QObject *receiver, Work work, Done done)
+{
+    start([receiver = QPointer<QObject>(receiver), this, work = std::move(work),
+           done = std::move(done)]() mutable {
+        auto value = std::make_shared<decltype(work())>(work());
+        QMetaObject::invokeMethod(
+            this,
+            [receiver, value, done = std::move(done)]() mutable {
+                if (receiver)
+                    done(std::move(*value));
+            },
+            Qt::QueuedConnection);
+    });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/http/BoundedTcpServer.cpp
@@ -0,0 +1,135 @@
+#include "http/BoundedTcpServer.h"
+
+#include "base/Error.h"
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+
+#include <QPointer>
+#include <QTcpSocket>
+#include <QTimer>
+
+namespace cranberry {
+
+namespace {
+
+constexpr Milliseconds SweepInterval{1000};
+/// Time in which a refused caller may read why, before the connection is closed.
+constexpr Milliseconds RefusalLinger{1000};
+constexpr int ListenBacklog = 1024;
+
+/// A refusal has no QHttpServer request to answer, so the few lines are written here.
+QByteArray refusalText(const Error &error)
+{
+    const QByteArray body = problemJson(error);
+    const ErrorAnswer &answer = errorAnswer(error.kind);
+    QByteArray text = "HTTP/1.1 " + QByteArray::number(answer.httpStatus) + " Refused\r\n";
+    text += "Content-Type: application/problem+json\r\nConnection: close\r\n";
+    text += "Cranberry-Ran: no\r\n";
+    if (const std::optional<int> seconds = retryAfter(error))
+        text += "Retry-After: " + QByteArray::number(*seconds) + "\r\n";
+    return text + "Content-Length: " + QByteArray::number(body.size()) + "\r\n\r\n" + body;
+}
+
+} // namespace
+
+BoundedTcpServer::BoundedTcpServer(TimerService &timers, HttpServerLimits limits, QObject *parent)
+    : QTcpServer(parent)
+    , m_timers(timers)
+    , m_limits(limits)
+    , m_sweep(timers.every(SweepInterval, [this] { closeOverdue(); }))
+{
+    setListenBacklogSize(ListenBacklog);
+}
+
+BoundedTcpServer::~BoundedTcpServer() = default;
+
+void BoundedTcpServer::incomingConnection(qintptr descriptor)
+{
+    auto *socket = new QTcpSocket(this);
+    if (!socket->setSocketDescriptor(descriptor)) {
+        delete socket;
+        return;
+    }
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    const bool full = m_connections.size() >= m_limits.connections;
+    Connection connection;
+    connection.since = m_timers.now();
+    m_connections.insert(socket, connection);
+    connect(socket, &QTcpSocket::readyRead, this, [this, socket] { countBytes(socket); });
+    connect(socket, &QObject::destroyed, this, [this, socket] { m_connections.remove(socket); });
+    if (full) {
+        connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+        reject(socket, ErrorKind::QueueFull, QStringLiteral("too many open connections"));
+        return;
+    }
+    addPendingConnection(socket);
+}
+
+void BoundedTcpServer::countBytes(QTcpSocket *socket)
+{
+    Connection &connection = m_connections[socket];
+    if (connection.rejected) {
+        socket->readAll();
+        return;
+    }
+    if (connection.bytes == 0 && !connection.answering)
+        connection.since = m_timers.now();
+    connection.bytes += socket->bytesAvailable();
+    if (connection.bytes <= m_limits.headers.value() + m_limits.body.value())
+        return;
+    socket->readAll();
+    reject(socket, ErrorKind::BodyTooLarge,
+           QStringLiteral("the request is larger than %1 bytes").arg(m_limits.body.value()));
+}
+
+void BoundedTcpServer::reject(QTcpSocket *socket, ErrorKind kind, const QString &detail)
+{
+    m_connections[socket].rejected = true;
+    logEvent(LogLevel::Warning, EventId::ConnectionRefused,
+             {{"kind", QLatin1String(errorAnswer(kind).name)}, {"detail", detail}});
+    Error error;
+    error.kind = kind;
+    error.detail = detail;
+    socket->write(refusalText(error));
+    QTimer::singleShot(RefusalLinger, socket, [socket] { socket->disconnectFromHost(); });
+}
+
+void BoundedTcpServer::requestArrived(QTcpSocket *socket)
+{
+    Connection &connection = m_connections[socket];
+    connection.bytes = 0;
+    connection.answering = true;
+}
+
+void BoundedTcpServer::requestAnswered(QTcpSocket *socket)
+{
+    const auto found = m_connections.find(socket);
+    if (found == m_connections.end())
+        return;
+    found->answering = false;
+    found->since = m_timers.now();
+}
+
+bool BoundedTcpServer::isAnswering(QTcpSocket *socket) const
+{
+    return m_connections.value(socket).answering;
+}
+
+void BoundedTcpServer::closeOverdue()
+{
+    const MonotonicTime now = m_timers.now();
+    QList<QPointer<QTcpSocket>> overdue;
+    for (auto entry = m_connections.cbegin(); entry != m_connections.cend(); ++entry) {
+        const bool arriving = entry->bytes > 0;
+        const Milliseconds limit = arriving ? m_limits.requestArrival : m_limits.idleConnection;
+        if (!entry->answering && now - entry->since > limit)
+            overdue.append(entry.key());
+    }
+    for (const QPointer<QTcpSocket> &socket : overdue) {
+        if (socket)
+            socket->abort();
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,34 @@
+#include "http/HttpClient.h"
+
+namespace cranberry {
+
+std::unique_ptr<HttpExchange> HttpClient::send(const HttpEndpoint &endpoint,
+                                               const HttpRequest &request,
+                                               const HttpExchangeOptions &options,
+                                               HttpExchangeCallbacks callbacks)
+{
+    return std::make_unique<HttpExchange>(m_pool, m_timers, endpoint, request, options,
+                                          std::move(callbacks));
+}
+
+std::unique_ptr<HttpExchange> HttpClient::fetch(const HttpEndpoint &endpoint,
+                                                const HttpRequest &request,
+                                                const HttpExchangeOptions &options,
+                                                WholeCallback callback)
+{
+    auto response = std::make_shared<HttpResponse>();
+    HttpExchangeCallbacks callbacks;
+    callbacks.headers = [response](int status, const HttpHeaders &headers) {
+        response->status = status;
+        response->headers = headers;
+    };
+    callbacks.body = [response](const QByteArray &data) { response->body += data; };
+    callbacks.finished = [response, callback = std::move(callback)](HttpExchangeEnd end,
+                                                                    const QString &reason) {
+        Q_UNUSED(reason)
+        callback(end, *response);
+    };
+    return send(endpoint, request, options, std::move(callbacks));
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/http/HttpResponseParser.cpp
@@ -0,0 +1,54 @@
+#include "http/HttpResponseParser.h"
+
+// The names of the overridden functions are Boost.Beast's.
+// NOLINTBEGIN(readability-identifier-naming)
+namespace cranberry::internal {
+
+namespace {
+
+constexpr std::uint32_t HeaderLimitBytes = 64 * 1024;
+
+} // namespace
+
+HttpResponseParser::HttpResponseParser()
+{
+    eager(true);
+    header_limit(HeaderLimitBytes);
+    body_limit(boost::none);
+}
+
+void HttpResponseParser::on_request_impl(boost::beast::http::verb, View, View, int, Error &) { }
+
+void HttpResponseParser::on_response_impl(int code, View, int, Error &)
+{
+    m_status = code;
+}
+
+void HttpResponseParser::on_field_impl(boost::beast::http::field, View name, View value, Error &)
+{
+    m_headers.add(QByteArray(name.data(), qsizetype(name.size())),
+                  QByteArray(value.data(), qsizetype(value.size())));
+}
+
+void HttpResponseParser::on_header_impl(Error &) { }
+
+void HttpResponseParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) { }
+
+std::size_t HttpResponseParser::on_body_impl(View body, Error &)
+{
+    m_body.append(body.data(), qsizetype(body.size()));
+    return body.size();
+}
+
+void HttpResponseParser::on_chunk_header_impl(std::uint64_t, View, Error &) { }
+
+std::size_t HttpResponseParser::on_chunk_body_impl(std::uint64_t, View body, Error &)
+{
+    m_body.append(body.data(), qsizetype(body.size()));
+    return body.size();
+}
+
+void HttpResponseParser::on_finish_impl(Error &) { }
+
+} // namespace cranberry::internal
+// NOLINTEND(readability-identifier-naming)
--- /dev/null
+++ b/src/http/HttpResponseParser.h
@@ -0,0 +1,43 @@
+// Defines HttpResponseParser, the incremental parser of answers inside an HTTP exchange.
+#pragma once
+
+#include "http/HttpHeaders.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace cranberry::internal {
+
+/// Collects what one step of Boost.Beast's parser yields.
+/// Thread safety: only from the thread of its exchange.
+class HttpResponseParser final : public boost::beast::http::basic_parser<false>
+{
+public:
+    HttpResponseParser();
+
+    int status() const { return m_status; }
+    const HttpHeaders &headers() const { return m_headers; }
+    /// Body bytes since the last call.
+    QByteArray takeBody() { return std::exchange(m_body, {}); }
+
+private:
+    using Error = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb verb, View method, View target, int version,
+                         Error &ec) override;
+    void on_response_impl(int code, View reason, int version, Error &ec) override;
+    void on_field_impl(boost::beast::http::field name, View nameText, View value,
+                       Error &ec) override;
+    void on_header_impl(Error &ec) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &ec) override;
+    std::size_t on_body_impl(View body, Error &ec) override;
+    void on_chunk_header_impl(std::uint64_t size, View extensions, Error &ec) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remain, View body, Error &ec) override;
+    void on_finish_impl(Error &ec) override;
+
+    int m_status = 0;
+    HttpHeaders m_headers;
+    QByteArray m_body;
+};
+
+} // namespace cranberry::internal
--- /dev/null
+++ b/src/peer/PeerMessageKind.h
@@ -0,0 +1,23 @@
+// Defines the kinds of messages between daemons.
+#pragma once
+
+namespace cranberry {
+
+/// The number is the wire value and is never given to another kind.
+enum class PeerMessageKind {
+    Heartbeat = 1,
+    ConfigurationPull = 2,
+    ConfigurationChanges = 3,
+    ClaimRequest = 4,
+    ClaimAnswer = 5,
+    CreditRequest = 6,
+    CreditAnswer = 7,
+    AttachRequest = 8,
+    AttachData = 9,
+    Quarantine = 10,
+    Probe = 11,
+    ProbeAnswer = 12,
+    TargetLeaving = 13,
+};
+
+} // namespace cranberry
