--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -55,6 +55,8 @@
     X(IssuerLost, 1804, "issuer.lost")
 
 enum class EventId {
+// An enumerator cannot be put in parentheses.
+// NOLINTNEXTLINE(bugprone-macro-parentheses)
 #define CRANBERRY_EVENT_ENUMERATOR(name, number, text) name = number,
     CRANBERRY_EVENTS(CRANBERRY_EVENT_ENUMERATOR)
 #undef CRANBERRY_EVENT_ENUMERATOR
