--- /dev/null
+++ b/src/placement/TargetLoad.h
@@ -0,0 +1,37 @@
+// Defines TargetLoad, what one daemon believes of one target at the moment of a decision.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+
+namespace cranberry {
+
+/// From the target's own lagging report and from this daemon's own sends since.
+struct TargetLoad {
+    TargetId target;
+    DataCentreId dataCentre;
+    /// Tokens resident by the last report.
+    Tokens residentTokens;
+    Tokens capacityTokens;
+    int running = 0;
+    int waiting = 0;
+    /// Age of the report at the moment of the decision.
+    Milliseconds reportAge{0};
+    /// Sends of this daemon that are under way.
+    int ownRequests = 0;
+    /// Tokens that this daemon's requests hold on the target now.
+    Tokens ownResidentTokens;
+    /// Further tokens that this daemon's requests are expected to add, and their variance.
+    double ownExpectedGrowth = 0;
+    double ownGrowthVariance = 0;
+    /// Tokens that this daemon sent after the report was made.
+    Tokens sentSinceReport;
+    /// Prompt tokens of this daemon's sends that have not yielded a first token yet.
+    Tokens ownPrefillTokens;
+    /// Memory that other daemons were promised and may still use.
+    Tokens reservedForOthers;
+    /// True if this daemon lately sent a request with the same prefix hash.
+    bool holdsPrefix = false;
+};
+
+} // namespace cranberry
