Placement: a table of targets that decides and records under one lock

Two decisions at the same moment would otherwise both see the target as free, and a late report would count this daemon's own requests as other daemons'. The table follows each own send from the decision to its end, subtracts own sends from a report by the time it was made, and keeps a leaving target out until a newer incarnation. round_robin, least_requests and two_choices are plain functions beside it; forecast still answers as two_choices.

--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -4,31 +4,77 @@
 
 namespace {
 
-/// Of two targets drawn at random the one with fewer requests of this daemon.
-const TargetLoad &lighterOfTwo(const QList<TargetLoad> &targets, quint64 random)
+int requestsOn(const TargetLoad &target)
 {
-    const auto count = quint64(targets.size());
-    const TargetLoad &first = targets[qsizetype(random % count)];
-    const TargetLoad &second = targets[qsizetype((random / count) % count)];
-    return second.ownRequests < first.ownRequests ? second : first;
+    return target.othersRequests + target.ownRequests;
 }
 
-} // namespace
+Placement chosenByRequests(const TargetLoad &target)
+{
+    return {PlacementOutcome::Chosen, target.target,
+            QStringLiteral("requests=%1 own=%2").arg(requestsOn(target)).arg(target.ownRequests)};
+}
 
-Placement place(const PlacementRequest &request, const ServiceConfiguration &service,
-                const QList<TargetLoad> &targets, quint64 random)
+QList<TargetLoad> withoutExcluded(const QList<TargetLoad> &targets, const QSet<TargetId> &excluded)
 {
-    Q_UNUSED(service)
+    if (excluded.isEmpty())
+        return targets;
     QList<TargetLoad> usable;
     for (const TargetLoad &target : targets) {
-        if (!request.excluded.contains(target.target))
+        if (!excluded.contains(target.target))
             usable.append(target);
     }
+    return usable;
+}
+
+} // namespace
+
+Placement placeRoundRobin(const QList<TargetLoad> &usable, quint64 draw)
+{
+    return chosenByRequests(usable[qsizetype(draw % quint64(usable.size()))]);
+}
+
+Placement placeLeastRequests(const QList<TargetLoad> &usable, quint64 draw)
+{
+    const auto count = usable.size();
+    const auto start = qsizetype(draw % quint64(count));
+    const TargetLoad *least = &usable[start];
+    for (qsizetype i = 1; i < count; ++i) {
+        const TargetLoad &next = usable[(start + i) % count];
+        if (requestsOn(next) < requestsOn(*least))
+            least = &next;
+    }
+    return chosenByRequests(*least);
+}
+
+Placement placeTwoChoices(const QList<TargetLoad> &usable, quint64 draw)
+{
+    const auto count = quint64(usable.size());
+    const quint64 first = draw % count;
+    if (count == 1)
+        return chosenByRequests(usable.first());
+    const quint64 step = 1 + (draw / count) % (count - 1);
+    const TargetLoad &a = usable[qsizetype(first)];
+    const TargetLoad &b = usable[qsizetype((first + step) % count)];
+    return chosenByRequests(requestsOn(b) < requestsOn(a) ? b : a);
+}
+
+Placement place(const PlacementRequest &request, const ServiceConfiguration &service,
+                const QList<TargetLoad> &targets, quint64 draw)
+{
+    const QList<TargetLoad> usable = withoutExcluded(targets, request.excluded);
     if (usable.isEmpty())
         return {PlacementOutcome::Wait, {}, QStringLiteral("usable=0")};
-    const TargetLoad &chosen = lighterOfTwo(usable, random);
-    return {PlacementOutcome::Chosen, chosen.target,
-            QStringLiteral("own_requests=%1").arg(chosen.ownRequests)};
+    switch (service.policy) {
+    case PolicyName::RoundRobin:
+        return placeRoundRobin(usable, draw);
+    case PolicyName::LeastRequests:
+        return placeLeastRequests(usable, draw);
+    case PolicyName::TwoChoices:
+    case PolicyName::Forecast:
+        return placeTwoChoices(usable, draw);
+    }
+    Q_UNREACHABLE();
 }
 
 } // namespace cranberry
--- a/src/placement/PlacementPolicy.h
+++ b/src/placement/PlacementPolicy.h
@@ -11,9 +11,16 @@
 namespace cranberry {
 
 /// Chooses among @p targets, which are the usable targets of the request's model, by the
-/// policy of @p service. @p random is a fresh random number; equal arguments give equal
-/// decisions. No I/O, no clock. Thread-safe.
+/// policy of @p service. @p draw is a fresh random number, for round_robin the count of
+/// decisions before; equal arguments give equal decisions. No I/O, no clock. Thread-safe.
 Placement place(const PlacementRequest &request, const ServiceConfiguration &service,
-                const QList<TargetLoad> &targets, quint64 random);
+                const QList<TargetLoad> &targets, quint64 draw);
+
+/// The targets in turn, whatever their load.
+Placement placeRoundRobin(const QList<TargetLoad> &usable, quint64 draw);
+/// The target with the fewest requests, by report and own sends; ties by @p draw.
+Placement placeLeastRequests(const QList<TargetLoad> &usable, quint64 draw);
+/// Of two distinct targets drawn at random the one with fewer requests.
+Placement placeTwoChoices(const QList<TargetLoad> &usable, quint64 draw);
 
 } // namespace cranberry
--- a/src/placement/TargetLoad.h
+++ b/src/placement/TargetLoad.h
@@ -10,7 +10,7 @@
 struct TargetLoad {
     TargetId target;
     DataCentreId dataCentre;
-    /// Tokens resident by the last report.
+    /// Tokens of other daemons' requests by the last report, and of this daemon's requests now.
     Tokens residentTokens;
     Tokens capacityTokens;
     int running = 0;
@@ -19,13 +19,13 @@
     Milliseconds reportAge{0};
     /// Sends of this daemon that are under way.
     int ownRequests = 0;
+    /// Requests of other daemons by the last report, running or waiting.
+    int othersRequests = 0;
     /// Tokens that this daemon's requests hold on the target now.
     Tokens ownResidentTokens;
     /// Further tokens that this daemon's requests are expected to add, and their variance.
     double ownExpectedGrowth = 0;
     double ownGrowthVariance = 0;
-    /// Tokens that this daemon sent after the report was made.
-    Tokens sentSinceReport;
     /// Prompt tokens of this daemon's sends that have not yielded a first token yet.
     Tokens ownPrefillTokens;
     /// Memory that other daemons were promised and may still use.
--- /dev/null
+++ b/src/placement/TargetTable.cpp
@@ -0,0 +1,329 @@
+#include "placement/TargetTable.h"
+
+#include "placement/PlacementPolicy.h"
+#include "placement/TargetState.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+/// Own recent sends stand in for the target's late cache events.
+constexpr size_t RecentPrefixes = 64;
+constexpr Milliseconds PrefixLifetime{300'000};
+/// Sends that ended are needed only until a report made after their end arrives.
+constexpr size_t EndedSends = 256;
+
+bool isUsable(const TargetState &state)
+{
+    return state.configured && !state.dead && !state.leaving;
+}
+
+bool holdsPrefix(const TargetState &state, quint64 prefixHash, MonotonicTime now)
+{
+    if (prefixHash == 0)
+        return false;
+    return std::any_of(state.prefixes.begin(), state.prefixes.end(), [&](const RecentPrefix &p) {
+        return p.hash == prefixHash && now - p.sentAt < PrefixLifetime;
+    });
+}
+
+void rememberPrefix(TargetState &state, quint64 prefixHash, MonotonicTime now)
+{
+    if (prefixHash == 0)
+        return;
+    const auto same = [&](const RecentPrefix &p) { return p.hash == prefixHash; };
+    state.prefixes.erase(std::remove_if(state.prefixes.begin(), state.prefixes.end(), same),
+                         state.prefixes.end());
+    state.prefixes.push_back({prefixHash, now});
+    if (state.prefixes.size() > RecentPrefixes)
+        state.prefixes.pop_front();
+}
+
+TargetLoad loadOf(const TargetState &state, quint64 prefixHash, MonotonicTime now)
+{
+    TargetLoad load;
+    load.target = state.target;
+    load.dataCentre = state.dataCentre;
+    load.residentTokens = state.othersResidentTokens + state.ownResidentTokens;
+    load.capacityTokens = state.report.capacityTokens;
+    load.running = state.report.running;
+    load.waiting = state.report.waiting;
+    load.reportAge = std::chrono::duration_cast<Milliseconds>(now - state.reportMadeAt);
+    load.ownRequests = int(state.ownAttempts.size());
+    load.othersRequests = state.othersRequests;
+    load.ownResidentTokens = state.ownResidentTokens;
+    load.ownPrefillTokens = state.ownPrefillTokens;
+    load.holdsPrefix = holdsPrefix(state, prefixHash, now);
+    return load;
+}
+
+} // namespace
+
+struct TargetTable::Attempt {
+    TargetId target;
+    PlacementRequest request;
+    MonotonicTime sentAt;
+    qint64 generated = 0;
+};
+
+TargetTable::TargetTable() = default;
+TargetTable::~TargetTable() = default;
+
+TargetState *TargetTable::find(const TargetId &target)
+{
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+const TargetState *TargetTable::find(const TargetId &target) const
+{
+    const auto found = m_targets.find(target);
+    return found == m_targets.end() ? nullptr : &found->second;
+}
+
+void TargetTable::setConfiguration(const Configuration &configuration)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto &[id, state] : m_targets)
+        state.configured = false;
+    for (auto it = configuration.targets.begin(); it != configuration.targets.end(); ++it) {
+        TargetState &state = m_targets[it.key()];
+        state.target = it.key();
+        state.service = it->service;
+        state.dataCentre = it->dataCentre;
+        state.models = it->models;
+        state.configured = true;
+    }
+    for (auto it = m_targets.begin(); it != m_targets.end();) {
+        const bool gone = !it->second.configured && it->second.ownAttempts.isEmpty();
+        it = gone ? m_targets.erase(it) : std::next(it);
+    }
+    indexTargets();
+}
+
+void TargetTable::indexTargets()
+{
+    m_byModel.clear();
+    m_byService.clear();
+    for (const auto &[id, state] : m_targets) {
+        if (!state.configured)
+            continue;
+        m_byService[state.service].push_back(&state);
+        for (const ModelId &model : state.models)
+            m_byModel[model].push_back(&state);
+    }
+}
+
+void TargetTable::reportReceived(const TargetId &target, const LoadReport &report,
+                                 MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetState *state = find(target);
+    if (!state || report.incarnation < state->incarnation)
+        return;
+    const bool newer = report.incarnation > state->incarnation;
+    state->incarnation = report.incarnation;
+    if (newer)
+        state->dead = false;
+    if (newer && report.incarnation > state->leavingIncarnation)
+        state->leaving = false;
+    if (report.leaving) {
+        state->leaving = true;
+        state->leavingIncarnation = report.incarnation;
+    }
+    state->report = report;
+    state->reportMadeAt = now - report.age;
+    subtractOwn(*state, report);
+}
+
+// A report counts this daemon's requests too, those that ended after it was made included;
+// what is left belongs to other daemons.
+void TargetTable::subtractOwn(TargetState &state, const LoadReport &report)
+{
+    const MonotonicTime madeAt = state.reportMadeAt;
+    Tokens resident = report.residentTokens;
+    int requests = report.running + report.waiting;
+    for (const AttemptId &id : std::as_const(state.ownAttempts)) {
+        const Attempt &attempt = m_attempts[id];
+        if (attempt.sentAt <= madeAt) {
+            resident -= attempt.request.promptTokens + Tokens(attempt.generated);
+            --requests;
+        }
+    }
+    while (!state.endedSends.empty() && state.endedSends.front().endedAt <= madeAt)
+        state.endedSends.pop_front();
+    for (const OwnSend &send : state.endedSends) {
+        if (send.sentAt <= madeAt) {
+            resident -= send.tokens;
+            --requests;
+        }
+    }
+    state.othersResidentTokens = std::max(resident, Tokens(0));
+    state.othersRequests = std::max(requests, 0);
+}
+
+const TargetTable::StateList &TargetTable::candidates(const PlacementRequest &request) const
+{
+    static const StateList none;
+    if (!request.model.isEmpty()) {
+        const auto found = m_byModel.constFind(request.model);
+        return found == m_byModel.constEnd() ? none : *found;
+    }
+    const auto found = m_byService.constFind(request.service);
+    return found == m_byService.constEnd() ? none : *found;
+}
+
+Placement TargetTable::decide(const AttemptId &attempt, const PlacementRequest &request,
+                              const ServiceConfiguration &service, MonotonicTime now,
+                              quint64 random)
+{
+    const std::lock_guard lock(m_mutex);
+    const QList<TargetLoad> usableLoads = loads(candidates(request), request.prefixHash, now);
+    const bool inTurn = service.policy == PolicyName::RoundRobin;
+    const quint64 draw = inTurn ? m_turns[request.service]++ : random;
+    Placement placement = place(request, service, usableLoads, draw);
+    if (placement.outcome == PlacementOutcome::Chosen)
+        recordSend(placement.target, attempt, request, now);
+    return placement;
+}
+
+void TargetTable::attemptSent(const TargetId &target, const AttemptId &attempt,
+                              const PlacementRequest &request, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    recordSend(target, attempt, request, now);
+}
+
+void TargetTable::recordSend(const TargetId &target, const AttemptId &attempt,
+                             const PlacementRequest &request, MonotonicTime now)
+{
+    TargetState *state = find(target);
+    if (!state || m_attempts.contains(attempt))
+        return;
+    m_attempts.insert(attempt, {target, request, now, 0});
+    state->ownAttempts.insert(attempt);
+    state->ownResidentTokens += request.promptTokens;
+    state->ownPrefillTokens += request.promptTokens;
+    rememberPrefix(*state, request.prefixHash, now);
+}
+
+void TargetTable::tokenReceived(const AttemptId &attempt)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    TargetState *state = find(found->target);
+    if (found->generated == 0)
+        state->ownPrefillTokens -= found->request.promptTokens;
+    ++found->generated;
+    state->ownResidentTokens += Tokens(1);
+}
+
+void TargetTable::attemptEnded(const AttemptId &attempt, AttemptEnd end, MonotonicTime now)
+{
+    Q_UNUSED(end)
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end())
+        return;
+    const Tokens held = found->request.promptTokens + Tokens(found->generated);
+    TargetState *state = find(found->target);
+    state->ownAttempts.remove(attempt);
+    state->ownResidentTokens -= held;
+    if (found->generated == 0)
+        state->ownPrefillTokens -= found->request.promptTokens;
+    state->endedSends.push_back({found->sentAt, now, held});
+    if (state->endedSends.size() > EndedSends)
+        state->endedSends.pop_front();
+    const TargetId target = found->target;
+    m_attempts.erase(found);
+    if (!state->configured && state->ownAttempts.isEmpty())
+        m_targets.erase(target);
+}
+
+bool TargetTable::markLeaving(const TargetId &target, Incarnation incarnation)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetState *state = find(target);
+    if (!state)
+        return false;
+    const bool unknown = incarnation == Incarnation(0);
+    const Incarnation left = unknown ? state->incarnation : incarnation;
+    if (left < state->incarnation)
+        return false;
+    const bool wasIn = !state->leaving;
+    state->leaving = true;
+    state->leavingIncarnation = std::max(left, state->leavingIncarnation);
+    return wasIn;
+}
+
+bool TargetTable::markDead(const TargetId &target)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetState *state = find(target);
+    if (!state || state->dead)
+        return false;
+    state->dead = true;
+    return true;
+}
+
+void TargetTable::markBack(const TargetId &target)
+{
+    const std::lock_guard lock(m_mutex);
+    if (TargetState *state = find(target))
+        state->dead = false;
+}
+
+bool TargetTable::usable(const TargetId &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TargetState *state = find(target);
+    return state && isUsable(*state);
+}
+
+Incarnation TargetTable::incarnation(const TargetId &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TargetState *state = find(target);
+    return state ? state->incarnation : Incarnation(0);
+}
+
+QList<TargetLoad> TargetTable::loads(const StateList &states, quint64 prefixHash,
+                                     MonotonicTime now) const
+{
+    QList<TargetLoad> usableLoads;
+    usableLoads.reserve(qsizetype(states.size()));
+    for (const TargetState *state : states) {
+        if (isUsable(*state))
+            usableLoads.append(loadOf(*state, prefixHash, now));
+    }
+    return usableLoads;
+}
+
+QList<TargetLoad> TargetTable::loadsFor(const ModelId &model, MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return loads(m_byModel.value(model), 0, now);
+}
+
+QList<TargetLoad> TargetTable::loadsFor(const ServiceId &service, MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return loads(m_byService.value(service), 0, now);
+}
+
+QList<TargetLoad> TargetTable::allLoads(MonotonicTime now) const
+{
+    const std::lock_guard lock(m_mutex);
+    QList<TargetLoad> all;
+    for (const auto &[id, state] : m_targets) {
+        if (state.configured)
+            all.append(loadOf(state, 0, now));
+    }
+    return all;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/placement/TargetTable.h
@@ -0,0 +1,96 @@
+// Defines TargetTable, what this daemon knows of the targets and of its own sends to them.
+#pragma once
+
+#include "configuration/Configuration.h"
+#include "placement/AttemptEnd.h"
+#include "placement/LoadReport.h"
+#include "placement/Placement.h"
+#include "placement/PlacementRequest.h"
+#include "placement/TargetLoad.h"
+
+#include <QHash>
+#include <QList>
+
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace cranberry {
+
+struct TargetState;
+
+/// Thread safety: every method is thread-safe. Its mutex is a leaf lock (docs/LOCKS.md): it is
+/// never held while calling out.
+class TargetTable
+{
+public:
+    TargetTable();
+    ~TargetTable();
+    TargetTable(const TargetTable &) = delete;
+    TargetTable &operator=(const TargetTable &) = delete;
+
+    /// Takes over the targets of @p configuration. Sends under way to a target that went are
+    /// still followed to their end.
+    void setConfiguration(const Configuration &configuration);
+
+    /// Records what @p target said; a report of an older incarnation than known is dropped.
+    void reportReceived(const TargetId &target, const LoadReport &report, MonotonicTime now);
+
+    /// Decides by the policy of @p service and, if a target is chosen, records the send of
+    /// @p attempt under the same lock, so that concurrent decisions see each other.
+    /// Precondition: @p attempt was not used before. The caller must tell its end.
+    Placement decide(const AttemptId &attempt, const PlacementRequest &request,
+                     const ServiceConfiguration &service, MonotonicTime now, quint64 random);
+
+    /// Records a send that was not chosen by decide(), such as a resumed one.
+    void attemptSent(const TargetId &target, const AttemptId &attempt,
+                     const PlacementRequest &request, MonotonicTime now);
+    /// Counts one generated token of @p attempt. Unknown attempts are ignored.
+    void tokenReceived(const AttemptId &attempt);
+    /// Forgets @p attempt. Unknown attempts are ignored, so it may be told twice.
+    void attemptEnded(const AttemptId &attempt, AttemptEnd end, MonotonicTime now);
+
+    /// Takes @p target out until it is seen with a newer incarnation than @p incarnation; 0
+    /// stands for the one known now. Ignored if a newer one is known. True if it was in before.
+    bool markLeaving(const TargetId &target, Incarnation incarnation);
+    /// Takes @p target out until markBack() or a report of a newer incarnation. True if it was
+    /// in before.
+    bool markDead(const TargetId &target);
+    /// Undoes markDead(), not markLeaving().
+    void markBack(const TargetId &target);
+
+    /// True if new work may go to @p target.
+    bool usable(const TargetId &target) const;
+    /// The incarnation of @p target as last reported; 0 if unknown.
+    Incarnation incarnation(const TargetId &target) const;
+
+    /// The usable targets that serve @p model, ordered by id.
+    QList<TargetLoad> loadsFor(const ModelId &model, MonotonicTime now) const;
+    /// The usable targets of the plain service @p service, ordered by id.
+    QList<TargetLoad> loadsFor(const ServiceId &service, MonotonicTime now) const;
+    /// All configured targets, usable or not, ordered by id; for the status page.
+    QList<TargetLoad> allLoads(MonotonicTime now) const;
+
+private:
+    struct Attempt;
+
+    using StateList = std::vector<const TargetState *>;
+
+    TargetState *find(const TargetId &target);
+    const TargetState *find(const TargetId &target) const;
+    void indexTargets();
+    QList<TargetLoad> loads(const StateList &states, quint64 prefixHash, MonotonicTime now) const;
+    const StateList &candidates(const PlacementRequest &request) const;
+    void recordSend(const TargetId &target, const AttemptId &attempt,
+                    const PlacementRequest &request, MonotonicTime now);
+    void subtractOwn(TargetState &state, const LoadReport &report);
+
+    mutable std::mutex m_mutex;
+    std::map<TargetId, TargetState> m_targets;
+    QHash<ModelId, StateList> m_byModel;
+    QHash<ServiceId, StateList> m_byService;
+    QHash<AttemptId, Attempt> m_attempts;
+    QHash<ServiceId, quint64> m_turns;
+};
+
+} // namespace cranberry
