--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -1,10 +1,12 @@
 #include "base/ErrorKind.h"
 
+#include <array>
+
 namespace cranberry {
 
 namespace {
 
-constexpr std::array<ErrorAnswer, 28> ErrorAnswers{{
+constexpr std::array<ErrorAnswer, ErrorKindCount> ErrorAnswers{{
     {ErrorKind::BadRequest, "bad_request", 400, "The request is not valid", {}},
     {ErrorKind::BadHeader, "bad_header", 400, "A header is not valid", {}},
     {ErrorKind::BodyTooLarge, "body_too_large", 413, "The body is too large", {}},
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -3,7 +3,7 @@
 
 #include <QByteArray>
 
-#include <array>
+#include <cstddef>
 #include <optional>
 
 namespace cranberry {
@@ -40,6 +40,8 @@
     Internal,
 };
 
+constexpr std::size_t ErrorKindCount = std::size_t(ErrorKind::Internal) + 1;
+
 /// What is known about whether a target executed the request.
 enum class Ran {
     No,
--- /dev/null
+++ b/src/daemon/SettingsReader.cpp
@@ -0,0 +1,87 @@
+#include "daemon/SettingsReader.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+#include <cmath>
+
+namespace cranberry {
+
+namespace {
+
+QString shown(const QJsonValue &value)
+{
+    if (value.isUndefined())
+        return QStringLiteral("nothing");
+    const QByteArray array = QJsonDocument(QJsonArray{value}).toJson(QJsonDocument::Compact);
+    return QString::fromUtf8(array.mid(1, array.size() - 2).left(80));
+}
+
+} // namespace
+
+SettingsReader::SettingsReader(const QJsonObject &object, QString path, SettingsFaults &faults)
+    : m_object(object)
+    , m_path(std::move(path))
+    , m_faults(faults)
+{
+    for (auto member = object.begin(); member != object.end(); ++member)
+        m_faults.notePresent(pathOf(member.key()));
+}
+
+QString SettingsReader::pathOf(const QString &name) const
+{
+    return m_path.isEmpty() ? name : m_path + u'.' + name;
+}
+
+void SettingsReader::fault(const QString &name, const QString &allowed)
+{
+    m_faults.add(QStringLiteral("%1: expected %2, got %3")
+                     .arg(pathOf(name), allowed, shown(m_object.value(name))));
+}
+
+SettingsReader SettingsReader::object(const QString &name)
+{
+    m_faults.noteRead(pathOf(name));
+    const QJsonValue value = m_object.value(name);
+    if (!value.isUndefined() && !value.isObject())
+        fault(name, QStringLiteral("an object"));
+    return {value.toObject(), pathOf(name), m_faults};
+}
+
+QString SettingsReader::string(const QString &name, const QString &fallback)
+{
+    m_faults.noteRead(pathOf(name));
+    const QJsonValue value = m_object.value(name);
+    if (value.isUndefined())
+        return fallback;
+    if (!value.isString())
+        fault(name, QStringLiteral("a string"));
+    return value.toString(fallback);
+}
+
+QString SettingsReader::requiredString(const QString &name)
+{
+    m_faults.noteRead(pathOf(name));
+    const QString value = m_object.value(name).toString();
+    if (value.isEmpty())
+        fault(name, QStringLiteral("a non-empty string"));
+    return value;
+}
+
+qint64 SettingsReader::number(const QString &name, qint64 least, qint64 most, qint64 fallback)
+{
+    m_faults.noteRead(pathOf(name));
+    const QJsonValue value = m_object.value(name);
+    if (value.isUndefined())
+        return fallback;
+    const double number = value.toDouble(std::nan(""));
+    const bool allowed = value.isDouble() && number >= double(least) && number <= double(most)
+        && std::floor(number) == number;
+    if (!allowed) {
+        fault(name, QStringLiteral("%1..%2").arg(least).arg(most));
+        return fallback;
+    }
+    return qint64(number);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/DeliveryContext.h
@@ -0,0 +1,36 @@
+// Defines DeliveryContext, the collaborators that every run shares.
+#pragma once
+
+#include "delivery/StallThreshold.h"
+
+namespace cranberry {
+
+class ClaimGate;
+class HttpClient;
+class TargetCancels;
+class TargetSource;
+class TimerService;
+
+/// Counts of what delivery met, for the metrics. Only grow.
+struct DeliveryCounters {
+    qint64 tokensDelivered = 0;
+    qint64 tokensDropped = 0;
+    qint64 attemptsSent = 0;
+    qint64 retries = 0;
+    qint64 resumes = 0;
+    qint64 generationsLost = 0;
+};
+
+/// All references outlive every run.
+struct DeliveryContext {
+    HttpClient &client;
+    TimerService &timers;
+    TargetSource &targets;
+    TargetCancels &cancels;
+    ClaimGate &claims;
+    StallLimits stallLimits;
+    GapStatistics gaps;
+    DeliveryCounters counters;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/GenerationRun.cpp
@@ -0,0 +1,519 @@
+#include "delivery/GenerationRun.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "configuration/Configuration.h"
+#include "delivery/AnswerSink.h"
+#include "delivery/ClaimGate.h"
+#include "delivery/DeliveryContext.h"
+#include "delivery/TargetCancels.h"
+#include "delivery/TargetStream.h"
+#include "http/HttpRequest.h"
+#include "placement/PlacementRequest.h"
+
+#include <QUrl>
+#include <QUuid>
+
+namespace cranberry {
+
+namespace {
+
+/// Resumes in a row that bring no event before the generation counts as lost.
+constexpr int ResumeTries = 4;
+constexpr Milliseconds ResumeDelay{150};
+constexpr int StatusNotFound = 404;
+
+AttemptId freshAttemptId()
+{
+    return AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
+}
+
+HttpRequest sendRequest(const GenerationRequest &request, const AttemptId &attempt)
+{
+    HttpRequest result;
+    result.method = "POST";
+    result.path = request.path;
+    result.headers.add("Content-Type", "application/json");
+    result.headers.add("Cranberry-Attempt", attempt.text().toUtf8());
+    result.headers.add("Cranberry-Cache-Salt", request.cacheSalt);
+    result.headers.add("Cranberry-Priority", QByteArray::number(request.priority));
+    result.body = request.body;
+    return result;
+}
+
+HttpRequest resumeRequest(const AttemptId &attempt, qint64 from)
+{
+    HttpRequest result;
+    result.method = "GET";
+    result.path = "/generations/" + QUrl::toPercentEncoding(attempt.text());
+    result.query.addQueryItem(QStringLiteral("from"), QString::number(from));
+    return result;
+}
+
+} // namespace
+
+GenerationRun::GenerationRun(DeliveryContext &context, GenerationRequest request,
+                             EndedCallback ended, HeldCallback held)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_ended(std::move(ended))
+    , m_held(std::move(held))
+{
+}
+
+GenerationRun::~GenerationRun() = default;
+
+void GenerationRun::start()
+{
+    const MonotonicTime now = m_context.timers.now();
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_request.deadline - now);
+    m_deadlineTimer =
+        m_context.timers.after(std::max(left, Milliseconds(0)), [this] { deadlinePassed(); });
+    acquireTarget();
+}
+
+void GenerationRun::attach(const std::shared_ptr<AnswerSink> &sink)
+{
+    const std::shared_ptr<GenerationRun> alive = shared_from_this();
+    for (const TokenEvent &event : std::as_const(m_events))
+        sink->deliver(event);
+    if (m_failure)
+        sink->failed(*m_failure);
+    else if (m_sequence.complete)
+        sink->finished();
+    else
+        m_sinks.append(sink);
+}
+
+void GenerationRun::detach(const AnswerSink *sink)
+{
+    m_sinks.removeIf([sink](const std::shared_ptr<AnswerSink> &s) { return s.get() == sink; });
+    if (!m_request.atMostOnce)
+        cancelIfAbandoned();
+}
+
+void GenerationRun::cancelIfAbandoned()
+{
+    if (m_over || !m_sinks.isEmpty())
+        return;
+    const std::shared_ptr<GenerationRun> alive = shared_from_this();
+    cancelAtTarget();
+    fail({ErrorKind::GenerationLost,
+          whatIsKnown(),
+          QStringLiteral("cancelled: the caller left"),
+          {},
+          {}});
+}
+
+std::optional<HttpEndpoint> GenerationRun::endpoint() const
+{
+    const auto found = m_request.configuration->targets.constFind(m_target);
+    if (found == m_request.configuration->targets.constEnd())
+        return std::nullopt;
+    return found->endpoint;
+}
+
+void GenerationRun::acquireTarget()
+{
+    PlacementRequest placement;
+    placement.request = m_request.id;
+    placement.service = m_request.service;
+    placement.model = m_request.model;
+    placement.workspace = m_request.workspace;
+    placement.promptTokens = m_request.promptTokens;
+    placement.maxTokens = m_request.maxTokens;
+    placement.prefixHash = m_request.prefixHash;
+    placement.excluded = m_excluded;
+    m_attempt = freshAttemptId();
+    m_target = TargetId();
+    m_sent = false;
+    m_began = false;
+    m_resumeTries = 0;
+    m_acquiring = true;
+    m_context.targets.acquire(placement, m_attempt, m_request.configuration, m_request.deadline,
+                              [weak = weak_from_this()](const Result<TargetId> &target) {
+                                  if (const auto self = weak.lock())
+                                      self->targetAcquired(target);
+                              });
+}
+
+void GenerationRun::targetAcquired(const Result<TargetId> &target)
+{
+    m_acquiring = false;
+    if (m_over)
+        return;
+    if (!target) {
+        fail(target.error());
+        return;
+    }
+    m_target = target.value();
+    if (m_request.atMostOnce && !m_claimed)
+        claimAndSend();
+    else
+        send();
+}
+
+void GenerationRun::claimAndSend()
+{
+    m_claimAttempt = m_attempt;
+    m_context.claims.claim(m_request.claimKey, m_request.fingerprint, m_attempt,
+                           [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
+                               if (const auto self = weak.lock())
+                                   self->claimDecided(decision);
+                           });
+}
+
+void GenerationRun::claimDecided(const Result<ClaimDecision> &decision)
+{
+    const bool won = decision && decision.value().kind == ClaimDecision::Kind::Won;
+    if (m_over) {
+        // The deadline passed while the claim was under way; nothing was sent under it.
+        if (won)
+            m_context.claims.release(m_request.claimKey, m_claimAttempt);
+        return;
+    }
+    if (!decision) {
+        dropStreams(AttemptOutcome::Cancelled);
+        fail(decision.error());
+        return;
+    }
+    if (!won) {
+        dropStreams(AttemptOutcome::Cancelled);
+        const std::shared_ptr<GenerationRun> alive = shared_from_this();
+        const HeldCallback held = std::move(m_held);
+        held(decision.value());
+        over();
+        return;
+    }
+    m_claimed = true;
+    send();
+}
+
+void GenerationRun::send()
+{
+    const std::optional<HttpEndpoint> where = endpoint();
+    if (!where) {
+        retryElsewhere(SendFailure::NotConnected, QStringLiteral("target is not configured"));
+        return;
+    }
+    logEvent(LogLevel::Info, EventId::AttemptSent,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"target", m_target.text()}});
+    ++m_context.counters.attemptsSent;
+    m_sent = true;
+    m_lastEvent = m_context.timers.now();
+    m_stream = openStream(false);
+    watchForStall();
+}
+
+GenerationRun::NumberedStream GenerationRun::openStream(bool isResume)
+{
+    const quint64 number = ++m_streamCount;
+    TargetStreamCallbacks callbacks;
+    callbacks.began = [this] { m_began = true; };
+    callbacks.event = [this, number](const TokenEvent &event) {
+        const std::shared_ptr<GenerationRun> alive = shared_from_this();
+        streamEvent(event, number);
+    };
+    callbacks.ended = [this, number](std::optional<SendFailure> failure, int status,
+                                     const QString &reason) {
+        const std::shared_ptr<GenerationRun> alive = shared_from_this();
+        streamEnded(failure, status, reason, number);
+    };
+    const HttpRequest request =
+        isResume ? resumeRequest(m_attempt, m_sequence.next) : sendRequest(m_request, m_attempt);
+    return {number,
+            std::make_unique<TargetStream>(m_context.client, *endpoint(), request, m_attempt,
+                                           std::move(callbacks))};
+}
+
+bool GenerationRun::isBeside(quint64 stream) const
+{
+    return m_beside.stream && m_beside.number == stream;
+}
+
+void GenerationRun::streamEvent(const TokenEvent &event, quint64 stream)
+{
+    if (m_over)
+        return;
+    const bool ownAttempt = event.attempt == m_attempt;
+    const TokenVerdict verdict = ownAttempt
+        ? acceptToken(m_sequence, event.attempt, event.index, event.isLast())
+        : TokenVerdict::OtherGeneration;
+    if (verdict != TokenVerdict::Deliver) {
+        ++m_context.counters.tokensDropped;
+        logEvent(LogLevel::Debug, EventId::StreamDropped,
+                 {{"request", m_request.id.text()}, {"index", QString::number(event.index)}});
+        // Nothing after a gap can be delivered from this stream; a resume brings the rest.
+        if (verdict == TokenVerdict::Gap && !isBeside(stream))
+            stalled();
+        return;
+    }
+    // A stalled link may come back to life beside its resume: the first of the two to bring
+    // the next event goes on, and the other is dropped.
+    if (isBeside(stream))
+        m_stream = std::move(m_beside);
+    m_beside = {};
+    deliver(event);
+}
+
+void GenerationRun::deliver(const TokenEvent &event)
+{
+    const MonotonicTime now = m_context.timers.now();
+    if (m_sequence.next > 1)
+        observeGap(m_context.gaps, std::chrono::duration_cast<Milliseconds>(now - m_lastEvent));
+    m_lastEvent = now;
+    m_resumeTries = 0;
+    ++m_context.counters.tokensDelivered;
+    m_context.targets.tokenReceived(m_attempt);
+    if (m_request.atMostOnce) {
+        m_events.append(event);
+        m_keptBytes += event.data.size();
+    }
+    const QList<std::shared_ptr<AnswerSink>> sinks = m_sinks;
+    for (const std::shared_ptr<AnswerSink> &sink : sinks)
+        sink->deliver(event);
+    if (m_over)
+        return;
+    if (m_sequence.complete)
+        finish();
+    else
+        watchForStall();
+}
+
+void GenerationRun::streamEnded(std::optional<SendFailure> failure, int status,
+                                const QString &reason, quint64 stream)
+{
+    if (m_over)
+        return;
+    if (isBeside(stream)) {
+        besideEnded(status);
+        return;
+    }
+    if (m_beside.stream) {
+        m_stream = std::move(m_beside);
+        m_beside = {};
+        return;
+    }
+    m_stream = {};
+    m_stallTimer.reset();
+    if (status == StatusNotFound && m_sequence.next > 0) {
+        giveUp(SendFailure::BrokenAfterStart, QStringLiteral("the target forgot the generation"));
+        return;
+    }
+    sendFailed(failure.value_or(SendFailure::BrokenAfterStart), reason);
+}
+
+void GenerationRun::besideEnded(int status)
+{
+    m_beside = {};
+    // A resume that fails says nothing of the silent stream beside it, unless the target
+    // answers that it has forgotten a generation of which it has given events.
+    if (status == StatusNotFound && m_sequence.next > 0)
+        giveUp(SendFailure::BrokenAfterStart, QStringLiteral("the target forgot the generation"));
+    else
+        watchForStall();
+}
+
+void GenerationRun::sendFailed(SendFailure failure, const QString &reason)
+{
+    logEvent(LogLevel::Warning, EventId::AttemptFailed,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"target", m_target.text()},
+              {"failure", QLatin1String(sendFailureName(failure))},
+              {"reason", reason}});
+    const bool mayHaveBegun = m_began || m_sequence.next > 0 || m_resumeTries > 0;
+    const bool neverStarted = ranAfter(failure) == Ran::No && !mayHaveBegun;
+    if (neverStarted) {
+        retryElsewhere(failure, reason);
+        return;
+    }
+    const bool connectionFailed = failure == SendFailure::BrokenAfterStart
+        || failure == SendFailure::BrokenBeforeAnswer || failure == SendFailure::NotConnected;
+    if (connectionFailed && m_resumeTries < ResumeTries) {
+        resumeLater();
+        return;
+    }
+    if (m_sequence.next > 0) {
+        giveUp(SendFailure::BrokenAfterStart, reason);
+        return;
+    }
+    settleByCancel(failure, reason);
+}
+
+void GenerationRun::resumeLater()
+{
+    ++m_resumeTries;
+    ++m_context.counters.resumes;
+    logEvent(LogLevel::Info, EventId::StreamResumed,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"from", QString::number(m_sequence.next)}});
+    m_resumeTimer = m_context.timers.after(ResumeDelay * (m_resumeTries - 1), [this] {
+        if (m_over)
+            return;
+        m_stream = openStream(true);
+        watchForStall();
+    });
+}
+
+void GenerationRun::settleByCancel(SendFailure failure, const QString &reason)
+{
+    // Only the target can say whether a send whose answer was lost has run. Until it has been
+    // told to cancel, a second send could run beside the first.
+    const auto decide = [weak = weak_from_this(), failure, reason](CancelOutcome outcome) {
+        const auto self = weak.lock();
+        if (!self || self->m_over)
+            return;
+        if (outcome == CancelOutcome::NotStarted)
+            self->retryElsewhere(SendFailure::CancelledBeforeStart, reason);
+        else if (!self->m_request.atMostOnce)
+            self->retryElsewhere(failure, reason);
+        else if (outcome == CancelOutcome::Started)
+            self->giveUp(SendFailure::CancelledAfterStart, reason);
+        else
+            self->giveUp(SendFailure::BrokenBeforeAnswer, reason);
+    };
+    m_context.cancels.cancel(*endpoint(), m_attempt, decide);
+}
+
+void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason)
+{
+    const TargetId failed = m_target;
+    m_ranBefore = std::max(m_ranBefore, ranAfter(failure));
+    const bool refused =
+        failure == SendFailure::RefusedBeforeStart || failure == SendFailure::CancelledBeforeStart;
+    dropStreams(refused ? AttemptOutcome::Refused : AttemptOutcome::TargetLost);
+    if (!m_context.targets.takeRetry(m_request.workspace, failed)) {
+        giveUp(failure, reason);
+        return;
+    }
+    ++m_context.counters.retries;
+    logEvent(LogLevel::Info, EventId::AttemptRetried,
+             {{"request", m_request.id.text()}, {"after", failed.text()}});
+    m_excluded.insert(failed);
+    acquireTarget();
+}
+
+void GenerationRun::giveUp(SendFailure failure, const QString &reason)
+{
+    const Ran ran = m_sequence.next > 0 ? Ran::Yes : ranAfter(failure);
+    Error error;
+    error.ran = ran;
+    error.detail = QStringLiteral("%1: %2").arg(QLatin1String(sendFailureName(failure)), reason);
+    if (m_sequence.next > 0) {
+        error.kind = ErrorKind::GenerationLost;
+        ++m_context.counters.generationsLost;
+    } else if (failure == SendFailure::ErrorAnswer) {
+        error.kind = ErrorKind::TargetRefused;
+    } else {
+        error.kind = ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed;
+    }
+    dropStreams(AttemptOutcome::TargetLost);
+    fail(error);
+}
+
+void GenerationRun::watchForStall()
+{
+    const Milliseconds silence = m_sequence.next > 0
+        ? stallThreshold(m_context.gaps, m_context.stallLimits)
+        : m_context.stallLimits.ceiling;
+    m_stallTimer = m_context.timers.after(silence, [this] { stalled(); });
+}
+
+void GenerationRun::stalled()
+{
+    // A link can stall without closing: neither side sees an error and the caller waits for
+    // ever. A resume on a fresh connection beside it brings what the target has generated.
+    if (m_over || m_target.isEmpty() || m_beside.stream)
+        return;
+    ++m_context.counters.resumes;
+    logEvent(LogLevel::Info, EventId::StreamResumed,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"from", QString::number(m_sequence.next)}});
+    m_beside = openStream(true);
+}
+
+void GenerationRun::deadlinePassed()
+{
+    const std::shared_ptr<GenerationRun> alive = shared_from_this();
+    if (m_over)
+        return;
+    cancelAtTarget();
+    fail({ErrorKind::DeadlineExceeded,
+          whatIsKnown(),
+          QStringLiteral("the answer was not complete by the deadline"),
+          {},
+          {}});
+}
+
+Ran GenerationRun::whatIsKnown() const
+{
+    if (m_sequence.next > 0 || m_began)
+        return Ran::Yes;
+    return m_sent ? Ran::Maybe : Ran::No;
+}
+
+void GenerationRun::cancelAtTarget()
+{
+    const std::optional<HttpEndpoint> where = endpoint();
+    if (m_acquiring)
+        m_context.targets.withdraw(m_attempt);
+    if (!m_sent || !where)
+        return;
+    logEvent(LogLevel::Info, EventId::AttemptCancelled,
+             {{"request", m_request.id.text()}, {"attempt", m_attempt.text()}});
+    m_context.cancels.cancel(*where, m_attempt, [](CancelOutcome) {});
+}
+
+void GenerationRun::dropStreams(AttemptOutcome end)
+{
+    m_stream = {};
+    m_beside = {};
+    m_stallTimer.reset();
+    m_resumeTimer.reset();
+    if (!m_target.isEmpty())
+        m_context.targets.attemptEnded(m_attempt, end);
+    m_target = TargetId();
+}
+
+void GenerationRun::finish()
+{
+    dropStreams(AttemptOutcome::Finished);
+    const QList<std::shared_ptr<AnswerSink>> sinks = std::exchange(m_sinks, {});
+    for (const std::shared_ptr<AnswerSink> &sink : sinks)
+        sink->finished();
+    over();
+}
+
+void GenerationRun::fail(Error error)
+{
+    dropStreams(AttemptOutcome::Cancelled);
+    // An idempotent request may be refused after an earlier attempt of it has run: "no" would
+    // then be false of the request as a whole.
+    error.ran = std::max(error.ran, m_ranBefore);
+    m_failure = error;
+    if (m_claimed && error.ran == Ran::No)
+        m_context.claims.release(m_request.claimKey, m_claimAttempt);
+    const QList<std::shared_ptr<AnswerSink>> sinks = std::exchange(m_sinks, {});
+    for (const std::shared_ptr<AnswerSink> &sink : sinks)
+        sink->failed(error);
+    over();
+}
+
+void GenerationRun::over()
+{
+    if (m_over)
+        return;
+    m_over = true;
+    m_deadlineTimer.reset();
+    const EndedCallback ended = std::move(m_ended);
+    if (ended)
+        ended(*this);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/GenerationRun.h
@@ -0,0 +1,137 @@
+// Defines GenerationRun, which carries one request for a generation to its end.
+#pragma once
+
+#include "base/Error.h"
+#include "base/Units.h"
+#include "delivery/GenerationRequest.h"
+#include "delivery/SendFailure.h"
+#include "delivery/TargetSource.h"
+#include "delivery/TokenEvent.h"
+#include "delivery/TokenSequence.h"
+#include "http/HttpEndpoint.h"
+
+#include <QList>
+#include <QSet>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class AnswerSink;
+class TargetStream;
+class TimerSubscription;
+struct ClaimDecision;
+struct DeliveryContext;
+
+/// Finds a target, claims if the request runs at most once, sends, resumes, retries where
+/// that is safe, and hands the one chosen generation to its sinks.
+/// Thread safety: only from the thread of the event loop.
+class GenerationRun : public std::enable_shared_from_this<GenerationRun>
+{
+public:
+    /// Told once when nothing further will happen in this run.
+    using EndedCallback = std::function<void(GenerationRun &run)>;
+    /// Told if another request holds the key, in place of an answer; the run is then over.
+    using HeldCallback = std::function<void(const ClaimDecision &held)>;
+
+    /// Precondition: @p context outlives the run.
+    GenerationRun(DeliveryContext &context, GenerationRequest request, EndedCallback ended,
+                  HeldCallback held);
+    ~GenerationRun();
+    GenerationRun(const GenerationRun &) = delete;
+    GenerationRun &operator=(const GenerationRun &) = delete;
+
+    /// Begins. Precondition: called once.
+    void start();
+
+    /// Adds a receiver. Events so far are replayed to it if the run keeps them, which it does
+    /// for at-most-once requests. Precondition: the run keeps events or has delivered none.
+    void attach(const std::shared_ptr<AnswerSink> &sink);
+
+    /// The caller behind @p sink has gone. An idempotent run without sinks is cancelled; one
+    /// that runs at most once goes on, so that a further request can attach to it.
+    void detach(const AnswerSink *sink);
+
+    /// Cancels the run if it has no sinks.
+    void cancelIfAbandoned();
+
+    const GenerationRequest &request() const { return m_request; }
+    bool isOver() const { return m_over; }
+    /// Every event up to the last was received.
+    bool isWhole() const { return m_sequence.complete; }
+    bool hasSinks() const { return !m_sinks.isEmpty(); }
+    qint64 keptBytes() const { return m_keptBytes; }
+    /// How it failed, once it is over and did.
+    const std::optional<Error> &failure() const { return m_failure; }
+
+private:
+    void acquireTarget();
+    void targetAcquired(const Result<TargetId> &target);
+    void claimAndSend();
+    void claimDecided(const Result<ClaimDecision> &decision);
+    void send();
+    /// A stream with a number, so that a callback can tell which of two streams it is for.
+    struct NumberedStream {
+        quint64 number = 0;
+        std::unique_ptr<TargetStream> stream;
+    };
+
+    NumberedStream openStream(bool isResume);
+    bool isBeside(quint64 stream) const;
+    void streamEvent(const TokenEvent &event, quint64 stream);
+    void deliver(const TokenEvent &event);
+    void streamEnded(std::optional<SendFailure> failure, int status, const QString &reason,
+                     quint64 stream);
+    void besideEnded(int status);
+    void sendFailed(SendFailure failure, const QString &reason);
+    void resumeLater();
+    void settleByCancel(SendFailure failure, const QString &reason);
+    void retryElsewhere(SendFailure failure, const QString &reason);
+    void giveUp(SendFailure failure, const QString &reason);
+    void watchForStall();
+    void stalled();
+    void deadlinePassed();
+    void dropStreams(AttemptOutcome end);
+    void cancelAtTarget();
+    void finish();
+    void fail(Error error);
+    void over();
+    Ran whatIsKnown() const;
+    std::optional<HttpEndpoint> endpoint() const;
+
+    DeliveryContext &m_context;
+    const GenerationRequest m_request;
+    EndedCallback m_ended;
+    HeldCallback m_held;
+
+    QList<std::shared_ptr<AnswerSink>> m_sinks;
+    QList<TokenEvent> m_events;
+    qint64 m_keptBytes = 0;
+
+    AttemptId m_attempt;
+    TargetId m_target;
+    QSet<TargetId> m_excluded;
+    TokenSequence m_sequence;
+    quint64 m_streamCount = 0;
+    NumberedStream m_stream;
+    /// A resume opened while the stream is silent but not closed.
+    NumberedStream m_beside;
+    std::unique_ptr<TimerSubscription> m_stallTimer;
+    std::unique_ptr<TimerSubscription> m_deadlineTimer;
+    std::unique_ptr<TimerSubscription> m_resumeTimer;
+    MonotonicTime m_lastEvent;
+    int m_resumeTries = 0;
+    bool m_acquiring = false;
+    bool m_claimed = false;
+    AttemptId m_claimAttempt;
+    bool m_sent = false;
+    bool m_began = false;
+    bool m_over = false;
+    /// What earlier attempts of this request left behind; the last answer may not say less.
+    Ran m_ranBefore = Ran::No;
+    std::optional<Error> m_failure;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/PlainRequest.h
@@ -0,0 +1,27 @@
+// Defines PlainRequest, one caller's call of a plain service as delivery runs it.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/HttpRequest.h"
+
+#include <memory>
+
+namespace cranberry {
+
+struct Configuration;
+
+struct PlainRequest {
+    RequestId id;
+    WorkspaceId workspace;
+    ServiceId service;
+    std::shared_ptr<const Configuration> configuration;
+    /// As it goes to the target, without the caller's key.
+    HttpRequest upstream;
+    MonotonicTime deadline;
+    bool atMostOnce = false;
+    QByteArray claimKey;
+    QByteArray fingerprint;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/PlainRun.cpp
@@ -0,0 +1,217 @@
+#include "delivery/PlainRun.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "configuration/Configuration.h"
+#include "delivery/ClaimGate.h"
+#include "delivery/DeliveryContext.h"
+#include "http/HttpClient.h"
+#include "placement/PlacementRequest.h"
+
+#include <QUuid>
+
+namespace cranberry {
+
+namespace {
+
+bool saysFailure(const HttpResponse &response)
+{
+    constexpr int TooManyRequests = 429;
+    constexpr int Unavailable = 503;
+    return response.status == TooManyRequests || response.status == Unavailable;
+}
+
+} // namespace
+
+PlainRun::PlainRun(DeliveryContext &context, PlainRequest request, Callback callback)
+    : m_context(context)
+    , m_request(std::move(request))
+    , m_callback(std::move(callback))
+{
+}
+
+PlainRun::~PlainRun() = default;
+
+void PlainRun::start()
+{
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(m_request.deadline - m_context.timers.now());
+    m_deadlineTimer = m_context.timers.after(std::max(left, Milliseconds(0)), [this] {
+        const std::shared_ptr<PlainRun> alive = shared_from_this();
+        fail({ErrorKind::DeadlineExceeded,
+              m_sent ? Ran::Maybe : Ran::No,
+              QStringLiteral("no answer by the deadline"),
+              {},
+              {}});
+    });
+    acquireTarget();
+}
+
+void PlainRun::acquireTarget()
+{
+    PlacementRequest placement;
+    placement.request = m_request.id;
+    placement.service = m_request.service;
+    placement.workspace = m_request.workspace;
+    placement.excluded = m_excluded;
+    m_attempt = AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
+    m_sent = false;
+    m_context.targets.acquire(placement, m_attempt, m_request.configuration, m_request.deadline,
+                              [weak = weak_from_this()](const Result<TargetId> &target) {
+                                  if (const auto self = weak.lock())
+                                      self->targetAcquired(target);
+                              });
+}
+
+void PlainRun::targetAcquired(const Result<TargetId> &target)
+{
+    if (m_over)
+        return;
+    if (!target) {
+        fail(target.error());
+        return;
+    }
+    m_target = target.value();
+    if (!m_request.atMostOnce || m_claimed) {
+        send();
+        return;
+    }
+    m_claimAttempt = m_attempt;
+    m_context.claims.claim(m_request.claimKey, m_request.fingerprint, m_attempt,
+                           [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
+                               if (const auto self = weak.lock())
+                                   self->claimDecided(decision);
+                           });
+}
+
+void PlainRun::claimDecided(const Result<ClaimDecision> &decision)
+{
+    const bool won = decision && decision.value().kind == ClaimDecision::Kind::Won;
+    if (m_over) {
+        if (won)
+            m_context.claims.release(m_request.claimKey, m_claimAttempt);
+        return;
+    }
+    if (!decision) {
+        fail(decision.error());
+        return;
+    }
+    if (!won) {
+        const bool same = decision.value().heldFingerprint == m_request.fingerprint;
+        fail(same ? Error{ErrorKind::OutcomeUnknown,
+                          Ran::Maybe,
+                          QStringLiteral("an earlier call holds this key; its answer is not kept"),
+                          {},
+                          {}}
+                  : Error{ErrorKind::IdempotencyKeyReused,
+                          Ran::No,
+                          QStringLiteral("the key belongs to a call with other content"),
+                          QStringLiteral("Idempotency-Key"),
+                          {}});
+        return;
+    }
+    m_claimed = true;
+    send();
+}
+
+void PlainRun::send()
+{
+    const auto found = m_request.configuration->targets.constFind(m_target);
+    if (found == m_request.configuration->targets.constEnd()) {
+        sendFailed(SendFailure::NotConnected, {});
+        return;
+    }
+    HttpRequest request = m_request.upstream;
+    request.headers.add("Cranberry-Attempt", m_attempt.text().toUtf8());
+    logEvent(LogLevel::Info, EventId::AttemptSent,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"target", m_target.text()}});
+    ++m_context.counters.attemptsSent;
+    m_sent = true;
+    m_exchange = m_context.client.fetch(
+        found->endpoint, request, {}, [this](HttpExchangeEnd end, const HttpResponse &response) {
+            const std::shared_ptr<PlainRun> alive = shared_from_this();
+            exchangeEnded(end, response);
+        });
+}
+
+void PlainRun::exchangeEnded(HttpExchangeEnd end, const HttpResponse &response)
+{
+    if (m_over)
+        return;
+    if (end != HttpExchangeEnd::Complete) {
+        sendFailed(failureOfExchange(end, false), response);
+        return;
+    }
+    const bool refused = saysFailure(response)
+        && failureOfAnswer(response.status, response.body) == SendFailure::RefusedBeforeStart;
+    if (refused) {
+        sendFailed(SendFailure::RefusedBeforeStart, response);
+        return;
+    }
+    releaseTarget(AttemptOutcome::Finished);
+    finish(response);
+}
+
+void PlainRun::sendFailed(SendFailure failure, const HttpResponse &response)
+{
+    logEvent(LogLevel::Warning, EventId::AttemptFailed,
+             {{"request", m_request.id.text()},
+              {"attempt", m_attempt.text()},
+              {"target", m_target.text()},
+              {"failure", QLatin1String(sendFailureName(failure))},
+              {"status", QString::number(response.status)}});
+    const TargetId failed = m_target;
+    const Ran ran = ranAfter(failure);
+    m_ranBefore = std::max(m_ranBefore, ran);
+    releaseTarget(failure == SendFailure::RefusedBeforeStart ? AttemptOutcome::Refused
+                                                             : AttemptOutcome::TargetLost);
+    const bool mayRunAgain = ran == Ran::No || !m_request.atMostOnce;
+    if (mayRunAgain && m_context.targets.takeRetry(m_request.workspace, failed)) {
+        ++m_context.counters.retries;
+        m_excluded.insert(failed);
+        acquireTarget();
+        return;
+    }
+    fail({ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed,
+          ran,
+          QLatin1String(sendFailureName(failure)),
+          {},
+          {}});
+}
+
+void PlainRun::releaseTarget(AttemptOutcome outcome)
+{
+    m_exchange.reset();
+    if (!m_target.isEmpty())
+        m_context.targets.attemptEnded(m_attempt, outcome);
+    m_target = TargetId();
+}
+
+void PlainRun::fail(Error error)
+{
+    if (m_over)
+        return;
+    if (m_target.isEmpty())
+        m_context.targets.withdraw(m_attempt);
+    releaseTarget(AttemptOutcome::Cancelled);
+    // An earlier attempt may have run: the answer may not say less than that.
+    error.ran = std::max(error.ran, m_ranBefore);
+    if (m_claimed && error.ran == Ran::No)
+        m_context.claims.release(m_request.claimKey, m_claimAttempt);
+    finish(error);
+}
+
+void PlainRun::finish(const Result<HttpResponse> &answer)
+{
+    m_over = true;
+    m_deadlineTimer.reset();
+    const Callback callback = std::move(m_callback);
+    m_callback = nullptr;
+    if (callback)
+        callback(answer);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/PlainRun.h
@@ -0,0 +1,66 @@
+// Defines PlainRun, which carries one call of a plain service to its end.
+#pragma once
+
+#include "base/Result.h"
+#include "delivery/PlainRequest.h"
+#include "delivery/SendFailure.h"
+#include "delivery/TargetSource.h"
+#include "http/HttpExchangeEnd.h"
+#include "http/HttpResponse.h"
+
+#include <QSet>
+
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+class HttpExchange;
+class TimerSubscription;
+struct ClaimDecision;
+struct DeliveryContext;
+
+/// A plain service can neither be resumed nor cancelled: a call whose answer was lost may
+/// have run, and is sent again only if it may run twice.
+/// Thread safety: only from the thread of the event loop.
+class PlainRun : public std::enable_shared_from_this<PlainRun>
+{
+public:
+    using Callback = std::function<void(const Result<HttpResponse> &answer)>;
+
+    /// Precondition: @p context outlives the run. @p callback is called once.
+    PlainRun(DeliveryContext &context, PlainRequest request, Callback callback);
+    ~PlainRun();
+    PlainRun(const PlainRun &) = delete;
+    PlainRun &operator=(const PlainRun &) = delete;
+
+    /// Begins. Precondition: called once.
+    void start();
+
+private:
+    void acquireTarget();
+    void targetAcquired(const Result<TargetId> &target);
+    void claimDecided(const Result<ClaimDecision> &decision);
+    void send();
+    void exchangeEnded(HttpExchangeEnd end, const HttpResponse &response);
+    void sendFailed(SendFailure failure, const HttpResponse &response);
+    void releaseTarget(AttemptOutcome outcome);
+    void finish(const Result<HttpResponse> &answer);
+    void fail(Error error);
+
+    DeliveryContext &m_context;
+    const PlainRequest m_request;
+    Callback m_callback;
+    AttemptId m_attempt;
+    AttemptId m_claimAttempt;
+    TargetId m_target;
+    QSet<TargetId> m_excluded;
+    std::unique_ptr<HttpExchange> m_exchange;
+    std::unique_ptr<TimerSubscription> m_deadlineTimer;
+    Ran m_ranBefore = Ran::No;
+    bool m_claimed = false;
+    bool m_sent = false;
+    bool m_over = false;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/SendFailure.cpp
@@ -0,0 +1,80 @@
+#include "delivery/SendFailure.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace cranberry {
+
+namespace {
+
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+
+} // namespace
+
+Ran ranAfter(SendFailure failure)
+{
+    switch (failure) {
+    case SendFailure::NotConnected:
+    case SendFailure::RefusedBeforeStart:
+    case SendFailure::CancelledBeforeStart:
+        return Ran::No;
+    case SendFailure::CancelledAfterStart:
+    case SendFailure::BrokenAfterStart:
+        return Ran::Yes;
+    case SendFailure::ErrorAnswer:
+    case SendFailure::BrokenBeforeAnswer:
+    case SendFailure::MalformedAnswer:
+        break;
+    }
+    return Ran::Maybe;
+}
+
+const char *sendFailureName(SendFailure failure)
+{
+    switch (failure) {
+    case SendFailure::NotConnected:
+        return "not_connected";
+    case SendFailure::RefusedBeforeStart:
+        return "refused_before_start";
+    case SendFailure::CancelledBeforeStart:
+        return "cancelled_before_start";
+    case SendFailure::CancelledAfterStart:
+        return "cancelled_after_start";
+    case SendFailure::ErrorAnswer:
+        return "error_answer";
+    case SendFailure::BrokenBeforeAnswer:
+        return "broken_before_answer";
+    case SendFailure::MalformedAnswer:
+        return "malformed_answer";
+    case SendFailure::BrokenAfterStart:
+        return "broken_after_start";
+    }
+    return "unknown";
+}
+
+SendFailure failureOfExchange(HttpExchangeEnd end, bool answerBegan)
+{
+    if (end == HttpExchangeEnd::NotConnected)
+        return SendFailure::NotConnected;
+    if (answerBegan)
+        return SendFailure::BrokenAfterStart;
+    if (end == HttpExchangeEnd::Malformed)
+        return SendFailure::MalformedAnswer;
+    return SendFailure::BrokenBeforeAnswer;
+}
+
+SendFailure failureOfAnswer(int status, const QByteArray &body)
+{
+    const bool mayBeRefusal = status == StatusTooManyRequests || status == StatusUnavailable;
+    if (!mayBeRefusal)
+        return SendFailure::ErrorAnswer;
+    const QJsonValue started =
+        QJsonDocument::fromJson(body).object().value(QStringLiteral("started"));
+    // A proxy on the way may answer 503 for a request that did reach the target: only the
+    // target's own word counts.
+    return started.isBool() && !started.toBool() ? SendFailure::RefusedBeforeStart
+                                                 : SendFailure::ErrorAnswer;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/ServerSentEvents.cpp
@@ -0,0 +1,69 @@
+#include "delivery/ServerSentEvents.h"
+
+namespace cranberry {
+
+namespace {
+
+constexpr qsizetype LongestEventBytes = 1024 * 1024;
+
+void applyLine(ServerSentEvent &event, QByteArray line)
+{
+    if (line.endsWith('\r'))
+        line.chop(1);
+    const qsizetype colon = line.indexOf(':');
+    if (colon <= 0)
+        return;
+    const QByteArray field = line.left(colon);
+    QByteArray value = line.mid(colon + 1);
+    if (value.startsWith(' '))
+        value.remove(0, 1);
+    if (field == "id")
+        event.id = value;
+    else if (field == "event")
+        event.name = value;
+    else if (field == "data")
+        event.data += event.data.isEmpty() ? value : '\n' + value;
+}
+
+ServerSentEvent parseBlock(const QByteArray &block)
+{
+    ServerSentEvent event;
+    for (const QByteArray &line : block.split('\n'))
+        applyLine(event, line);
+    return event;
+}
+
+/// Position and length of the first blank line, length 0 if there is none.
+QPair<qsizetype, qsizetype> firstBlankLine(const QByteArray &bytes)
+{
+    const qsizetype plain = bytes.indexOf("\n\n");
+    const qsizetype carriage = bytes.indexOf("\n\r\n");
+    if (plain < 0 && carriage < 0)
+        return {0, 0};
+    if (carriage < 0 || (plain >= 0 && plain < carriage))
+        return {plain, 2};
+    return {carriage, 3};
+}
+
+} // namespace
+
+QList<ServerSentEvent> ServerSentEvents::feed(const QByteArray &bytes)
+{
+    QList<ServerSentEvent> events;
+    if (m_malformed)
+        return events;
+    m_pending += bytes;
+    for (;;) {
+        const auto [position, length] = firstBlankLine(m_pending);
+        if (length == 0)
+            break;
+        const ServerSentEvent event = parseBlock(m_pending.left(position));
+        m_pending.remove(0, position + length);
+        if (!event.data.isEmpty())
+            events.append(event);
+    }
+    m_malformed = m_pending.size() > LongestEventBytes;
+    return events;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/ServerSentEvents.h
@@ -0,0 +1,32 @@
+// Defines ServerSentEvents, which cuts a byte stream into server-sent events.
+#pragma once
+
+#include <QByteArray>
+#include <QList>
+
+namespace cranberry {
+
+struct ServerSentEvent {
+    QByteArray id;
+    QByteArray name;
+    QByteArray data;
+};
+
+/// Collects bytes until an event is whole. Source: the event stream format of the HTML
+/// standard, as far as targets use it (id, event, data; LF or CRLF).
+/// Thread safety: none; one object belongs to one stream.
+class ServerSentEvents
+{
+public:
+    /// Events that are whole with @p bytes. An unfinished event over the bound makes
+    /// isMalformed() true and yields nothing more.
+    QList<ServerSentEvent> feed(const QByteArray &bytes);
+
+    bool isMalformed() const { return m_malformed; }
+
+private:
+    QByteArray m_pending;
+    bool m_malformed = false;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/TargetCancels.cpp
@@ -0,0 +1,53 @@
+#include "delivery/TargetCancels.h"
+
+#include "http/HttpClient.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QUrl>
+
+namespace cranberry {
+
+namespace {
+
+constexpr Milliseconds CancelTimeout{2000};
+
+CancelOutcome outcomeOf(HttpExchangeEnd end, const HttpResponse &response)
+{
+    if (end != HttpExchangeEnd::Complete || response.status != 200)
+        return CancelOutcome::NoAnswer;
+    const QJsonValue started =
+        QJsonDocument::fromJson(response.body).object().value(QStringLiteral("started"));
+    if (!started.isBool())
+        return CancelOutcome::NoAnswer;
+    return started.toBool() ? CancelOutcome::Started : CancelOutcome::NotStarted;
+}
+
+} // namespace
+
+TargetCancels::TargetCancels(HttpClient &client)
+    : m_client(client)
+{
+}
+
+TargetCancels::~TargetCancels() = default;
+
+void TargetCancels::cancel(const HttpEndpoint &endpoint, const AttemptId &attempt,
+                           Callback callback)
+{
+    HttpRequest request;
+    request.method = "DELETE";
+    request.path = "/generations/" + QUrl::toPercentEncoding(attempt.text());
+    HttpExchangeOptions options;
+    options.timeout = CancelTimeout;
+    const quint64 number = m_nextNumber++;
+    m_exchanges[number] = m_client.fetch(endpoint, request, options,
+                                         [this, number, callback = std::move(callback)](
+                                             HttpExchangeEnd end, const HttpResponse &response) {
+                                             const auto exchange = std::move(m_exchanges[number]);
+                                             m_exchanges.erase(number);
+                                             callback(outcomeOf(end, response));
+                                         });
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/TargetSource.h
@@ -0,0 +1,57 @@
+// Defines TargetSource, where delivery asks for a target and reports what it did with it.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "base/Units.h"
+
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+struct Configuration;
+struct PlacementRequest;
+
+/// How an attempt ended, as far as the target's state is concerned.
+enum class AttemptOutcome {
+    Finished,
+    Cancelled,
+    /// The target refused it and named no reason to think that it is unwell.
+    Refused,
+    /// No connection, or it broke: the target may be dead.
+    TargetLost,
+};
+
+/// Admission and placement as delivery sees them.
+/// Thread safety: only from the thread of the event loop.
+class TargetSource
+{
+public:
+    using Callback = std::function<void(Result<TargetId>)>;
+
+    TargetSource() = default;
+    virtual ~TargetSource() = default;
+    TargetSource(const TargetSource &) = delete;
+    TargetSource &operator=(const TargetSource &) = delete;
+
+    /// Asks for a target for @p attempt. Calls back once, possibly before it returns, with a
+    /// target on which the attempt then counts, or with the refusal, at once when it is known.
+    virtual void acquire(const PlacementRequest &request, const AttemptId &attempt,
+                         const std::shared_ptr<const Configuration> &configuration,
+                         MonotonicTime deadline, Callback callback) = 0;
+
+    /// Withdraws an acquire that has not called back.
+    virtual void withdraw(const AttemptId &attempt) = 0;
+
+    /// A token of @p attempt arrived.
+    virtual void tokenReceived(const AttemptId &attempt) = 0;
+
+    /// @p attempt no longer counts on its target.
+    virtual void attemptEnded(const AttemptId &attempt, AttemptOutcome end) = 0;
+
+    /// Whether the workspace and target may spend a further send on a retry.
+    virtual bool takeRetry(const WorkspaceId &workspace, const TargetId &target) = 0;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/delivery/TargetStream.cpp
@@ -0,0 +1,104 @@
+#include "delivery/TargetStream.h"
+
+#include "http/HttpClient.h"
+
+namespace cranberry {
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr qsizetype ErrorBodyBytes = 64 * 1024;
+constexpr Milliseconds ConnectTimeout{1000};
+
+} // namespace
+
+TargetStream::TargetStream(HttpClient &client, const HttpEndpoint &endpoint,
+                           const HttpRequest &request, const AttemptId &attempt,
+                           TargetStreamCallbacks callbacks)
+    : m_attempt(attempt)
+    , m_callbacks(std::move(callbacks))
+    , m_destroyed(std::make_shared<bool>(false))
+{
+    HttpExchangeCallbacks exchange;
+    exchange.headers = [this](int status, const HttpHeaders &headers) {
+        headersArrived(status, headers);
+    };
+    exchange.body = [this](const QByteArray &bytes) { bytesArrived(bytes); };
+    exchange.finished = [this](HttpExchangeEnd end, const QString &reason) {
+        exchangeEnded(end, reason);
+    };
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    m_exchange = client.send(endpoint, request, options, std::move(exchange));
+}
+
+TargetStream::~TargetStream()
+{
+    *m_destroyed = true;
+}
+
+void TargetStream::headersArrived(int status, const HttpHeaders &headers)
+{
+    m_status = status;
+    if (status != StatusOk)
+        return;
+    // An answer to another send must not be taken for this one's, even as a whole.
+    const QByteArray echoed = headers.value("Cranberry-Attempt");
+    if (!echoed.isEmpty() && echoed != m_attempt.text().toUtf8()) {
+        finish(SendFailure::MalformedAnswer, QStringLiteral("answer to another attempt"));
+        return;
+    }
+    m_began = true;
+    m_callbacks.began();
+}
+
+void TargetStream::bytesArrived(const QByteArray &bytes)
+{
+    if (!m_began) {
+        m_errorBody += bytes.left(ErrorBodyBytes - m_errorBody.size());
+        return;
+    }
+    const std::shared_ptr<bool> destroyed = m_destroyed;
+    for (const ServerSentEvent &event : m_events.feed(bytes)) {
+        if (event.data == "[DONE]")
+            continue;
+        const Result<TokenEvent> token = parseTokenEvent(event);
+        if (!token) {
+            finish(SendFailure::BrokenAfterStart, token.error().detail);
+            return;
+        }
+        m_sawLast = m_sawLast || token.value().isLast();
+        m_callbacks.event(token.value());
+        if (*destroyed)
+            return;
+    }
+    if (m_events.isMalformed())
+        finish(SendFailure::BrokenAfterStart, QStringLiteral("event too long"));
+}
+
+void TargetStream::exchangeEnded(HttpExchangeEnd end, const QString &reason)
+{
+    if (end != HttpExchangeEnd::Complete) {
+        finish(failureOfExchange(end, m_began), reason);
+        return;
+    }
+    if (!m_began) {
+        finish(failureOfAnswer(m_status, m_errorBody), QString::fromUtf8(m_errorBody.left(200)));
+        return;
+    }
+    if (!m_sawLast) {
+        finish(SendFailure::BrokenAfterStart, QStringLiteral("answer without a last event"));
+        return;
+    }
+    finish(std::nullopt, {});
+}
+
+void TargetStream::finish(std::optional<SendFailure> failure, const QString &reason)
+{
+    const auto callback = std::move(m_callbacks.ended);
+    m_callbacks.ended = nullptr;
+    if (callback)
+        callback(failure, m_status, reason);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/gateway/CallerHeaders.cpp
@@ -0,0 +1,64 @@
+#include "gateway/CallerHeaders.h"
+
+#include "http/HttpRequest.h"
+
+namespace cranberry {
+
+namespace {
+
+constexpr qsizetype LongestKey = 255;
+constexpr qint64 LongestDeadlineMs = 24 * 60 * 60 * 1000;
+constexpr qint64 HighestPriority = 9;
+
+Error badHeader(const char *name, const QString &allowed, const QByteArray &value)
+{
+    return {ErrorKind::BadHeader,
+            Ran::No,
+            QStringLiteral("%1: expected %2, got \"%3\"")
+                .arg(QLatin1String(name), allowed, QString::fromUtf8(value.left(80))),
+            QString::fromLatin1(name),
+            {}};
+}
+
+/// Reads a whole number in [least, most]; nothing if the header is absent.
+Result<std::optional<qint64>> numberHeader(const HttpRequest &request, const char *name,
+                                           qint64 least, qint64 most)
+{
+    if (!request.headers.contains(name))
+        return std::optional<qint64>();
+    const QByteArray value = request.headers.value(name);
+    bool isNumber = false;
+    const qint64 number = value.trimmed().toLongLong(&isNumber);
+    if (!isNumber || number < least || number > most)
+        return badHeader(name, QStringLiteral("%1..%2").arg(least).arg(most), value);
+    return std::optional<qint64>(number);
+}
+
+} // namespace
+
+Result<CallerHeaders> parseCallerHeaders(const HttpRequest &request)
+{
+    CallerHeaders headers;
+    headers.idempotencyKey = request.headers.value("Idempotency-Key").trimmed();
+    if (headers.idempotencyKey.size() > LongestKey)
+        return badHeader("Idempotency-Key", QStringLiteral("at most 255 bytes"),
+                         headers.idempotencyKey);
+    if (request.headers.contains("Cranberry-Idempotent")) {
+        const QByteArray value = request.headers.value("Cranberry-Idempotent").trimmed().toLower();
+        if (value != "yes" && value != "no")
+            return badHeader("Cranberry-Idempotent", QStringLiteral("yes or no"), value);
+        headers.atMostOnce = value == "no";
+    }
+    const auto deadline = numberHeader(request, "Cranberry-Deadline-Ms", 1, LongestDeadlineMs);
+    if (!deadline)
+        return deadline.error();
+    if (deadline.value())
+        headers.deadline = Milliseconds(*deadline.value());
+    const auto priority = numberHeader(request, "Cranberry-Priority", 0, HighestPriority);
+    if (!priority)
+        return priority.error();
+    headers.priority = int(priority.value().value_or(0));
+    return headers;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/gateway/Gateway.h
@@ -0,0 +1,89 @@
+// Defines Gateway, which takes callers' requests and starts what answers them.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "gateway/AnswerMetrics.h"
+#include "gateway/CompletionRequest.h"
+
+#include <QObject>
+
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+class AnswerSink;
+class GenerationRun;
+class HttpResponder;
+class RunRegistry;
+class TimerService;
+class WorkerPool;
+class WorkspaceKeys;
+struct ClaimDecision;
+struct DeliveryContext;
+struct HttpRequest;
+struct PlainRequest;
+
+/// Routes HTTP requests of callers. Operators' paths are offered to a handler first.
+/// Thread safety: only from the thread of the server; parsing runs on the worker pool.
+class Gateway : public QObject
+{
+public:
+    /// Handles a request of its own paths, or returns false.
+    using PathHandler = std::function<bool(const HttpRequest &request,
+                                           const std::shared_ptr<HttpResponder> &responder)>;
+
+    /// Precondition: all references outlive the gateway.
+    Gateway(DeliveryContext &delivery, RunRegistry &runs, WorkerPool &workers, VmId self);
+    ~Gateway() override;
+
+    void handle(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+
+    /// Requests from now on are admitted under @p configuration; those under way keep theirs.
+    void setConfiguration(const std::shared_ptr<const Configuration> &configuration);
+    void setOperatorHandler(PathHandler handler) { m_operatorHandler = std::move(handler); }
+    /// @p text gives further lines for /metrics.
+    void setMetricsSource(std::function<QByteArray()> text) { m_metricsSource = std::move(text); }
+
+    /// /readyz says no from now on; requests are still served.
+    void announceDrain() { m_announcedDrain = true; }
+    /// Requests from now on are refused with ErrorKind::Draining.
+    void refuseNew() { m_refusing = true; }
+    bool isReady() const { return m_configuration != nullptr && !m_announcedDrain; }
+    /// Requests that are not answered yet.
+    int pending() const;
+
+    const AnswerMetrics &metrics() const { return m_metrics; }
+
+private:
+    using Responder = std::shared_ptr<HttpResponder>;
+
+    bool handleOpenPath(const HttpRequest &request, const Responder &responder);
+    Result<WorkspaceId> admit(const HttpRequest &request) const;
+    void listModels(const WorkspaceId &workspace, const Responder &responder);
+    void parseThenRun(const HttpRequest &request, const WorkspaceId &workspace,
+                      CompletionShape shape, const Responder &responder);
+    void run(const CompletionRequest &request, const Responder &responder);
+    void answerHeld(const ClaimDecision &held, const CompletionRequest &request,
+                    const std::shared_ptr<AnswerSink> &sink);
+    void callPlain(const PlainRequest &request, const Responder &responder);
+    void refuse(const Error &error, const Responder &responder);
+    QByteArray metricsText() const;
+
+    DeliveryContext &m_delivery;
+    RunRegistry &m_runs;
+    WorkerPool &m_workers;
+    const VmId m_self;
+    std::shared_ptr<const Configuration> m_configuration;
+    std::shared_ptr<const WorkspaceKeys> m_keys;
+    PathHandler m_operatorHandler;
+    std::function<QByteArray()> m_metricsSource;
+    AnswerMetrics m_metrics;
+    int m_parsing = 0;
+    int m_plainCalls = 0;
+    bool m_announcedDrain = false;
+    bool m_refusing = false;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/gateway/PlainCall.cpp
@@ -0,0 +1,103 @@
+#include "gateway/PlainCall.h"
+
+#include "configuration/Configuration.h"
+#include "gateway/CallerHeaders.h"
+#include "gateway/CompletionRequest.h"
+
+#include <QCryptographicHash>
+#include <QSet>
+#include <QUrl>
+#include <QUuid>
+
+namespace cranberry {
+
+namespace {
+
+const QByteArray Prefix = "/services/";
+
+/// Headers that belong to one connection, or that say who the caller is.
+const QSet<QByteArray> HeadersNotForwarded = {
+    "authorization", "connection", "content-length", "host",    "transfer-encoding", "expect",
+    "keep-alive",    "te",         "trailer",        "upgrade", "cranberry-attempt"};
+
+Error unknownService(const QByteArray &name)
+{
+    return {ErrorKind::UnknownService,
+            Ran::No,
+            QStringLiteral("service \"%1\" is not one that this workspace can use")
+                .arg(QString::fromUtf8(name.left(80))),
+            QStringLiteral("path"),
+            {}};
+}
+
+HttpRequest upstreamRequest(const HttpRequest &request, const QByteArray &path)
+{
+    HttpRequest upstream;
+    upstream.method = request.method;
+    upstream.path = path;
+    upstream.query = request.query;
+    upstream.body = request.body;
+    for (const HttpHeaders::Field &field : request.headers.fields()) {
+        if (!HeadersNotForwarded.contains(field.first.toLower()))
+            upstream.headers.add(field.first, field.second);
+    }
+    return upstream;
+}
+
+QByteArray fingerprintOf(const HttpRequest &upstream)
+{
+    QCryptographicHash hash(QCryptographicHash::Sha256);
+    hash.addData(upstream.method + ' ' + upstream.path + '?'
+                 + upstream.query.toString(QUrl::FullyEncoded).toUtf8() + '\n');
+    hash.addData(upstream.body);
+    return hash.result();
+}
+
+/// Methods that HTTP itself lets a client send again.
+bool isIdempotentMethod(const QByteArray &method)
+{
+    return method != "POST" && method != "PATCH";
+}
+
+} // namespace
+
+Result<PlainRequest> parsePlainCall(const HttpRequest &request, const WorkspaceId &workspace,
+                                    const std::shared_ptr<const Configuration> &configuration,
+                                    MonotonicTime now)
+{
+    BOOST_OUTCOME_TRY(headers, parseCallerHeaders(request));
+    const QByteArray rest = request.path.mid(Prefix.size());
+    const qsizetype slash = rest.indexOf('/');
+    const QByteArray name = slash < 0 ? rest : rest.left(slash);
+    const ServiceId id(QUrl::fromPercentEncoding(name));
+    const auto service = configuration->services.constFind(id);
+    const auto owner = configuration->workspaces.constFind(workspace);
+    const bool known = service != configuration->services.constEnd()
+        && service->kind == ServiceKind::Plain && owner != configuration->workspaces.constEnd()
+        && owner->services.contains(id);
+    if (!known)
+        return unknownService(name);
+
+    PlainRequest result;
+    result.id = RequestId(QUuid::createUuid().toString(QUuid::WithoutBraces));
+    result.workspace = workspace;
+    result.service = id;
+    result.configuration = configuration;
+    result.upstream = upstreamRequest(request, slash < 0 ? QByteArray("/") : rest.mid(slash));
+    result.deadline = now + headers.deadline.value_or(service->defaultDeadline);
+    const bool byDefault = service->atMostOnce && !isIdempotentMethod(request.method);
+    result.atMostOnce = headers.atMostOnce.value_or(byDefault);
+    if (result.atMostOnce && headers.idempotencyKey.isEmpty())
+        return Error{
+            ErrorKind::IdempotencyKeyRequired,
+            Ran::No,
+            QStringLiteral(
+                "send an Idempotency-Key, or Cranberry-Idempotent: yes if the call may run twice"),
+            QStringLiteral("Idempotency-Key"),
+            {}};
+    result.claimKey = claimKeyOf(workspace, headers.idempotencyKey);
+    result.fingerprint = fingerprintOf(result.upstream);
+    return result;
+}
+
+} // namespace cranberry
