--- a/test/standins/target/TargetServer.cpp
+++ b/test/standins/target/TargetServer.cpp
@@ -19,7 +19,6 @@
 constexpr Milliseconds KeepFinished{60'000};
 constexpr int DieStatus = 9;
 constexpr int WrongAttemptInterval = 4;
-constexpr int CacheGapInterval = 7;
 /// Bytes at the start of a prompt that the cache knows it by.
 constexpr int PrefixBytes = 512;
 constexpr int DefaultMaxTokens = 4096;
@@ -255,32 +254,22 @@
 
 void TargetServer::answerLoad(const Responder &responder)
 {
-    const MonotonicTime now = m_timers.now();
-    const MonotonicTime wanted = now - Milliseconds(m_faults.reportLagMs);
-    while (m_reports.size() > 1 && std::next(m_reports.begin())->time <= wanted)
-        m_reports.pop_front();
-    QJsonObject report = m_reports.front().report;
-    const auto age = std::chrono::duration_cast<Milliseconds>(now - m_reports.front().time);
-    report.insert(QStringLiteral("age_ms"), qint64(age.count()));
-    sendJson(responder, 200, report);
+    const Milliseconds lag(m_faults.reportLagMs);
+    sendJson(responder, 200, m_reports.at(m_timers.now(), lag));
 }
 
 void TargetServer::sampleLoad()
 {
-    const MonotonicTime now = m_timers.now();
     const EngineSettings &engine = m_settings.engine;
-    m_reports.push_back(
-        {now,
-         {{QStringLiteral("incarnation"), m_incarnation},
-          {QStringLiteral("resident_tokens"), usedBlocks(m_engine) * engine.blockTokens},
-          {QStringLiteral("capacity_tokens"), engine.capacityTokens},
-          {QStringLiteral("running"), m_engine.batch.size()},
-          {QStringLiteral("waiting"), m_engine.waiting.size()},
-          {QStringLiteral("preemptions"), m_engine.preemptions},
-          {QStringLiteral("leaving"), m_faults.leaving}}});
-    const MonotonicTime oldest = now - Milliseconds(m_faults.reportLagMs) - SampleInterval;
-    while (m_reports.size() > 1 && std::next(m_reports.begin())->time < oldest)
-        m_reports.pop_front();
+    m_reports.add(m_timers.now(),
+                  {{QStringLiteral("incarnation"), m_incarnation},
+                   {QStringLiteral("resident_tokens"), usedBlocks(m_engine) * engine.blockTokens},
+                   {QStringLiteral("capacity_tokens"), engine.capacityTokens},
+                   {QStringLiteral("running"), m_engine.batch.size()},
+                   {QStringLiteral("waiting"), m_engine.waiting.size()},
+                   {QStringLiteral("preemptions"), m_engine.preemptions},
+                   {QStringLiteral("leaving"), m_faults.leaving}},
+                  Milliseconds(m_faults.reportLagMs));
     forgetOld();
 }
 
@@ -303,13 +292,9 @@
 void TargetServer::answerCacheEvents(const HttpRequest &request, const Responder &responder)
 {
     const qint64 after = request.query.queryItemValue(QStringLiteral("after")).toLongLong();
-    const MonotonicTime latest = m_timers.now() - Milliseconds(m_settings.cacheEventLagMs);
-    QJsonArray events;
-    for (const CacheEvent &event : std::as_const(m_cacheEvents)) {
-        if (event.time <= latest && event.event[QLatin1String("sequence")].toInteger() > after)
-            events.append(event.event);
-    }
-    sendJson(responder, 200, {{QStringLiteral("events"), events}});
+    const Milliseconds lag(m_settings.cacheEventLagMs);
+    sendJson(responder, 200,
+             {{QStringLiteral("events"), m_cacheEvents.after(after, m_timers.now(), lag)}});
 }
 
 void TargetServer::recordRun(const QByteArray &attempt, const Answer &answer)
@@ -358,18 +343,8 @@
         if (!m_faults.dieOn.isEmpty() && answer.prompt.contains(m_faults.dieOn))
             std::_Exit(DieStatus);
     }
-    for (const CacheChange &change : std::as_const(m_step.cacheChanges)) {
-        ++m_cacheSequence;
-        if (m_cacheSequence % CacheGapInterval == 0)
-            continue;
-        const qsizetype slash = change.prefixKey.indexOf('/');
-        m_cacheEvents.append(
-            {m_timers.now(),
-             {{QStringLiteral("sequence"), m_cacheSequence},
-              {QStringLiteral("prefix"), QString::fromUtf8(change.prefixKey.left(slash))},
-              {QStringLiteral("salt"), QString::fromUtf8(change.prefixKey.mid(slash + 1))},
-              {QStringLiteral("stored"), change.stored}}});
-    }
+    for (const CacheChange &change : std::as_const(m_step.cacheChanges))
+        m_cacheEvents.add(m_timers.now(), change);
     // Timers count whole milliseconds: the end of each step is counted from the end of the
     // one before, so that fractions are not lost.
     const MonotonicTime now = m_timers.now();
--- a/test/standins/target/TargetServer.h
+++ b/test/standins/target/TargetServer.h
@@ -5,6 +5,8 @@
 #include "http/HttpRequest.h"
 #include "http/HttpServer.h"
 #include "standins/target/AnswerText.h"
+#include "standins/target/CacheEventLog.h"
+#include "standins/target/LoadReports.h"
 #include "standins/target/TargetFaults.h"
 #include "standins/target/TargetSettings.h"
 
@@ -39,11 +41,6 @@
         bool resumed = false;
     };
 
-    struct LoadReport {
-        MonotonicTime time;
-        QJsonObject report;
-    };
-
     void handle(const HttpRequest &request, const Responder &responder);
     bool handleCommon(const HttpRequest &request, const Responder &responder);
     void handleCompletion(const HttpRequest &request, const Responder &responder);
@@ -81,13 +78,8 @@
     MonotonicTime m_stepEnd;
     std::unique_ptr<TimerSubscription> m_stepTimer;
     std::unique_ptr<TimerSubscription> m_sampleTimer;
-    std::list<LoadReport> m_reports;
-    struct CacheEvent {
-        MonotonicTime time;
-        QJsonObject event;
-    };
-    QList<CacheEvent> m_cacheEvents;
-    qint64 m_cacheSequence = 0;
+    LoadReports m_reports;
+    CacheEventLog m_cacheEvents;
     QJsonArray m_runs;
     qint64 m_incarnation;
     qint64 m_fencing = 0;
