--- a/src/configuration/ConfigurationDocument.h
+++ b/src/configuration/ConfigurationDocument.h
@@ -3,21 +3,13 @@
 
 #include "base/Result.h"
 #include "configuration/Configuration.h"
+#include "configuration/ConfigurationFault.h"
 
 #include <QJsonObject>
 #include <QList>
-#include <QString>
 
 namespace cranberry {
 
-/// One fault of a document.
-struct ConfigurationFault {
-    /// JSON path, such as "targets.t1.url".
-    QString path;
-    /// What is wrong, the value found, and what is allowed.
-    QString message;
-};
-
 /// Every fault of @p document, references between its parts included; empty if it is valid.
 /// Thread-safe.
 QList<ConfigurationFault> validateDocument(const QJsonObject &document);
@@ -30,7 +22,8 @@
 /// RFC 7396: @p patch applied to @p document. Thread-safe.
 QJsonObject mergePatch(const QJsonObject &document, const QJsonObject &patch);
 
-/// The RFC 7396 patch that turns @p from into @p to. Thread-safe.
+/// The RFC 7396 patch that turns @p from into @p to. Precondition: @p to holds no null, which
+/// a merge patch cannot state; a valid document holds none. Thread-safe.
 QJsonObject mergePatchBetween(const QJsonObject &from, const QJsonObject &to);
 
 } // namespace cranberry
--- /dev/null
+++ b/src/configuration/DocumentNames.h
@@ -0,0 +1,57 @@
+// Defines the names that enumerators have in the configuration document.
+#pragma once
+
+#include "configuration/Configuration.h"
+
+#include <QJsonValue>
+#include <QStringList>
+
+#include <array>
+
+namespace cranberry::internal {
+
+template <typename Enum>
+struct EnumeratorName {
+    const char *name;
+    Enum value;
+};
+
+inline constexpr std::array<EnumeratorName<ServiceKind>, 2> ServiceKindNames{{
+    {"model", ServiceKind::Model},
+    {"plain", ServiceKind::Plain},
+}};
+
+inline constexpr std::array<EnumeratorName<Objective>, 2> ObjectiveNames{{
+    {"stall", Objective::Stall},
+    {"inter_token", Objective::InterToken},
+}};
+
+inline constexpr std::array<EnumeratorName<PolicyName>, 4> PolicyNames{{
+    {"round_robin", PolicyName::RoundRobin},
+    {"least_requests", PolicyName::LeastRequests},
+    {"two_choices", PolicyName::TwoChoices},
+    {"forecast", PolicyName::Forecast},
+}};
+
+/// All names of @p table, in its order. Thread-safe.
+template <typename Table>
+QStringList namesOf(const Table &table)
+{
+    QStringList names;
+    for (const auto &row : table)
+        names.append(QString::fromLatin1(row.name));
+    return names;
+}
+
+/// The enumerator that @p json names, or @p fallback if it names none. Thread-safe.
+template <typename Table, typename Enum>
+Enum valueNamed(const Table &table, const QJsonValue &json, Enum fallback)
+{
+    for (const auto &row : table) {
+        if (json.toString() == QLatin1String(row.name))
+            return row.value;
+    }
+    return fallback;
+}
+
+} // namespace cranberry::internal
