HTTP client: answers with a length are read, an early close is Broken

Two faults of the exchange, found by the stand-in target's tests: - Every answer with a Content-Length ended as Malformed, 'body limit exceeded': Boost 1.74 compares the length with boost::none, and any number is greater. The limit is now the largest number. - A connection that closed before the first byte of the answer ended as Complete with status 0, since the parser takes an end of file before the first byte for a whole message. A request that may have run would have been told as finished. Headers must have come.

HttpStreams has a test for each; both failed before and pass now. Only chunked answers had been tested until now, which is why neither showed.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -128,10 +128,12 @@
         readAvailable();
     if (*destroyed || m_finished)
         return;
-    // An answer without a length ends with its connection.
+    // An answer without a length ends with its connection. The parser takes an end before
+    // the first byte for a whole answer too, so its headers must have come.
+    const bool hadHeaders = m_parser->is_header_done();
     boost::beast::error_code error;
     m_parser->put_eof(error);
-    const bool whole = !error && m_parser->is_done();
+    const bool whole = hadHeaders && !error && m_parser->is_done();
     finish(whole ? HttpExchangeEnd::Complete : HttpExchangeEnd::Broken, reason);
 }
 
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpResponseParser.h"
 
+#include <limits>
+
 // The names of the overridden functions are Boost.Beast's.
 // NOLINTBEGIN(readability-identifier-naming)
 namespace cranberry::internal {
@@ -7,6 +9,8 @@
 namespace {
 
 constexpr std::uint32_t HeaderLimitBytes = 64 * 1024;
+/// Boost 1.74 compares a Content-Length with an absent limit and finds every length too large.
+constexpr std::uint64_t NoBodyLimit = std::numeric_limits<std::uint64_t>::max();
 
 } // namespace
 
@@ -14,7 +18,7 @@
 {
     eager(true);
     header_limit(HeaderLimitBytes);
-    body_limit(boost::none);
+    body_limit(NoBodyLimit);
 }
 
 void HttpResponseParser::on_request_impl(boost::beast::http::verb, View, View, int, Error &) { }
--- a/test/correctness/HttpStreams.cpp
+++ b/test/correctness/HttpStreams.cpp
@@ -38,6 +38,10 @@
         server = std::make_unique<HttpServer>(
             timers, HttpServerLimits(),
             [this](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
+                if (request.path == "/whole") {
+                    whole.push_back(std::move(responder));
+                    return;
+                }
                 responder->startStream(200, {});
                 streams.push_back({std::move(responder), request.path.mid(1)});
             });
@@ -59,6 +63,7 @@
     QtTimerService timers;
     std::unique_ptr<HttpServer> server;
     std::vector<Stream> streams;
+    std::vector<std::shared_ptr<HttpResponder>> whole;
     HttpEndpoint endpoint;
     HttpClient client{timers};
 };
@@ -86,6 +91,41 @@
     BOOST_TEST(wrong == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnswerWithItsLengthArrivesWhole, Fixture)
+{
+    HttpResponse received;
+    HttpExchangeEnd end = HttpExchangeEnd::Broken;
+    bool finished = false;
+    const auto exchange = client.fetch(endpoint, {"GET", "/whole", {}, {}, {}}, {},
+                                       [&](HttpExchangeEnd how, const HttpResponse &response) {
+                                           end = how;
+                                           received = response;
+                                           finished = true;
+                                       });
+    BOOST_REQUIRE(test::waitFor([&] { return whole.size() == 1; }));
+    whole[0]->send(jsonResponse(200, "{\"a\":1}"));
+    BOOST_REQUIRE(test::waitFor([&] { return finished; }));
+    BOOST_CHECK(end == HttpExchangeEnd::Complete);
+    BOOST_CHECK(received.body == "{\"a\":1}");
+}
+
+BOOST_FIXTURE_TEST_CASE(ConnectionClosedBeforeTheAnswerIsBroken, Fixture)
+{
+    // The target resets the connection with the request in its hands: taken for a whole
+    // answer, a request that may have run would be told to its caller as finished.
+    HttpExchangeEnd end = HttpExchangeEnd::Complete;
+    bool finished = false;
+    const auto exchange = client.fetch(endpoint, {"GET", "/whole", {}, {}, {}}, {},
+                                       [&](HttpExchangeEnd how, const HttpResponse &) {
+                                           end = how;
+                                           finished = true;
+                                       });
+    BOOST_REQUIRE(test::waitFor([&] { return whole.size() == 1; }));
+    whole[0]->abort();
+    BOOST_REQUIRE(test::waitFor([&] { return finished; }));
+    BOOST_CHECK(end == HttpExchangeEnd::Broken);
+}
+
 BOOST_FIXTURE_TEST_CASE(CallerThatLeavesIsNoticedAndWritesAreDropped, Fixture)
 {
     bool gone = false;
