--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -1,16 +1,15 @@
 #include "delivery/GenerationRun.h"
 
+#include "admission/AdmissionRequest.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "configuration/Configuration.h"
 #include "delivery/AnswerSink.h"
 #include "delivery/ClaimGate.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/TargetCancels.h"
 #include "delivery/TargetStream.h"
 #include "http/HttpRequest.h"
-#include "placement/PlacementRequest.h"
 
 #include <QUrl>
 #include <QUuid>
@@ -106,48 +105,45 @@
           {}});
 }
 
-std::optional<HttpEndpoint> GenerationRun::endpoint() const
-{
-    const auto found = m_request.configuration->targets.constFind(m_target);
-    if (found == m_request.configuration->targets.constEnd())
-        return std::nullopt;
-    return found->endpoint;
-}
-
 void GenerationRun::acquireTarget()
 {
-    PlacementRequest placement;
-    placement.request = m_request.id;
-    placement.service = m_request.service;
-    placement.model = m_request.model;
-    placement.workspace = m_request.workspace;
-    placement.promptTokens = m_request.promptTokens;
-    placement.maxTokens = m_request.maxTokens;
-    placement.prefixHash = m_request.prefixHash;
-    placement.excluded = m_excluded;
     m_attempt = freshAttemptId();
     m_target = TargetId();
     m_sent = false;
     m_began = false;
     m_resumeTries = 0;
     m_acquiring = true;
-    m_context.targets.acquire(placement, m_attempt, m_request.configuration, m_request.deadline,
-                              [weak = weak_from_this()](const Result<TargetId> &target) {
+    AdmissionRequest admission;
+    admission.placement.request = m_request.id;
+    admission.placement.service = m_request.service;
+    admission.placement.model = m_request.model;
+    admission.placement.workspace = m_request.workspace;
+    admission.placement.promptTokens = m_request.promptTokens;
+    admission.placement.maxTokens = m_request.maxTokens;
+    admission.placement.prefixHash = m_request.prefixHash;
+    admission.placement.excluded = m_excluded;
+    admission.attempt = m_attempt;
+    admission.deadline = m_request.deadline;
+    admission.priority = m_request.priority;
+    admission.retry = m_isRetry;
+    m_context.targets.acquire(admission,
+                              [weak = weak_from_this()](const Result<TargetPlace> &place) {
                                   if (const auto self = weak.lock())
-                                      self->targetAcquired(target);
+                                      self->targetAcquired(place);
                               });
 }
 
-void GenerationRun::targetAcquired(const Result<TargetId> &target)
+void GenerationRun::targetAcquired(const Result<TargetPlace> &place)
 {
     m_acquiring = false;
     if (m_over)
         return;
-    if (!target) {
-        fail(target.error());
+    if (!place) {
+        fail(place.error());
         return;
     }
-    m_target = target.value();
+    m_target = place.value().target;
+    m_endpoint = place.value().endpoint;
     if (m_request.atMostOnce && !m_claimed)
         claimAndSend();
     else
@@ -192,11 +188,6 @@
 
 void GenerationRun::send()
 {
-    const std::optional<HttpEndpoint> where = endpoint();
-    if (!where) {
-        retryElsewhere(SendFailure::NotConnected, QStringLiteral("target is not configured"));
-        return;
-    }
     logEvent(LogLevel::Info, EventId::AttemptSent,
              {{"request", m_request.id.text()},
               {"attempt", m_attempt.text()},
@@ -225,7 +216,7 @@
     const HttpRequest request =
         isResume ? resumeRequest(m_attempt, m_sequence.next) : sendRequest(m_request, m_attempt);
     return {number,
-            std::make_unique<TargetStream>(m_context.client, *endpoint(), request, m_attempt,
+            std::make_unique<TargetStream>(m_context.client, m_endpoint, request, m_attempt,
                                            std::move(callbacks))};
 }
 
@@ -377,7 +368,7 @@
         else
             self->giveUp(SendFailure::BrokenBeforeAnswer, reason);
     };
-    m_context.cancels.cancel(*endpoint(), m_attempt, decide);
+    m_context.cancels.cancel(m_endpoint, m_attempt, decide);
 }
 
 void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason)
@@ -395,6 +386,7 @@
     logEvent(LogLevel::Info, EventId::AttemptRetried,
              {{"request", m_request.id.text()}, {"after", failed.text()}});
     m_excluded.insert(failed);
+    m_isRetry = true;
     acquireTarget();
 }
 
@@ -460,24 +452,23 @@
 
 void GenerationRun::cancelAtTarget()
 {
-    const std::optional<HttpEndpoint> where = endpoint();
     if (m_acquiring)
-        m_context.targets.withdraw(m_attempt);
-    if (!m_sent || !where)
+        m_context.targets.withdraw(m_request.id);
+    if (!m_sent)
         return;
     logEvent(LogLevel::Info, EventId::AttemptCancelled,
              {{"request", m_request.id.text()}, {"attempt", m_attempt.text()}});
-    m_context.cancels.cancel(*where, m_attempt, [](CancelOutcome) {});
+    m_context.cancels.cancel(m_endpoint, m_attempt, [](CancelOutcome) {});
 }
 
-void GenerationRun::dropStreams(AttemptOutcome end)
+void GenerationRun::dropStreams(AttemptOutcome outcome)
 {
     m_stream = {};
     m_beside = {};
     m_stallTimer.reset();
     m_resumeTimer.reset();
     if (!m_target.isEmpty())
-        m_context.targets.attemptEnded(m_attempt, end);
+        m_context.targets.attemptEnded(m_attempt, m_target, outcome);
     m_target = TargetId();
 }
 
@@ -511,6 +502,7 @@
         return;
     m_over = true;
     m_deadlineTimer.reset();
+    m_context.targets.requestEnded(m_request.id);
     const EndedCallback ended = std::move(m_ended);
     if (ended)
         ended(*this);
--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -8,7 +8,6 @@
 #include "delivery/TargetSource.h"
 #include "delivery/TokenEvent.h"
 #include "delivery/TokenSequence.h"
-#include "http/HttpEndpoint.h"
 
 #include <QList>
 #include <QSet>
@@ -68,7 +67,7 @@
 
 private:
     void acquireTarget();
-    void targetAcquired(const Result<TargetId> &target);
+    void targetAcquired(const Result<TargetPlace> &place);
     void claimAndSend();
     void claimDecided(const Result<ClaimDecision> &decision);
     void send();
@@ -93,13 +92,12 @@
     void watchForStall();
     void stalled();
     void deadlinePassed();
-    void dropStreams(AttemptOutcome end);
+    void dropStreams(AttemptOutcome outcome);
     void cancelAtTarget();
     void finish();
     void fail(Error error);
     void over();
     Ran whatIsKnown() const;
-    std::optional<HttpEndpoint> endpoint() const;
 
     DeliveryContext &m_context;
     const GenerationRequest m_request;
@@ -112,6 +110,7 @@
 
     AttemptId m_attempt;
     TargetId m_target;
+    HttpEndpoint m_endpoint;
     QSet<TargetId> m_excluded;
     TokenSequence m_sequence;
     quint64 m_streamCount = 0;
@@ -124,6 +123,7 @@
     MonotonicTime m_lastEvent;
     int m_resumeTries = 0;
     bool m_acquiring = false;
+    bool m_isRetry = false;
     bool m_claimed = false;
     AttemptId m_claimAttempt;
     bool m_sent = false;
--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -1,13 +1,12 @@
 #include "delivery/PlainRun.h"
 
+#include "admission/AdmissionRequest.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "configuration/Configuration.h"
 #include "delivery/ClaimGate.h"
 #include "delivery/DeliveryContext.h"
 #include "http/HttpClient.h"
-#include "placement/PlacementRequest.h"
 
 #include <QUuid>
 
@@ -50,29 +49,33 @@
 
 void PlainRun::acquireTarget()
 {
-    PlacementRequest placement;
-    placement.request = m_request.id;
-    placement.service = m_request.service;
-    placement.workspace = m_request.workspace;
-    placement.excluded = m_excluded;
     m_attempt = AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
     m_sent = false;
-    m_context.targets.acquire(placement, m_attempt, m_request.configuration, m_request.deadline,
-                              [weak = weak_from_this()](const Result<TargetId> &target) {
+    AdmissionRequest admission;
+    admission.placement.request = m_request.id;
+    admission.placement.service = m_request.service;
+    admission.placement.workspace = m_request.workspace;
+    admission.placement.excluded = m_excluded;
+    admission.attempt = m_attempt;
+    admission.deadline = m_request.deadline;
+    admission.retry = m_isRetry;
+    m_context.targets.acquire(admission,
+                              [weak = weak_from_this()](const Result<TargetPlace> &place) {
                                   if (const auto self = weak.lock())
-                                      self->targetAcquired(target);
+                                      self->targetAcquired(place);
                               });
 }
 
-void PlainRun::targetAcquired(const Result<TargetId> &target)
+void PlainRun::targetAcquired(const Result<TargetPlace> &place)
 {
     if (m_over)
         return;
-    if (!target) {
-        fail(target.error());
+    if (!place) {
+        fail(place.error());
         return;
     }
-    m_target = target.value();
+    m_target = place.value().target;
+    m_endpoint = place.value().endpoint;
     if (!m_request.atMostOnce || m_claimed) {
         send();
         return;
@@ -117,11 +120,6 @@
 
 void PlainRun::send()
 {
-    const auto found = m_request.configuration->targets.constFind(m_target);
-    if (found == m_request.configuration->targets.constEnd()) {
-        sendFailed(SendFailure::NotConnected, {});
-        return;
-    }
     HttpRequest request = m_request.upstream;
     request.headers.add("Cranberry-Attempt", m_attempt.text().toUtf8());
     logEvent(LogLevel::Info, EventId::AttemptSent,
@@ -131,7 +129,7 @@
     ++m_context.counters.attemptsSent;
     m_sent = true;
     m_exchange = m_context.client.fetch(
-        found->endpoint, request, {}, [this](HttpExchangeEnd end, const HttpResponse &response) {
+        m_endpoint, request, {}, [this](HttpExchangeEnd end, const HttpResponse &response) {
             const std::shared_ptr<PlainRun> alive = shared_from_this();
             exchangeEnded(end, response);
         });
@@ -172,6 +170,7 @@
     if (mayRunAgain && m_context.targets.takeRetry(m_request.workspace, failed)) {
         ++m_context.counters.retries;
         m_excluded.insert(failed);
+        m_isRetry = true;
         acquireTarget();
         return;
     }
@@ -186,7 +185,7 @@
 {
     m_exchange.reset();
     if (!m_target.isEmpty())
-        m_context.targets.attemptEnded(m_attempt, outcome);
+        m_context.targets.attemptEnded(m_attempt, m_target, outcome);
     m_target = TargetId();
 }
 
@@ -195,7 +194,7 @@
     if (m_over)
         return;
     if (m_target.isEmpty())
-        m_context.targets.withdraw(m_attempt);
+        m_context.targets.withdraw(m_request.id);
     releaseTarget(AttemptOutcome::Cancelled);
     // An earlier attempt may have run: the answer may not say less than that.
     error.ran = std::max(error.ran, m_ranBefore);
@@ -208,6 +207,7 @@
 {
     m_over = true;
     m_deadlineTimer.reset();
+    m_context.targets.requestEnded(m_request.id);
     const Callback callback = std::move(m_callback);
     m_callback = nullptr;
     if (callback)
--- a/src/delivery/PlainRun.h
+++ b/src/delivery/PlainRun.h
@@ -39,7 +39,7 @@
 
 private:
     void acquireTarget();
-    void targetAcquired(const Result<TargetId> &target);
+    void targetAcquired(const Result<TargetPlace> &place);
     void claimDecided(const Result<ClaimDecision> &decision);
     void send();
     void exchangeEnded(HttpExchangeEnd end, const HttpResponse &response);
@@ -54,10 +54,12 @@
     AttemptId m_attempt;
     AttemptId m_claimAttempt;
     TargetId m_target;
+    HttpEndpoint m_endpoint;
     QSet<TargetId> m_excluded;
     std::unique_ptr<HttpExchange> m_exchange;
     std::unique_ptr<TimerSubscription> m_deadlineTimer;
     Ran m_ranBefore = Ran::No;
+    bool m_isRetry = false;
     bool m_claimed = false;
     bool m_sent = false;
     bool m_over = false;
--- a/src/delivery/TargetSource.h
+++ b/src/delivery/TargetSource.h
@@ -3,15 +3,20 @@
 
 #include "base/Ids.h"
 #include "base/Result.h"
-#include "base/Units.h"
+#include "http/HttpEndpoint.h"
 
 #include <functional>
-#include <memory>
 
 namespace cranberry {
 
-struct Configuration;
-struct PlacementRequest;
+struct AdmissionRequest;
+
+/// A target that an attempt may be sent to.
+struct TargetPlace
+{
+    TargetId target;
+    HttpEndpoint endpoint;
+};
 
 /// How an attempt ended, as far as the target's state is concerned.
 enum class AttemptOutcome {
@@ -28,27 +33,29 @@
 class TargetSource
 {
 public:
-    using Callback = std::function<void(Result<TargetId>)>;
+    using Callback = std::function<void(const Result<TargetPlace> &)>;
 
     TargetSource() = default;
     virtual ~TargetSource() = default;
     TargetSource(const TargetSource &) = delete;
     TargetSource &operator=(const TargetSource &) = delete;
 
-    /// Asks for a target for @p attempt. Calls back once, possibly before it returns, with a
-    /// target on which the attempt then counts, or with the refusal, at once when it is known.
-    virtual void acquire(const PlacementRequest &request, const AttemptId &attempt,
-                         const std::shared_ptr<const Configuration> &configuration,
-                         MonotonicTime deadline, Callback callback) = 0;
+    /// Asks for a target. Calls back once, possibly before it returns, with a place on which
+    /// the attempt then counts, or with the refusal, at once when it is known.
+    virtual void acquire(const AdmissionRequest &request, Callback callback) = 0;
 
-    /// Withdraws an acquire that has not called back.
-    virtual void withdraw(const AttemptId &attempt) = 0;
+    /// Withdraws the acquire of @p request if it has not called back.
+    virtual void withdraw(const RequestId &request) = 0;
 
     /// A token of @p attempt arrived.
     virtual void tokenReceived(const AttemptId &attempt) = 0;
 
-    /// @p attempt no longer counts on its target.
-    virtual void attemptEnded(const AttemptId &attempt, AttemptOutcome end) = 0;
+    /// @p attempt no longer counts on @p target.
+    virtual void attemptEnded(const AttemptId &attempt, const TargetId &target,
+                              AttemptOutcome outcome) = 0;
+
+    /// Nothing further will be asked for @p request.
+    virtual void requestEnded(const RequestId &request) = 0;
 
     /// Whether the workspace and target may spend a further send on a retry.
     virtual bool takeRetry(const WorkspaceId &workspace, const TargetId &target) = 0;
