--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -11,7 +11,9 @@
 
 Placement chosenByRequests(const TargetLoad &target)
 {
-    return {PlacementOutcome::Chosen, target.target,
+    return {PlacementOutcome::Chosen,
+            target.target,
+            {},
             QStringLiteral("requests=%1 own=%2").arg(requestsOn(target)).arg(target.ownRequests)};
 }
 
@@ -64,7 +66,7 @@
 {
     const QList<TargetLoad> usable = withoutExcluded(targets, request.excluded);
     if (usable.isEmpty())
-        return {PlacementOutcome::Wait, {}, QStringLiteral("usable=0")};
+        return {PlacementOutcome::NoneUsable, {}, {}, QStringLiteral("usable=0")};
     switch (service.policy) {
     case PolicyName::RoundRobin:
         return placeRoundRobin(usable, draw);
