--- a/src/daemon/Dispatcher.cpp
+++ b/src/daemon/Dispatcher.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// How long a plain service's target that could not be reached is left alone.
-constexpr Milliseconds PlainTargetPause { 1000 };
+constexpr Milliseconds PlainTargetPause{1000};
 
 } // namespace
 
@@ -38,17 +38,18 @@
 {
     AdmissionRequest located = request;
     located.placement.dataCentre = m_dataCentre;
-    m_admission.enqueue(located, [this, callback = std::move(callback)](const Result<TargetId> &target) {
-        if (!target) {
-            callback(target.error());
-            return;
-        }
-        // Admission decides under the newest configuration, so the target is in it.
-        const auto found = m_configuration->targets.constFind(target.value());
-        const HttpEndpoint endpoint =
+    m_admission.enqueue(
+        located, [this, callback = std::move(callback)](const Result<TargetId> &target) {
+            if (!target) {
+                callback(target.error());
+                return;
+            }
+            // Admission decides under the newest configuration, so the target is in it.
+            const auto found = m_configuration->targets.constFind(target.value());
+            const HttpEndpoint endpoint =
                 found == m_configuration->targets.constEnd() ? HttpEndpoint() : found->endpoint;
-        callback(TargetPlace { target.value(), endpoint });
-    });
+            callback(TargetPlace{target.value(), endpoint});
+        });
 }
 
 void Dispatcher::withdraw(const RequestId &request)
@@ -74,7 +75,7 @@
 {
     if (!m_targets.markDead(target))
         return;
-    logEvent(LogLevel::Warning, EventId::TargetDead, { { "target", target.text() } });
+    logEvent(LogLevel::Warning, EventId::TargetDead, {{"target", target.text()}});
     const auto found = m_configuration->targets.constFind(target);
     const bool plain = found != m_configuration->targets.constEnd() && found->models.isEmpty();
     if (!plain)
--- a/src/delivery/TargetSource.h
+++ b/src/delivery/TargetSource.h
@@ -12,8 +12,7 @@
 struct AdmissionRequest;
 
 /// A target that an attempt may be sent to.
-struct TargetPlace
-{
+struct TargetPlace {
     TargetId target;
     HttpEndpoint endpoint;
 };
--- a/src/placement/TargetPoller.cpp
+++ b/src/placement/TargetPoller.cpp
@@ -15,7 +15,7 @@
 namespace {
 
 constexpr int MissesUntilDead = 3;
-constexpr Milliseconds PollTimeout { 1500 };
+constexpr Milliseconds PollTimeout{1500};
 
 LoadReport parseReport(const QByteArray &body)
 {
@@ -53,7 +53,8 @@
 void TargetPoller::setConfiguration(const Configuration &configuration)
 {
     std::map<TargetId, Polled> polled;
-    for (auto target = configuration.targets.cbegin(); target != configuration.targets.cend(); ++target) {
+    for (auto target = configuration.targets.cbegin(); target != configuration.targets.cend();
+         ++target) {
         if (target->models.isEmpty())
             continue;
         const auto known = m_polled.find(target.key());
@@ -80,11 +81,11 @@
     HttpExchangeOptions options;
     options.timeout = PollTimeout;
     options.reuseConnection = true;
-    polled.exchange = m_client.fetch(polled.endpoint, { "GET", "/load", {}, {}, {} }, options,
-                                     [this, target](HttpExchangeEnd end, const HttpResponse &response) {
-                                         answered(target, end == HttpExchangeEnd::Complete,
-                                                  response.status, response.body);
-                                     });
+    polled.exchange = m_client.fetch(
+        polled.endpoint, {"GET", "/load", {}, {}, {}}, options,
+        [this, target](HttpExchangeEnd end, const HttpResponse &response) {
+            answered(target, end == HttpExchangeEnd::Complete, response.status, response.body);
+        });
 }
 
 void TargetPoller::answered(const TargetId &target, bool whole, int status, const QByteArray &body)
@@ -104,9 +105,9 @@
     m_table.reportReceived(target, report, m_timers.now());
     const bool isUsable = m_table.usable(target);
     if (wasUsable && report.leaving)
-        logEvent(LogLevel::Info, EventId::TargetLeaving, { { "target", target.text() } });
+        logEvent(LogLevel::Info, EventId::TargetLeaving, {{"target", target.text()}});
     else if (!wasUsable && isUsable)
-        logEvent(LogLevel::Info, EventId::TargetBack, { { "target", target.text() } });
+        logEvent(LogLevel::Info, EventId::TargetBack, {{"target", target.text()}});
     m_changed();
 }
 
@@ -115,7 +116,7 @@
     ++polled.misses;
     if (polled.misses < MissesUntilDead || !m_table.markDead(target))
         return;
-    logEvent(LogLevel::Warning, EventId::TargetDead, { { "target", target.text() } });
+    logEvent(LogLevel::Warning, EventId::TargetDead, {{"target", target.text()}});
     m_changed();
 }
 
--- a/src/placement/TargetPoller.h
+++ b/src/placement/TargetPoller.h
@@ -28,8 +28,8 @@
     using ChangedCallback = std::function<void()>;
 
     /// Precondition: the references outlive the poller.
-    TargetPoller(TimerService &timers, HttpClient &client, TargetTable &table, Milliseconds interval,
-                 ChangedCallback changed);
+    TargetPoller(TimerService &timers, HttpClient &client, TargetTable &table,
+                 Milliseconds interval, ChangedCallback changed);
     ~TargetPoller();
     TargetPoller(const TargetPoller &) = delete;
     TargetPoller &operator=(const TargetPoller &) = delete;
@@ -38,8 +38,7 @@
     void setConfiguration(const Configuration &configuration);
 
 private:
-    struct Polled
-    {
+    struct Polled {
         HttpEndpoint endpoint;
         std::unique_ptr<HttpExchange> exchange;
         int misses = 0;
--- a/test/correctness/EventStream.cpp
+++ b/test/correctness/EventStream.cpp
@@ -9,7 +9,8 @@
 
 BOOST_AUTO_TEST_CASE(EveryCutGivesTheSameEvents)
 {
-    const QByteArray text = "id: 0\ndata: {\"a\":1}\n\nid: 1\r\nevent: error\r\ndata: x\r\n\r\n: note\n\ndata: [DONE]\n\n";
+    const QByteArray text = "id: 0\ndata: {\"a\":1}\n\nid: 1\r\nevent: error\r\ndata: x\r\n\r\n: "
+                            "note\n\ndata: [DONE]\n\n";
     for (qsizetype cut = 0; cut <= text.size(); ++cut) {
         ServerSentEvents events;
         QList<ServerSentEvent> got = events.feed(text.left(cut));
@@ -33,22 +34,26 @@
 
 BOOST_AUTO_TEST_CASE(TokenNamesItsGenerationPlaceAndEnd)
 {
-    const ServerSentEvent text { "4", {}, R"({"id":"a1","choices":[{"index":0,"text":"so","finish_reason":null}]})" };
+    const ServerSentEvent text{
+        "4", {}, R"({"id":"a1","choices":[{"index":0,"text":"so","finish_reason":null}]})"};
     const Result<TokenEvent> token = parseTokenEvent(text);
     BOOST_REQUIRE(token);
     BOOST_TEST(token.value().attempt.text().toStdString() == "a1");
     BOOST_TEST(token.value().index == 4);
     BOOST_TEST(token.value().text.toStdString() == "so");
     BOOST_TEST(!token.value().isLast());
-    const ServerSentEvent last { "5", {}, R"({"id":"a1","choices":[{"delta":{"content":""},"finish_reason":"stop"}],"usage":{"completion_tokens":5}})" };
+    const ServerSentEvent last{
+        "5",
+        {},
+        R"({"id":"a1","choices":[{"delta":{"content":""},"finish_reason":"stop"}],"usage":{"completion_tokens":5}})"};
     BOOST_TEST(parseTokenEvent(last).value().isLast());
     BOOST_TEST(parseTokenEvent(last).value().usage.contains("5"));
 }
 
 BOOST_AUTO_TEST_CASE(WhatIsNotOfTheProtocolIsAnError)
 {
-    BOOST_TEST(!parseTokenEvent({ "x", {}, "{}" }));
-    BOOST_TEST(!parseTokenEvent({ "-1", {}, R"({"choices":[{"text":"a"}]})" }));
-    BOOST_TEST(!parseTokenEvent({ "0", {}, "not json" }));
-    BOOST_TEST(!parseTokenEvent({ "0", {}, R"({"choices":[]})" }));
+    BOOST_TEST(!parseTokenEvent({"x", {}, "{}"}));
+    BOOST_TEST(!parseTokenEvent({"-1", {}, R"({"choices":[{"text":"a"}]})"}));
+    BOOST_TEST(!parseTokenEvent({"0", {}, "not json"}));
+    BOOST_TEST(!parseTokenEvent({"0", {}, R"({"choices":[]})"}));
 }
--- a/test/correctness/RanTable.cpp
+++ b/test/correctness/RanTable.cpp
@@ -20,12 +20,17 @@
 
 BOOST_AUTO_TEST_CASE(ExchangesMapToWhereTheyFailed)
 {
-    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::NotConnected, false) == SendFailure::NotConnected);
-    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Broken, false) == SendFailure::BrokenBeforeAnswer);
-    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::TimedOut, false) == SendFailure::BrokenBeforeAnswer);
-    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Malformed, false) == SendFailure::MalformedAnswer);
+    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::NotConnected, false)
+                == SendFailure::NotConnected);
+    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Broken, false)
+                == SendFailure::BrokenBeforeAnswer);
+    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::TimedOut, false)
+                == SendFailure::BrokenBeforeAnswer);
+    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Malformed, false)
+                == SendFailure::MalformedAnswer);
     BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Broken, true) == SendFailure::BrokenAfterStart);
-    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Malformed, true) == SendFailure::BrokenAfterStart);
+    BOOST_CHECK(failureOfExchange(HttpExchangeEnd::Malformed, true)
+                == SendFailure::BrokenAfterStart);
 }
 
 BOOST_AUTO_TEST_CASE(OnlyTheTargetsOwnWordMakesARefusal)
--- a/test/correctness/TokenOrder.cpp
+++ b/test/correctness/TokenOrder.cpp
@@ -14,8 +14,7 @@
 const AttemptId Chosen(QStringLiteral("chosen"));
 const AttemptId Other(QStringLiteral("other"));
 
-struct Arrival
-{
+struct Arrival {
     AttemptId attempt;
     qint64 index = 0;
     bool isLast = false;
@@ -28,17 +27,17 @@
     std::vector<std::vector<Arrival>> streams;
     streams.emplace_back();
     for (int i = 0; i < length; ++i)
-        streams[0].push_back({ Chosen, i, i == length - 1 });
+        streams[0].push_back({Chosen, i, i == length - 1});
     for (int resume = 0; resume < 3; ++resume) {
         const int from = int(random() % quint64(length));
         streams.emplace_back();
         for (int i = from; i < length; ++i)
-            streams.back().push_back({ Chosen, i, i == length - 1 });
+            streams.back().push_back({Chosen, i, i == length - 1});
     }
     streams.emplace_back();
     for (int i = 0; i < length; ++i)
-        streams.back().push_back({ Other, i, i == length - 1 });
-    std::vector<Arrival> arrivals { streams[0][0] };
+        streams.back().push_back({Other, i, i == length - 1});
+    std::vector<Arrival> arrivals{streams[0][0]};
     std::vector<size_t> next(streams.size(), 0);
     next[0] = 1;
     for (;;) {
@@ -70,7 +69,7 @@
         std::vector<qint64> delivered;
         for (const Arrival &arrival : interleaved(length, random)) {
             const TokenVerdict verdict =
-                    acceptToken(sequence, arrival.attempt, arrival.index, arrival.isLast);
+                acceptToken(sequence, arrival.attempt, arrival.index, arrival.isLast);
             if (verdict != TokenVerdict::Deliver)
                 continue;
             BOOST_REQUIRE(arrival.attempt == Chosen);
--- a/test/error/Settings.cpp
+++ b/test/error/Settings.cpp
@@ -38,8 +38,9 @@
                == "gateway.port: expected 0..65535, got \"x\"");
     BOOST_TEST(faultOf(Valid, "\"vm\":\"vm1\"", "\"vm\":\"\"")
                == "vm: expected a non-empty string, got \"\"");
-    BOOST_TEST(faultOf(Valid, "http://127.0.0.1:9000", "ftp://x")
-               == "platform.url: expected \"http://ADDRESS:PORT\" with an IP number, got \"ftp://x\"");
+    BOOST_TEST(
+        faultOf(Valid, "http://127.0.0.1:9000", "ftp://x")
+        == "platform.url: expected \"http://ADDRESS:PORT\" with an IP number, got \"ftp://x\"");
     BOOST_TEST(faultOf(Valid, "\"warning\"", "\"loud\"")
                == "log.level: expected debug, info, warning or error, got \"loud\"");
     BOOST_TEST(faultOf(Valid, "\"workers\":2", "\"workers\":0")
@@ -52,6 +53,8 @@
 
 BOOST_AUTO_TEST_CASE(BrokenJsonNamesTheByte)
 {
-    BOOST_TEST(parseSettings("{\"vm\":").error().detail.startsWith(QLatin1String("settings: not a JSON object (byte ")));
+    BOOST_TEST(parseSettings("{\"vm\":")
+                   .error()
+                   .detail.startsWith(QLatin1String("settings: not a JSON object (byte ")));
     BOOST_TEST(!parseSettings("[]"));
 }
