--- /dev/null
+++ b/src/configuration/ConfigurationSpread.h
@@ -0,0 +1,104 @@
+// Defines ConfigurationSpread, by which a daemon learns of accepted changes.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "configuration/LifeGuard.h"
+#include "platform/KeyValue.h"
+
+#include <QByteArray>
+#include <QByteArrayList>
+#include <QCborMap>
+#include <QList>
+
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class ConfigurationStore;
+class KeyValueStore;
+class MemberView;
+class PeerNetwork;
+class TimerService;
+class TimerSubscription;
+
+/// Two daemons a data centre, chosen by rendezvous hashing among the live members, watch the
+/// platform; the others hear of a version by heartbeat and pull its changes from whoever
+/// they heard it from. That keeps the calls on the platform independent of the number of
+/// daemons. Nothing that must hold rests on it: it only carries changes already accepted.
+/// Thread safety: only from its own thread.
+class ConfigurationSpread
+{
+public:
+    /// Precondition: the arguments outlive the spread.
+    ConfigurationSpread(ConfigurationStore &store, KeyValueStore &platform, PeerNetwork &peers,
+                        const MemberView &members, TimerService &timers);
+    ~ConfigurationSpread();
+    ConfigurationSpread(const ConfigurationSpread &) = delete;
+    ConfigurationSpread &operator=(const ConfigurationSpread &) = delete;
+
+    /// Loads from the platform, or from peers while it is down, and keeps up from then on.
+    /// Precondition: not started.
+    void start();
+
+    /// @p from has @p version, by its heartbeat.
+    void versionHeard(const VmId &from, ConfigurationVersion version);
+
+    /// True while this daemon is one of those that watch the platform.
+    bool isWatching() const { return m_watching; }
+    /// True if the last call on the platform was answered, or none was needed yet.
+    bool isPlatformReachable() const { return m_platformReachable; }
+
+private:
+    /// What was asked of a peer and has not come whole yet.
+    struct Pull {
+        VmId peer;
+        MonotonicTime sentAt;
+        /// Version of the document whose parts came so far.
+        ConfigurationVersion documentVersion;
+        QByteArrayList parts;
+    };
+
+    void load();
+    Milliseconds nextDelay();
+    void setPlatformReachable(bool reachable);
+    void chooseWatchers();
+    void watch();
+    void watchAnswered(const QList<KeyValue> &entries);
+    void watchAgainLater();
+    void pullFrom(const VmId &peer);
+    void sendPull(int part);
+    void answerPull(const VmId &peer, const QCborMap &body);
+    std::optional<QCborMap> changesMessage(ConfigurationVersion after) const;
+    void takeChanges(const QCborMap &body);
+    void takeDocumentPart(const VmId &peer, const QCborMap &body);
+    void fallBackLater();
+
+    ConfigurationStore &m_store;
+    KeyValueStore &m_platform;
+    PeerNetwork &m_peers;
+    const MemberView &m_members;
+    TimerService &m_timers;
+    bool m_watching = false;
+    /// A watch waits at the platform.
+    bool m_watchWaits = false;
+    /// The watch goes on after this revision.
+    Revision m_watched;
+    bool m_platformReachable = true;
+    /// Calls on the platform that failed running.
+    int m_failures = 0;
+    std::optional<Pull> m_pull;
+    /// Highest version that a peer told.
+    ConfigurationVersion m_heard;
+    /// The document in parts as peers pull it, kept for the version it was last made for.
+    ConfigurationVersion m_servedVersion;
+    QList<QByteArray> m_served;
+    std::unique_ptr<TimerSubscription> m_chooser;
+    std::unique_ptr<TimerSubscription> m_loadRetry;
+    std::unique_ptr<TimerSubscription> m_watchRetry;
+    std::unique_ptr<TimerSubscription> m_fallback;
+    internal::LifeGuard m_guard;
+};
+
+} // namespace cranberry
