--- /dev/null
+++ b/src/daemon/Daemon.cpp
@@ -0,0 +1,138 @@
+#include "daemon/Daemon.h"
+
+#include "base/EventLog.h"
+#include "daemon/DaemonParts.h"
+#include "http/HttpRequest.h"
+#include "http/HttpResponder.h"
+
+#include <QFile>
+#include <QHostAddress>
+#include <QRandomGenerator>
+
+namespace cranberry {
+
+namespace {
+
+/// How often a draining daemon looks whether all is finished.
+constexpr Milliseconds DrainCheck { 20 };
+constexpr qsizetype LeastSecretBytes = 16;
+
+Result<QByteArray> readSecret(const QString &path, const QString &setting)
+{
+    QFile file(path);
+    const auto fault = [&](const QString &what) {
+        return Error { ErrorKind::BadRequest, Ran::No,
+                       QStringLiteral("%1: cannot use \"%2\": %3").arg(setting, path, what), setting, {} };
+    };
+    if (!file.open(QIODevice::ReadOnly))
+        return fault(file.errorString());
+    const QByteArray secret = file.readAll().trimmed();
+    if (secret.size() < LeastSecretBytes)
+        return fault(QStringLiteral("expected at least %1 bytes").arg(LeastSecretBytes));
+    return secret;
+}
+
+} // namespace
+
+DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret)
+    : workers(settings.workers)
+    , client(timers)
+    , platform(timers, settings.platform)
+    , peers(timers, settings.vm, peerSecret)
+    , members(settings.vm, settings.dataCentre)
+    , configuration(platform, workers, timers)
+    , spread(configuration, platform, peers, members, timers)
+    , admission(timers, targets, [] { return QRandomGenerator::global()->generate64(); })
+    , dispatcher(timers, targets, admission, settings.dataCentre)
+    , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
+    , cancels(client)
+    , delivery { client, timers, dispatcher, cancels, claims, settings.stall, {}, {} }
+    , runs(delivery, settings.retention)
+    , gateway(delivery, runs, workers, settings.vm)
+    , server(timers, settings.http,
+             [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                 gateway.handle(request, responder);
+             })
+{
+}
+
+Daemon::Daemon(DaemonSettings settings) : m_settings(std::move(settings)) { }
+
+Daemon::~Daemon() = default;
+
+Result<void> Daemon::readSecrets()
+{
+    BOOST_OUTCOME_TRY(token, readSecret(m_settings.operatorTokenFile, QStringLiteral("operator_token_file")));
+    m_operatorToken = token;
+    BOOST_OUTCOME_TRY(secret, readSecret(m_settings.peerSecretFile, QStringLiteral("peer.secret_file")));
+    m_peerSecret = secret;
+    return outcome::success();
+}
+
+Result<void> Daemon::listen()
+{
+    BOOST_OUTCOME_TRY(gatewayPort, m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
+                                                            m_settings.gateway.port));
+    m_gatewayPort = gatewayPort;
+    BOOST_OUTCOME_TRY(peerPort, m_parts->peers.listenOn(QHostAddress(m_settings.peer.address),
+                                                        m_settings.peer.port));
+    m_peerPort = peerPort;
+    return outcome::success();
+}
+
+Result<void> Daemon::start()
+{
+    BOOST_OUTCOME_TRY(readSecrets());
+    m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret);
+    BOOST_OUTCOME_TRY(listen());
+    wire();
+    m_parts->spread.start();
+    logEvent(LogLevel::Info, EventId::DaemonStarted,
+             { { "vm", m_settings.vm.text() },
+               { "data_centre", m_settings.dataCentre.text() },
+               { "gateway_port", QString::number(m_gatewayPort) },
+               { "peer_port", QString::number(m_peerPort) } });
+    return outcome::success();
+}
+
+void Daemon::wire()
+{
+    m_parts->configuration.onInForce(
+            [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
+}
+
+void Daemon::configurationInForce()
+{
+    const std::shared_ptr<const Configuration> configuration = m_parts->configuration.current();
+    const bool wasReady = m_parts->gateway.isReady();
+    m_parts->dispatcher.setConfiguration(configuration);
+    m_parts->poller.setConfiguration(*configuration);
+    m_parts->gateway.setConfiguration(configuration);
+    if (!wasReady && m_parts->gateway.isReady())
+        logEvent(LogLevel::Info, EventId::DaemonReady, { { "vm", m_settings.vm.text() } });
+}
+
+void Daemon::drain(std::function<void()> done)
+{
+    if (m_drained)
+        return;
+    m_drained = std::move(done);
+    logEvent(LogLevel::Info, EventId::DaemonDraining, { { "vm", m_settings.vm.text() } });
+    m_parts->gateway.announceDrain();
+    m_parts->drainTimer = m_parts->timers.after(m_settings.drainListen, [this] {
+        m_parts->server.stopListening();
+        m_parts->gateway.refuseNew();
+        m_parts->drainTimer = m_parts->timers.every(DrainCheck, [this] { finishDrainWhenIdle(); });
+    });
+}
+
+void Daemon::finishDrainWhenIdle()
+{
+    if (m_parts->gateway.pending() > 0 || m_parts->server.unsentBytes() > 0)
+        return;
+    m_parts->drainTimer.reset();
+    logEvent(LogLevel::Info, EventId::DaemonStopped, { { "vm", m_settings.vm.text() } });
+    m_drained();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/daemon/DaemonParts.h
@@ -0,0 +1,53 @@
+// Defines DaemonParts, the objects that a daemon consists of, in the order of their making.
+#pragma once
+
+#include "admission/AdmissionQueue.h"
+#include "base/QtTimerService.h"
+#include "base/TimerSubscription.h"
+#include "base/WorkerPool.h"
+#include "configuration/ConfigurationSpread.h"
+#include "configuration/ConfigurationStore.h"
+#include "daemon/DaemonSettings.h"
+#include "daemon/Dispatcher.h"
+#include "daemon/NoClaims.h"
+#include "daemon/SoloMember.h"
+#include "delivery/DeliveryContext.h"
+#include "delivery/RunRegistry.h"
+#include "delivery/TargetCancels.h"
+#include "gateway/Gateway.h"
+#include "http/HttpClient.h"
+#include "http/HttpServer.h"
+#include "peer/PeerLinks.h"
+#include "placement/TargetPoller.h"
+#include "placement/TargetTable.h"
+#include "platform/HttpKeyValueStore.h"
+
+namespace cranberry {
+
+/// Members are destroyed in reverse, so that each outlives what refers to it.
+struct DaemonParts
+{
+    DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret);
+
+    QtTimerService timers;
+    WorkerPool workers;
+    HttpClient client;
+    HttpKeyValueStore platform;
+    PeerLinks peers;
+    SoloMember members;
+    ConfigurationStore configuration;
+    ConfigurationSpread spread;
+    TargetTable targets;
+    AdmissionQueue admission;
+    Dispatcher dispatcher;
+    TargetPoller poller;
+    TargetCancels cancels;
+    NoClaims claims;
+    DeliveryContext delivery;
+    RunRegistry runs;
+    Gateway gateway;
+    HttpServer server;
+    std::unique_ptr<TimerSubscription> drainTimer;
+};
+
+} // namespace cranberry
--- a/src/http/BoundedTcpServer.cpp
+++ b/src/http/BoundedTcpServer.cpp
@@ -116,6 +116,14 @@
     return m_connections.value(socket).answering;
 }
 
+qint64 BoundedTcpServer::unsentBytes() const
+{
+    qint64 bytes = 0;
+    for (auto entry = m_connections.cbegin(); entry != m_connections.cend(); ++entry)
+        bytes += entry.key()->bytesToWrite();
+    return bytes;
+}
+
 void BoundedTcpServer::closeOverdue()
 {
     const MonotonicTime now = m_timers.now();
--- a/src/http/BoundedTcpServer.h
+++ b/src/http/BoundedTcpServer.h
@@ -35,7 +35,8 @@
     /// True while an answer on @p socket is not complete.
     bool isAnswering(QTcpSocket *socket) const;
 
-    int openConnections() const { return m_connections.size(); }
+    int openConnections() const { return int(m_connections.size()); }
+    qint64 unsentBytes() const;
 
 protected:
     void incomingConnection(qintptr descriptor) override;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -86,6 +86,11 @@
     return m_listener->openConnections();
 }
 
+qint64 HttpServer::unsentBytes() const
+{
+    return m_listener->unsentBytes();
+}
+
 bool HttpServer::handleRequest(const QHttpServerRequest &request, QTcpSocket *socket)
 {
     // QHttpServer would interleave the answers of pipelined requests; callers that pipeline
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -37,6 +37,8 @@
     void stopListening();
 
     int openConnections() const;
+    /// Bytes of answers that have not reached the system's socket buffers yet.
+    qint64 unsentBytes() const;
 
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override;
