--- /dev/null
+++ b/apps/load/LoadRun.cpp
@@ -0,0 +1,147 @@
+#include "load/LoadRun.h"
+
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/HttpRequest.h"
+#include "load/LoadMetrics.h"
+
+#include <QJsonArray>
+#include <QJsonDocument>
+
+namespace cranberry::load {
+
+namespace {
+
+/// A balancer sends to the next entry VM when one accepts no connection.
+constexpr int MostTrials = 3;
+
+QByteArray completionBody(const TrafficMix &mix, const PlannedRequest &planned)
+{
+    QJsonObject body{{QStringLiteral("model"), mix.model},
+                     {QStringLiteral("max_tokens"), planned.maxTokens},
+                     {QStringLiteral("stream"), true}};
+    if (planned.kind == RequestKind::Chat) {
+        const QJsonObject message{{QStringLiteral("role"), QStringLiteral("user")},
+                                  {QStringLiteral("content"), planned.prompt}};
+        body.insert(QStringLiteral("messages"), QJsonArray{message});
+    } else {
+        body.insert(QStringLiteral("prompt"), planned.prompt);
+    }
+    return QJsonDocument(body).toJson(QJsonDocument::Compact);
+}
+
+} // namespace
+
+LoadRun::LoadRun(TimerService &timers, HttpClient &client, const LoadTargets &targets,
+                 const TrafficMix &mix, QList<PlannedRequest> plan, QByteArray nonce)
+    : m_timers(timers)
+    , m_client(client)
+    , m_targets(targets)
+    , m_mix(mix)
+    , m_plan(std::move(plan))
+    , m_nonce(std::move(nonce))
+    , m_results(std::size_t(m_plan.size()))
+    , m_exchanges(std::size_t(m_plan.size()))
+{
+    for (std::size_t i = 0; i < m_results.size(); ++i)
+        m_results[i].request = m_plan.at(qsizetype(i));
+}
+
+LoadRun::~LoadRun() = default;
+
+void LoadRun::run(Milliseconds patience)
+{
+    m_start = m_timers.now();
+    m_patience = m_timers.after(m_mix.duration + patience, [this] { m_loop.quit(); });
+    m_arrival = m_timers.after(Milliseconds(0), [this] { sendDue(); });
+    m_loop.exec();
+    m_exchanges.clear();
+}
+
+void LoadRun::sendDue()
+{
+    const MonotonicTime now = m_timers.now();
+    while (m_next < m_results.size() && m_start + m_results[m_next].request.at <= now) {
+        const MonotonicTime due = m_start + m_results[m_next].request.at;
+        m_lags.push_back(std::chrono::duration<double, std::milli>(now - due).count());
+        m_results[m_next].sentAt = now;
+        ++m_underWay;
+        send(m_next, 0);
+        ++m_next;
+    }
+    if (m_next < m_results.size()) {
+        const auto wait = std::chrono::ceil<Milliseconds>(m_start + m_results[m_next].request.at
+                                                          - m_timers.now());
+        m_arrival = m_timers.after(std::max(wait, Milliseconds(0)), [this] { sendDue(); });
+    } else if (m_underWay == 0) {
+        m_loop.quit();
+    }
+}
+
+HttpRequest LoadRun::requestFor(const PlannedRequest &planned, std::size_t index) const
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.headers.add("Authorization", "Bearer " + m_mix.keys.at(planned.workspace));
+    request.headers.add("Content-Type", "application/json");
+    if (planned.deadline.count() > 0)
+        request.headers.add("Cranberry-Deadline-Ms", QByteArray::number(planned.deadline.count()));
+    request.headers.add("Cranberry-Idempotent", planned.atMostOnce ? "no" : "yes");
+    if (planned.atMostOnce)
+        request.headers.add("Idempotency-Key", m_nonce + '-' + QByteArray::number(index));
+    if (planned.kind == RequestKind::Plain) {
+        request.path = "/services/" + m_mix.plainService.toUtf8() + "/lookup";
+        request.body = planned.prompt.toUtf8();
+        return request;
+    }
+    const bool chat = planned.kind == RequestKind::Chat;
+    request.path = chat ? "/v1/chat/completions" : "/v1/completions";
+    request.body = completionBody(m_mix, planned);
+    return request;
+}
+
+void LoadRun::send(std::size_t index, int trial)
+{
+    RequestResult &result = m_results[index];
+    const quint64 gateways = quint64(m_targets.gateways.size());
+    const auto entry = qsizetype((result.request.entry + quint64(trial)) % gateways);
+    HttpExchangeCallbacks callbacks;
+    callbacks.headers = [&result](int status, const HttpHeaders &headers) {
+        result.response.status = status;
+        result.response.headers = headers;
+    };
+    callbacks.body = [this, &result](const QByteArray &data) {
+        if (result.response.headers.value("Content-Type").startsWith("text/event-stream"))
+            result.answer.feed(data, m_timers.now());
+        else
+            result.response.body += data;
+    };
+    callbacks.finished = [this, index, trial](HttpExchangeEnd end, const QString &) {
+        finished(index, trial, end);
+    };
+    m_exchanges[index] = m_client.send(m_targets.gateways.at(entry),
+                                       requestFor(result.request, index), {}, std::move(callbacks));
+}
+
+void LoadRun::finished(std::size_t index, int trial, HttpExchangeEnd end)
+{
+    if (end == HttpExchangeEnd::NotConnected && trial + 1 < MostTrials) {
+        send(index, trial + 1);
+        return;
+    }
+    RequestResult &result = m_results[index];
+    result.ended = true;
+    result.end = end;
+    result.endedAt = m_timers.now();
+    --m_underWay;
+    if (m_underWay == 0 && m_next == m_results.size())
+        m_loop.quit();
+}
+
+void LoadRun::recordLag(LoadMetrics &metrics) const
+{
+    for (const double lag : m_lags)
+        metrics.sendLag.add(lag);
+}
+
+} // namespace cranberry::load
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -297,7 +297,11 @@
 
 qint64 Fleet::versionOf(int index)
 {
-    return status(index).value(QLatin1String("configuration_version")).toInteger(-1);
+    const FleetAnswer answer = m_client.get(gateway(index), "/v1/configuration", operatorHeaders());
+    bool isNumber = false;
+    const qint64 version =
+        answer.response.headers.value("ETag").replace('"', "").toLongLong(&isNumber);
+    return answer.is(200) && isNumber ? version : -1;
 }
 
 QJsonObject Fleet::status(int index)
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -69,7 +69,7 @@
     qint64 apply(const QJsonObject &document);
     /// Waits until every running daemon reports a version of at least @p version.
     bool waitForVersion(qint64 version);
-    /// The version that daemon @p index reports, or -1.
+    /// The version that daemon @p index has in force by its ETag, or -1.
     qint64 versionOf(int index);
     /// GET /v1/status of daemon @p index.
     QJsonObject status(int index);
