--- a/src/configuration/ConfigurationSpread.cpp
+++ b/src/configuration/ConfigurationSpread.cpp
@@ -248,7 +248,7 @@
 {
     QList<ConfigurationChange> changes;
     const QCborArray list = body[Changes].toArray();
-    for (const QCborValue &value : list)
+    for (const auto &value : list)
         changes.append(changeFromCbor(value.toMap()));
     m_pull.reset();
     m_store.applyChanges(changes);
