--- a/src/peer/PeerLinks.cpp
+++ b/src/peer/PeerLinks.cpp
@@ -87,19 +87,21 @@
 
 bool PeerLinks::send(const VmId &vm, PeerMessageKind kind, const QCborMap &body)
 {
-    const auto found = m_peers.find(vm);
-    if (found == m_peers.end())
+    const QByteArray frame = encodePeerFrame({kind, body});
+    auto found = m_peers.find(vm);
+    if (found == m_peers.end() || frame.size() > m_limits.frame.value())
         return false;
-    Peer &peer = found->second;
-    if (!peer.link) {
-        if (m_timers.now() < peer.notBefore)
+    if (!found->second.link) {
+        if (m_timers.now() < found->second.notBefore)
+            return false;
+        dial(vm, found->second);
+        // A refusal by this VM itself is reported before dial returns, and its callback may
+        // change the table.
+        found = m_peers.find(vm);
+        if (found == m_peers.end() || !found->second.link)
             return false;
-        dial(vm, peer);
     }
-    const QByteArray frame = encodePeerFrame({kind, body});
-    if (frame.size() > m_limits.frame.value())
-        return false;
-    return peer.link->send(frame);
+    return found->second.link->send(frame);
 }
 
 void PeerLinks::subscribe(PeerMessageKind kind, Handler handler)
--- /dev/null
+++ b/test/failure/MembershipLinks.cpp
@@ -0,0 +1,146 @@
+// Several daemons' memberships over real links: death, hang, restart, leaving, platform down.
+#define BOOST_TEST_MODULE MembershipLinks
+#include <boost/test/unit_test.hpp>
+
+#include "base/QtTimerService.h"
+#include "support/EventLoop.h"
+#include "support/PeerDaemon.h"
+
+#include <vector>
+
+using namespace cranberry;
+using test::numberedVm;
+using test::PeerDaemon;
+
+namespace {
+
+constexpr int Count = 6;
+
+struct Fixture {
+    Fixture()
+    {
+        test::ensureApplication();
+        for (int i = 0; i < Count; ++i)
+            daemons.push_back(std::make_unique<PeerDaemon>(timers, platform, i));
+        for (const std::unique_ptr<PeerDaemon> &daemon : daemons)
+            daemon->start();
+        BOOST_REQUIRE(test::waitFor([this] { return allHeard(); }));
+    }
+
+    /// Every daemon has had word of every other one itself.
+    bool allHeard() const
+    {
+        for (const std::unique_ptr<PeerDaemon> &daemon : daemons) {
+            const QList<Member> members = daemon->membership->members();
+            if (members.size() != Count)
+                return false;
+            for (const Member &member : members) {
+                if (member.incarnation == Incarnation() || member.state != MemberState::Alive)
+                    return false;
+            }
+        }
+        return true;
+    }
+
+    bool allSee(const VmId &vm, MemberState state) const
+    {
+        for (const std::unique_ptr<PeerDaemon> &daemon : daemons) {
+            if (daemon->membership && daemon->vm() != vm && daemon->sees(vm) != state)
+                return false;
+        }
+        return true;
+    }
+
+    QtTimerService timers;
+    test::FakeVmList platform{timers};
+    std::vector<std::unique_ptr<PeerDaemon>> daemons;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(KilledDaemonIsFoundDeadAndComesBack, Fixture)
+{
+    // A user sees requests go to a target's home daemon that is gone. The process is killed, the
+    // others find its port closed; later the VM starts again under its old name.
+    const VmId victim = numberedVm(2);
+    daemons[2]->kill();
+    BOOST_REQUIRE(test::waitFor([&] { return allSee(victim, MemberState::Dead); }));
+    daemons[2]->start();
+    BOOST_TEST(test::waitFor([&] { return allSee(victim, MemberState::Alive); }));
+    BOOST_TEST(test::waitFor([this] { return allHeard(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(HangingDaemonIsFoundDead, Fixture)
+{
+    // Its links stay open and take what is sent; only its heartbeats are missing.
+    const VmId victim = numberedVm(4);
+    daemons[4]->hang();
+    BOOST_TEST(test::waitFor([&] { return allSee(victim, MemberState::Dead); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(LeavingDaemonIsOutOfTheLiveMembersEverywhere, Fixture)
+{
+    const VmId leaving = numberedVm(1);
+    VmId told;
+    daemons[5]->membership->onChange([&](const Member &member) {
+        if (member.state == MemberState::Leaving)
+            told = member.vm;
+    });
+    daemons[1]->membership->setLeaving();
+    BOOST_REQUIRE(test::waitFor([&] { return allSee(leaving, MemberState::Leaving); }));
+    BOOST_TEST((told == leaving));
+    for (const Member &member : daemons[5]->membership->liveMembers())
+        BOOST_TEST((member.vm != leaving));
+    BOOST_TEST(daemons[5]->membership->liveMembers().size() == Count - 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(VersionsNewsAndCreditsArrive, Fixture)
+{
+    std::map<VmId, ConfigurationVersion> versions;
+    std::map<VmId, int> news;
+    int credits = 0;
+    for (const std::unique_ptr<PeerDaemon> &daemon : daemons) {
+        const VmId vm = daemon->vm();
+        daemon->membership->onVersionHeard(
+            [&versions, vm](const VmId &, ConfigurationVersion v) { versions[vm] = v; });
+        daemon->membership->onDelta(PeerMessageKind::Quarantine,
+                                    [&news, vm](const VmId &origin, const QCborMap &body) {
+                                        news[vm] += origin == numberedVm(3)
+                                            && body.value(1).toString() == QStringLiteral("print");
+                                    });
+    }
+    daemons[0]->membership->onCredits(
+        [&](const VmId &, const QCborMap &body) { credits += int(body.value(1).toInteger()); });
+    daemons[3]->membership->setCreditsProvider([](const VmId &) { return QCborMap{{1, 5}}; });
+    daemons[3]->membership->setConfigurationVersion(ConfigurationVersion(8));
+    BOOST_TEST(daemons[3]->membership->addDelta(PeerMessageKind::Quarantine,
+                                                {{1, QStringLiteral("print")}}));
+    BOOST_TEST(!daemons[3]->membership->addDelta(PeerMessageKind::Quarantine,
+                                                 {{1, QByteArray(500, 'x')}}));
+    BOOST_REQUIRE(test::waitFor(
+        [&] { return news.size() == Count - 1 && versions.size() == Count - 1 && credits > 0; }));
+    for (const auto &[vm, count] : news)
+        BOOST_TEST(count == 1);
+    for (const auto &[vm, version] : versions)
+        BOOST_TEST((version == ConfigurationVersion(8)));
+    const auto reported = [&] {
+        for (const Member &member : daemons[0]->membership->members()) {
+            if (member.vm == numberedVm(3))
+                return member.configurationVersion == ConfigurationVersion(8);
+        }
+        return false;
+    };
+    BOOST_TEST(test::waitFor(reported));
+}
+
+BOOST_FIXTURE_TEST_CASE(PlatformOutageChangesNothingAndIsNotPolled, Fixture)
+{
+    platform.down = true;
+    const int before = platform.reads;
+    daemons[0]->kill();
+    BOOST_REQUIRE(test::waitFor([&] { return allSee(numberedVm(0), MemberState::Dead); }));
+    // A read a daemon at most fell due in this short time.
+    BOOST_TEST(platform.reads - before <= Count);
+    for (int i = 1; i < Count; ++i)
+        BOOST_TEST((allSee(numberedVm(i), MemberState::Alive)));
+}
