--- a/src/membership/MembershipMessages.cpp
+++ b/src/membership/MembershipMessages.cpp
@@ -77,8 +77,8 @@
     if (!value.isArray() || value.toArray().size() > MostItems)
         return false;
     const QCborArray array = value.toArray();
-    for (qsizetype i = 0; i < array.size(); ++i) {
-        const std::optional<Item> item = decode(array.at(i));
+    for (const auto &element : array) {
+        const std::optional<Item> item = decode(element);
         if (!item)
             return false;
         items.append(*item);
