Placement: forecast policy over a decayed length model, and a bench of decisions

Lengths are learnt as decayed log histograms per workspace, model and service; each request's expected memory at eight moments ahead, with its variance, adds up per target. The bench feeds synthetic traces to the policies in virtual time.

--- /dev/null
+++ b/src/placement/ForecastPolicy.cpp
@@ -0,0 +1,90 @@
+#include "placement/ForecastPolicy.h"
+
+namespace cranberry {
+
+namespace {
+
+/// A cached prefix saves prompt work, but not so much that it is worth a crowded target.
+constexpr double PrefixBonus = 0.10;
+/// Only a tie-break: a message between data centres costs little against a token.
+constexpr double SameDataCentreBonus = 0.005;
+/// A target that may run out if everything goes badly is full.
+constexpr double FullPressure = 1.0;
+constexpr Tokens InterTokenPrefillBudget{512};
+constexpr Tokens StallPrefillBudget{4096};
+
+struct Scored {
+    const TargetLoad *target = nullptr;
+    double pressure = 0;
+    double score = 0;
+};
+
+bool hasPrefillRoom(const PlacementRequest &request, const ForecastSettings &settings,
+                    const TargetLoad &target)
+{
+    // A prompt over the budget still has to go somewhere: it goes alone.
+    if (target.ownPrefillTokens == Tokens(0))
+        return true;
+    return target.ownPrefillTokens + request.promptTokens <= settings.prefillBudget;
+}
+
+/// Without a capacity nothing can be forecast; requests stand in for memory.
+double pressureOn(const PlacementRequest &request, const ForecastSettings &settings,
+                  const TargetLoad &target)
+{
+    constexpr double ManyRequests = 1000;
+    if (target.capacityTokens <= Tokens(0))
+        return (target.ownRequests + target.othersRequests) / ManyRequests;
+    MemoryForecast all = target.forecast;
+    all += request.growth;
+    const Tokens free = target.capacityTokens - target.reservedForOthers;
+    if (free <= Tokens(0))
+        return FullPressure + 1;
+    return pressure(all, free, settings.sigmas);
+}
+
+bool isEmpty(const TargetLoad &target)
+{
+    return target.ownRequests == 0 && target.othersRequests == 0;
+}
+
+} // namespace
+
+ForecastSettings forecastSettings(const ServiceConfiguration &service)
+{
+    const bool interToken = service.objective == Objective::InterToken;
+    return {sigmasFor(service.preemptionChance),
+            interToken ? InterTokenPrefillBudget : StallPrefillBudget};
+}
+
+Placement placeForecast(const PlacementRequest &request, const ForecastSettings &settings,
+                        const QList<TargetLoad> &usable, quint64 draw)
+{
+    Scored best;
+    const auto count = usable.size();
+    const auto start = qsizetype(draw % quint64(count));
+    for (qsizetype i = 0; i < count; ++i) {
+        const TargetLoad &target = usable[(start + i) % count];
+        if (!hasPrefillRoom(request, settings, target))
+            continue;
+        const double filled = pressureOn(request, settings, target);
+        // An empty target takes any request: one that never fits must not wait for ever.
+        if (filled > FullPressure && !isEmpty(target))
+            continue;
+        const double score = filled - (target.holdsPrefix ? PrefixBonus : 0)
+            - (target.dataCentre == request.dataCentre ? SameDataCentreBonus : 0);
+        if (!best.target || score < best.score)
+            best = {&target, filled, score};
+    }
+    if (!best.target)
+        return {PlacementOutcome::Wait, {}, {}, QStringLiteral("full=%1").arg(count)};
+    return {PlacementOutcome::Chosen,
+            best.target->target,
+            {},
+            QStringLiteral("pressure=%1 prefix=%2 of=%3")
+                .arg(best.pressure, 0, 'f', 3)
+                .arg(best.target->holdsPrefix ? 1 : 0)
+                .arg(count)};
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/placement/LengthKey.h
@@ -0,0 +1,26 @@
+// Defines LengthKey, whose answers are alike in length.
+#pragma once
+
+#include "base/Ids.h"
+
+#include <QHashFunctions>
+
+namespace cranberry {
+
+/// An empty workspace, then an empty model, stand for all of them.
+struct LengthKey {
+    ServiceId service;
+    ModelId model;
+    WorkspaceId workspace;
+
+    friend bool operator==(const LengthKey &a, const LengthKey &b)
+    {
+        return a.service == b.service && a.model == b.model && a.workspace == b.workspace;
+    }
+    friend size_t qHash(const LengthKey &key, size_t seed = 0)
+    {
+        return qHashMulti(seed, key.service, key.model, key.workspace);
+    }
+};
+
+} // namespace cranberry
--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -1,5 +1,7 @@
 #include "placement/PlacementPolicy.h"
 
+#include "placement/ForecastPolicy.h"
+
 namespace cranberry {
 
 namespace {
@@ -73,8 +75,9 @@
     case PolicyName::LeastRequests:
         return placeLeastRequests(usable, draw);
     case PolicyName::TwoChoices:
-    case PolicyName::Forecast:
         return placeTwoChoices(usable, draw);
+    case PolicyName::Forecast:
+        return placeForecast(request, forecastSettings(service), usable, draw);
     }
     Q_UNREACHABLE();
 }
--- a/src/placement/PlacementRequest.h
+++ b/src/placement/PlacementRequest.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "placement/MemoryForecast.h"
 
 #include <QSet>
 
@@ -22,6 +23,10 @@
     DataCentreId dataCentre;
     /// Targets that this request must not go to again.
     QSet<TargetId> excluded;
+    /// Set by the target table: how much memory it is expected to take, and how many tokens it
+    /// is expected to generate.
+    MemoryForecast growth;
+    Tokens expectedTokens;
 };
 
 } // namespace cranberry
--- a/src/placement/TargetLoad.h
+++ b/src/placement/TargetLoad.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "placement/MemoryForecast.h"
 
 namespace cranberry {
 
@@ -23,9 +24,8 @@
     int othersRequests = 0;
     /// Tokens that this daemon's requests hold on the target now.
     Tokens ownResidentTokens;
-    /// Further tokens that this daemon's requests are expected to add, and their variance.
-    double ownExpectedGrowth = 0;
-    double ownGrowthVariance = 0;
+    /// Expected memory of all requests on the target, this daemon's and others'.
+    MemoryForecast forecast;
     /// Prompt tokens of this daemon's sends that have not yielded a first token yet.
     Tokens ownPrefillTokens;
     /// Memory that other daemons were promised and may still use.
--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -45,6 +45,7 @@
     QSet<AttemptId> ownAttempts;
     Tokens ownResidentTokens;
     Tokens ownPrefillTokens;
+    MemoryForecast ownForecast;
     std::deque<OwnSend> endedSends;
     std::deque<RecentPrefix> prefixes;
 };
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds PrefixLifetime{300'000};
 /// Sends that ended are needed only until a report made after their end arrives.
 constexpr size_t EndedSends = 256;
+/// A forecast is renewed each time a request has gained so many tokens.
+constexpr qint64 TokensBetweenForecasts = 8;
 
 bool isUsable(const TargetState &state)
 {
@@ -41,7 +43,13 @@
         state.prefixes.pop_front();
 }
 
-TargetLoad loadOf(const TargetState &state, quint64 prefixHash, MonotonicTime now)
+LengthKey lengthKey(const PlacementRequest &request)
+{
+    return {request.service, request.model, request.workspace};
+}
+
+TargetLoad loadOf(const TargetState &state, quint64 prefixHash, const SteadyForecast &steady,
+                  MonotonicTime now)
 {
     TargetLoad load;
     load.target = state.target;
@@ -55,6 +63,8 @@
     load.othersRequests = state.othersRequests;
     load.ownResidentTokens = state.ownResidentTokens;
     load.ownPrefillTokens = state.ownPrefillTokens;
+    load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
+    load.forecast += state.ownForecast;
     load.holdsPrefix = holdsPrefix(state, prefixHash, now);
     return load;
 }
@@ -65,6 +75,8 @@
     TargetId target;
     PlacementRequest request;
     MonotonicTime sentAt;
+    LengthDistribution length;
+    MemoryForecast forecast;
     qint64 generated = 0;
 };
 
@@ -180,12 +192,18 @@
                               quint64 random)
 {
     const std::lock_guard lock(m_mutex);
-    const QList<TargetLoad> usableLoads = loads(candidates(request), request.prefixHash, now);
+    PlacementRequest sized = request;
+    const LengthDistribution length = m_lengths.distribution(lengthKey(request), request.maxTokens);
+    sized.growth = forecastRequest(length, request.promptTokens, Tokens(0));
+    sized.expectedTokens = Tokens(qint64(remainingLength(length, Tokens(0)).mean));
+    const QList<TargetLoad> usableLoads = loads(candidates(request), request, now);
     const bool inTurn = service.policy == PolicyName::RoundRobin;
     const quint64 draw = inTurn ? m_turns[request.service]++ : random;
-    Placement placement = place(request, service, usableLoads, draw);
-    if (placement.outcome == PlacementOutcome::Chosen)
+    Placement placement = place(sized, service, usableLoads, draw);
+    if (placement.outcome == PlacementOutcome::Chosen) {
+        placement.expectedTokens = sized.expectedTokens;
         recordSend(placement.target, attempt, request, now);
+    }
     return placement;
 }
 
@@ -202,13 +220,25 @@
     TargetState *state = find(target);
     if (!state || m_attempts.contains(attempt))
         return;
-    m_attempts.insert(attempt, {target, request, now, 0});
+    Attempt sent{target, request, now, {}, {}, 0};
+    sent.length = m_lengths.distribution(lengthKey(request), request.maxTokens);
+    refreshForecast(sent, *state);
+    m_attempts.insert(attempt, sent);
     state->ownAttempts.insert(attempt);
     state->ownResidentTokens += request.promptTokens;
     state->ownPrefillTokens += request.promptTokens;
     rememberPrefix(*state, request.prefixHash, now);
 }
 
+void TargetTable::refreshForecast(Attempt &attempt, TargetState &state)
+{
+    const Tokens generated(attempt.generated);
+    state.ownForecast -= attempt.forecast;
+    attempt.forecast =
+        forecastRequest(attempt.length, attempt.request.promptTokens + generated, generated);
+    state.ownForecast += attempt.forecast;
+}
+
 void TargetTable::tokenReceived(const AttemptId &attempt)
 {
     const std::lock_guard lock(m_mutex);
@@ -220,11 +250,12 @@
         state->ownPrefillTokens -= found->request.promptTokens;
     ++found->generated;
     state->ownResidentTokens += Tokens(1);
+    if (found->generated % TokensBetweenForecasts == 0)
+        refreshForecast(*found, *state);
 }
 
 void TargetTable::attemptEnded(const AttemptId &attempt, AttemptEnd end, MonotonicTime now)
 {
-    Q_UNUSED(end)
     const std::lock_guard lock(m_mutex);
     const auto found = m_attempts.find(attempt);
     if (found == m_attempts.end())
@@ -238,6 +269,13 @@
     state->endedSends.push_back({found->sentAt, now, held});
     if (state->endedSends.size() > EndedSends)
         state->endedSends.pop_front();
+    state->ownForecast -= found->forecast;
+    if (state->ownAttempts.isEmpty())
+        state->ownForecast = {}; // drops what rounding left
+    if (end == AttemptEnd::Finished)
+        m_lengths.finished(lengthKey(found->request), Tokens(found->generated));
+    else if (found->generated > 0)
+        m_lengths.cutOff(lengthKey(found->request), Tokens(found->generated));
     const TargetId target = found->target;
     m_attempts.erase(found);
     if (!state->configured && state->ownAttempts.isEmpty())
@@ -291,14 +329,20 @@
     return state ? state->incarnation : Incarnation(0);
 }
 
-QList<TargetLoad> TargetTable::loads(const StateList &states, quint64 prefixHash,
+SteadyForecast TargetTable::steadyForecast(const ServiceId &service, const ModelId &model) const
+{
+    return forecastSteady(m_lengths.distribution({service, model, {}}, Tokens(0)));
+}
+
+QList<TargetLoad> TargetTable::loads(const StateList &states, const PlacementRequest &request,
                                      MonotonicTime now) const
 {
+    const SteadyForecast steady = steadyForecast(request.service, request.model);
     QList<TargetLoad> usableLoads;
     usableLoads.reserve(qsizetype(states.size()));
     for (const TargetState *state : states) {
         if (isUsable(*state))
-            usableLoads.append(loadOf(*state, prefixHash, now));
+            usableLoads.append(loadOf(*state, request.prefixHash, steady, now));
     }
     return usableLoads;
 }
@@ -306,13 +350,20 @@
 QList<TargetLoad> TargetTable::loadsFor(const ModelId &model, MonotonicTime now) const
 {
     const std::lock_guard lock(m_mutex);
-    return loads(m_byModel.value(model), 0, now);
+    const StateList states = m_byModel.value(model);
+    PlacementRequest request;
+    request.model = model;
+    if (!states.empty())
+        request.service = states.front()->service;
+    return loads(states, request, now);
 }
 
 QList<TargetLoad> TargetTable::loadsFor(const ServiceId &service, MonotonicTime now) const
 {
     const std::lock_guard lock(m_mutex);
-    return loads(m_byService.value(service), 0, now);
+    PlacementRequest request;
+    request.service = service;
+    return loads(m_byService.value(service), request, now);
 }
 
 QList<TargetLoad> TargetTable::allLoads(MonotonicTime now) const
@@ -321,7 +372,7 @@
     QList<TargetLoad> all;
     for (const auto &[id, state] : m_targets) {
         if (state.configured)
-            all.append(loadOf(state, 0, now));
+            all.append(loadOf(state, 0, steadyForecast(state.service, {}), now));
     }
     return all;
 }
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -3,6 +3,7 @@
 
 #include "configuration/Configuration.h"
 #include "placement/AttemptEnd.h"
+#include "placement/LengthModel.h"
 #include "placement/LoadReport.h"
 #include "placement/Placement.h"
 #include "placement/PlacementRequest.h"
@@ -79,7 +80,10 @@
     TargetState *find(const TargetId &target);
     const TargetState *find(const TargetId &target) const;
     void indexTargets();
-    QList<TargetLoad> loads(const StateList &states, quint64 prefixHash, MonotonicTime now) const;
+    QList<TargetLoad> loads(const StateList &states, const PlacementRequest &request,
+                            MonotonicTime now) const;
+    SteadyForecast steadyForecast(const ServiceId &service, const ModelId &model) const;
+    void refreshForecast(Attempt &attempt, TargetState &state);
     const StateList &candidates(const PlacementRequest &request) const;
     void recordSend(const TargetId &target, const AttemptId &attempt,
                     const PlacementRequest &request, MonotonicTime now);
@@ -91,6 +95,7 @@
     QHash<ServiceId, StateList> m_byService;
     QHash<AttemptId, Attempt> m_attempts;
     QHash<ServiceId, quint64> m_turns;
+    LengthModel m_lengths;
 };
 
 } // namespace cranberry
--- /dev/null
+++ b/test/performance/PolicyTrace.cpp
@@ -0,0 +1,448 @@
+// Feeds one synthetic arrival trace to each placement policy over engine models, in virtual
+// time. It compares decisions; it is no stand-in for measurements against processes.
+#include "admission/AdmissionQueue.h"
+#include "base/EventLog.h"
+#include "performance/VirtualTime.h"
+#include "placement/TargetTable.h"
+#include "standins/target/EngineModel.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <random>
+#include <sstream>
+#include <vector>
+
+DEFINE_int32(targets, 10, "engine models");
+DEFINE_int32(daemons, 6, "deciding daemons");
+DEFINE_int32(workspaces, 10, "workspaces");
+DEFINE_int32(seeds, 5, "traces for each load");
+DEFINE_int32(first_seed, 1, "seed of the first trace");
+DEFINE_int32(seconds, 90, "virtual seconds of arrivals; the first third is not measured");
+DEFINE_string(loads, "70,90,100,120", "percent of the rate that would fill all memory");
+DEFINE_string(policies, "round_robin,least_requests,two_choices,forecast", "in this order");
+DEFINE_string(objective, "stall", "stall or inter_token");
+DEFINE_double(chance, 0.02, "preemption chance of the service");
+DEFINE_int32(deadline_ms, 60000, "deadline of the whole answer");
+DEFINE_double(length_sigma, 0.9, "spread of answer lengths, as the sigma of a log-normal");
+DEFINE_int32(report_ms, 250, "interval of load reports");
+DEFINE_int32(lag_ms, 100, "age of a load report when it arrives");
+DEFINE_double(greedy, 1, "factor on the arrivals of workspace 0");
+
+namespace cranberry::bench {
+namespace {
+
+using test::Engine;
+using test::EngineStep;
+
+constexpr double StallMs = 250;
+constexpr double MsPerSecond = 1000;
+constexpr int WarmUpParts = 3;
+constexpr int MaxTokens = 2048;
+constexpr int PrefixesAWorkspace = 4;
+constexpr int PrefixTokens = 96;
+constexpr double PromptMedian = 160;
+constexpr double PromptSigma = 0.5;
+constexpr int LongestPrompt = 1500;
+
+const ServiceId Service(QStringLiteral("s"));
+const ModelId Model(QStringLiteral("m"));
+
+struct Arrival {
+    double atMs = 0;
+    int workspace = 0;
+    int prompt = 0;
+    int length = 0;
+    int prefix = 0;
+    int daemon = 0;
+};
+
+struct Measures {
+    double preemptions = 0;
+    double stallSeconds = 0;
+    double interTokenP99 = 0;
+    double firstTokenP95 = 0;
+    /// Tokens of answers that came whole before the deadline, a second.
+    double goodput = 0;
+    double refused = 0;
+    double refusedLater = 0;
+    double arrivals = 0;
+    std::vector<double> goodTokens;
+    double leastWorkspace = 0;
+};
+
+int logNormal(std::mt19937_64 &random, double median, double sigma, int most)
+{
+    std::lognormal_distribution<double> draw(std::log(median), sigma);
+    return std::clamp(int(draw(random)), 1, most);
+}
+
+/// Some workspaces write lines, some pages.
+double medianLength(int workspace)
+{
+    constexpr double Shortest = 40;
+    constexpr double Longest = 400;
+    const double part = FLAGS_workspaces > 1 ? double(workspace) / (FLAGS_workspaces - 1) : 0;
+    return Shortest * std::pow(Longest / Shortest, part);
+}
+
+Arrival drawArrival(std::mt19937_64 &random, int workspace)
+{
+    Arrival arrival;
+    arrival.workspace = workspace;
+    arrival.prompt = PrefixTokens + logNormal(random, PromptMedian, PromptSigma, LongestPrompt);
+    arrival.length = logNormal(random, medianLength(workspace), FLAGS_length_sigma, MaxTokens);
+    arrival.prefix = int(random() % PrefixesAWorkspace);
+    arrival.daemon = int(random() % quint64(FLAGS_daemons));
+    return arrival;
+}
+
+/// Requests a second that would keep all memory exactly full, an upper bound that no policy
+/// reaches: the memory that a request holds, summed over its steps, against what the targets
+/// offer in a step of a full batch.
+double fullRate()
+{
+    constexpr int Samples = 200'000;
+    constexpr int SampleSeed = 99;
+    std::mt19937_64 random(SampleSeed);
+    const test::EngineSettings engine;
+    double memory = 0;
+    double steps = 0;
+    double prefillMs = 0;
+    for (int i = 0; i < Samples; ++i) {
+        const Arrival a = drawArrival(random, i % FLAGS_workspaces);
+        memory += (double(a.prompt) * a.length + double(a.length) * a.length / 2) / Samples;
+        steps += double(a.length) / Samples;
+        prefillMs += a.prompt * engine.stepPerPrefillTokenMs / Samples;
+    }
+    const double streams =
+        std::min(double(engine.maxBatch), engine.capacityTokens * steps / memory);
+    const double requestsAStep = streams / steps;
+    const double stepMs =
+        engine.stepBaseMs + streams * engine.stepPerStreamMs + requestsAStep * prefillMs;
+    return requestsAStep / stepMs * MsPerSecond * FLAGS_targets;
+}
+
+std::vector<Arrival> trace(quint64 seed, double rate)
+{
+    std::mt19937_64 random(seed);
+    std::vector<Arrival> arrivals;
+    const double others = FLAGS_workspaces - 1;
+    const double all = others + FLAGS_greedy;
+    std::exponential_distribution<double> gap(rate / MsPerSecond * all / FLAGS_workspaces);
+    std::uniform_real_distribution<double> which(0, all);
+    for (double at = gap(random); at < FLAGS_seconds * MsPerSecond; at += gap(random)) {
+        const double drawn = which(random);
+        const int workspace = drawn < others ? 1 + int(drawn) : 0;
+        arrivals.push_back(drawArrival(random, std::min(workspace, FLAGS_workspaces - 1)));
+        arrivals.back().atMs = at;
+    }
+    return arrivals;
+}
+
+MonotonicTime::duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<MonotonicTime::duration>(
+        std::chrono::duration<double, std::milli>(ms));
+}
+
+double toMs(MonotonicTime::duration duration)
+{
+    return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double quantile(std::vector<double> values, double part)
+{
+    if (values.empty())
+        return 0;
+    const auto place = values.begin() + qsizetype(part * double(values.size() - 1));
+    std::nth_element(values.begin(), place, values.end());
+    return *place;
+}
+
+class Run
+{
+public:
+    Run(PolicyName policy, quint64 seed, double rate);
+    Measures measure();
+
+private:
+    struct Daemon {
+        TargetTable table;
+        std::unique_ptr<AdmissionQueue> queue;
+    };
+    struct Host {
+        Engine engine;
+        bool stepping = false;
+    };
+    struct Answer {
+        int target = -1;
+        MonotonicTime arrived;
+        MonotonicTime lastToken;
+        int tokens = 0;
+        bool measured = false;
+    };
+
+    void makeDaemons(PolicyName policy, quint64 seed);
+    void arrive(int number);
+    void send(int number, const TargetId &target);
+    void refuse(int number);
+    void startStep(int index);
+    void finishStep(int index, const EngineStep &step);
+    void token(int number);
+    void finish(int number);
+    void report(int index);
+    bool warm() const;
+
+    std::vector<Arrival> m_arrivals;
+    VirtualTime m_time;
+    MonotonicTime m_start = m_time.now();
+    std::shared_ptr<Configuration> m_configuration = std::make_shared<Configuration>();
+    std::vector<std::unique_ptr<Daemon>> m_daemons;
+    std::vector<Host> m_hosts;
+    std::vector<Answer> m_answers;
+    std::vector<double> m_gaps;
+    std::vector<double> m_firstTokens;
+    Measures m_measures;
+};
+
+Run::Run(PolicyName policy, quint64 seed, double rate)
+    : m_arrivals(trace(seed, rate))
+    , m_hosts(size_t(FLAGS_targets))
+    , m_answers(m_arrivals.size())
+{
+    m_measures.goodTokens.resize(size_t(FLAGS_workspaces));
+    makeDaemons(policy, seed);
+    for (size_t i = 0; i < m_arrivals.size(); ++i)
+        m_time.at(m_start + fromMs(m_arrivals[i].atMs), [this, i] { arrive(int(i)); });
+    for (int host = 0; host < FLAGS_targets; ++host)
+        report(host);
+}
+
+void Run::makeDaemons(PolicyName policy, quint64 seed)
+{
+    ServiceConfiguration service;
+    service.policy = policy;
+    service.preemptionChance = FLAGS_chance;
+    service.objective = FLAGS_objective == "stall" ? Objective::Stall : Objective::InterToken;
+    m_configuration->services.insert(Service, service);
+    for (int i = 0; i < FLAGS_workspaces; ++i)
+        m_configuration->workspaces.insert(WorkspaceId(QString::number(i)), {});
+    for (int i = 0; i < FLAGS_targets; ++i)
+        m_configuration->targets.insert(TargetId(QString::number(i)), {Service, {}, {}, {Model}});
+    for (int i = 0; i < FLAGS_daemons; ++i) {
+        auto daemon = std::make_unique<Daemon>();
+        auto random = std::make_shared<std::mt19937_64>(seed * 100 + quint64(i));
+        daemon->queue = std::make_unique<AdmissionQueue>(m_time, daemon->table,
+                                                         [random] { return (*random)(); });
+        daemon->table.setConfiguration(*m_configuration);
+        daemon->queue->setConfiguration(m_configuration);
+        m_daemons.push_back(std::move(daemon));
+    }
+}
+
+bool Run::warm() const
+{
+    return toMs(m_time.now() - m_start) * WarmUpParts >= FLAGS_seconds * MsPerSecond;
+}
+
+void Run::arrive(int number)
+{
+    const Arrival &arrival = m_arrivals[size_t(number)];
+    Answer &answer = m_answers[size_t(number)];
+    answer.arrived = m_time.now();
+    answer.measured = warm();
+    m_measures.arrivals += answer.measured;
+    AdmissionRequest request;
+    request.placement.request = RequestId(QString::number(number));
+    request.attempt = AttemptId(QString::number(number));
+    request.placement.service = Service;
+    request.placement.model = Model;
+    request.placement.workspace = WorkspaceId(QString::number(arrival.workspace));
+    request.placement.promptTokens = Tokens(arrival.prompt);
+    request.placement.maxTokens = Tokens(MaxTokens);
+    request.placement.prefixHash =
+        quint64(arrival.workspace * PrefixesAWorkspace + arrival.prefix + 1);
+    request.deadline = m_time.now() + Milliseconds(FLAGS_deadline_ms);
+    m_daemons[size_t(arrival.daemon)]->queue->enqueue(request, [this, number](auto result) {
+        if (result.has_value())
+            send(number, result.value());
+        else
+            refuse(number);
+    });
+}
+
+void Run::send(int number, const TargetId &target)
+{
+    const Arrival &arrival = m_arrivals[size_t(number)];
+    Answer &answer = m_answers[size_t(number)];
+    answer.target = target.text().toInt();
+    test::Generation generation;
+    generation.attempt = QByteArray::number(number);
+    generation.promptTokens = arrival.prompt;
+    generation.length = arrival.length;
+    generation.prefixKey =
+        QByteArray::number(arrival.workspace * PrefixesAWorkspace + arrival.prefix);
+    generation.prefixTokens = PrefixTokens;
+    Host &host = m_hosts[size_t(answer.target)];
+    test::submit(host.engine, generation);
+    if (!host.stepping)
+        startStep(answer.target);
+}
+
+void Run::refuse(int number)
+{
+    const Answer &answer = m_answers[size_t(number)];
+    if (!answer.measured)
+        return;
+    m_measures.refused += 1;
+    m_measures.refusedLater += m_time.now() > answer.arrived;
+}
+
+void Run::startStep(int index)
+{
+    Host &host = m_hosts[size_t(index)];
+    host.stepping = true;
+    const EngineStep step = test::step(host.engine);
+    m_time.at(m_time.now() + fromMs(step.durationMs),
+              [this, index, step] { finishStep(index, step); });
+}
+
+void Run::finishStep(int index, const EngineStep &step)
+{
+    Host &host = m_hosts[size_t(index)];
+    if (warm())
+        m_measures.preemptions += step.preemptions;
+    for (const QByteArray &attempt : step.advanced)
+        token(attempt.toInt());
+    if (test::isIdle(host.engine))
+        host.stepping = false;
+    else
+        startStep(index);
+}
+
+void Run::token(int number)
+{
+    Answer &answer = m_answers[size_t(number)];
+    const MonotonicTime now = m_time.now();
+    if (answer.measured && answer.tokens == 0)
+        m_firstTokens.push_back(toMs(now - answer.arrived));
+    if (answer.measured && answer.tokens > 0) {
+        const double gap = toMs(now - answer.lastToken);
+        m_gaps.push_back(gap);
+        m_measures.stallSeconds += std::max(0.0, gap - StallMs) / MsPerSecond;
+    }
+    answer.lastToken = now;
+    ++answer.tokens;
+    const Arrival &arrival = m_arrivals[size_t(number)];
+    m_daemons[size_t(arrival.daemon)]->queue->tokenReceived(AttemptId(QString::number(number)));
+    if (answer.tokens == arrival.length)
+        finish(number);
+}
+
+void Run::finish(int number)
+{
+    const Arrival &arrival = m_arrivals[size_t(number)];
+    const Answer &answer = m_answers[size_t(number)];
+    if (answer.measured && toMs(m_time.now() - answer.arrived) <= FLAGS_deadline_ms) {
+        m_measures.goodput += arrival.length;
+        m_measures.goodTokens[size_t(arrival.workspace)] += arrival.length;
+    }
+    m_hosts[size_t(answer.target)].engine.generations.remove(QByteArray::number(number));
+    AdmissionQueue &queue = *m_daemons[size_t(arrival.daemon)]->queue;
+    queue.requestEnded(RequestId(QString::number(number)));
+    queue.attemptEnded(AttemptId(QString::number(number)), AttemptEnd::Finished);
+}
+
+void Run::report(int index)
+{
+    const Engine &engine = m_hosts[size_t(index)].engine;
+    LoadReport made;
+    made.incarnation = Incarnation(1);
+    made.residentTokens = Tokens(test::usedBlocks(engine) * engine.settings.blockTokens);
+    made.capacityTokens = Tokens(engine.settings.capacityTokens);
+    made.running = int(engine.batch.size());
+    made.waiting = int(engine.waiting.size());
+    made.preemptions = engine.preemptions;
+    made.age = Milliseconds(FLAGS_lag_ms);
+    m_time.at(m_time.now() + Milliseconds(FLAGS_lag_ms), [this, index, made] {
+        for (const auto &daemon : m_daemons) {
+            daemon->table.reportReceived(TargetId(QString::number(index)), made, m_time.now());
+            daemon->queue->capacityChanged();
+        }
+    });
+    m_time.at(m_time.now() + Milliseconds(FLAGS_report_ms), [this, index] { report(index); });
+}
+
+Measures Run::measure()
+{
+    // What is under way at the end of the trace may still end in time.
+    m_time.run(m_start + std::chrono::seconds(FLAGS_seconds) + Milliseconds(FLAGS_deadline_ms));
+    m_measures.interTokenP99 = quantile(m_gaps, 0.99);
+    m_measures.firstTokenP95 = quantile(m_firstTokens, 0.95);
+    m_measures.goodput /= double(FLAGS_seconds) * (WarmUpParts - 1) / WarmUpParts;
+    const std::vector<double> &good = m_measures.goodTokens;
+    m_measures.leastWorkspace = *std::min_element(good.begin() + 1, good.end());
+    return m_measures;
+}
+
+PolicyName policyNamed(const std::string &name)
+{
+    if (name == "round_robin")
+        return PolicyName::RoundRobin;
+    if (name == "least_requests")
+        return PolicyName::LeastRequests;
+    return name == "two_choices" ? PolicyName::TwoChoices : PolicyName::Forecast;
+}
+
+std::vector<std::string> split(const std::string &list)
+{
+    std::vector<std::string> parts;
+    std::stringstream stream(list);
+    for (std::string part; std::getline(stream, part, ',');)
+        parts.push_back(part);
+    return parts;
+}
+
+void measurePolicy(const std::string &name, int load, double full)
+{
+    std::vector<Measures> all;
+    for (int seed = 0; seed < FLAGS_seeds; ++seed) {
+        Run run(policyNamed(name), quint64(FLAGS_first_seed + seed), full * load / 100);
+        all.push_back(run.measure());
+    }
+    const auto of = [&](double Measures::*member) {
+        std::vector<double> values;
+        for (const Measures &measures : all)
+            values.push_back(measures.*member);
+        return quantile(values, 0.5);
+    };
+    std::printf("load=%d policy=%s preemptions=%.0f stall_s=%.2f p99_ms=%.1f ttft_p95_ms=%.0f "
+                "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_workspace=%.0f\n",
+                load, name.c_str(), of(&Measures::preemptions), of(&Measures::stallSeconds),
+                of(&Measures::interTokenP99), of(&Measures::firstTokenP95), of(&Measures::goodput),
+                of(&Measures::arrivals), of(&Measures::refused), of(&Measures::refusedLater),
+                of(&Measures::leastWorkspace));
+    std::fflush(stdout);
+}
+
+} // namespace
+} // namespace cranberry::bench
+
+int main(int argc, char **argv)
+{
+    using namespace cranberry;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    setLogLevel(LogLevel::Error);
+    const double full = bench::fullRate();
+    std::printf("targets=%d daemons=%d objective=%s chance=%g full_rate=%.1f/s seeds=%d\n",
+                FLAGS_targets, FLAGS_daemons, FLAGS_objective.c_str(), FLAGS_chance, full,
+                FLAGS_seeds);
+    for (const std::string &load : bench::split(FLAGS_loads)) {
+        for (const std::string &policy : bench::split(FLAGS_policies))
+            bench::measurePolicy(policy, std::stoi(load), full);
+    }
+    return 0;
+}
