--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -4,6 +4,7 @@
 #include "daemon/DaemonParts.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponder.h"
+#include "placement/TargetLeavingNews.h"
 
 #include <QFile>
 #include <QHostAddress>
@@ -32,6 +33,16 @@
     return secret;
 }
 
+Member ownMember(const DaemonSettings &settings, const Result<quint16> &peerPort)
+{
+    Member member;
+    member.vm = settings.vm;
+    member.dataCentre = settings.dataCentre;
+    member.address = settings.peer.address;
+    member.peerPort = peerPort ? peerPort.value() : quint16(0);
+    return member;
+}
+
 } // namespace
 
 DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret)
@@ -39,7 +50,8 @@
     , client(timers)
     , platform(timers, settings.platform)
     , peers(timers, settings.vm, peerSecret)
-    , members(settings.vm, settings.dataCentre)
+    , peerPort(peers.listenOn(QHostAddress(settings.peer.address), settings.peer.port))
+    , members(timers, peers, platform, ownMember(settings, peerPort))
     , configuration(platform, workers, timers)
     , spread(configuration, platform, peers, members, timers)
     , admission(timers, targets, [] { return QRandomGenerator::global()->generate64(); })
@@ -74,8 +86,7 @@
     BOOST_OUTCOME_TRY(gatewayPort, m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
                                                             m_settings.gateway.port));
     m_gatewayPort = gatewayPort;
-    BOOST_OUTCOME_TRY(peerPort, m_parts->peers.listenOn(QHostAddress(m_settings.peer.address),
-                                                        m_settings.peer.port));
+    BOOST_OUTCOME_TRY(peerPort, m_parts->peerPort);
     m_peerPort = peerPort;
     return outcome::success();
 }
@@ -86,6 +97,7 @@
     m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret);
     BOOST_OUTCOME_TRY(listen());
     wire();
+    m_parts->members.start();
     m_parts->spread.start();
     logEvent(LogLevel::Info, EventId::DaemonStarted,
              { { "vm", m_settings.vm.text() },
@@ -99,6 +111,17 @@
 {
     m_parts->configuration.onInForce(
             [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
+    m_parts->members.onVersionHeard([this](const VmId &from, ConfigurationVersion version) {
+        m_parts->spread.versionHeard(from, version);
+    });
+    m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
+        m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
+                                  toCbor(TargetLeavingNews { target, incarnation }));
+    });
+    m_parts->members.onDelta(PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
+        if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
+            m_parts->targets.markLeaving(news->target, news->incarnation);
+    });
 }
 
 void Daemon::configurationInForce()
@@ -108,6 +131,7 @@
     m_parts->dispatcher.setConfiguration(configuration);
     m_parts->poller.setConfiguration(*configuration);
     m_parts->gateway.setConfiguration(configuration);
+    m_parts->members.setConfigurationVersion(configuration->version);
     if (!wasReady && m_parts->gateway.isReady())
         logEvent(LogLevel::Info, EventId::DaemonReady, { { "vm", m_settings.vm.text() } });
 }
@@ -119,6 +143,7 @@
     m_drained = std::move(done);
     logEvent(LogLevel::Info, EventId::DaemonDraining, { { "vm", m_settings.vm.text() } });
     m_parts->gateway.announceDrain();
+    m_parts->members.setLeaving();
     m_parts->drainTimer = m_parts->timers.after(m_settings.drainListen, [this] {
         m_parts->server.stopListening();
         m_parts->gateway.refuseNew();
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -10,13 +10,13 @@
 #include "daemon/DaemonSettings.h"
 #include "daemon/Dispatcher.h"
 #include "daemon/NoClaims.h"
-#include "daemon/SoloMember.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/RunRegistry.h"
 #include "delivery/TargetCancels.h"
 #include "gateway/Gateway.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "membership/Membership.h"
 #include "peer/PeerLinks.h"
 #include "placement/TargetPoller.h"
 #include "placement/TargetTable.h"
@@ -34,7 +34,9 @@
     HttpClient client;
     HttpKeyValueStore platform;
     PeerLinks peers;
-    SoloMember members;
+    /// Known only once the links listen, and told to the other members.
+    Result<quint16> peerPort;
+    Membership members;
     ConfigurationStore configuration;
     ConfigurationSpread spread;
     TargetTable targets;
--- a/src/placement/TargetPoller.cpp
+++ b/src/placement/TargetPoller.cpp
@@ -105,12 +105,19 @@
     m_table.reportReceived(target, report, m_timers.now());
     const bool isUsable = m_table.usable(target);
     if (wasUsable && report.leaving)
-        logEvent(LogLevel::Info, EventId::TargetLeaving, {{"target", target.text()}});
+        targetLeaves(target, report.incarnation);
     else if (!wasUsable && isUsable)
         logEvent(LogLevel::Info, EventId::TargetBack, {{"target", target.text()}});
     m_changed();
 }
 
+void TargetPoller::targetLeaves(const TargetId &target, Incarnation incarnation)
+{
+    logEvent(LogLevel::Info, EventId::TargetLeaving, { { "target", target.text() } });
+    if (m_leaving)
+        m_leaving(target, incarnation);
+}
+
 void TargetPoller::missed(const TargetId &target, Polled &polled)
 {
     ++polled.misses;
--- a/src/placement/TargetPoller.h
+++ b/src/placement/TargetPoller.h
@@ -34,6 +34,12 @@
     TargetPoller(const TargetPoller &) = delete;
     TargetPoller &operator=(const TargetPoller &) = delete;
 
+    /// @p callback is told once for each incarnation of a target that reports that it leaves.
+    void onLeaving(std::function<void(const TargetId &, Incarnation)> callback)
+    {
+        m_leaving = std::move(callback);
+    }
+
     /// Polls the model targets of @p configuration from now on.
     void setConfiguration(const Configuration &configuration);
 
@@ -47,6 +53,7 @@
     void pollAll();
     void poll(const TargetId &target, Polled &polled);
     void answered(const TargetId &target, bool whole, int status, const QByteArray &body);
+    void targetLeaves(const TargetId &target, Incarnation incarnation);
     void missed(const TargetId &target, Polled &polled);
 
     TimerService &m_timers;
@@ -54,6 +61,7 @@
     TargetTable &m_table;
     Milliseconds m_interval;
     ChangedCallback m_changed;
+    std::function<void(const TargetId &, Incarnation)> m_leaving;
     std::map<TargetId, Polled> m_polled;
     std::unique_ptr<TimerSubscription> m_ticks;
 };
