--- a/apps/load/LoadFlags.cpp
+++ b/apps/load/LoadFlags.cpp
@@ -50,13 +50,6 @@
     return error;
 }
 
-Result<void> checkRange(const char *flag, double value, double least, double most)
-{
-    if (value >= least && value <= most)
-        return outcome::success();
-    return flagFault(flag, QStringLiteral("%1..%2").arg(least).arg(most), QString::number(value));
-}
-
 QList<QString> listOf(const std::string &text)
 {
     return QString::fromStdString(text).split(QLatin1Char(','), Qt::SkipEmptyParts);
@@ -90,22 +83,36 @@
     return seeds;
 }
 
+struct FlagRange {
+    const char *flag;
+    double value;
+    double least;
+    double most;
+};
+
 Result<void> checkRanges()
 {
-    BOOST_OUTCOME_TRY(checkRange("rate", FLAGS_rate, 0.01, MostRate));
-    BOOST_OUTCOME_TRY(checkRange("duration_s", FLAGS_duration_s, 0.1, MostSeconds));
-    BOOST_OUTCOME_TRY(checkRange("patience_s", FLAGS_patience_s, 0, MostSeconds));
-    BOOST_OUTCOME_TRY(checkRange("large_factor", FLAGS_large_factor, 0.01, 1000));
-    BOOST_OUTCOME_TRY(checkRange("greedy_factor", FLAGS_greedy_factor, 0.01, 1000));
-    BOOST_OUTCOME_TRY(checkRange("large", FLAGS_large, 0, 10'000));
-    BOOST_OUTCOME_TRY(checkRange("max_tokens", FLAGS_max_tokens, 1, 1'000'000));
-    BOOST_OUTCOME_TRY(checkRange("prompt_tokens", FLAGS_prompt_tokens, 1, 100'000));
-    BOOST_OUTCOME_TRY(checkRange("prefix_share", FLAGS_prefix_share, 0, 1));
-    BOOST_OUTCOME_TRY(checkRange("chat_share", FLAGS_chat_share, 0, 1));
-    BOOST_OUTCOME_TRY(checkRange("plain_share", FLAGS_plain_share, 0, 1));
-    BOOST_OUTCOME_TRY(checkRange("at_most_once_share", FLAGS_at_most_once_share, 0, 1));
-    BOOST_OUTCOME_TRY(checkRange("deadline_ms", FLAGS_deadline_ms, 0, MostSeconds * 1000));
-    BOOST_OUTCOME_TRY(checkRange("stall_ms", FLAGS_stall_ms, 1, MostSeconds * 1000));
+    const FlagRange ranges[] = {
+        {"rate", FLAGS_rate, 0.01, MostRate},
+        {"duration_s", FLAGS_duration_s, 0.1, MostSeconds},
+        {"patience_s", FLAGS_patience_s, 0, MostSeconds},
+        {"large_factor", FLAGS_large_factor, 0.01, 1000},
+        {"greedy_factor", FLAGS_greedy_factor, 0.01, 1000},
+        {"large", double(FLAGS_large), 0, 10'000},
+        {"max_tokens", double(FLAGS_max_tokens), 1, 1'000'000},
+        {"prompt_tokens", FLAGS_prompt_tokens, 1, 100'000},
+        {"prefix_share", FLAGS_prefix_share, 0, 1},
+        {"chat_share", FLAGS_chat_share, 0, 1},
+        {"plain_share", FLAGS_plain_share, 0, 1},
+        {"at_most_once_share", FLAGS_at_most_once_share, 0, 1},
+        {"deadline_ms", double(FLAGS_deadline_ms), 0, MostSeconds * 1000},
+        {"stall_ms", double(FLAGS_stall_ms), 1, MostSeconds * 1000},
+    };
+    for (const FlagRange &range : ranges) {
+        if (range.value < range.least || range.value > range.most)
+            return flagFault(range.flag, QStringLiteral("%1..%2").arg(range.least).arg(range.most),
+                             QString::number(range.value));
+    }
     return outcome::success();
 }
 
@@ -152,7 +159,7 @@
     if (command.policies.isEmpty())
         return flagFault("policies", QStringLiteral("names separated by commas"), QString());
     QFile file(QString::fromStdString(FLAGS_operator_token_file));
-    if (!file.open(QIODevice::ReadOnly))
+    if (file.fileName().isEmpty() || !file.open(QIODevice::ReadOnly))
         return flagFault("operator_token_file", QStringLiteral("a readable file"), file.fileName());
     command.targets.operatorToken = file.readAll().trimmed();
     return outcome::success();
--- a/apps/load/RequestResult.cpp
+++ b/apps/load/RequestResult.cpp
@@ -23,7 +23,7 @@
 
 QString kindOf(const RequestResult &result)
 {
-    const QString kind = problemOf(result).value(QLatin1String("kind")).toString();
+    QString kind = problemOf(result).value(QLatin1String("kind")).toString();
     if (!kind.isEmpty())
         return kind;
     switch (result.end) {
