--- /dev/null
+++ b/src/platform/HttpKeyValueStore.h
@@ -0,0 +1,58 @@
+// Defines HttpKeyValueStore, the client of the platform's key-value service over HTTP.
+#pragma once
+
+#include "http/HttpClient.h"
+#include "platform/KeyValueStore.h"
+
+#include <QObject>
+
+#include <map>
+
+namespace cranberry {
+
+/// Speaks the protocol in docs/PROTOCOLS.md. Values must be UTF-8 text, as the service holds
+/// JSON strings; a write of other bytes is NotDone.
+/// Thread safety: only from its own thread, in which an event loop runs.
+class HttpKeyValueStore final : public KeyValueStore
+{
+public:
+    static constexpr Milliseconds DefaultTimeout{2000};
+
+    /// @p timeout bounds each call, for watches in addition to the time they wait.
+    /// Precondition: @p timers outlives the store.
+    HttpKeyValueStore(TimerService &timers, HttpEndpoint endpoint,
+                      Milliseconds timeout = DefaultTimeout);
+    ~HttpKeyValueStore() override;
+
+    void read(const QString &key, ReadCallback callback) override;
+    void list(const QString &prefix, ListCallback callback) override;
+    void compareAndSwap(const QString &key, Revision expected, const QByteArray &value,
+                        std::optional<LeaseId> lease, SwapCallback callback) override;
+    void remove(const QString &key, Revision expected, SwapCallback callback) override;
+    void watch(const QString &prefix, Revision after, Milliseconds timeout,
+               ListCallback callback) override;
+    void grantLease(Milliseconds duration, LeaseCallback callback) override;
+    void renewLease(LeaseId lease, LeaseCallback callback) override;
+    void listVms(VmsCallback callback) override;
+
+private:
+    using AnswerCallback = std::function<void(HttpExchangeEnd, const HttpResponse &)>;
+
+    void call(const HttpRequest &request, Milliseconds timeout, AnswerCallback callback);
+    void finished(qint64 id, HttpExchangeEnd end, const HttpResponse &response);
+
+    struct Call {
+        std::unique_ptr<HttpExchange> exchange;
+        AnswerCallback callback;
+    };
+
+    HttpEndpoint m_endpoint;
+    Milliseconds m_timeout;
+    HttpClient m_client;
+    std::map<qint64, Call> m_calls;
+    qint64 m_lastCall = 0;
+    /// Receiver of queued callbacks; its end drops those that are still queued.
+    QObject m_context;
+};
+
+} // namespace cranberry
