--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-const char OperatorToken[] = "operator-token";
+const char OperatorToken[] = "operator-token-of-a-test-fleet";
 const char PeerSecret[] = "peer-secret-of-a-test-fleet";
 const QString LocalAddress = QStringLiteral("127.0.0.1");
 
