--- /dev/null
+++ b/src/console/ConsolePage.cpp
@@ -0,0 +1,62 @@
+#include "console/ConsolePage.h"
+
+#include <QFile>
+
+#include <array>
+
+/// The library is static: without this call the linker would leave the resource out. The
+/// macro works in the global namespace only.
+static void initialiseConsoleResource()
+{
+    Q_INIT_RESOURCE(console);
+}
+
+namespace cranberry {
+
+namespace {
+
+struct ConsoleFile {
+    const char *path;
+    const char *resource;
+    const char *contentType;
+};
+
+constexpr std::array<ConsoleFile, 6> ConsoleFiles{{
+    {"/console", ":/console/console.html", "text/html; charset=utf-8"},
+    {"/console/", ":/console/console.html", "text/html; charset=utf-8"},
+    {"/console/console.css", ":/console/console.css", "text/css; charset=utf-8"},
+    {"/console/console.js", ":/console/console.js", "text/javascript; charset=utf-8"},
+    {"/console/forms.js", ":/console/forms.js", "text/javascript; charset=utf-8"},
+    {"/console/document.js", ":/console/document.js", "text/javascript; charset=utf-8"},
+}};
+
+/// Only the console's own files run, nothing may frame it, and no form leaves it: text from a
+/// document or a status that gets into the page by mistake still cannot act.
+const char ContentSecurityPolicy[] =
+    "default-src 'none'; script-src 'self'; style-src 'self'; connect-src 'self'; "
+    "form-action 'none'; base-uri 'none'; frame-ancestors 'none'";
+
+} // namespace
+
+std::optional<HttpResponse> consolePage(const QByteArray &method, const QByteArray &path)
+{
+    if (method != "GET")
+        return std::nullopt;
+    initialiseConsoleResource();
+    for (const ConsoleFile &file : ConsoleFiles) {
+        if (path != file.path)
+            continue;
+        QFile resource(QString::fromLatin1(file.resource));
+        if (!resource.open(QIODevice::ReadOnly))
+            return std::nullopt;
+        const HttpHeaders headers{{"Content-Type", file.contentType},
+                                  {"Content-Security-Policy", ContentSecurityPolicy},
+                                  {"X-Content-Type-Options", "nosniff"},
+                                  {"Referrer-Policy", "no-referrer"},
+                                  {"Cache-Control", "no-cache"}};
+        return HttpResponse{200, headers, resource.readAll()};
+    }
+    return std::nullopt;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/console/document.js
@@ -0,0 +1,1 @@
+"use strict";
