--- a/apps/ctl/InForceWait.cpp
+++ b/apps/ctl/InForceWait.cpp
@@ -70,7 +70,7 @@
     QElapsedTimer elapsed;
     elapsed.start();
     while (true) {
-        const QStringList names = daemonsBehind(client, daemons, version);
+        QStringList names = daemonsBehind(client, daemons, version);
         if (names.isEmpty() || elapsed.elapsed() >= limit.count())
             return names;
         QThread::msleep(PollIntervalMs);
--- a/test/support/MemoryKeyValueStore.cpp
+++ b/test/support/MemoryKeyValueStore.cpp
@@ -139,6 +139,12 @@
     endWatches();
 }
 
+void MemoryKeyValueStore::failWatches()
+{
+    for (const Watch &watch : std::exchange(m_watches, {}))
+        later([callback = watch.callback] { callback(platformDown()); });
+}
+
 void MemoryKeyValueStore::endWatches()
 {
     for (auto it = m_watches.begin(); it != m_watches.end();) {
--- a/test/support/MemoryKeyValueStore.h
+++ b/test/support/MemoryKeyValueStore.h
@@ -49,6 +49,8 @@
     int loseAnswers = 0;
     /// The next so many writes take no effect and are not answered.
     int loseRequests = 0;
+    /// Ends all waiting watches with a failure, as when the connections break.
+    void failWatches();
     /// Reads of keys under @p prefix wait, before they look, until resume().
     void holdReads(const QString &prefix) { m_heldPrefix = prefix; }
     bool isHolding() const { return !m_held.empty(); }
