--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -38,6 +38,8 @@
             output.corrections.append(state.self);
         return;
     }
+    if (LargestIncarnation <= said.incarnation)
+        return;
     state.self.incarnation = said.incarnation + Incarnation(1);
     announceSelf(state, now, output);
 }
@@ -81,6 +83,8 @@
     }
     const auto found = state.others.find(said.vm);
     if (found == state.others.end()) {
+        if (state.others.size() >= state.settings.mostMembers)
+            return;
         addRecord(state, said, now);
     } else if (replaces(said, found->member)) {
         const bool restarted = found->member.incarnation < said.incarnation;
--- a/src/membership/MemberView.h
+++ b/src/membership/MemberView.h
@@ -15,6 +15,9 @@
     Dead,
 };
 
+/// Far beyond any time in milliseconds, and one more still fits.
+constexpr Incarnation LargestIncarnation{Q_INT64_C(1) << 62};
+
 struct Member {
     VmId vm;
     DataCentreId dataCentre;
--- a/src/membership/MembershipMessages.cpp
+++ b/src/membership/MembershipMessages.cpp
@@ -68,6 +68,11 @@
     return value.isInteger() && value.toInteger() >= 0 && value.toInteger() <= largest;
 }
 
+bool isIncarnation(const QCborValue &value)
+{
+    return isCount(value, LargestIncarnation.value());
+}
+
 /// False if one of the items is malformed.
 template <typename Item, typename Decode>
 bool decodeList(const QCborValue &value, Decode decode, QList<Item> &items)
@@ -106,7 +111,7 @@
     const QCborArray array = value.toArray();
     if (array.size() != EntryFields || !isName(array.at(EntryVm))
         || !isCount(array.at(EntryState), qint64(MemberState::Dead))
-        || !isCount(array.at(EntryIncarnation)) || !isCount(array.at(EntryVersion))
+        || !isIncarnation(array.at(EntryIncarnation)) || !isCount(array.at(EntryVersion))
         || !isText(array.at(EntryDataCentre)) || !isText(array.at(EntryAddress))
         || !isCount(array.at(EntryPort), std::numeric_limits<quint16>::max()))
         return std::nullopt;
@@ -172,7 +177,7 @@
 
 std::optional<HeartbeatMessage> heartbeatFromCbor(const QCborMap &body)
 {
-    if (!isCount(body.value(HeartbeatIncarnation)) || !isCount(body.value(HeartbeatVersion))
+    if (!isIncarnation(body.value(HeartbeatIncarnation)) || !isCount(body.value(HeartbeatVersion))
         || !isCount(body.value(HeartbeatNext), LongestPromise))
         return std::nullopt;
     HeartbeatMessage message;
@@ -209,7 +214,7 @@
 std::optional<ProbeAnswerMessage> probeAnswerFromCbor(const QCborMap &body)
 {
     if (!isName(body.value(ProbeTarget)) || !body.value(ProbeReached).isBool()
-        || !isCount(body.value(ProbeIncarnation)))
+        || !isIncarnation(body.value(ProbeIncarnation)))
         return std::nullopt;
     ProbeAnswerMessage message;
     message.target = VmId(body.value(ProbeTarget).toString());
--- a/src/membership/MembershipRules.cpp
+++ b/src/membership/MembershipRules.cpp
@@ -154,7 +154,10 @@
     said.state = message.leaving ? MemberState::Leaving : MemberState::Alive;
     if (known == state.others.constEnd() || replaces(said, known->member))
         takeWord(state, said, from, now, output);
-    MemberRecord &record = state.others[from];
+    const auto taken = state.others.find(from);
+    if (taken == state.others.end())
+        return false;
+    MemberRecord &record = *taken;
     if (record.member.state == MemberState::Dead) {
         tellItIsDead(state, record, now, output);
         return false;
--- a/src/membership/MembershipSettings.h
+++ b/src/membership/MembershipSettings.h
@@ -26,6 +26,8 @@
     int headerBytes = 112;
     /// Up to so many others every other member is a neighbour.
     int fullMesh = 12;
+    /// Others that are remembered at most, whatever is said.
+    int mostMembers = 4096;
     /// Bounds of what one heartbeat carries beside its fixed part.
     int gossipBytes = 512;
     int creditBytes = 256;
--- a/test/error/PeerFrames.cpp
+++ b/test/error/PeerFrames.cpp
@@ -5,12 +5,13 @@
 #include "base/QtTimerService.h"
 #include "base/TimerSubscription.h"
 #include "peer/PeerLinks.h"
-#include "peer/WebSocketSession.h"
 #include "support/EventLoop.h"
+#include "support/RawPeer.h"
 
 #include <QTcpSocket>
 
 using namespace cranberry;
+using test::RawPeer;
 
 namespace {
 
@@ -18,49 +19,11 @@
 const VmId Self(QStringLiteral("self"));
 const VmId Stranger(QStringLiteral("stranger"));
 
-/// A websocket client that says whatever the test wants.
-struct RawPeer {
-    explicit RawPeer(quint16 port)
-        : session(WebSocketRole::Dialler, Bytes(1 << 20), callbacks())
-    {
-        QObject::connect(&socket, &QTcpSocket::connected, &socket, [this] { session.start(); });
-        QObject::connect(&socket, &QTcpSocket::readyRead, &socket,
-                         [this] { session.receive(socket.readAll()); });
-        socket.connectToHost(QHostAddress::LocalHost, port);
-    }
-
-    WebSocketCallbacks callbacks()
-    {
-        WebSocketCallbacks result;
-        result.output = [this](const QByteArray &bytes) { socket.write(bytes); };
-        result.opened = [] {};
-        result.received = [this](const QByteArray &message) { messages.append(message); };
-        result.ended = [](const QString &) {};
-        return result;
-    }
-
-    bool waitForMessages(int count)
-    {
-        return test::waitFor([&] { return messages.size() >= count; });
-    }
-    bool waitForClose()
-    {
-        return test::waitFor([&] { return socket.state() == QTcpSocket::UnconnectedState; });
-    }
-
-    /// Precondition: the challenge has arrived.
-    QByteArray proof(const QByteArray &secret, const VmId &listener = Self)
-    {
-        const QByteArray nonce = proofNonce();
-        const ProofSubject subject{nonce, messages.first(), Stranger, listener};
-        return encodeDiallerProof(
-            {Stranger, listener, nonce, peerProof(secret, ProofDirection::FromDialler, subject)});
-    }
-
-    QTcpSocket socket;
-    QList<QByteArray> messages;
-    WebSocketSession session;
-};
+/// The proof of a peer named Stranger to the listener Self. Precondition: the challenge arrived.
+QByteArray strangerProof(const RawPeer &peer, const QByteArray &secret, const VmId &listener = Self)
+{
+    return peer.proof(secret, Stranger, listener);
+}
 
 struct Fixture {
     Fixture()
@@ -80,7 +43,7 @@
     {
         auto peer = std::make_unique<RawPeer>(port);
         BOOST_REQUIRE(peer->waitForMessages(1));
-        peer->session.send(peer->proof(Secret));
+        peer->session.send(strangerProof(*peer, Secret));
         BOOST_REQUIRE(peer->waitForMessages(2));
         return peer;
     }
@@ -104,7 +67,7 @@
 {
     RawPeer peer(port);
     BOOST_REQUIRE(peer.waitForMessages(1));
-    peer.session.send(peer.proof("wrong"));
+    peer.session.send(strangerProof(peer, "wrong"));
     peer.session.send(encodePeerFrame({PeerMessageKind::Heartbeat, {}}));
     BOOST_REQUIRE(peer.waitForClose());
     BOOST_TEST(peer.messages.size() == 1);
@@ -125,7 +88,7 @@
     // A listener on the network records a proof and sends it again on a link of its own.
     RawPeer first(port);
     BOOST_REQUIRE(first.waitForMessages(1));
-    const QByteArray recorded = first.proof(Secret);
+    const QByteArray recorded = strangerProof(first, Secret);
     first.session.send(recorded);
     BOOST_REQUIRE(first.waitForMessages(2));
     RawPeer second(port);
@@ -147,7 +110,7 @@
     // A VM's address went to another VM: whoever still dials it must not be taken for a peer.
     RawPeer peer(port);
     BOOST_REQUIRE(peer.waitForMessages(1));
-    peer.session.send(peer.proof(Secret, VmId(QStringLiteral("other"))));
+    peer.session.send(strangerProof(peer, Secret, VmId(QStringLiteral("other"))));
     BOOST_REQUIRE(peer.waitForClose());
     BOOST_TEST(peer.messages.size() == 1);
 }
