--- a/src/membership/GossipQueue.cpp
+++ b/src/membership/GossipQueue.cpp
@@ -17,13 +17,22 @@
     return int(newsToCbor(std::get<NewsItem>(item.content)).toCbor().size());
 }
 
+bool isPressing(const GossipItem &item)
+{
+    const auto *member = std::get_if<Member>(&item.content);
+    return !member || member->state != MemberState::Alive;
+}
+
 void append(GossipQueue &queue, GossipItem item, const VmId &knownTo, int mostItems)
 {
     if (!knownTo.isEmpty())
         item.knownTo.insert(knownTo);
-    // A full queue loses its oldest item: that one has reached most neighbours.
-    if (queue.items.size() >= mostItems)
-        queue.items.removeFirst();
+    // A full queue loses its oldest join, or if it holds none its oldest item: that one has
+    // reached most neighbours.
+    if (queue.items.size() >= mostItems) {
+        const auto join = std::find_if_not(queue.items.begin(), queue.items.end(), isPressing);
+        queue.items.erase(join == queue.items.end() ? queue.items.begin() : join);
+    }
     queue.items.append(std::move(item));
 }
 
@@ -82,6 +91,8 @@
 
 int takeGossip(GossipQueue &queue, const VmId &neighbour, int bytes, HeartbeatMessage &message)
 {
+    // Many joins at once must not hold up the word of a member or target that is going.
+    std::stable_partition(queue.items.begin(), queue.items.end(), isPressing);
     int used = 0;
     for (GossipItem &item : queue.items) {
         if (item.knownTo.contains(neighbour))
--- a/src/membership/GossipQueue.h
+++ b/src/membership/GossipQueue.h
@@ -41,8 +41,8 @@
 /// True if something waits for @p neighbour.
 bool gossipWaits(const GossipQueue &queue, const VmId &neighbour);
 
-/// Moves up to @p bytes of what waits for @p neighbour, oldest first, to @p message. Returns
-/// the bytes used.
+/// Moves up to @p bytes of what waits for @p neighbour to @p message, joins last, else the
+/// oldest first. Returns the bytes used.
 int takeGossip(GossipQueue &queue, const VmId &neighbour, int bytes, HeartbeatMessage &message);
 
 /// Drops items that all @p neighbours have or that are older than @p life.
--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -44,6 +44,14 @@
     announceSelf(state, now, output);
 }
 
+/// The first word of a listed member that all know of by the list. When a whole fleet starts,
+/// there are as many of them as daemons squared: they are not passed on.
+bool isFirstWord(const Member &said, const Member &known)
+{
+    return known.incarnation == Incarnation() && known.state == MemberState::Alive
+        && said.state == MemberState::Alive;
+}
+
 void addRecord(MembershipState &state, const Member &member, MonotonicTime now)
 {
     MemberRecord record;
@@ -82,6 +90,7 @@
         return;
     }
     const auto found = state.others.find(said.vm);
+    const bool passOn = found == state.others.end() || !isFirstWord(said, found->member);
     if (found == state.others.end()) {
         if (state.others.size() >= state.settings.mostMembers)
             return;
@@ -115,7 +124,7 @@
             known.configurationVersion = said.configurationVersion;
             output.tableChanged = true;
         }
-        if (replaces(known, said))
+        if (replaces(known, said) && !isFirstWord(known, said))
             output.corrections.append(known);
         else
             noteMemberKnown(state.gossip, said, from);
@@ -124,8 +133,10 @@
     if (said.state == MemberState::Dead)
         state.suspicions.remove(said.vm);
     const Member &current = state.others[said.vm].member;
-    gossipMember(state.gossip, current, from, now, state.settings.gossipItems);
     output.changes.append(current);
+    if (!passOn)
+        return;
+    gossipMember(state.gossip, current, from, now, state.settings.gossipItems);
     output.urgent = true;
 }
 
