--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -202,8 +202,13 @@
     }
     if (!selfAdded)
         everyone.append(m_state.self);
+    QList<Member> live = everyone;
+    live.removeIf([](const Member &member) {
+        return member.state == MemberState::Leaving || member.state == MemberState::Dead;
+    });
     const QMutexLocker lock(&m_publishedMutex);
     m_published = std::move(everyone);
+    m_publishedLive = std::move(live);
 }
 
 VmId Membership::self() const
@@ -219,11 +224,8 @@
 
 QList<Member> Membership::liveMembers() const
 {
-    QList<Member> live = members();
-    live.removeIf([](const Member &member) {
-        return member.state == MemberState::Leaving || member.state == MemberState::Dead;
-    });
-    return live;
+    const QMutexLocker lock(&m_publishedMutex);
+    return m_publishedLive;
 }
 
 void Membership::setLeaving()
--- a/src/membership/Membership.h
+++ b/src/membership/Membership.h
@@ -100,9 +100,10 @@
     bool m_isolated = false;
     /// Lets answers of the platform that come after the destruction fall silent.
     std::shared_ptr<bool> m_life;
-    /// Guards m_published only; no other lock is taken while it is held.
+    /// Guards the two lists below only; no other lock is taken while it is held.
     mutable QMutex m_publishedMutex;
     QList<Member> m_published;
+    QList<Member> m_publishedLive;
 };
 
 } // namespace cranberry
--- a/src/peer/PeerLinks.h
+++ b/src/peer/PeerLinks.h
@@ -32,6 +32,7 @@
 public:
     using LinkLostCallback = std::function<void(const VmId &vm)>;
 
+    /// Precondition: @p self and @p secret are not empty; @p timers outlives the links.
     PeerLinks(TimerService &timers, VmId self, QByteArray secret,
               PeerLinkLimits limits = PeerLinkLimits());
     ~PeerLinks() override;
--- a/test/correctness/MembershipRules.cpp
+++ b/test/correctness/MembershipRules.cpp
@@ -190,6 +190,28 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(DataCentreThatIsLostIsFoundDeadAndNobodyElse)
+{
+    // A data centre goes: one member in three, among them neighbours and helpers of each other.
+    Exchange exchange(42);
+    exchange.run(Settling);
+    for (int i = 0; i < 42; i += 3)
+        exchange.silent.insert(vm(i));
+    const auto found = [&] {
+        for (int i = 0; i < 42; i += 3) {
+            if (!exchange.allSee(vm(i), MemberState::Dead))
+                return false;
+        }
+        return true;
+    };
+    BOOST_TEST(exchange.runUntil(found, Limit));
+    exchange.run(Settling);
+    for (int i = 0; i < 42; ++i) {
+        if (i % 3 != 0)
+            BOOST_TEST(exchange.allSee(vm(i), MemberState::Alive));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(MemberThatWasOnlyPausedComesBack)
 {
     Exchange exchange(9);
@@ -210,12 +232,17 @@
 
 BOOST_AUTO_TEST_CASE(LostMessagesKillNobody)
 {
-    Exchange exchange(9, 7);
-    exchange.run(Settling);
-    exchange.loss = 0.1;
-    exchange.deaths = 0;
-    exchange.run(Milliseconds(120'000));
-    BOOST_TEST(exchange.deaths == 0);
+    // Links lose messages only when they break, so one in ten is far more than there are.
+    for (const unsigned seed : {1U, 2U, 3U, 4U, 5U}) {
+        for (const int count : {9, 40}) {
+            Exchange exchange(count, seed);
+            exchange.run(Settling);
+            exchange.loss = 0.1;
+            exchange.deaths = 0;
+            exchange.run(Milliseconds(120'000));
+            BOOST_TEST(exchange.deaths == 0);
+        }
+    }
 }
 
 BOOST_AUTO_TEST_CASE(LinkThatStallsBetweenTwoKillsNeither)
--- a/test/performance/Membership.cpp
+++ b/test/performance/Membership.cpp
@@ -1,5 +1,7 @@
 // Measures membership over real loopback links in one process: bytes, processor time, time to
 // find a dead member, false suspicions. Usage: bench-Membership MEMBERS SECONDS TRIALS
+// [HEADER_BYTES] HEADER_BYTES is what the pace counts for the headers of a message; 8 leaves out IP
+// and TCP.
 #include "base/EventLog.h"
 #include "base/QtTimerService.h"
 #include "support/PeerDaemon.h"
@@ -66,10 +68,10 @@
 class Fleet
 {
 public:
-    explicit Fleet(int count)
+    Fleet(int count, const MembershipSettings &settings)
     {
         for (int i = 0; i < count; ++i)
-            daemons.push_back(std::make_unique<PeerDaemon>(m_timers, m_platform, i));
+            daemons.push_back(std::make_unique<PeerDaemon>(m_timers, m_platform, i, settings));
         for (int i = 0; i < count; ++i)
             start(i);
     }
@@ -198,7 +200,9 @@
     const int seconds = argument(2, DefaultSeconds);
     const int trials = argument(3, DefaultTrials);
     setLogLevel(LogLevel::Error);
-    Fleet fleet(members);
+    MembershipSettings settings;
+    settings.headerBytes = argument(4, settings.headerBytes);
+    Fleet fleet(members, settings);
     runFor(Settling);
     measureIdle(fleet, members, seconds);
     measureDetection(fleet, trials, true);
