Placement: each target's room is given out by one home daemon

Weighed: dividing free capacity ahead of demand. Near saturation a target has room for one or two requests at a time, which cannot be divided among daemons; asking costs 3 ms against a first token of hundreds.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -42,6 +42,15 @@
     return std::chrono::duration_cast<Milliseconds>(now - since);
 }
 
+void logRefusal(const PlacementRequest &request, const Error &error)
+{
+    logEvent(LogLevel::Info, EventId::PlacementRefused,
+             {{"request", request.request.text()},
+              {"service", request.service.text()},
+              {"workspace", request.workspace.text()},
+              {"kind", QString::fromLatin1(errorAnswer(error.kind).name)}});
+}
+
 } // namespace
 
 struct AdmissionQueue::Lane {
@@ -97,64 +106,99 @@
 
 void AdmissionQueue::enqueue(const AdmissionRequest &request, Callback callback)
 {
-    const PlacementRequest &placement = request.placement;
-    if (!service(placement.service)) {
-        refuse(request, errorOf(ErrorKind::UnknownService, QStringLiteral("No such service.")),
-               callback);
+    if (const std::optional<Error> error = admit(request)) {
+        callback(*error);
         return;
     }
-    if (const std::optional<Error> error = checkLimits(request)) {
-        refuse(request, *error, callback);
+    if (const std::optional<TargetId> target = tryNow(request)) {
+        callback(*target);
         return;
     }
-    Lane &lane = m_lanes[{placement.service, placement.model}];
-    if (lane.waiting.size == 0) {
-        const Placement found = tryPlace(request);
-        if (found.outcome == PlacementOutcome::Chosen) {
-            placed(request, found, lane, Milliseconds(0));
-            callback(found.target);
-            return;
-        }
+    waitTurn(request, std::move(callback));
+}
+
+std::optional<Error> AdmissionQueue::admit(const AdmissionRequest &request)
+{
+    std::optional<Error> error;
+    const WorkspaceId &workspace = request.placement.workspace;
+    if (!service(request.placement.service)) {
+        error = errorOf(ErrorKind::UnknownService, QStringLiteral("No such service."));
+    } else if (!request.retry && !request.remote) {
+        const WorkspaceLimits limits = m_configuration->workspaces.value(workspace).limits;
+        error = enter(m_limiter, request.placement.request, workspace, limits, m_timers.now());
     }
-    if (const std::optional<Error> error = refusal(request, lane)) {
-        requestEnded(placement.request);
-        refuse(request, *error, callback);
+    if (error)
+        logRefusal(request.placement, *error);
+    return error;
+}
+
+std::optional<TargetId> AdmissionQueue::tryNow(const AdmissionRequest &request)
+{
+    Lane &lane = laneOf(request);
+    if (lane.waiting.size > 0)
+        return std::nullopt;
+    const Placement found = tryPlace(request);
+    if (found.outcome != PlacementOutcome::Chosen)
+        return std::nullopt;
+    placed(request, found, lane, Milliseconds(0));
+    return found.target;
+}
+
+void AdmissionQueue::waitTurn(const AdmissionRequest &request, Callback callback)
+{
+    if (const std::optional<Error> error = refusal(request)) {
+        requestEnded(request.placement.request);
+        callback(*error);
         return;
     }
-    wait(request, lane, std::move(callback));
+    wait(request, std::move(callback));
 }
 
-std::optional<Error> AdmissionQueue::checkLimits(const AdmissionRequest &request)
+AdmissionQueue::Lane &AdmissionQueue::laneOf(const AdmissionRequest &request)
 {
-    if (request.retry)
-        return std::nullopt;
+    return m_lanes[{request.placement.service, request.placement.model}];
+}
+
+Milliseconds AdmissionQueue::expectedWaitOf(const AdmissionRequest &request)
+{
+    Lane &lane = laneOf(request);
     const WorkspaceId &workspace = request.placement.workspace;
-    const WorkspaceLimits limits = m_configuration->workspaces.value(workspace).limits;
-    return enter(m_limiter, request.placement.request, workspace, limits, m_timers.now());
+    countTime(lane.estimate, m_timers.now(), lane.waiting.size > 0);
+    const double ahead = requestsAhead(lane.waiting, workspace, weight(workspace));
+    return expectedWait(lane.estimate, ahead).value_or(Milliseconds(0));
+}
+
+Error AdmissionQueue::tooShort(const AdmissionRequest &request, Milliseconds expected) const
+{
+    Error error = errorOf(
+        ErrorKind::DeadlineTooShort,
+        QStringLiteral("The expected wait of %1 ms passes the deadline.").arg(expected.count()));
+    error.retryAfterSeconds = retryAfterOf(expected);
+    logRefusal(request.placement, error);
+    return error;
+}
+
+void AdmissionQueue::recordGranted(const AdmissionRequest &request, const TargetId &target)
+{
+    m_targets.attemptSent(target, request.attempt, request.placement, m_timers.now());
+    if (!request.retry)
+        addFirstAttempt(m_retries, request.placement.workspace, target);
 }
 
 // A caller that cannot be served in time learns it at once and can go elsewhere or degrade;
 // letting it wait for nothing would also keep those behind it from their turn.
-std::optional<Error> AdmissionQueue::refusal(const AdmissionRequest &request, Lane &lane)
+std::optional<Error> AdmissionQueue::refusal(const AdmissionRequest &request)
 {
-    const MonotonicTime now = m_timers.now();
     const PlacementRequest &placement = request.placement;
-    countTime(lane.estimate, now, lane.waiting.size > 0);
-    const double ahead =
-        requestsAhead(lane.waiting, placement.workspace, weight(placement.workspace));
-    const Milliseconds expected = expectedWait(lane.estimate, ahead).value_or(Milliseconds(0));
-    if (now + expected >= request.deadline) {
-        Error error = errorOf(ErrorKind::DeadlineTooShort,
-                              QStringLiteral("The expected wait of %1 ms passes the deadline.")
-                                  .arg(expected.count()));
-        error.retryAfterSeconds = retryAfterOf(expected);
-        return error;
-    }
+    const Milliseconds expected = expectedWaitOf(request);
+    if (m_timers.now() + expected >= request.deadline)
+        return tooShort(request, expected);
     const int limit = service(placement.service)->queueLimit;
     if (waitingIn(placement.service) >= limit && !makeRoom(request, limit)) {
         Error error = errorOf(ErrorKind::QueueFull,
                               QStringLiteral("%1 requests wait, the limit.").arg(limit));
         error.retryAfterSeconds = retryAfterOf(expected);
+        logRefusal(placement, error);
         return error;
     }
     return std::nullopt;
@@ -165,7 +209,7 @@
 bool AdmissionQueue::makeRoom(const AdmissionRequest &request, int queueLimit)
 {
     const PlacementRequest &placement = request.placement;
-    Lane &lane = m_lanes[{placement.service, placement.model}];
+    const Lane &lane = laneOf(request);
     const WorkspaceId crowding =
         crowdingWorkspace(lane.waiting, placement.workspace, weight(placement.workspace));
     const auto found = lane.waiting.workspaces.find(crowding);
@@ -190,8 +234,9 @@
     return count;
 }
 
-void AdmissionQueue::wait(const AdmissionRequest &request, Lane &lane, Callback callback)
+void AdmissionQueue::wait(const AdmissionRequest &request, Callback callback)
 {
+    Lane &lane = laneOf(request);
     const PlacementRequest &placement = request.placement;
     const auto known = lane.waiting.workspaces.find(placement.workspace);
     if (known == lane.waiting.workspaces.end())
@@ -217,6 +262,9 @@
     const ServiceConfiguration *configured = service(request.placement.service);
     if (!configured)
         return {PlacementOutcome::NoneUsable, {}, {}, QStringLiteral("service=gone")};
+    if (request.remote) {
+        return m_targets.decideGrant(request.placement, *configured, m_timers.now(), m_random());
+    }
     return m_targets.decide(request.attempt, request.placement, *configured, m_timers.now(),
                             m_random());
 }
@@ -228,14 +276,16 @@
     countTime(lane.estimate, m_timers.now(), lane.waiting.size > 0);
     if (lane.waiting.size > 0)
         countPlacement(lane.estimate);
-    if (!request.retry)
-        addFirstAttempt(m_retries, what.workspace, placement.target);
     const double ownWeight = weight(what.workspace);
     ServiceShares &shares = m_shares[what.service];
     startServing(shares, what.workspace);
     charge(shares, what.workspace, placement.expectedTokens, ownWeight);
-    m_charges.insert(request.attempt,
-                     {what.service, what.workspace, ownWeight, placement.expectedTokens});
+    if (!request.remote) {
+        m_charges.insert(request.attempt,
+                         {what.service, what.workspace, ownWeight, placement.expectedTokens});
+        if (!request.retry)
+            addFirstAttempt(m_retries, what.workspace, placement.target);
+    }
     logEvent(LogLevel::Info, EventId::PlacementChosen,
              {{"request", what.request.text()},
               {"attempt", request.attempt.text()},
@@ -378,23 +428,13 @@
         waiter.callback(std::move(outcome));
         return;
     }
-    AdmissionRequest refused;
-    refused.placement.request = request;
-    refused.placement.service = waiter.lane.service;
-    refused.placement.workspace = waiter.workspace;
+    PlacementRequest refused;
+    refused.request = request;
+    refused.service = waiter.lane.service;
+    refused.workspace = waiter.workspace;
     requestEnded(request);
-    refuse(refused, outcome.error(), waiter.callback);
-}
-
-void AdmissionQueue::refuse(const AdmissionRequest &request, const Error &error,
-                            const Callback &callback)
-{
-    logEvent(LogLevel::Info, EventId::PlacementRefused,
-             {{"request", request.placement.request.text()},
-              {"service", request.placement.service.text()},
-              {"workspace", request.placement.workspace.text()},
-              {"kind", QString::fromLatin1(errorAnswer(error.kind).name)}});
-    callback(error);
+    logRefusal(refused, outcome.error());
+    waiter.callback(std::move(outcome));
 }
 
 // The timer only runs while somebody waits.
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -50,6 +50,23 @@
     /// under @p request.attempt. Unless a first attempt is refused, requestEnded() must follow.
     void enqueue(const AdmissionRequest &request, Callback callback);
 
+    /// The three steps of enqueue(), for whoever decides between them where a request waits.
+    /// Counts a first attempt under its workspace's limits; an Error refuses it.
+    std::optional<Error> admit(const AdmissionRequest &request);
+    /// A target if one has room and nobody waits for it. Precondition: admitted.
+    std::optional<TargetId> tryNow(const AdmissionRequest &request);
+    /// Lets @p request wait its turn, or refuses it. Precondition: admitted.
+    void waitTurn(const AdmissionRequest &request, Callback callback);
+
+    /// How long @p request must expect to wait here; 0 while too little is known.
+    Milliseconds expectedWaitOf(const AdmissionRequest &request);
+
+    /// The refusal of a request whose wait of @p expected passes its deadline.
+    Error tooShort(const AdmissionRequest &request, Milliseconds expected) const;
+
+    /// Records the send of @p request to @p target, which another daemon granted.
+    void recordGranted(const AdmissionRequest &request, const TargetId &target);
+
     /// Takes a waiting request out without a callback; ignored if it does not wait.
     void cancel(const RequestId &request);
 
@@ -90,9 +107,9 @@
 
     const ServiceConfiguration *service(const ServiceId &id) const;
     double weight(const WorkspaceId &workspace) const;
-    std::optional<Error> checkLimits(const AdmissionRequest &request);
-    std::optional<Error> refusal(const AdmissionRequest &request, Lane &lane);
-    void wait(const AdmissionRequest &request, Lane &lane, Callback callback);
+    Lane &laneOf(const AdmissionRequest &request);
+    std::optional<Error> refusal(const AdmissionRequest &request);
+    void wait(const AdmissionRequest &request, Callback callback);
     bool makeRoom(const AdmissionRequest &request, int queueLimit);
     int waitingIn(const ServiceId &service) const;
     Placement tryPlace(const AdmissionRequest &request);
@@ -102,7 +119,6 @@
     bool serveOne(const LaneKey &key);
     void giveUpExpired();
     void finish(const RequestId &request, Result<TargetId> outcome);
-    void refuse(const AdmissionRequest &request, const Error &error, const Callback &callback);
     void armTimer();
 
     TimerService &m_timers;
--- a/src/admission/AdmissionRequest.h
+++ b/src/admission/AdmissionRequest.h
@@ -15,6 +15,8 @@
     int priority = 0;
     /// A further attempt of a request that was admitted before: it passes the limits.
     bool retry = false;
+    /// Another daemon asks for room and will make the send.
+    bool remote = false;
 };
 
 } // namespace cranberry
--- /dev/null
+++ b/src/admission/CreditExchange.cpp
@@ -0,0 +1,139 @@
+#include "admission/CreditExchange.h"
+
+#include "admission/AdmissionQueue.h"
+#include "base/TimerSubscription.h"
+#include "peer/PeerNetwork.h"
+
+namespace cranberry {
+
+namespace {
+
+/// A home answers within a few milliseconds or is not worth waiting for.
+constexpr Milliseconds TryTimeout{100};
+/// Beyond the deadline, so that the home's own refusal arrives first.
+constexpr Milliseconds WaitSlack{500};
+
+Milliseconds timeLeft(const AdmissionRequest &request, MonotonicTime now)
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline - now);
+    return std::max(left, Milliseconds(0));
+}
+
+} // namespace
+
+struct CreditExchange::Pending {
+    VmId home;
+    AdmissionRequest request;
+    Callback callback;
+    std::unique_ptr<TimerSubscription> timeout;
+};
+
+CreditExchange::CreditExchange(TimerService &timers, PeerNetwork &network, AdmissionQueue &queue)
+    : m_timers(timers)
+    , m_network(network)
+    , m_queue(queue)
+{
+    m_network.subscribe(PeerMessageKind::CreditRequest,
+                        [this](const VmId &from, const QCborMap &body) { asked(from, body); });
+    m_network.subscribe(PeerMessageKind::CreditAnswer,
+                        [this](const VmId &, const QCborMap &body) { answered(body); });
+}
+
+CreditExchange::~CreditExchange() = default;
+
+quint64 CreditExchange::ask(const VmId &home, CreditRequestKind kind,
+                            const AdmissionRequest &request, Callback callback)
+{
+    const quint64 ask = ++m_lastAsk;
+    const Milliseconds left = timeLeft(request, m_timers.now());
+    auto pending = std::make_shared<Pending>();
+    pending->home = home;
+    pending->request = request;
+    pending->callback = std::move(callback);
+    const bool sent = m_network.send(home, PeerMessageKind::CreditRequest,
+                                     toCbor(CreditRequest{ask, kind, request, left}));
+    const Milliseconds limit = kind == CreditRequestKind::Try ? TryTimeout : left + WaitSlack;
+    pending->timeout = m_timers.after(sent ? limit : Milliseconds(0), [this, ask] { lost(ask); });
+    m_pending.insert(ask, pending);
+    return ask;
+}
+
+void CreditExchange::cancel(quint64 ask)
+{
+    const std::shared_ptr<Pending> pending = m_pending.take(ask);
+    if (!pending)
+        return;
+    m_network.send(
+        pending->home, PeerMessageKind::CreditRequest,
+        toCbor(CreditRequest{ask, CreditRequestKind::Cancel, pending->request, Milliseconds(0)}));
+}
+
+void CreditExchange::lost(quint64 ask)
+{
+    const std::shared_ptr<Pending> pending = m_pending.take(ask);
+    if (!pending)
+        return;
+    CreditAnswer answer;
+    answer.ask = ask;
+    pending->callback(answer);
+}
+
+void CreditExchange::answered(const QCborMap &body)
+{
+    const std::optional<CreditAnswer> answer = creditAnswerFromCbor(body);
+    if (!answer)
+        return;
+    const std::shared_ptr<Pending> pending = m_pending.take(answer->ask);
+    if (pending)
+        pending->callback(*answer);
+}
+
+void CreditExchange::asked(const VmId &from, const QCborMap &body)
+{
+    const std::optional<CreditRequest> message = creditRequestFromCbor(body);
+    if (!message)
+        return;
+    AdmissionRequest request = message->request;
+    if (message->kind == CreditRequestKind::Cancel) {
+        m_queue.cancel(request.placement.request);
+        return;
+    }
+    request.deadline = m_timers.now() + message->timeLeft;
+    CreditAnswer reply;
+    reply.ask = message->ask;
+    if (m_queue.admit(request)) {
+        reply.outcome = CreditOutcome::NotServed;
+        answer(from, reply);
+        return;
+    }
+    if (const std::optional<TargetId> target = m_queue.tryNow(request)) {
+        reply.outcome = CreditOutcome::Granted;
+        reply.target = *target;
+        answer(from, reply);
+        return;
+    }
+    if (message->kind == CreditRequestKind::Try) {
+        reply.outcome = CreditOutcome::Full;
+        reply.expectedWait = m_queue.expectedWaitOf(request);
+        answer(from, reply);
+        return;
+    }
+    const std::weak_ptr<bool> alive = m_alive;
+    m_queue.waitTurn(request, [this, alive, from, reply](const Result<TargetId> &result) mutable {
+        if (alive.expired())
+            return;
+        reply.outcome = result.has_value() ? CreditOutcome::Granted : CreditOutcome::Refused;
+        if (result.has_value())
+            reply.target = result.value();
+        else
+            reply.error = result.error();
+        answer(from, reply);
+    });
+}
+
+void CreditExchange::answer(const VmId &to, const CreditAnswer &answer)
+{
+    m_network.send(to, PeerMessageKind::CreditAnswer, toCbor(answer));
+}
+
+} // namespace cranberry
--- a/src/placement/ForecastPolicy.cpp
+++ b/src/placement/ForecastPolicy.cpp
@@ -37,10 +37,13 @@
         return (target.ownRequests + target.othersRequests) / ManyRequests;
     MemoryForecast all = target.forecast;
     all += request.growth;
-    const Tokens free = target.capacityTokens - target.reservedForOthers;
-    if (free <= Tokens(0))
-        return FullPressure + 1;
-    return pressure(all, free, settings.sigmas);
+    return pressure(all, target.capacityTokens, settings.sigmas);
+}
+
+double bonusOf(const PlacementRequest &request, const TargetLoad &target)
+{
+    return (target.holdsPrefix ? PrefixBonus : 0)
+        + (target.dataCentre == request.dataCentre ? SameDataCentreBonus : 0);
 }
 
 bool isEmpty(const TargetLoad &target)
@@ -57,6 +60,12 @@
             interToken ? InterTokenPrefillBudget : StallPrefillBudget};
 }
 
+double placementScore(const PlacementRequest &request, const ForecastSettings &settings,
+                      const TargetLoad &target)
+{
+    return pressureOn(request, settings, target) - bonusOf(request, target);
+}
+
 Placement placeForecast(const PlacementRequest &request, const ForecastSettings &settings,
                         const QList<TargetLoad> &usable, quint64 draw)
 {
@@ -71,8 +80,7 @@
         // An empty target takes any request: one that never fits must not wait for ever.
         if (filled > FullPressure && !isEmpty(target))
             continue;
-        const double score = filled - (target.holdsPrefix ? PrefixBonus : 0)
-            - (target.dataCentre == request.dataCentre ? SameDataCentreBonus : 0);
+        const double score = filled - bonusOf(request, target);
         if (!best.target || score < best.score)
             best = {&target, filled, score};
     }
--- a/src/placement/ForecastPolicy.h
+++ b/src/placement/ForecastPolicy.h
@@ -21,6 +21,11 @@
 /// Thread-safe.
 ForecastSettings forecastSettings(const ServiceConfiguration &service);
 
+/// The part of its memory that @p target would fill with @p request, less what a cached prefix
+/// and a near data centre are worth; smaller is better. Thread-safe.
+double placementScore(const PlacementRequest &request, const ForecastSettings &settings,
+                      const TargetLoad &target);
+
 /// Among the targets that have room for @p request the one under least pressure; a cached
 /// prefix and a near data centre count as a little less of it. Wait if none has room.
 /// Precondition: @p usable is not empty. Thread-safe.
--- a/src/placement/PlacementPolicy.cpp
+++ b/src/placement/PlacementPolicy.cpp
@@ -33,6 +33,11 @@
 
 } // namespace
 
+bool givenOutByHomes(const ServiceConfiguration &service)
+{
+    return service.kind == ServiceKind::Model && service.policy == PolicyName::Forecast;
+}
+
 Placement placeRoundRobin(const QList<TargetLoad> &usable, quint64 draw)
 {
     return chosenByRequests(usable[qsizetype(draw % quint64(usable.size()))]);
--- a/src/placement/PlacementPolicy.h
+++ b/src/placement/PlacementPolicy.h
@@ -10,6 +10,10 @@
 
 namespace cranberry {
 
+/// Whether each target of @p service has a home daemon that gives out its room. The baselines
+/// decide on every daemon for itself. Thread-safe.
+bool givenOutByHomes(const ServiceConfiguration &service);
+
 /// Chooses among @p targets, which are the usable targets of the request's model, by the
 /// policy of @p service. @p draw is a fresh random number, for round_robin the count of
 /// decisions before; equal arguments give equal decisions. No I/O, no clock. Thread-safe.
--- a/src/placement/TargetLoad.h
+++ b/src/placement/TargetLoad.h
@@ -28,8 +28,6 @@
     MemoryForecast forecast;
     /// Prompt tokens of this daemon's sends that have not yielded a first token yet.
     Tokens ownPrefillTokens;
-    /// Memory that other daemons were promised and may still use.
-    Tokens reservedForOthers;
     /// True if this daemon lately sent a request with the same prefix hash.
     bool holdsPrefix = false;
 };
--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -24,11 +24,20 @@
     MonotonicTime sentAt;
 };
 
+/// Room given to another daemon that no report shows yet.
+struct Grant {
+    MonotonicTime grantedAt;
+    Tokens promptTokens;
+    MemoryForecast growth;
+};
+
 /// Guarded by the lock of the table.
 struct TargetState {
     TargetId target;
     ServiceId service;
     DataCentreId dataCentre;
+    /// The one daemon that gives out its room; empty if every daemon may.
+    VmId home;
     QList<ModelId> models;
     bool configured = false;
     bool dead = false;
@@ -47,6 +56,7 @@
     Tokens ownPrefillTokens;
     MemoryForecast ownForecast;
     std::deque<OwnSend> endedSends;
+    std::deque<Grant> grants;
     std::deque<RecentPrefix> prefixes;
 };
 
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -1,5 +1,7 @@
 #include "placement/TargetTable.h"
 
+#include "membership/RendezvousHash.h"
+#include "placement/ForecastPolicy.h"
 #include "placement/PlacementPolicy.h"
 #include "placement/TargetState.h"
 
@@ -16,6 +18,11 @@
 constexpr size_t EndedSends = 256;
 /// A forecast is renewed each time a request has gained so many tokens.
 constexpr qint64 TokensBetweenForecasts = 8;
+/// From a grant to the start of the granted send on the target.
+constexpr Milliseconds GrantFlight{20};
+/// How much worse, as a part of its memory, another daemon's target may look before a request
+/// is asked of its home: each ask is a message.
+constexpr double OwnTargetBonus = 0.05;
 
 bool isUsable(const TargetState &state)
 {
@@ -43,6 +50,11 @@
         state.prefixes.pop_front();
 }
 
+bool isOwn(const TargetState &state, const VmId &self)
+{
+    return state.home.isEmpty() || state.home == self;
+}
+
 LengthKey lengthKey(const PlacementRequest &request)
 {
     return {request.service, request.model, request.workspace};
@@ -65,6 +77,12 @@
     load.ownPrefillTokens = state.ownPrefillTokens;
     load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
     load.forecast += state.ownForecast;
+    for (const Grant &grant : state.grants) {
+        load.forecast += grant.growth;
+        load.residentTokens += grant.promptTokens;
+        load.ownPrefillTokens += grant.promptTokens;
+        ++load.othersRequests;
+    }
     load.holdsPrefix = holdsPrefix(state, prefixHash, now);
     return load;
 }
@@ -112,9 +130,24 @@
         const bool gone = !it->second.configured && it->second.ownAttempts.isEmpty();
         it = gone ? m_targets.erase(it) : std::next(it);
     }
+    assignHomes();
     indexTargets();
 }
 
+void TargetTable::setMembers(const VmId &self, const QList<VmId> &members)
+{
+    const std::lock_guard lock(m_mutex);
+    m_self = self;
+    m_members = members;
+    assignHomes();
+}
+
+void TargetTable::assignHomes()
+{
+    for (auto &[id, state] : m_targets)
+        state.home = rendezvousOwner(id.text(), m_members);
+}
+
 void TargetTable::indexTargets()
 {
     m_byModel.clear();
@@ -147,6 +180,10 @@
     }
     state->report = report;
     state->reportMadeAt = now - report.age;
+    while (!state->grants.empty()
+           && state->grants.front().grantedAt + GrantFlight <= state->reportMadeAt) {
+        state->grants.pop_front();
+    }
     subtractOwn(*state, report);
 }
 
@@ -187,26 +224,81 @@
     return found == m_byService.constEnd() ? none : *found;
 }
 
-Placement TargetTable::decide(const AttemptId &attempt, const PlacementRequest &request,
-                              const ServiceConfiguration &service, MonotonicTime now,
-                              quint64 random)
+PlacementRequest TargetTable::sized(const PlacementRequest &request) const
 {
-    const std::lock_guard lock(m_mutex);
     PlacementRequest sized = request;
     const LengthDistribution length = m_lengths.distribution(lengthKey(request), request.maxTokens);
     sized.growth = forecastRequest(length, request.promptTokens, Tokens(0));
     sized.expectedTokens = Tokens(qint64(remainingLength(length, Tokens(0)).mean));
-    const QList<TargetLoad> usableLoads = loads(candidates(request), request, now);
+    return sized;
+}
+
+Placement TargetTable::choose(const PlacementRequest &request, const ServiceConfiguration &service,
+                              MonotonicTime now, quint64 random)
+{
+    StateList own;
+    for (const TargetState *state : candidates(request)) {
+        if (!givenOutByHomes(service) || isOwn(*state, m_self))
+            own.push_back(state);
+    }
     const bool inTurn = service.policy == PolicyName::RoundRobin;
     const quint64 draw = inTurn ? m_turns[request.service]++ : random;
-    Placement placement = place(sized, service, usableLoads, draw);
-    if (placement.outcome == PlacementOutcome::Chosen) {
-        placement.expectedTokens = sized.expectedTokens;
+    Placement placement = place(request, service, loads(own, request, now), draw);
+    placement.expectedTokens = request.expectedTokens;
+    return placement;
+}
+
+Placement TargetTable::decide(const AttemptId &attempt, const PlacementRequest &request,
+                              const ServiceConfiguration &service, MonotonicTime now,
+                              quint64 random)
+{
+    const std::lock_guard lock(m_mutex);
+    Placement placement = choose(sized(request), service, now, random);
+    if (placement.outcome == PlacementOutcome::Chosen)
         recordSend(placement.target, attempt, request, now);
+    return placement;
+}
+
+Placement TargetTable::decideGrant(const PlacementRequest &request,
+                                   const ServiceConfiguration &service, MonotonicTime now,
+                                   quint64 random)
+{
+    const std::lock_guard lock(m_mutex);
+    const PlacementRequest sizedRequest = sized(request);
+    Placement placement = choose(sizedRequest, service, now, random);
+    if (placement.outcome == PlacementOutcome::Chosen) {
+        TargetState *state = find(placement.target);
+        state->grants.push_back({now, request.promptTokens, sizedRequest.growth});
+        rememberPrefix(*state, request.prefixHash, now);
     }
     return placement;
 }
 
+VmId TargetTable::suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
+                              const QList<VmId> &tried, MonotonicTime now, quint64 random) const
+{
+    const std::lock_guard lock(m_mutex);
+    const PlacementRequest sizedRequest = sized(request);
+    const ForecastSettings settings = forecastSettings(service);
+    const QList<TargetLoad> usable = loads(candidates(request), request, now);
+    const auto count = usable.size();
+    VmId best;
+    double bestScore = 0;
+    for (qsizetype i = 0; i < count; ++i) {
+        const TargetLoad &load = usable[(i + qsizetype(random % quint64(count))) % count];
+        const TargetState *state = find(load.target);
+        if (request.excluded.contains(load.target) || tried.contains(state->home))
+            continue;
+        const double bonus = isOwn(*state, m_self) ? OwnTargetBonus : 0;
+        const double score = placementScore(sizedRequest, settings, load) - bonus;
+        if (best.isEmpty() || score < bestScore) {
+            best = state->home;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 void TargetTable::attemptSent(const TargetId &target, const AttemptId &attempt,
                               const PlacementRequest &request, MonotonicTime now)
 {
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -34,6 +34,12 @@
     /// still followed to their end.
     void setConfiguration(const Configuration &configuration);
 
+    /// Makes each target's home the one of @p members that its id hashes to; decide() and
+    /// decideGrant() then give out only the targets whose home is @p self. Without members
+    /// every target is given out. Daemons with other views of the members may both be home of
+    /// a target for a while: that costs preemptions, never correctness.
+    void setMembers(const VmId &self, const QList<VmId> &members);
+
     /// Records what @p target said; a report of an older incarnation than known is dropped.
     void reportReceived(const TargetId &target, const LoadReport &report, MonotonicTime now);
 
@@ -43,7 +49,17 @@
     Placement decide(const AttemptId &attempt, const PlacementRequest &request,
                      const ServiceConfiguration &service, MonotonicTime now, quint64 random);
 
-    /// Records a send that was not chosen by decide(), such as a resumed one.
+    /// As decide(), for another daemon that will send. Its send is seen in load reports later;
+    /// until then the room stays taken.
+    Placement decideGrant(const PlacementRequest &request, const ServiceConfiguration &service,
+                          MonotonicTime now, quint64 random);
+
+    /// The home, not among @p tried, of the target that looks best for @p request by the
+    /// lagging reports and own sends; empty if none is usable.
+    VmId suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
+                     const QList<VmId> &tried, MonotonicTime now, quint64 random) const;
+
+    /// Records a send that was not chosen by decide(), such as a granted or a resumed one.
     void attemptSent(const TargetId &target, const AttemptId &attempt,
                      const PlacementRequest &request, MonotonicTime now);
     /// Counts one generated token of @p attempt. Unknown attempts are ignored.
@@ -80,6 +96,10 @@
     TargetState *find(const TargetId &target);
     const TargetState *find(const TargetId &target) const;
     void indexTargets();
+    void assignHomes();
+    PlacementRequest sized(const PlacementRequest &request) const;
+    Placement choose(const PlacementRequest &request, const ServiceConfiguration &service,
+                     MonotonicTime now, quint64 random);
     QList<TargetLoad> loads(const StateList &states, const PlacementRequest &request,
                             MonotonicTime now) const;
     SteadyForecast steadyForecast(const ServiceId &service, const ModelId &model) const;
@@ -96,6 +116,8 @@
     QHash<AttemptId, Attempt> m_attempts;
     QHash<ServiceId, quint64> m_turns;
     LengthModel m_lengths;
+    VmId m_self;
+    QList<VmId> m_members;
 };
 
 } // namespace cranberry
--- a/test/performance/PolicyTrace.cpp
+++ b/test/performance/PolicyTrace.cpp
@@ -1,7 +1,11 @@
 // Feeds one synthetic arrival trace to each placement policy over engine models, in virtual
 // time. It compares decisions; it is no stand-in for measurements against processes.
 #include "admission/AdmissionQueue.h"
+#include "admission/CreditExchange.h"
+#include "admission/PlacementRouter.h"
 #include "base/EventLog.h"
+#include "membership/MemberView.h"
+#include "peer/PeerNetwork.h"
 #include "performance/VirtualTime.h"
 #include "placement/TargetTable.h"
 #include "standins/target/EngineModel.h"
@@ -29,6 +33,8 @@
 DEFINE_double(length_sigma, 0.9, "spread of answer lengths, as the sigma of a log-normal");
 DEFINE_int32(report_ms, 250, "interval of load reports");
 DEFINE_int32(lag_ms, 100, "age of a load report when it arrives");
+DEFINE_double(peer_ms, 1.5, "one way of a message between daemons");
+DEFINE_bool(homes, true, "forecast: each target's room is given out by one daemon");
 DEFINE_double(greedy, 1, "factor on the arrivals of workspace 0");
 
 namespace cranberry::bench {
@@ -69,6 +75,7 @@
     double refused = 0;
     double refusedLater = 0;
     double arrivals = 0;
+    double messages = 0;
     std::vector<double> goodTokens;
     double leastWorkspace = 0;
 };
@@ -162,6 +169,62 @@
     return *place;
 }
 
+class FixedMembers final : public MemberView
+{
+public:
+    FixedMembers(VmId self, int count)
+        : m_self(std::move(self))
+    {
+        for (int i = 0; i < count; ++i) {
+            Member member;
+            member.vm = VmId(QString::number(i));
+            m_members.append(member);
+        }
+    }
+    VmId self() const override { return m_self; }
+    QList<Member> members() const override { return m_members; }
+    QList<Member> liveMembers() const override { return m_members; }
+
+private:
+    VmId m_self;
+    QList<Member> m_members;
+};
+
+/// Delivers each message after the same time.
+class DelayedNetwork final : public PeerNetwork
+{
+public:
+    using Peers = std::map<VmId, DelayedNetwork *>;
+
+    DelayedNetwork(VirtualTime &time, VmId self, Peers &peers, double &messages)
+        : m_time(time)
+        , m_self(std::move(self))
+        , m_peers(peers)
+        , m_messages(messages)
+    {
+        m_peers[m_self] = this;
+    }
+    bool send(const VmId &vm, PeerMessageKind kind, const QCborMap &body) override
+    {
+        m_messages += 1;
+        DelayedNetwork *peer = m_peers[vm];
+        m_time.at(m_time.now() + fromMs(FLAGS_peer_ms),
+                  [peer, kind, body, from = m_self] { peer->m_handlers[kind](from, body); });
+        return true;
+    }
+    void subscribe(PeerMessageKind kind, Handler handler) override
+    {
+        m_handlers[kind] = std::move(handler);
+    }
+
+private:
+    VirtualTime &m_time;
+    VmId m_self;
+    Peers &m_peers;
+    double &m_messages;
+    std::map<PeerMessageKind, Handler> m_handlers;
+};
+
 class Run
 {
 public:
@@ -172,6 +235,10 @@
     struct Daemon {
         TargetTable table;
         std::unique_ptr<AdmissionQueue> queue;
+        std::unique_ptr<FixedMembers> members;
+        std::unique_ptr<DelayedNetwork> network;
+        std::unique_ptr<CreditExchange> exchange;
+        std::unique_ptr<PlacementRouter> router;
     };
     struct Host {
         Engine engine;
@@ -200,6 +267,7 @@
     VirtualTime m_time;
     MonotonicTime m_start = m_time.now();
     std::shared_ptr<Configuration> m_configuration = std::make_shared<Configuration>();
+    DelayedNetwork::Peers m_peers;
     std::vector<std::unique_ptr<Daemon>> m_daemons;
     std::vector<Host> m_hosts;
     std::vector<Answer> m_answers;
@@ -235,10 +303,18 @@
     for (int i = 0; i < FLAGS_daemons; ++i) {
         auto daemon = std::make_unique<Daemon>();
         auto random = std::make_shared<std::mt19937_64>(seed * 100 + quint64(i));
-        daemon->queue = std::make_unique<AdmissionQueue>(m_time, daemon->table,
-                                                         [random] { return (*random)(); });
+        const auto draw = [random] { return (*random)(); };
+        const VmId self(QString::number(i));
+        daemon->queue = std::make_unique<AdmissionQueue>(m_time, daemon->table, draw);
+        daemon->members = std::make_unique<FixedMembers>(self, FLAGS_homes ? FLAGS_daemons : 0);
+        daemon->network =
+            std::make_unique<DelayedNetwork>(m_time, self, m_peers, m_measures.messages);
+        daemon->exchange =
+            std::make_unique<CreditExchange>(m_time, *daemon->network, *daemon->queue);
+        daemon->router = std::make_unique<PlacementRouter>(
+            m_time, daemon->table, *daemon->queue, *daemon->exchange, *daemon->members, draw);
         daemon->table.setConfiguration(*m_configuration);
-        daemon->queue->setConfiguration(m_configuration);
+        daemon->router->setConfiguration(m_configuration);
         m_daemons.push_back(std::move(daemon));
     }
 }
@@ -264,14 +340,19 @@
     request.placement.promptTokens = Tokens(arrival.prompt);
     request.placement.maxTokens = Tokens(MaxTokens);
     request.placement.prefixHash =
-        quint64(arrival.workspace * PrefixesAWorkspace + arrival.prefix + 1);
+        quint64(arrival.workspace) * PrefixesAWorkspace + quint64(arrival.prefix) + 1;
     request.deadline = m_time.now() + Milliseconds(FLAGS_deadline_ms);
-    m_daemons[size_t(arrival.daemon)]->queue->enqueue(request, [this, number](auto result) {
+    const auto outcome = [this, number](const Result<TargetId> &result) {
         if (result.has_value())
             send(number, result.value());
         else
             refuse(number);
-    });
+    };
+    const Daemon &daemon = *m_daemons[size_t(arrival.daemon)];
+    if (FLAGS_homes)
+        daemon.router->enqueue(request, outcome);
+    else
+        daemon.queue->enqueue(request, outcome);
 }
 
 void Run::send(int number, const TargetId &target)
@@ -415,16 +496,18 @@
     }
     const auto of = [&](double Measures::*member) {
         std::vector<double> values;
+        values.reserve(all.size());
         for (const Measures &measures : all)
             values.push_back(measures.*member);
         return quantile(values, 0.5);
     };
     std::printf("load=%d policy=%s preemptions=%.0f stall_s=%.2f p99_ms=%.1f ttft_p95_ms=%.0f "
-                "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_workspace=%.0f\n",
+                "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_workspace=%.0f "
+                "messages=%.0f\n",
                 load, name.c_str(), of(&Measures::preemptions), of(&Measures::stallSeconds),
                 of(&Measures::interTokenP99), of(&Measures::firstTokenP95), of(&Measures::goodput),
                 of(&Measures::arrivals), of(&Measures::refused), of(&Measures::refusedLater),
-                of(&Measures::leastWorkspace));
+                of(&Measures::leastWorkspace), of(&Measures::messages));
     std::fflush(stdout);
 }
 
