Admission: waits and answer times decide who is refused, by workspace

Expected waits are now learnt for each workspace, since equal shares of tokens are not equal shares of turns, and a request gives up when it could no longer be answered in time.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -20,6 +20,8 @@
 constexpr int TurnsTried = 4;
 /// After so many passes a lane waits for the one in turn, so that nobody starves.
 constexpr int MostPasses = 16;
+/// Answers take longer than expected as often as shorter; this covers most.
+constexpr int AnswerTimeMargin = 2;
 constexpr int LeastRetryAfterSeconds = 1;
 constexpr int MostRetryAfterSeconds = 60;
 
@@ -56,6 +58,9 @@
 struct AdmissionQueue::Lane {
     WaitingLane waiting;
     WaitEstimate estimate;
+    /// Of the workspaces that waited lately. Equal shares of tokens are not equal shares of
+    /// turns: one with long answers waits longer than the lane as a whole.
+    QHash<WorkspaceId, WaitEstimate> workspaceEstimates;
 };
 
 struct AdmissionQueue::Waiter {
@@ -63,6 +68,7 @@
     WorkspaceId workspace;
     Callback callback;
     MonotonicTime since;
+    /// When it gives up.
     MonotonicTime deadline;
     /// Since when no usable target was found for it.
     std::optional<MonotonicTime> noneUsableSince;
@@ -154,6 +160,17 @@
     wait(request, std::move(callback));
 }
 
+// Called before the number of waiting requests changes.
+void AdmissionQueue::countWaiting(Lane &lane, const WorkspaceId &workspace)
+{
+    const MonotonicTime now = m_timers.now();
+    countTime(lane.estimate, now, lane.waiting.size > 0);
+    const int own = requestsOf(lane.waiting, workspace);
+    if (own == 0 && !lane.workspaceEstimates.contains(workspace))
+        return;
+    countTime(lane.workspaceEstimates[workspace], now, own > 0);
+}
+
 AdmissionQueue::Lane &AdmissionQueue::laneOf(const AdmissionRequest &request)
 {
     return m_lanes[{request.placement.service, request.placement.model}];
@@ -163,11 +180,26 @@
 {
     Lane &lane = laneOf(request);
     const WorkspaceId &workspace = request.placement.workspace;
-    countTime(lane.estimate, m_timers.now(), lane.waiting.size > 0);
+    countWaiting(lane, workspace);
+    const double own = 1.0 + double(requestsOf(lane.waiting, workspace));
+    const std::optional<Milliseconds> byWorkspace =
+        expectedWait(lane.workspaceEstimates.value(workspace), own);
+    if (byWorkspace)
+        return *byWorkspace;
     const double ahead = requestsAhead(lane.waiting, workspace, weight(workspace));
     return expectedWait(lane.estimate, ahead).value_or(Milliseconds(0));
 }
 
+// A request that is placed too late to be answered in time takes room for nothing, and those
+// behind it then are late too. Half of the time left may always be spent on waiting: what is
+// known of lengths is too little to refuse a caller for a short deadline alone.
+MonotonicTime AdmissionQueue::latestStart(const AdmissionRequest &request) const
+{
+    const MonotonicTime::duration left = request.deadline - m_timers.now();
+    const MonotonicTime::duration answer = m_targets.expectedAnswerTime(request.placement);
+    return request.deadline - std::min(answer * AnswerTimeMargin, left / 2);
+}
+
 Error AdmissionQueue::tooShort(const AdmissionRequest &request, Milliseconds expected) const
 {
     Error error = errorOf(
@@ -191,7 +223,7 @@
 {
     const PlacementRequest &placement = request.placement;
     const Milliseconds expected = expectedWaitOf(request);
-    if (m_timers.now() + expected >= request.deadline)
+    if (m_timers.now() + expected >= latestStart(request))
         return tooShort(request, expected);
     const int limit = service(placement.service)->queueLimit;
     if (waitingIn(placement.service) >= limit && !makeRoom(request, limit)) {
@@ -237,6 +269,7 @@
 void AdmissionQueue::wait(const AdmissionRequest &request, Callback callback)
 {
     Lane &lane = laneOf(request);
+    countWaiting(lane, request.placement.workspace);
     const PlacementRequest &placement = request.placement;
     const auto known = lane.waiting.workspaces.find(placement.workspace);
     if (known == lane.waiting.workspaces.end())
@@ -247,7 +280,7 @@
                       placement.workspace,
                       std::move(callback),
                       m_timers.now(),
-                      request.deadline,
+                      latestStart(request),
                       std::nullopt});
     logEvent(LogLevel::Info, EventId::PlacementWaiting,
              {{"request", placement.request.text()},
@@ -273,9 +306,11 @@
                             Milliseconds waited)
 {
     const PlacementRequest &what = request.placement;
-    countTime(lane.estimate, m_timers.now(), lane.waiting.size > 0);
+    countWaiting(lane, what.workspace);
     if (lane.waiting.size > 0)
         countPlacement(lane.estimate);
+    if (requestsOf(lane.waiting, what.workspace) > 0)
+        countPlacement(lane.workspaceEstimates[what.workspace]);
     const double ownWeight = weight(what.workspace);
     ServiceShares &shares = m_shares[what.service];
     startServing(shares, what.workspace);
@@ -403,9 +438,10 @@
             targetless.append(it.key());
     }
     for (const RequestId &request : std::as_const(late)) {
-        finish(request,
-               errorOf(ErrorKind::DeadlineExceeded,
-                       QStringLiteral("No target had room before the deadline.")));
+        finish(
+            request,
+            errorOf(ErrorKind::DeadlineExceeded,
+                    QStringLiteral("No target had room in time to answer before the deadline.")));
     }
     for (const RequestId &request : std::as_const(targetless)) {
         finish(request,
@@ -422,7 +458,7 @@
     const Waiter waiter = *found;
     m_waiters.erase(found);
     Lane &lane = m_lanes[waiter.lane];
-    countTime(lane.estimate, m_timers.now(), true);
+    countWaiting(lane, waiter.workspace);
     remove(lane.waiting, waiter.workspace, request);
     if (outcome.has_value()) {
         waiter.callback(std::move(outcome));
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -61,7 +61,11 @@
     /// How long @p request must expect to wait here; 0 while too little is known.
     Milliseconds expectedWaitOf(const AdmissionRequest &request);
 
-    /// The refusal of a request whose wait of @p expected passes its deadline.
+    /// When @p request must be sent at the latest to be answered before its deadline, as far as
+    /// is known; a request waits no longer.
+    MonotonicTime latestStart(const AdmissionRequest &request) const;
+
+    /// The refusal of a request whose wait of @p expected is too long for its deadline.
     Error tooShort(const AdmissionRequest &request, Milliseconds expected) const;
 
     /// Records the send of @p request to @p target, which another daemon granted.
@@ -108,6 +112,7 @@
     const ServiceConfiguration *service(const ServiceId &id) const;
     double weight(const WorkspaceId &workspace) const;
     Lane &laneOf(const AdmissionRequest &request);
+    void countWaiting(Lane &lane, const WorkspaceId &workspace);
     std::optional<Error> refusal(const AdmissionRequest &request);
     void wait(const AdmissionRequest &request, Callback callback);
     bool makeRoom(const AdmissionRequest &request, int queueLimit);
--- a/src/admission/PlacementRouter.cpp
+++ b/src/admission/PlacementRouter.cpp
@@ -191,7 +191,7 @@
 void PlacementRouter::waitAtOther(const RequestId &request, const VmId &home, Milliseconds expected)
 {
     const std::shared_ptr<Route> route = m_routes.value(request);
-    if (m_timers.now() + expected >= route->request.deadline) {
+    if (m_timers.now() + expected >= m_queue.latestStart(route->request)) {
         m_queue.requestEnded(request);
         finish(request, m_queue.tooShort(route->request, expected));
         return;
--- a/src/admission/WaitEstimate.cpp
+++ b/src/admission/WaitEstimate.cpp
@@ -14,7 +14,7 @@
 
 void countTime(WaitEstimate &estimate, MonotonicTime now, bool busy)
 {
-    const std::chrono::duration<double> passed = now - estimate.countedTo;
+    const std::chrono::duration<double> passed = now - estimate.countedTo.value_or(now);
     estimate.countedTo = now;
     if (!busy)
         return;
--- a/src/admission/WaitEstimate.h
+++ b/src/admission/WaitEstimate.h
@@ -13,7 +13,8 @@
 struct WaitEstimate {
     double placements = 0;
     double busySeconds = 0;
-    MonotonicTime countedTo;
+    /// Absent before the first count.
+    std::optional<MonotonicTime> countedTo;
 };
 
 /// Counts the time until @p now; @p busy tells whether somebody waited in it.
--- a/src/admission/WaitingLane.cpp
+++ b/src/admission/WaitingLane.cpp
@@ -49,11 +49,15 @@
     return order;
 }
 
+int requestsOf(const WaitingLane &lane, const WorkspaceId &workspace)
+{
+    const auto found = lane.workspaces.find(workspace);
+    return found == lane.workspaces.end() ? 0 : int(found->second.requests.size());
+}
+
 double requestsAhead(const WaitingLane &lane, const WorkspaceId &workspace, double weight)
 {
-    const auto own = lane.workspaces.find(workspace);
-    const double ownCount =
-        1.0 + (own == lane.workspaces.end() ? 0.0 : double(own->second.requests.size()));
+    const double ownCount = 1.0 + requestsOf(lane, workspace);
     double ahead = ownCount;
     for (const auto &[other, waiting] : lane.workspaces) {
         if (other == workspace)
@@ -66,9 +70,7 @@
 
 WorkspaceId crowdingWorkspace(const WaitingLane &lane, const WorkspaceId &workspace, double weight)
 {
-    const auto own = lane.workspaces.find(workspace);
-    const double ownCount =
-        1.0 + (own == lane.workspaces.end() ? 0.0 : double(own->second.requests.size()));
+    const double ownCount = 1.0 + requestsOf(lane, workspace);
     WorkspaceId crowding;
     double most = ownCount / weight;
     for (const auto &[other, waiting] : lane.workspaces) {
--- a/src/admission/WaitingLane.h
+++ b/src/admission/WaitingLane.h
@@ -34,6 +34,9 @@
 /// The first request of each workspace, in the order of the shares.
 QList<AdmissionRequest> turns(const WaitingLane &lane, const ServiceShares &shares, int atMost);
 
+/// How many requests of @p workspace wait.
+int requestsOf(const WaitingLane &lane, const WorkspaceId &workspace);
+
 /// How many waiting requests a new one of @p workspace has to let pass, itself included, if
 /// everyone gets its share.
 double requestsAhead(const WaitingLane &lane, const WorkspaceId &workspace, double weight);
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -18,6 +18,8 @@
 constexpr size_t EndedSends = 256;
 /// A forecast is renewed each time a request has gained so many tokens.
 constexpr qint64 TokensBetweenForecasts = 8;
+/// Weight of the newest answer in the mean pace of a service.
+constexpr double PaceWeight = 0.02;
 /// From a grant to the start of the granted send on the target.
 constexpr Milliseconds GrantFlight{20};
 /// How much worse, as a part of its memory, another daemon's target may look before a request
@@ -364,9 +366,10 @@
     state->ownForecast -= found->forecast;
     if (state->ownAttempts.isEmpty())
         state->ownForecast = {}; // drops what rounding left
-    if (end == AttemptEnd::Finished)
+    if (end == AttemptEnd::Finished) {
         m_lengths.finished(lengthKey(found->request), Tokens(found->generated));
-    else if (found->generated > 0)
+        learnPace(found->request.service, found->generated, now - found->sentAt);
+    } else if (found->generated > 0)
         m_lengths.cutOff(lengthKey(found->request), Tokens(found->generated));
     const TargetId target = found->target;
     m_attempts.erase(found);
@@ -374,6 +377,24 @@
         m_targets.erase(target);
 }
 
+void TargetTable::learnPace(const ServiceId &service, qint64 tokens, MonotonicTime::duration took)
+{
+    if (tokens <= 0)
+        return;
+    const std::chrono::duration<double, std::milli> milliseconds = took;
+    const double pace = milliseconds.count() / double(tokens);
+    double &mean = m_millisecondsPerToken[service];
+    mean = mean > 0 ? mean + (pace - mean) * PaceWeight : pace;
+}
+
+Milliseconds TargetTable::expectedAnswerTime(const PlacementRequest &request) const
+{
+    const std::lock_guard lock(m_mutex);
+    const double pace = m_millisecondsPerToken.value(request.service);
+    const double tokens = double(sized(request).expectedTokens.value());
+    return Milliseconds(qint64(pace * tokens));
+}
+
 bool TargetTable::markLeaving(const TargetId &target, Incarnation incarnation)
 {
     const std::lock_guard lock(m_mutex);
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -64,6 +64,9 @@
                      const PlacementRequest &request, MonotonicTime now);
     /// Counts one generated token of @p attempt. Unknown attempts are ignored.
     void tokenReceived(const AttemptId &attempt);
+    /// How long an answer to @p request is expected to take once it is sent; 0 until answers
+    /// of its service have ended.
+    Milliseconds expectedAnswerTime(const PlacementRequest &request) const;
     /// Forgets @p attempt. Unknown attempts are ignored, so it may be told twice.
     void attemptEnded(const AttemptId &attempt, AttemptEnd end, MonotonicTime now);
 
@@ -105,6 +108,7 @@
     SteadyForecast steadyForecast(const ServiceId &service, const ModelId &model) const;
     void refreshForecast(Attempt &attempt, TargetState &state);
     const StateList &candidates(const PlacementRequest &request) const;
+    void learnPace(const ServiceId &service, qint64 tokens, MonotonicTime::duration took);
     void recordSend(const TargetId &target, const AttemptId &attempt,
                     const PlacementRequest &request, MonotonicTime now);
     void subtractOwn(TargetState &state, const LoadReport &report);
@@ -116,6 +120,8 @@
     QHash<AttemptId, Attempt> m_attempts;
     QHash<ServiceId, quint64> m_turns;
     LengthModel m_lengths;
+    /// Decayed mean of the time between two tokens, prompt work included.
+    QHash<ServiceId, double> m_millisecondsPerToken;
     VmId m_self;
     QList<VmId> m_members;
 };
