Placement: a home follows what it granted until it ends

A home knew other daemons' requests only as a sum in lagging reports. It now follows each grant by its own length belief and the time passed, and is told when it ends.

--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -210,8 +210,16 @@
     return error;
 }
 
-void AdmissionQueue::recordGranted(const AdmissionRequest &request, const TargetId &target)
+void AdmissionQueue::grantEnded(const RequestId &request)
 {
+    m_targets.grantEnded(request, m_timers.now());
+    capacityChanged();
+}
+
+void AdmissionQueue::recordGranted(const AdmissionRequest &request, const TargetId &target,
+                                   std::function<void()> ended)
+{
+    m_granted.insert(request.attempt, std::move(ended));
     m_targets.attemptSent(target, request.attempt, request.placement, m_timers.now());
     if (!request.retry)
         addFirstAttempt(m_retries, request.placement.workspace, target);
@@ -364,6 +372,8 @@
         charge(m_shares[found->service], found->workspace, unused, found->weight);
         m_charges.erase(found);
     }
+    if (const std::function<void()> ended = m_granted.take(attempt))
+        ended();
     capacityChanged();
 }
 
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -68,8 +68,13 @@
     /// The refusal of a request whose wait of @p expected is too long for its deadline.
     Error tooShort(const AdmissionRequest &request, Milliseconds expected) const;
 
-    /// Records the send of @p request to @p target, which another daemon granted.
-    void recordGranted(const AdmissionRequest &request, const TargetId &target);
+    /// Records the send of @p request to @p target, which another daemon granted; @p ended is
+    /// called when the attempt ends.
+    void recordGranted(const AdmissionRequest &request, const TargetId &target,
+                       std::function<void()> ended);
+
+    /// Ends what was granted to another daemon for @p request; ignored if unknown.
+    void grantEnded(const RequestId &request);
 
     /// Takes a waiting request out without a callback; ignored if it does not wait.
     void cancel(const RequestId &request);
@@ -134,6 +139,8 @@
     QHash<ServiceId, ServiceShares> m_shares;
     QHash<RequestId, Waiter> m_waiters;
     QHash<AttemptId, Charge> m_charges;
+    /// What to call when a send ends that another daemon granted.
+    QHash<AttemptId, std::function<void()>> m_granted;
     WorkspaceLimiter m_limiter;
     RetryBudget m_retries;
     std::unique_ptr<TimerSubscription> m_timer;
--- a/src/admission/CreditExchange.cpp
+++ b/src/admission/CreditExchange.cpp
@@ -63,9 +63,13 @@
     const std::shared_ptr<Pending> pending = m_pending.take(ask);
     if (!pending)
         return;
-    m_network.send(
-        pending->home, PeerMessageKind::CreditRequest,
-        toCbor(CreditRequest{ask, CreditRequestKind::Cancel, pending->request, Milliseconds(0)}));
+    release(pending->home, pending->request);
+}
+
+void CreditExchange::release(const VmId &home, const AdmissionRequest &request)
+{
+    m_network.send(home, PeerMessageKind::CreditRequest,
+                   toCbor(CreditRequest{0, CreditRequestKind::Done, request, Milliseconds(0)}));
 }
 
 void CreditExchange::lost(quint64 ask)
@@ -94,8 +98,9 @@
     if (!message)
         return;
     AdmissionRequest request = message->request;
-    if (message->kind == CreditRequestKind::Cancel) {
+    if (message->kind == CreditRequestKind::Done) {
         m_queue.cancel(request.placement.request);
+        m_queue.grantEnded(request.placement.request);
         return;
     }
     request.deadline = m_timers.now() + message->timeLeft;
--- a/src/admission/CreditExchange.h
+++ b/src/admission/CreditExchange.h
@@ -37,6 +37,9 @@
     /// Ends @p ask without a callback and tells the home; ignored if unknown.
     void cancel(quint64 ask);
 
+    /// Tells @p home that the send of @p request, which it granted, has ended.
+    void release(const VmId &home, const AdmissionRequest &request);
+
 private:
     struct Pending;
 
--- a/src/admission/CreditMessages.cpp
+++ b/src/admission/CreditMessages.cpp
@@ -120,7 +120,7 @@
     PlacementRequest &placement = request.request.placement;
     request.ask = quint64(reader.number(Ask, 0, Most));
     request.kind = CreditRequestKind(
-        reader.number(Kind, qint64(CreditRequestKind::Try), qint64(CreditRequestKind::Cancel)));
+        reader.number(Kind, qint64(CreditRequestKind::Try), qint64(CreditRequestKind::Done)));
     request.timeLeft = Milliseconds(reader.number(TimeLeft, 0, MostMilliseconds));
     placement.request = RequestId(reader.text(Request));
     placement.service = ServiceId(reader.text(Service));
--- a/src/admission/CreditMessages.h
+++ b/src/admission/CreditMessages.h
@@ -15,8 +15,8 @@
     Try = 1,
     /// A turn in the home's queue.
     Wait = 2,
-    /// The one who asked no longer needs it.
-    Cancel = 3,
+    /// The one who asked no longer needs a turn, or what was granted has ended.
+    Done = 3,
 };
 
 struct CreditRequest {
--- a/src/admission/PlacementRouter.cpp
+++ b/src/admission/PlacementRouter.cpp
@@ -161,7 +161,7 @@
                                         return;
                                     waiting->ask = 0;
                                     if (answer.outcome == CreditOutcome::Granted) {
-                                        granted(request, answer.target);
+                                        granted(request, home, answer.target);
                                         return;
                                     }
                                     if (answer.outcome == CreditOutcome::Full) {
@@ -198,14 +198,14 @@
     }
     route->waitsAt = home;
     route->ask = m_exchange.ask(home, CreditRequestKind::Wait, route->request,
-                                [this, request](const CreditAnswer &answer) {
+                                [this, request, home](const CreditAnswer &answer) {
                                     const std::shared_ptr<Route> waiting = m_routes.value(request);
                                     if (!waiting)
                                         return;
                                     waiting->ask = 0;
                                     waiting->waitsAt = VmId();
                                     if (answer.outcome == CreditOutcome::Granted) {
-                                        granted(request, answer.target);
+                                        granted(request, home, answer.target);
                                     } else if (answer.outcome == CreditOutcome::Refused) {
                                         m_queue.requestEnded(request);
                                         finish(request, answer.error);
@@ -226,10 +226,12 @@
     advance(request);
 }
 
-void PlacementRouter::granted(const RequestId &request, const TargetId &target)
+void PlacementRouter::granted(const RequestId &request, const VmId &home, const TargetId &target)
 {
     const std::shared_ptr<Route> route = m_routes.value(request);
-    m_queue.recordGranted(route->request, target);
+    m_queue.recordGranted(
+        route->request, target,
+        [exchange = &m_exchange, home, sent = route->request] { exchange->release(home, sent); });
     finish(request, target);
 }
 
--- a/src/admission/PlacementRouter.h
+++ b/src/admission/PlacementRouter.h
@@ -59,7 +59,7 @@
     void waitWhereShortest(const RequestId &request);
     void waitAtOther(const RequestId &request, const VmId &home, Milliseconds expected);
     void startAnew(const RequestId &request);
-    void granted(const RequestId &request, const TargetId &target);
+    void granted(const RequestId &request, const VmId &home, const TargetId &target);
     void finish(const RequestId &request, Result<TargetId> outcome);
 
     TimerService &m_timers;
--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -24,11 +24,14 @@
     MonotonicTime sentAt;
 };
 
-/// Room given to another daemon that no report shows yet.
+/// A request of another daemon that was given room here. What it has generated is taken from
+/// the time that has passed.
 struct Grant {
+    RequestId request;
     MonotonicTime grantedAt;
     Tokens promptTokens;
-    MemoryForecast growth;
+    LengthDistribution length;
+    double millisecondsPerToken = 0;
 };
 
 /// Guarded by the lock of the table.
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -22,6 +22,9 @@
 constexpr double PaceWeight = 0.02;
 /// From a grant to the start of the granted send on the target.
 constexpr Milliseconds GrantFlight{20};
+/// A grant whose request has most probably ended, or that is older than this, is forgotten.
+constexpr double LeastGrantSurvival = 0.01;
+constexpr Milliseconds GrantLifetime{600'000};
 /// How much worse, as a part of its memory, another daemon's target may look before a request
 /// is asked of its home: each ask is a message.
 constexpr double OwnTargetBonus = 0.05;
@@ -62,6 +65,14 @@
     return {request.service, request.model, request.workspace};
 }
 
+Tokens generatedBy(const Grant &grant, MonotonicTime now)
+{
+    if (grant.millisecondsPerToken <= 0)
+        return Tokens(0);
+    const std::chrono::duration<double, std::milli> passed = now - grant.grantedAt;
+    return Tokens(qint64(std::max(0.0, passed.count()) / grant.millisecondsPerToken));
+}
+
 TargetLoad loadOf(const TargetState &state, quint64 prefixHash, const SteadyForecast &steady,
                   MonotonicTime now)
 {
@@ -80,9 +91,12 @@
     load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
     load.forecast += state.ownForecast;
     for (const Grant &grant : state.grants) {
-        load.forecast += grant.growth;
-        load.residentTokens += grant.promptTokens;
-        load.ownPrefillTokens += grant.promptTokens;
+        const Tokens generated = generatedBy(grant, now);
+        const Tokens held = grant.promptTokens + generated;
+        load.forecast += forecastRequest(grant.length, held, generated);
+        load.residentTokens += held;
+        if (generated == Tokens(0))
+            load.ownPrefillTokens += grant.promptTokens;
         ++load.othersRequests;
     }
     load.holdsPrefix = holdsPrefix(state, prefixHash, now);
@@ -182,10 +196,7 @@
     }
     state->report = report;
     state->reportMadeAt = now - report.age;
-    while (!state->grants.empty()
-           && state->grants.front().grantedAt + GrantFlight <= state->reportMadeAt) {
-        state->grants.pop_front();
-    }
+    dropOldGrants(*state, now);
     subtractOwn(*state, report);
 }
 
@@ -211,6 +222,12 @@
             --requests;
         }
     }
+    for (const Grant &grant : state.grants) {
+        if (grant.grantedAt + GrantFlight <= madeAt) {
+            resident -= grant.promptTokens + generatedBy(grant, madeAt);
+            --requests;
+        }
+    }
     state.othersResidentTokens = std::max(resident, Tokens(0));
     state.othersRequests = std::max(requests, 0);
 }
@@ -270,12 +287,46 @@
     Placement placement = choose(sizedRequest, service, now, random);
     if (placement.outcome == PlacementOutcome::Chosen) {
         TargetState *state = find(placement.target);
-        state->grants.push_back({now, request.promptTokens, sizedRequest.growth});
+        state->grants.push_back({request.request, now, request.promptTokens,
+                                 m_lengths.distribution(lengthKey(request), request.maxTokens),
+                                 m_millisecondsPerToken.value(request.service)});
+        m_grants.insert(request.request, placement.target);
         rememberPrefix(*state, request.prefixHash, now);
     }
     return placement;
 }
 
+void TargetTable::grantEnded(const RequestId &request, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetState *state = find(m_grants.take(request));
+    if (!state)
+        return;
+    const auto same = [&](const Grant &grant) { return grant.request == request; };
+    const auto found = std::find_if(state->grants.begin(), state->grants.end(), same);
+    if (found == state->grants.end())
+        return;
+    state->endedSends.push_back(
+        {found->grantedAt, now, found->promptTokens + generatedBy(*found, now)});
+    state->grants.erase(found);
+}
+
+// The message that ends a grant may be lost, and the one who asked may have died. The report
+// still shows a request that runs on, as another daemon's.
+void TargetTable::dropOldGrants(TargetState &state, MonotonicTime now)
+{
+    const auto old = [&](const Grant &grant) {
+        const bool gone =
+            survivalAt(grant.length, double(generatedBy(grant, now).value())) < LeastGrantSurvival
+            || now - grant.grantedAt > GrantLifetime;
+        if (gone)
+            m_grants.remove(grant.request);
+        return gone;
+    };
+    state.grants.erase(std::remove_if(state.grants.begin(), state.grants.end(), old),
+                       state.grants.end());
+}
+
 VmId TargetTable::suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
                               const QList<VmId> &tried, MonotonicTime now, quint64 random) const
 {
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -54,6 +54,9 @@
     Placement decideGrant(const PlacementRequest &request, const ServiceConfiguration &service,
                           MonotonicTime now, quint64 random);
 
+    /// Ends what decideGrant() recorded for @p request; ignored if unknown.
+    void grantEnded(const RequestId &request, MonotonicTime now);
+
     /// The home, not among @p tried, of the target that looks best for @p request by the
     /// lagging reports and own sends; empty if none is usable.
     VmId suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
@@ -112,12 +115,14 @@
     void recordSend(const TargetId &target, const AttemptId &attempt,
                     const PlacementRequest &request, MonotonicTime now);
     void subtractOwn(TargetState &state, const LoadReport &report);
+    void dropOldGrants(TargetState &state, MonotonicTime now);
 
     mutable std::mutex m_mutex;
     std::map<TargetId, TargetState> m_targets;
     QHash<ModelId, StateList> m_byModel;
     QHash<ServiceId, StateList> m_byService;
     QHash<AttemptId, Attempt> m_attempts;
+    QHash<RequestId, TargetId> m_grants;
     QHash<ServiceId, quint64> m_turns;
     LengthModel m_lengths;
     /// Decayed mean of the time between two tokens, prompt work included.
