--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -24,11 +24,23 @@
     MonotonicTime sentAt;
 };
 
+/// A request of another daemon that was given room here. What it has generated is taken from
+/// the time that has passed.
+struct Grant {
+    RequestId request;
+    MonotonicTime grantedAt;
+    Tokens promptTokens;
+    LengthDistribution length;
+    double millisecondsPerToken = 0;
+};
+
 /// Guarded by the lock of the table.
 struct TargetState {
     TargetId target;
     ServiceId service;
     DataCentreId dataCentre;
+    /// The one daemon that gives out its room; empty if every daemon may.
+    VmId home;
     QList<ModelId> models;
     bool configured = false;
     bool dead = false;
@@ -47,6 +59,7 @@
     Tokens ownPrefillTokens;
     MemoryForecast ownForecast;
     std::deque<OwnSend> endedSends;
+    std::deque<Grant> grants;
     std::deque<RecentPrefix> prefixes;
 };
 
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -1,5 +1,7 @@
 #include "placement/TargetTable.h"
 
+#include "membership/RendezvousHash.h"
+#include "placement/ForecastPolicy.h"
 #include "placement/PlacementPolicy.h"
 #include "placement/TargetState.h"
 
@@ -16,6 +18,16 @@
 constexpr size_t EndedSends = 256;
 /// A forecast is renewed each time a request has gained so many tokens.
 constexpr qint64 TokensBetweenForecasts = 8;
+/// Weight of the newest answer in the mean pace of a service.
+constexpr double PaceWeight = 0.02;
+/// From a grant to the start of the granted send on the target.
+constexpr Milliseconds GrantFlight{20};
+/// A grant whose request has most probably ended, or that is older than this, is forgotten.
+constexpr double LeastGrantSurvival = 0.01;
+constexpr Milliseconds GrantLifetime{600'000};
+/// How much worse, as a part of its memory, another daemon's target may look before a request
+/// is asked of its home: each ask is a message.
+constexpr double OwnTargetBonus = 0.05;
 
 bool isUsable(const TargetState &state)
 {
@@ -43,11 +55,24 @@
         state.prefixes.pop_front();
 }
 
+bool isOwn(const TargetState &state, const VmId &self)
+{
+    return state.home.isEmpty() || state.home == self;
+}
+
 LengthKey lengthKey(const PlacementRequest &request)
 {
     return {request.service, request.model, request.workspace};
 }
 
+Tokens generatedBy(const Grant &grant, MonotonicTime now)
+{
+    if (grant.millisecondsPerToken <= 0)
+        return Tokens(0);
+    const std::chrono::duration<double, std::milli> passed = now - grant.grantedAt;
+    return Tokens(qint64(std::max(0.0, passed.count()) / grant.millisecondsPerToken));
+}
+
 TargetLoad loadOf(const TargetState &state, quint64 prefixHash, const SteadyForecast &steady,
                   MonotonicTime now)
 {
@@ -65,6 +90,15 @@
     load.ownPrefillTokens = state.ownPrefillTokens;
     load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
     load.forecast += state.ownForecast;
+    for (const Grant &grant : state.grants) {
+        const Tokens generated = generatedBy(grant, now);
+        const Tokens held = grant.promptTokens + generated;
+        load.forecast += forecastRequest(grant.length, held, generated);
+        load.residentTokens += held;
+        if (generated == Tokens(0))
+            load.ownPrefillTokens += grant.promptTokens;
+        ++load.othersRequests;
+    }
     load.holdsPrefix = holdsPrefix(state, prefixHash, now);
     return load;
 }
@@ -112,9 +146,24 @@
         const bool gone = !it->second.configured && it->second.ownAttempts.isEmpty();
         it = gone ? m_targets.erase(it) : std::next(it);
     }
+    assignHomes();
     indexTargets();
 }
 
+void TargetTable::setMembers(const VmId &self, const QList<VmId> &members)
+{
+    const std::lock_guard lock(m_mutex);
+    m_self = self;
+    m_members = members;
+    assignHomes();
+}
+
+void TargetTable::assignHomes()
+{
+    for (auto &[id, state] : m_targets)
+        state.home = rendezvousOwner(id.text(), m_members);
+}
+
 void TargetTable::indexTargets()
 {
     m_byModel.clear();
@@ -147,6 +196,7 @@
     }
     state->report = report;
     state->reportMadeAt = now - report.age;
+    dropOldGrants(*state, now);
     subtractOwn(*state, report);
 }
 
@@ -172,6 +222,12 @@
             --requests;
         }
     }
+    for (const Grant &grant : state.grants) {
+        if (grant.grantedAt + GrantFlight <= madeAt) {
+            resident -= grant.promptTokens + generatedBy(grant, madeAt);
+            --requests;
+        }
+    }
     state.othersResidentTokens = std::max(resident, Tokens(0));
     state.othersRequests = std::max(requests, 0);
 }
@@ -187,26 +243,115 @@
     return found == m_byService.constEnd() ? none : *found;
 }
 
-Placement TargetTable::decide(const AttemptId &attempt, const PlacementRequest &request,
-                              const ServiceConfiguration &service, MonotonicTime now,
-                              quint64 random)
+PlacementRequest TargetTable::sized(const PlacementRequest &request) const
 {
-    const std::lock_guard lock(m_mutex);
     PlacementRequest sized = request;
     const LengthDistribution length = m_lengths.distribution(lengthKey(request), request.maxTokens);
     sized.growth = forecastRequest(length, request.promptTokens, Tokens(0));
     sized.expectedTokens = Tokens(qint64(remainingLength(length, Tokens(0)).mean));
-    const QList<TargetLoad> usableLoads = loads(candidates(request), request, now);
+    return sized;
+}
+
+Placement TargetTable::choose(const PlacementRequest &request, const ServiceConfiguration &service,
+                              MonotonicTime now, quint64 random)
+{
+    StateList own;
+    for (const TargetState *state : candidates(request)) {
+        if (!givenOutByHomes(service) || isOwn(*state, m_self))
+            own.push_back(state);
+    }
     const bool inTurn = service.policy == PolicyName::RoundRobin;
     const quint64 draw = inTurn ? m_turns[request.service]++ : random;
-    Placement placement = place(sized, service, usableLoads, draw);
-    if (placement.outcome == PlacementOutcome::Chosen) {
-        placement.expectedTokens = sized.expectedTokens;
+    Placement placement = place(request, service, loads(own, request, now), draw);
+    placement.expectedTokens = request.expectedTokens;
+    return placement;
+}
+
+Placement TargetTable::decide(const AttemptId &attempt, const PlacementRequest &request,
+                              const ServiceConfiguration &service, MonotonicTime now,
+                              quint64 random)
+{
+    const std::lock_guard lock(m_mutex);
+    Placement placement = choose(sized(request), service, now, random);
+    if (placement.outcome == PlacementOutcome::Chosen)
         recordSend(placement.target, attempt, request, now);
+    return placement;
+}
+
+Placement TargetTable::decideGrant(const PlacementRequest &request,
+                                   const ServiceConfiguration &service, MonotonicTime now,
+                                   quint64 random)
+{
+    const std::lock_guard lock(m_mutex);
+    const PlacementRequest sizedRequest = sized(request);
+    Placement placement = choose(sizedRequest, service, now, random);
+    if (placement.outcome == PlacementOutcome::Chosen) {
+        TargetState *state = find(placement.target);
+        state->grants.push_back({request.request, now, request.promptTokens,
+                                 m_lengths.distribution(lengthKey(request), request.maxTokens),
+                                 m_millisecondsPerToken.value(request.service)});
+        m_grants.insert(request.request, placement.target);
+        rememberPrefix(*state, request.prefixHash, now);
     }
     return placement;
 }
 
+void TargetTable::grantEnded(const RequestId &request, MonotonicTime now)
+{
+    const std::lock_guard lock(m_mutex);
+    TargetState *state = find(m_grants.take(request));
+    if (!state)
+        return;
+    const auto same = [&](const Grant &grant) { return grant.request == request; };
+    const auto found = std::find_if(state->grants.begin(), state->grants.end(), same);
+    if (found == state->grants.end())
+        return;
+    state->endedSends.push_back(
+        {found->grantedAt, now, found->promptTokens + generatedBy(*found, now)});
+    state->grants.erase(found);
+}
+
+// The message that ends a grant may be lost, and the one who asked may have died. The report
+// still shows a request that runs on, as another daemon's.
+void TargetTable::dropOldGrants(TargetState &state, MonotonicTime now)
+{
+    const auto old = [&](const Grant &grant) {
+        const bool gone =
+            survivalAt(grant.length, double(generatedBy(grant, now).value())) < LeastGrantSurvival
+            || now - grant.grantedAt > GrantLifetime;
+        if (gone)
+            m_grants.remove(grant.request);
+        return gone;
+    };
+    state.grants.erase(std::remove_if(state.grants.begin(), state.grants.end(), old),
+                       state.grants.end());
+}
+
+VmId TargetTable::suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
+                              const QList<VmId> &tried, MonotonicTime now, quint64 random) const
+{
+    const std::lock_guard lock(m_mutex);
+    const PlacementRequest sizedRequest = sized(request);
+    const ForecastSettings settings = forecastSettings(service);
+    const QList<TargetLoad> usable = loads(candidates(request), request, now);
+    const auto count = usable.size();
+    VmId best;
+    double bestScore = 0;
+    for (qsizetype i = 0; i < count; ++i) {
+        const TargetLoad &load = usable[(i + qsizetype(random % quint64(count))) % count];
+        const TargetState *state = find(load.target);
+        if (request.excluded.contains(load.target) || tried.contains(state->home))
+            continue;
+        const double bonus = isOwn(*state, m_self) ? OwnTargetBonus : 0;
+        const double score = placementScore(sizedRequest, settings, load) - bonus;
+        if (best.isEmpty() || score < bestScore) {
+            best = state->home;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
 void TargetTable::attemptSent(const TargetId &target, const AttemptId &attempt,
                               const PlacementRequest &request, MonotonicTime now)
 {
@@ -272,9 +417,10 @@
     state->ownForecast -= found->forecast;
     if (state->ownAttempts.isEmpty())
         state->ownForecast = {}; // drops what rounding left
-    if (end == AttemptEnd::Finished)
+    if (end == AttemptEnd::Finished) {
         m_lengths.finished(lengthKey(found->request), Tokens(found->generated));
-    else if (found->generated > 0)
+        learnPace(found->request.service, found->generated, now - found->sentAt);
+    } else if (found->generated > 0)
         m_lengths.cutOff(lengthKey(found->request), Tokens(found->generated));
     const TargetId target = found->target;
     m_attempts.erase(found);
@@ -282,6 +428,24 @@
         m_targets.erase(target);
 }
 
+void TargetTable::learnPace(const ServiceId &service, qint64 tokens, MonotonicTime::duration took)
+{
+    if (tokens <= 0)
+        return;
+    const std::chrono::duration<double, std::milli> milliseconds = took;
+    const double pace = milliseconds.count() / double(tokens);
+    double &mean = m_millisecondsPerToken[service];
+    mean = mean > 0 ? mean + (pace - mean) * PaceWeight : pace;
+}
+
+Milliseconds TargetTable::expectedAnswerTime(const PlacementRequest &request) const
+{
+    const std::lock_guard lock(m_mutex);
+    const double pace = m_millisecondsPerToken.value(request.service);
+    const double tokens = double(sized(request).expectedTokens.value());
+    return Milliseconds(qint64(pace * tokens));
+}
+
 bool TargetTable::markLeaving(const TargetId &target, Incarnation incarnation)
 {
     const std::lock_guard lock(m_mutex);
