--- a/apps/CranberryDaemon.cpp
+++ b/apps/CranberryDaemon.cpp
@@ -39,7 +39,8 @@
     QFile file(QString::fromStdString(FLAGS_settings));
     if (!file.open(QIODevice::ReadOnly)) {
         cranberry::Error error;
-        error.detail = QStringLiteral("--settings: cannot read \"%1\": %2").arg(file.fileName(), file.errorString());
+        error.detail = QStringLiteral("--settings: cannot read \"%1\": %2")
+                           .arg(file.fileName(), file.errorString());
         return error;
     }
     return cranberry::parseSettings(file.readAll());
@@ -56,10 +57,11 @@
 
 int main(int argc, char *argv[])
 {
-    gflags::SetUsageMessage("runs one entry VM of cranberryquay\n"
-                            "  cranberryd --settings FILE [--check]\n"
-                            "SIGTERM drains: every request is finished first. Exit codes: 0 ended as asked,\n"
-                            "2 bad flags or settings.");
+    gflags::SetUsageMessage(
+        "runs one entry VM of cranberryquay\n"
+        "  cranberryd --settings FILE [--check]\n"
+        "SIGTERM drains: every request is finished first. Exit codes: 0 ended as asked,\n"
+        "2 bad flags or settings.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_settings.empty())
         return complain(QStringLiteral("--settings FILE is required; see --help"));
--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -15,15 +15,18 @@
 namespace {
 
 /// How often a draining daemon looks whether all is finished.
-constexpr Milliseconds DrainCheck { 20 };
+constexpr Milliseconds DrainCheck{20};
 constexpr qsizetype LeastSecretBytes = 16;
 
 Result<QByteArray> readSecret(const QString &path, const QString &setting)
 {
     QFile file(path);
     const auto fault = [&](const QString &what) {
-        return Error { ErrorKind::BadRequest, Ran::No,
-                       QStringLiteral("%1: cannot use \"%2\": %3").arg(setting, path, what), setting, {} };
+        return Error{ErrorKind::BadRequest,
+                     Ran::No,
+                     QStringLiteral("%1: cannot use \"%2\": %3").arg(setting, path, what),
+                     setting,
+                     {}};
     };
     if (!file.open(QIODevice::ReadOnly))
         return fault(file.errorString());
@@ -58,7 +61,7 @@
     , dispatcher(timers, targets, admission, settings.dataCentre)
     , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
     , cancels(client)
-    , delivery { client, timers, dispatcher, cancels, claims, settings.stall, {}, {} }
+    , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
     , gateway(delivery, runs, workers, settings.vm)
     , server(timers, settings.http,
@@ -68,23 +71,29 @@
 {
 }
 
-Daemon::Daemon(DaemonSettings settings) : m_settings(std::move(settings)) { }
+Daemon::Daemon(DaemonSettings settings)
+    : m_settings(std::move(settings))
+{
+}
 
 Daemon::~Daemon() = default;
 
 Result<void> Daemon::readSecrets()
 {
-    BOOST_OUTCOME_TRY(token, readSecret(m_settings.operatorTokenFile, QStringLiteral("operator_token_file")));
+    BOOST_OUTCOME_TRY(
+        token, readSecret(m_settings.operatorTokenFile, QStringLiteral("operator_token_file")));
     m_operatorToken = token;
-    BOOST_OUTCOME_TRY(secret, readSecret(m_settings.peerSecretFile, QStringLiteral("peer.secret_file")));
+    BOOST_OUTCOME_TRY(secret,
+                      readSecret(m_settings.peerSecretFile, QStringLiteral("peer.secret_file")));
     m_peerSecret = secret;
     return outcome::success();
 }
 
 Result<void> Daemon::listen()
 {
-    BOOST_OUTCOME_TRY(gatewayPort, m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
-                                                            m_settings.gateway.port));
+    BOOST_OUTCOME_TRY(gatewayPort,
+                      m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
+                                               m_settings.gateway.port));
     m_gatewayPort = gatewayPort;
     BOOST_OUTCOME_TRY(peerPort, m_parts->peerPort);
     m_peerPort = peerPort;
@@ -100,28 +109,29 @@
     m_parts->members.start();
     m_parts->spread.start();
     logEvent(LogLevel::Info, EventId::DaemonStarted,
-             { { "vm", m_settings.vm.text() },
-               { "data_centre", m_settings.dataCentre.text() },
-               { "gateway_port", QString::number(m_gatewayPort) },
-               { "peer_port", QString::number(m_peerPort) } });
+             {{"vm", m_settings.vm.text()},
+              {"data_centre", m_settings.dataCentre.text()},
+              {"gateway_port", QString::number(m_gatewayPort)},
+              {"peer_port", QString::number(m_peerPort)}});
     return outcome::success();
 }
 
 void Daemon::wire()
 {
     m_parts->configuration.onInForce(
-            [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
+        [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
     m_parts->members.onVersionHeard([this](const VmId &from, ConfigurationVersion version) {
         m_parts->spread.versionHeard(from, version);
     });
     m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
         m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
-                                  toCbor(TargetLeavingNews { target, incarnation }));
-    });
-    m_parts->members.onDelta(PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
-        if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
-            m_parts->targets.markLeaving(news->target, news->incarnation);
+                                  toCbor(TargetLeavingNews{target, incarnation}));
     });
+    m_parts->members.onDelta(
+        PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
+            if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
+                m_parts->targets.markLeaving(news->target, news->incarnation);
+        });
 }
 
 void Daemon::configurationInForce()
@@ -133,7 +143,7 @@
     m_parts->gateway.setConfiguration(configuration);
     m_parts->members.setConfigurationVersion(configuration->version);
     if (!wasReady && m_parts->gateway.isReady())
-        logEvent(LogLevel::Info, EventId::DaemonReady, { { "vm", m_settings.vm.text() } });
+        logEvent(LogLevel::Info, EventId::DaemonReady, {{"vm", m_settings.vm.text()}});
 }
 
 void Daemon::drain(std::function<void()> done)
@@ -141,7 +151,7 @@
     if (m_drained)
         return;
     m_drained = std::move(done);
-    logEvent(LogLevel::Info, EventId::DaemonDraining, { { "vm", m_settings.vm.text() } });
+    logEvent(LogLevel::Info, EventId::DaemonDraining, {{"vm", m_settings.vm.text()}});
     m_parts->gateway.announceDrain();
     m_parts->members.setLeaving();
     m_parts->drainTimer = m_parts->timers.after(m_settings.drainListen, [this] {
@@ -156,7 +166,7 @@
     if (m_parts->gateway.pending() > 0 || m_parts->server.unsentBytes() > 0)
         return;
     m_parts->drainTimer.reset();
-    logEvent(LogLevel::Info, EventId::DaemonStopped, { { "vm", m_settings.vm.text() } });
+    logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_settings.vm.text()}});
     m_drained();
 }
 
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -25,8 +25,7 @@
 namespace cranberry {
 
 /// Members are destroyed in reverse, so that each outlives what refers to it.
-struct DaemonParts
-{
+struct DaemonParts {
     DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret);
 
     QtTimerService timers;
--- a/src/daemon/NoClaims.h
+++ b/src/daemon/NoClaims.h
@@ -9,10 +9,14 @@
 class NoClaims final : public ClaimGate
 {
 public:
-    void claim(const QByteArray &, const QByteArray &, const AttemptId &, Callback callback) override
+    void claim(const QByteArray &, const QByteArray &, const AttemptId &,
+               Callback callback) override
     {
-        callback(Error { ErrorKind::PlatformUnavailable, Ran::No,
-                         QStringLiteral("claims are not available"), {}, {} });
+        callback(Error{ErrorKind::PlatformUnavailable,
+                       Ran::No,
+                       QStringLiteral("claims are not available"),
+                       {},
+                       {}});
     }
     void release(const QByteArray &, const AttemptId &) override { }
 };
--- a/src/placement/TargetLeavingNews.cpp
+++ b/src/placement/TargetLeavingNews.cpp
@@ -11,7 +11,7 @@
 
 QCborMap toCbor(const TargetLeavingNews &news)
 {
-    return { { TargetKey, news.target.text() }, { IncarnationKey, news.incarnation.value() } };
+    return {{TargetKey, news.target.text()}, {IncarnationKey, news.incarnation.value()}};
 }
 
 std::optional<TargetLeavingNews> targetLeavingNewsFrom(const QCborMap &body)
@@ -20,7 +20,7 @@
     const QCborValue incarnation = body.value(IncarnationKey);
     if (!target.isString() || target.toString().isEmpty() || !incarnation.isInteger())
         return std::nullopt;
-    return TargetLeavingNews { TargetId(target.toString()), Incarnation(incarnation.toInteger()) };
+    return TargetLeavingNews{TargetId(target.toString()), Incarnation(incarnation.toInteger())};
 }
 
 } // namespace cranberry
--- a/src/placement/TargetLeavingNews.h
+++ b/src/placement/TargetLeavingNews.h
@@ -10,8 +10,7 @@
 
 namespace cranberry {
 
-struct TargetLeavingNews
-{
+struct TargetLeavingNews {
     TargetId target;
     /// The start of the target that leaves; a later start of it is not meant.
     Incarnation incarnation;
--- a/src/placement/TargetPoller.cpp
+++ b/src/placement/TargetPoller.cpp
@@ -113,7 +113,7 @@
 
 void TargetPoller::targetLeaves(const TargetId &target, Incarnation incarnation)
 {
-    logEvent(LogLevel::Info, EventId::TargetLeaving, { { "target", target.text() } });
+    logEvent(LogLevel::Info, EventId::TargetLeaving, {{"target", target.text()}});
     if (m_leaving)
         m_leaving(target, incarnation);
 }
--- a/test/standins/platform/main.cpp
+++ b/test/standins/platform/main.cpp
@@ -22,8 +22,8 @@
     standin::PlatformService service(timers);
     HttpServer server(
         timers, HttpServerLimits(),
-        [&service](const HttpRequest &request, std::shared_ptr<HttpResponder> responder) {
-            service.handle(request, std::move(responder));
+        [&service](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            service.handle(request, responder);
         });
     const auto port = server.listenOn(QHostAddress::LocalHost, static_cast<quint16>(FLAGS_port));
     if (!port) {
