Daemon: the whole path through real processes; quarantine, homes, operators wired

Cause: parts stood side by side. Dispatcher joins quarantine, homes and admission for delivery; suspects run on probation and nobody joins them. Not proved yet: failures.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/EventLog.h"
 #include "daemon/DaemonParts.h"
+#include "daemon/StatusParts.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponder.h"
 #include "placement/TargetLeavingNews.h"
@@ -36,6 +37,11 @@
     return secret;
 }
 
+quint64 freshRandom()
+{
+    return QRandomGenerator::global()->generate64();
+}
+
 Member ownMember(const DaemonSettings &settings, const Result<quint16> &peerPort)
 {
     Member member;
@@ -48,7 +54,8 @@
 
 } // namespace
 
-DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret)
+DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret,
+                         const QByteArray &operatorToken)
     : workers(settings.workers)
     , client(timers)
     , platform(timers, settings.platform)
@@ -57,13 +64,16 @@
     , members(timers, peers, platform, ownMember(settings, peerPort))
     , configuration(platform, workers, timers)
     , spread(configuration, platform, peers, members, timers)
-    , admission(timers, targets, [] { return QRandomGenerator::global()->generate64(); })
-    , dispatcher(timers, targets, admission, settings.dataCentre)
+    , admission(timers, targets, freshRandom)
+    , credits(timers, peers, admission)
+    , router(timers, targets, admission, credits, members, freshRandom)
+    , dispatcher({timers, targets, admission, router, quarantine}, settings.dataCentre)
     , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
     , cancels(client)
     , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
     , gateway(delivery, runs, workers, settings.vm)
+    , operators(settings.vm, operatorToken, configuration, workers, operatorStatus())
     , server(timers, settings.http,
              [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                  gateway.handle(request, responder);
@@ -71,6 +81,20 @@
 {
 }
 
+OperatorStatus DaemonParts::operatorStatus()
+{
+    OperatorStatus status;
+    status.ready = [this] { return gateway.isReady(); };
+    status.members = [this] { return memberStatus(members); };
+    status.targets = [this] {
+        const auto current = configuration.current();
+        return current ? targetStatus(targets, *current, timers.now()) : QJsonArray();
+    };
+    status.quarantine = [this] { return quarantineStatus(quarantine, timers.now()); };
+    status.platformReachable = [this] { return spread.isPlatformReachable(); };
+    return status;
+}
+
 Daemon::Daemon(DaemonSettings settings)
     : m_settings(std::move(settings))
 {
@@ -103,7 +127,7 @@
 Result<void> Daemon::start()
 {
     BOOST_OUTCOME_TRY(readSecrets());
-    m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret);
+    m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret, m_operatorToken);
     BOOST_OUTCOME_TRY(listen());
     wire();
     m_parts->members.start();
@@ -123,6 +147,17 @@
     m_parts->members.onVersionHeard([this](const VmId &from, ConfigurationVersion version) {
         m_parts->spread.versionHeard(from, version);
     });
+    m_parts->gateway.setOperatorHandler(
+        [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            return m_parts->operators.handle(request, responder);
+        });
+    m_parts->quarantine.onNews([this](const QCborMap &news) {
+        m_parts->members.addDelta(PeerMessageKind::Quarantine, news);
+    });
+    m_parts->members.onDelta(PeerMessageKind::Quarantine,
+                             [this](const VmId &, const QCborMap &news) {
+                                 m_parts->quarantine.takeNews(news, m_parts->timers.now());
+                             });
     m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
         m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
                                   toCbor(TargetLeavingNews{target, incarnation}));
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "admission/AdmissionQueue.h"
+#include "admission/CreditExchange.h"
+#include "admission/PlacementRouter.h"
 #include "base/QtTimerService.h"
 #include "base/TimerSubscription.h"
 #include "base/WorkerPool.h"
@@ -14,6 +16,7 @@
 #include "delivery/RunRegistry.h"
 #include "delivery/TargetCancels.h"
 #include "gateway/Gateway.h"
+#include "gateway/OperatorApi.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
 #include "membership/Membership.h"
@@ -21,12 +24,14 @@
 #include "placement/TargetPoller.h"
 #include "placement/TargetTable.h"
 #include "platform/HttpKeyValueStore.h"
+#include "quarantine/Quarantine.h"
 
 namespace cranberry {
 
 /// Members are destroyed in reverse, so that each outlives what refers to it.
 struct DaemonParts {
-    DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret);
+    DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret,
+                const QByteArray &operatorToken);
 
     QtTimerService timers;
     WorkerPool workers;
@@ -40,6 +45,9 @@
     ConfigurationSpread spread;
     TargetTable targets;
     AdmissionQueue admission;
+    CreditExchange credits;
+    PlacementRouter router;
+    Quarantine quarantine;
     Dispatcher dispatcher;
     TargetPoller poller;
     TargetCancels cancels;
@@ -47,8 +55,12 @@
     DeliveryContext delivery;
     RunRegistry runs;
     Gateway gateway;
+    OperatorApi operators;
     HttpServer server;
     std::unique_ptr<TimerSubscription> drainTimer;
+
+private:
+    OperatorStatus operatorStatus();
 };
 
 } // namespace cranberry
--- a/src/daemon/Dispatcher.cpp
+++ b/src/daemon/Dispatcher.cpp
@@ -1,10 +1,14 @@
 #include "daemon/Dispatcher.h"
 
 #include "admission/AdmissionQueue.h"
+#include "admission/PlacementRouter.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "delivery/TargetDemand.h"
 #include "placement/TargetTable.h"
+#include "quarantine/ProbationCandidate.h"
+#include "quarantine/Quarantine.h"
 
 namespace cranberry {
 
@@ -12,14 +16,26 @@
 
 /// How long a plain service's target that could not be reached is left alone.
 constexpr Milliseconds PlainTargetPause{1000};
+/// How soon a request is looked at again that has to keep away from suspects, or is one.
+constexpr Milliseconds ProbationPause{100};
+
+bool isAllowed(const TargetLoad &load, const QSet<TargetId> &excluded)
+{
+    return !excluded.contains(load.target);
+}
 
 } // namespace
 
-Dispatcher::Dispatcher(TimerService &timers, TargetTable &targets, AdmissionQueue &admission,
-                       DataCentreId dataCentre)
-    : m_timers(timers)
-    , m_targets(targets)
-    , m_admission(admission)
+/// One attempt that has no target yet.
+struct Dispatcher::Waiting {
+    AdmissionRequest admission;
+    RequestFingerprint fingerprint;
+    Callback callback;
+    std::unique_ptr<TimerSubscription> timer;
+};
+
+Dispatcher::Dispatcher(const Surroundings &surroundings, DataCentreId dataCentre)
+    : m_surroundings(surroundings)
     , m_dataCentre(std::move(dataCentre))
 {
 }
@@ -29,72 +45,183 @@
 void Dispatcher::setConfiguration(const std::shared_ptr<const Configuration> &configuration)
 {
     m_configuration = configuration;
-    m_targets.setConfiguration(*configuration);
-    m_admission.setConfiguration(configuration);
-    m_admission.capacityChanged();
-}
-
-void Dispatcher::acquire(const AdmissionRequest &request, Callback callback)
-{
-    AdmissionRequest located = request;
-    located.placement.dataCentre = m_dataCentre;
-    m_admission.enqueue(
-        located, [this, callback = std::move(callback)](const Result<TargetId> &target) {
-            if (!target) {
-                callback(target.error());
-                return;
-            }
-            // Admission decides under the newest configuration, so the target is in it.
-            const auto found = m_configuration->targets.constFind(target.value());
-            const HttpEndpoint endpoint =
-                found == m_configuration->targets.constEnd() ? HttpEndpoint() : found->endpoint;
-            callback(TargetPlace{target.value(), endpoint});
+    m_surroundings.targets.setConfiguration(*configuration);
+    m_surroundings.router.setConfiguration(configuration);
+    m_surroundings.admission.capacityChanged();
+}
+
+void Dispatcher::acquire(const TargetDemand &demand, Callback callback)
+{
+    const auto wait = std::make_shared<Waiting>();
+    wait->admission = demand.admission;
+    wait->admission.placement.dataCentre = m_dataCentre;
+    wait->fingerprint = demand.fingerprint;
+    wait->callback = std::move(callback);
+    m_waiting.insert(demand.admission.placement.request, wait);
+    advance(wait);
+}
+
+void Dispatcher::advance(const Wait &wait)
+{
+    wait->timer.reset();
+    const MonotonicTime now = m_surroundings.timers.now();
+    switch (m_surroundings.quarantine.mayRun(wait->fingerprint, now)) {
+    case QuarantineVerdict::Quarantined:
+        refuse(wait,
+               {ErrorKind::Quarantined,
+                Ran::No,
+                QStringLiteral("this request crashed two targets and is held back"),
+                {},
+                {}});
+        return;
+    case QuarantineVerdict::Suspect:
+        placeOnProbation(wait);
+        return;
+    case QuarantineVerdict::Free:
+        break;
+    }
+    m_surroundings.router.enqueue(
+        wait->admission,
+        [this, weak = std::weak_ptr<Waiting>(wait)](const Result<TargetId> &target) {
+            if (const Wait waiting = weak.lock())
+                placed(waiting, target);
         });
 }
 
+void Dispatcher::placeOnProbation(const Wait &wait)
+{
+    const PlacementRequest &placement = wait->admission.placement;
+    const MonotonicTime now = m_surroundings.timers.now();
+    const QList<TargetLoad> loads = placement.model.isEmpty()
+        ? m_surroundings.targets.loadsFor(placement.service, now)
+        : m_surroundings.targets.loadsFor(placement.model, now);
+    QList<ProbationCandidate> candidates;
+    for (const TargetLoad &load : loads) {
+        if (isAllowed(load, placement.excluded))
+            candidates.append({load.target, load.ownRequests + load.othersRequests});
+    }
+    const std::optional<TargetId> target =
+        m_surroundings.quarantine.probationTarget(wait->fingerprint, candidates);
+    if (!target) {
+        tryLater(wait);
+        return;
+    }
+    logEvent(LogLevel::Info, EventId::QuarantineSuspect,
+             {{"request", placement.request.text()}, {"target", target->text()}});
+    m_surroundings.targets.attemptSent(*target, wait->admission.attempt, placement, now);
+    give(wait, *target);
+}
+
+void Dispatcher::placed(const Wait &wait, const Result<TargetId> &target)
+{
+    if (!target) {
+        refuse(wait, target.error());
+        return;
+    }
+    if (m_surroundings.quarantine.isOnProbation(target.value())) {
+        // A suspect went there while this one waited. It would become a suspect itself if that
+        // target died, so it goes on waiting, elsewhere.
+        m_surroundings.admission.attemptEnded(wait->admission.attempt, AttemptEnd::CutOff);
+        tryLater(wait);
+        return;
+    }
+    give(wait, target.value());
+}
+
+void Dispatcher::tryLater(const Wait &wait)
+{
+    const MonotonicTime now = m_surroundings.timers.now();
+    if (now + ProbationPause >= wait->admission.deadline) {
+        refuse(wait,
+               {ErrorKind::DeadlineTooShort,
+                Ran::No,
+                QStringLiteral("no target is free of suspect requests in time"),
+                {},
+                {}});
+        return;
+    }
+    wait->admission.retry = true;
+    wait->timer =
+        m_surroundings.timers.after(ProbationPause, [this, weak = std::weak_ptr<Waiting>(wait)] {
+            if (const Wait waiting = weak.lock())
+                advance(waiting);
+        });
+}
+
+void Dispatcher::give(const Wait &wait, const TargetId &target)
+{
+    const AdmissionRequest &admission = wait->admission;
+    m_waiting.remove(admission.placement.request);
+    m_running.insert(admission.attempt, wait->fingerprint);
+    m_surroundings.quarantine.attemptStarted(wait->fingerprint, admission.placement.workspace,
+                                             target, m_surroundings.timers.now());
+    // Decisions are made under the newest configuration, so the target is in it.
+    const auto found = m_configuration->targets.constFind(target);
+    const HttpEndpoint endpoint =
+        found == m_configuration->targets.constEnd() ? HttpEndpoint() : found->endpoint;
+    wait->callback(TargetPlace{target, endpoint});
+}
+
+void Dispatcher::refuse(const Wait &wait, const Error &error)
+{
+    m_waiting.remove(wait->admission.placement.request);
+    wait->callback(error);
+}
+
 void Dispatcher::withdraw(const RequestId &request)
 {
-    m_admission.cancel(request);
+    m_waiting.remove(request);
+    m_surroundings.router.cancel(request);
 }
 
 void Dispatcher::tokenReceived(const AttemptId &attempt)
 {
-    m_admission.tokenReceived(attempt);
+    m_surroundings.admission.tokenReceived(attempt);
 }
 
 void Dispatcher::attemptEnded(const AttemptId &attempt, const TargetId &target,
                               AttemptOutcome outcome)
 {
+    const RequestFingerprint fingerprint = m_running.take(attempt);
     if (outcome == AttemptOutcome::TargetLost)
         targetLost(target);
     const bool finished = outcome == AttemptOutcome::Finished;
-    m_admission.attemptEnded(attempt, finished ? AttemptEnd::Finished : AttemptEnd::CutOff);
+    m_surroundings.quarantine.attemptFinished(fingerprint, target, finished);
+    m_surroundings.admission.attemptEnded(attempt,
+                                          finished ? AttemptEnd::Finished : AttemptEnd::CutOff);
 }
 
 void Dispatcher::targetLost(const TargetId &target)
 {
-    if (!m_targets.markDead(target))
+    if (!m_surroundings.targets.markDead(target))
         return;
     logEvent(LogLevel::Warning, EventId::TargetDead, {{"target", target.text()}});
+    const MonotonicTime now = m_surroundings.timers.now();
+    for (const QuarantineOutcome &outcome :
+         m_surroundings.quarantine.targetDied(target, TargetDeathCause::Crash, now)) {
+        const bool held = outcome.verdict == QuarantineVerdict::Quarantined;
+        logEvent(LogLevel::Warning, held ? EventId::QuarantineAdded : EventId::QuarantineSuspect,
+                 {{"fingerprint", outcome.fingerprint.text()}, {"target", target.text()}});
+    }
     const auto found = m_configuration->targets.constFind(target);
     const bool plain = found != m_configuration->targets.constEnd() && found->models.isEmpty();
     if (!plain)
         return;
-    m_backAgain[target] = m_timers.after(PlainTargetPause, [this, target] {
-        m_targets.markBack(target);
-        m_admission.capacityChanged();
+    m_backAgain[target] = m_surroundings.timers.after(PlainTargetPause, [this, target] {
+        m_surroundings.targets.markBack(target);
+        m_surroundings.admission.capacityChanged();
         m_backAgain.remove(target);
     });
 }
 
 void Dispatcher::requestEnded(const RequestId &request)
 {
-    m_admission.requestEnded(request);
+    m_surroundings.admission.requestEnded(request);
 }
 
 bool Dispatcher::takeRetry(const WorkspaceId &workspace, const TargetId &target)
 {
-    return m_admission.takeRetry(workspace, target);
+    return m_surroundings.admission.takeRetry(workspace, target);
 }
 
 } // namespace cranberry
--- a/src/delivery/GenerationRequest.h
+++ b/src/delivery/GenerationRequest.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "quarantine/RequestFingerprint.h"
 
 #include <QByteArray>
 
@@ -35,6 +36,8 @@
     QByteArray claimKey;
     /// SHA-256 of the parts of the request that make it the same request.
     QByteArray fingerprint;
+    /// By which a request that crashes targets is known again.
+    RequestFingerprint crashFingerprint;
 };
 
 } // namespace cranberry
--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -1,6 +1,5 @@
 #include "delivery/GenerationRun.h"
 
-#include "admission/AdmissionRequest.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
@@ -8,6 +7,7 @@
 #include "delivery/ClaimGate.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/TargetCancels.h"
+#include "delivery/TargetDemand.h"
 #include "delivery/TargetStream.h"
 #include "http/HttpRequest.h"
 
@@ -113,7 +113,9 @@
     m_began = false;
     m_resumeTries = 0;
     m_acquiring = true;
-    AdmissionRequest admission;
+    TargetDemand demand;
+    demand.fingerprint = m_request.crashFingerprint;
+    AdmissionRequest &admission = demand.admission;
     admission.placement.request = m_request.id;
     admission.placement.service = m_request.service;
     admission.placement.model = m_request.model;
@@ -126,11 +128,10 @@
     admission.deadline = m_request.deadline;
     admission.priority = m_request.priority;
     admission.retry = m_isRetry;
-    m_context.targets.acquire(admission,
-                              [weak = weak_from_this()](const Result<TargetPlace> &place) {
-                                  if (const auto self = weak.lock())
-                                      self->targetAcquired(place);
-                              });
+    m_context.targets.acquire(demand, [weak = weak_from_this()](const Result<TargetPlace> &place) {
+        if (const auto self = weak.lock())
+            self->targetAcquired(place);
+    });
 }
 
 void GenerationRun::targetAcquired(const Result<TargetPlace> &place)
--- a/src/delivery/PlainRequest.h
+++ b/src/delivery/PlainRequest.h
@@ -4,6 +4,7 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "http/HttpRequest.h"
+#include "quarantine/RequestFingerprint.h"
 
 #include <memory>
 
@@ -22,6 +23,8 @@
     bool atMostOnce = false;
     QByteArray claimKey;
     QByteArray fingerprint;
+    /// By which a request that crashes targets is known again.
+    RequestFingerprint crashFingerprint;
 };
 
 } // namespace cranberry
--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -1,11 +1,11 @@
 #include "delivery/PlainRun.h"
 
-#include "admission/AdmissionRequest.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "delivery/ClaimGate.h"
 #include "delivery/DeliveryContext.h"
+#include "delivery/TargetDemand.h"
 #include "http/HttpClient.h"
 
 #include <QUuid>
@@ -51,7 +51,9 @@
 {
     m_attempt = AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
     m_sent = false;
-    AdmissionRequest admission;
+    TargetDemand demand;
+    demand.fingerprint = m_request.crashFingerprint;
+    AdmissionRequest &admission = demand.admission;
     admission.placement.request = m_request.id;
     admission.placement.service = m_request.service;
     admission.placement.workspace = m_request.workspace;
@@ -59,11 +61,10 @@
     admission.attempt = m_attempt;
     admission.deadline = m_request.deadline;
     admission.retry = m_isRetry;
-    m_context.targets.acquire(admission,
-                              [weak = weak_from_this()](const Result<TargetPlace> &place) {
-                                  if (const auto self = weak.lock())
-                                      self->targetAcquired(place);
-                              });
+    m_context.targets.acquire(demand, [weak = weak_from_this()](const Result<TargetPlace> &place) {
+        if (const auto self = weak.lock())
+            self->targetAcquired(place);
+    });
 }
 
 void PlainRun::targetAcquired(const Result<TargetPlace> &place)
--- a/src/delivery/TargetSource.h
+++ b/src/delivery/TargetSource.h
@@ -9,7 +9,7 @@
 
 namespace cranberry {
 
-struct AdmissionRequest;
+struct TargetDemand;
 
 /// A target that an attempt may be sent to.
 struct TargetPlace {
@@ -41,7 +41,7 @@
 
     /// Asks for a target. Calls back once, possibly before it returns, with a place on which
     /// the attempt then counts, or with the refusal, at once when it is known.
-    virtual void acquire(const AdmissionRequest &request, Callback callback) = 0;
+    virtual void acquire(const TargetDemand &demand, Callback callback) = 0;
 
     /// Withdraws the acquire of @p request if it has not called back.
     virtual void withdraw(const RequestId &request) = 0;
--- a/src/gateway/CompletionRequest.cpp
+++ b/src/gateway/CompletionRequest.cpp
@@ -203,6 +203,7 @@
     generation.fingerprint =
         sha256({request.path, QJsonDocument(body).toJson(QJsonDocument::Compact)});
     generation.body = targetBody(body, bound);
+    generation.crashFingerprint = requestFingerprint(workspace, request.path, generation.body);
     return result;
 }
 
--- a/src/gateway/PlainCall.cpp
+++ b/src/gateway/PlainCall.cpp
@@ -97,6 +97,8 @@
             {}};
     result.claimKey = claimKeyOf(workspace, headers.idempotencyKey);
     result.fingerprint = fingerprintOf(result.upstream);
+    result.crashFingerprint =
+        requestFingerprint(workspace, result.upstream.path, result.upstream.body);
     return result;
 }
 
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -486,6 +486,20 @@
     return state && isUsable(*state);
 }
 
+bool TargetTable::isLeaving(const TargetId &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TargetState *state = find(target);
+    return state && state->leaving;
+}
+
+bool TargetTable::isDead(const TargetId &target) const
+{
+    const std::lock_guard lock(m_mutex);
+    const TargetState *state = find(target);
+    return state && state->dead;
+}
+
 Incarnation TargetTable::incarnation(const TargetId &target) const
 {
     const std::lock_guard lock(m_mutex);
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -84,6 +84,10 @@
 
     /// True if new work may go to @p target.
     bool usable(const TargetId &target) const;
+    /// True if @p target was seen leaving and not started anew since; for the status page.
+    bool isLeaving(const TargetId &target) const;
+    /// True between markDead() and markBack(); for the status page.
+    bool isDead(const TargetId &target) const;
     /// The incarnation of @p target as last reported; 0 if unknown.
     Incarnation incarnation(const TargetId &target) const;
 
