--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -217,9 +217,9 @@
 }
 
 void AdmissionQueue::recordGranted(const AdmissionRequest &request, const TargetId &target,
-                                   std::function<void()> ended)
+                                   const std::function<void()> &ended)
 {
-    m_granted.insert(request.attempt, std::move(ended));
+    m_granted.insert(request.attempt, ended);
     m_targets.attemptSent(target, request.attempt, request.placement, m_timers.now());
     if (!request.retry)
         addFirstAttempt(m_retries, request.placement.workspace, target);
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -71,7 +71,7 @@
     /// Records the send of @p request to @p target, which another daemon granted; @p ended is
     /// called when the attempt ends.
     void recordGranted(const AdmissionRequest &request, const TargetId &target,
-                       std::function<void()> ended);
+                       const std::function<void()> &ended);
 
     /// Ends what was granted to another daemon for @p request; ignored if unknown.
     void grantEnded(const RequestId &request);
--- a/src/daemon/SettingsReader.cpp
+++ b/src/daemon/SettingsReader.cpp
@@ -62,7 +62,7 @@
 QString SettingsReader::requiredString(const QString &name)
 {
     m_faults.noteRead(pathOf(name));
-    const QString value = m_object.value(name).toString();
+    QString value = m_object.value(name).toString();
     if (value.isEmpty())
         fault(name, QStringLiteral("a non-empty string"));
     return value;
--- a/src/gateway/CallerHeaders.cpp
+++ b/src/gateway/CallerHeaders.cpp
@@ -61,4 +61,14 @@
     return headers;
 }
 
+Error keyRequired()
+{
+    return {ErrorKind::IdempotencyKeyRequired,
+            Ran::No,
+            QStringLiteral("send an Idempotency-Key, or Cranberry-Idempotent: yes if the request "
+                           "may run twice"),
+            QStringLiteral("Idempotency-Key"),
+            {}};
+}
+
 } // namespace cranberry
--- a/src/gateway/CallerHeaders.h
+++ b/src/gateway/CallerHeaders.h
@@ -25,4 +25,7 @@
 /// Error BadHeader names the header, what it holds and what is allowed. Thread-safe.
 Result<CallerHeaders> parseCallerHeaders(const HttpRequest &request);
 
+/// The refusal of a request that must run at most once and has no key. Thread-safe.
+Error keyRequired();
+
 } // namespace cranberry
--- a/src/gateway/CompletionRequest.cpp
+++ b/src/gateway/CompletionRequest.cpp
@@ -149,6 +149,21 @@
     return QJsonDocument(body).toJson(QJsonDocument::Compact);
 }
 
+/// What the caller's headers, or else the service's defaults, say of how it is run.
+Result<void> applyHeaders(GenerationRequest &generation, const CallerHeaders &headers,
+                          const ServiceConfiguration &service, MonotonicTime now)
+{
+    generation.priority = headers.priority;
+    generation.deadline = now + headers.deadline.value_or(service.defaultDeadline);
+    generation.atMostOnce = headers.atMostOnce.value_or(service.atMostOnce);
+    const bool hasKey = !headers.idempotencyKey.isEmpty();
+    if (generation.atMostOnce && !hasKey)
+        return keyRequired();
+    if (hasKey)
+        generation.claimKey = claimKeyOf(generation.workspace, headers.idempotencyKey);
+    return outcome::success();
+}
+
 } // namespace
 
 QByteArray claimKeyOf(const WorkspaceId &workspace, const QByteArray &idempotencyKey)
@@ -169,7 +184,6 @@
     const QJsonValue stream = body.value(StreamMember);
     if (!stream.isUndefined() && !stream.isBool())
         return badMember(StreamMember, QStringLiteral("true or false"), stream);
-    const ServiceConfiguration service = configuration->services.value(model.service);
 
     CompletionRequest result;
     result.shape = shape;
@@ -183,21 +197,11 @@
     generation.path = request.path;
     generation.promptTokens = Tokens(text.toUtf8().size() / BytesPerToken + 1);
     generation.maxTokens = bound;
-    generation.priority = headers.priority;
-    generation.deadline = now + headers.deadline.value_or(service.defaultDeadline);
-    generation.atMostOnce = headers.atMostOnce.value_or(service.atMostOnce);
     generation.cacheSalt =
         sha256({workspace.text().toUtf8(), model.service.text().toUtf8()}).toHex().left(32);
     generation.prefixHash = prefixHashOf(generation.cacheSalt, text);
-    if (generation.atMostOnce && headers.idempotencyKey.isEmpty())
-        return Error{ErrorKind::IdempotencyKeyRequired,
-                     Ran::No,
-                     QStringLiteral("send an Idempotency-Key, or Cranberry-Idempotent: yes if the "
-                                    "request may run twice"),
-                     QStringLiteral("Idempotency-Key"),
-                     {}};
-    if (!headers.idempotencyKey.isEmpty())
-        generation.claimKey = claimKeyOf(workspace, headers.idempotencyKey);
+    BOOST_OUTCOME_TRY(
+        applyHeaders(generation, headers, configuration->services.value(model.service), now));
     // Streaming or not, it is the same request.
     body.remove(StreamMember);
     generation.fingerprint =
--- a/test/support/MemoryPeerNetwork.cpp
+++ b/test/support/MemoryPeerNetwork.cpp
@@ -35,9 +35,11 @@
     QMetaObject::invokeMethod(&m_context, deliver, Qt::QueuedConnection);
 }
 
+// The signature is the interface's; the hash copies.
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
 void MemoryPeerNetwork::subscribe(PeerMessageKind kind, Handler handler)
 {
-    m_handlers.insert(kind, std::move(handler));
+    m_handlers.insert(kind, handler);
 }
 
 } // namespace cranberry::test
