--- /dev/null
+++ b/src/claims/ClaimMessages.cpp
@@ -0,0 +1,88 @@
+#include "claims/ClaimMessages.h"
+
+#include "claims/ClaimCodec.h"
+
+namespace cranberry {
+
+namespace {
+
+enum MessageKey {
+    ClaimMember = 1,
+    AttemptMember = 2,
+    KindMember = 3,
+    HolderMember = 4,
+};
+
+enum WireKind {
+    DoneKind = 1,
+    HeldKind = 2,
+    UnavailableKind = 3,
+};
+
+int wireKind(ClaimOutcome::Kind kind)
+{
+    switch (kind) {
+    case ClaimOutcome::Kind::Done:
+        return DoneKind;
+    case ClaimOutcome::Kind::Held:
+        return HeldKind;
+    case ClaimOutcome::Kind::Unavailable:
+        return UnavailableKind;
+    }
+    return UnavailableKind;
+}
+
+std::optional<ClaimOutcome::Kind> kindOnWire(qint64 kind)
+{
+    switch (kind) {
+    case DoneKind:
+        return ClaimOutcome::Kind::Done;
+    case HeldKind:
+        return ClaimOutcome::Kind::Held;
+    case UnavailableKind:
+        return ClaimOutcome::Kind::Unavailable;
+    default:
+        return std::nullopt;
+    }
+}
+
+} // namespace
+
+QCborMap claimRequestToCbor(const ClaimRequestMessage &message)
+{
+    return {{int(ClaimMember), claimToCbor(message.claim)}};
+}
+
+std::optional<ClaimRequestMessage> claimRequestFromCbor(const QCborMap &body)
+{
+    const std::optional<Claim> claim = claimFromCbor(body.value(ClaimMember));
+    if (!claim)
+        return std::nullopt;
+    return ClaimRequestMessage{*claim};
+}
+
+QCborMap claimAnswerToCbor(const ClaimAnswerMessage &message)
+{
+    QCborMap body{{int(AttemptMember), message.attempt.text()},
+                  {int(KindMember), wireKind(message.outcome.kind)}};
+    if (message.outcome.kind == ClaimOutcome::Kind::Held)
+        body.insert(int(HolderMember), claimToCbor(message.outcome.holder));
+    return body;
+}
+
+std::optional<ClaimAnswerMessage> claimAnswerFromCbor(const QCborMap &body)
+{
+    const auto kind = kindOnWire(body.value(KindMember).toInteger());
+    if (!kind || !body.value(AttemptMember).isString())
+        return std::nullopt;
+    ClaimAnswerMessage message{AttemptId(body.value(AttemptMember).toString()), {*kind, {}}};
+    if (*kind != ClaimOutcome::Kind::Held)
+        return message;
+    const std::optional<Claim> holder = claimFromCbor(body.value(HolderMember));
+    if (!holder)
+        return std::nullopt;
+    message.outcome.holder = *holder;
+    return message;
+}
+
+} // namespace cranberry
--- a/src/claims/ClaimSettings.h
+++ b/src/claims/ClaimSettings.h
@@ -14,7 +14,10 @@
     /// Time after which a claim whose outcome cannot be settled is refused.
     Milliseconds settleLimit{3000};
     /// Pause before the service is asked again after an answer was lost.
-    Milliseconds settlePause{50};
+    Milliseconds settlePause{20};
+    /// Pause before a release that the service did not take is tried again, and how often.
+    Milliseconds releasePause{5000};
+    int releaseTries = 60;
     /// Time that the daemon which gathers a shard's claims has to answer.
     Milliseconds gathererTimeout{200};
     /// Longest time for which claims are gathered for one write.
--- a/src/claims/ClaimStore.h
+++ b/src/claims/ClaimStore.h
@@ -6,6 +6,7 @@
 #include "delivery/ClaimGate.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -17,6 +18,9 @@
 class MemberView;
 class PeerNetwork;
 class TimerService;
+class TimerSubscription;
+struct ClaimOutcome;
+struct Claim;
 
 /// Claims are spread over shards by their key. The one commit point of a shard is the
 /// compare-and-swap of its head in the platform's service; neither membership nor any clock
@@ -56,12 +60,18 @@
     ClaimCounts counts() const;
 
 private:
+    void claimDecided(const Claim &claim, const ClaimOutcome &outcome, const Callback &callback);
+    void releaseClaim(const Claim &claim, int tries);
     ClaimShard &shardOf(const QByteArray &claimKey);
 
     const VmId m_self;
+    const ClaimSettings m_settings;
+    TimerService &m_timers;
     WallClock m_clock;
     std::vector<std::unique_ptr<ClaimShard>> m_shards;
     std::unique_ptr<ClaimGathering> m_gathering;
+    /// Releases to be tried again, by attempt.
+    std::map<AttemptId, std::unique_ptr<TimerSubscription>> m_releases;
 };
 
 } // namespace cranberry
