--- a/src/claims/ClaimGathering.cpp
+++ b/src/claims/ClaimGathering.cpp
@@ -59,7 +59,11 @@
     const Asked asked = std::move(m_asked.at(attempt));
     m_asked.erase(attempt);
     m_shardOf(asked.claim.key)
-        .submit({ClaimOperation::Kind::Claim, asked.claim}, false, asked.callback);
+        .submit({ClaimOperation::Kind::Claim, asked.claim}, false,
+                [callback = asked.callback](ClaimOutcome outcome) {
+                    outcome.mayStand = true; // the gatherer may write it yet
+                    callback(outcome);
+                });
 }
 
 void ClaimGathering::requested(const VmId &from, const ClaimRequestMessage &message)
--- a/src/claims/ClaimMessages.cpp
+++ b/src/claims/ClaimMessages.cpp
@@ -75,7 +75,7 @@
     const auto kind = kindOnWire(body.value(KindMember).toInteger());
     if (!kind || !body.value(AttemptMember).isString())
         return std::nullopt;
-    ClaimAnswerMessage message{AttemptId(body.value(AttemptMember).toString()), {*kind, {}}};
+    ClaimAnswerMessage message{AttemptId(body.value(AttemptMember).toString()), {*kind, {}, true}};
     if (*kind != ClaimOutcome::Kind::Held)
         return message;
     const std::optional<Claim> holder = claimFromCbor(body.value(HolderMember));
--- a/src/claims/ClaimOperation.h
+++ b/src/claims/ClaimOperation.h
@@ -10,6 +10,9 @@
         Claim,
         /// Takes the claim of this attempt back, if it stands in the open segment.
         Release,
+        /// As Release, and moves the head on, so that a write of the claim that may still be on
+        /// its way expects an old revision and can no longer take effect.
+        Void,
     };
 
     Kind kind = Kind::Claim;
@@ -29,6 +32,8 @@
     Kind kind = Kind::Unavailable;
     /// If Held: the claim that stands.
     Claim holder;
+    /// If Unavailable: a write of the claim was not answered, so it may stand or come to.
+    bool mayStand = false;
 };
 
 } // namespace cranberry
--- a/src/claims/ClaimShard.cpp
+++ b/src/claims/ClaimShard.cpp
@@ -21,7 +21,8 @@
 
 void ClaimShard::submit(const ClaimOperation &operation, bool mayGather, Callback callback)
 {
-    m_waiting.push_back({operation, std::move(callback), m_timers.now() + m_settings.settleLimit});
+    m_waiting.push_back(
+        {operation, std::move(callback), m_timers.now() + m_settings.settleLimit, false});
     if (m_inRound)
         return;
     if (m_timers.now() - m_roundEnd > 2 * m_settings.longestWindow)
@@ -224,6 +225,8 @@
     // Failure: the write took effect and its answer was lost, or it is still on its way. It
     // shows as Unknown. Neither "won" nor "not claimed" may be said before a read tells.
     if (result.outcome == SwapOutcome::Unknown) {
+        for (Entry &entry : m_round)
+            entry.mayStand = true;
         m_headIsKnown = false;
         stepLater();
         return;
@@ -282,7 +285,7 @@
         m_counts.held += kind == ClaimOutcome::Kind::Held;
         m_counts.unavailable += kind == ClaimOutcome::Kind::Unavailable;
     }
-    entry.callback({kind, holder});
+    entry.callback({kind, holder, entry.mayStand});
 }
 
 } // namespace cranberry
--- a/src/claims/ClaimShard.h
+++ b/src/claims/ClaimShard.h
@@ -52,6 +52,8 @@
         ClaimOperation operation;
         Callback callback;
         MonotonicTime deadline;
+        /// A write with this operation was not answered.
+        bool mayStand = false;
     };
 
     void startRound();
--- a/src/claims/ClaimStore.cpp
+++ b/src/claims/ClaimStore.cpp
@@ -9,6 +9,8 @@
 
 #include <QDateTime>
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -82,36 +84,48 @@
                                outcome.holder.fingerprint});
         return;
     case ClaimOutcome::Kind::Unavailable:
-        // The claim may stand. Its attempt is never sent, so it is taken back when that can be.
+        // Its attempt is never sent, so a claim that may stand is taken back when that can be.
         logEvent(LogLevel::Warning, EventId::ClaimUnsettled, {attemptField(claim.attempt)});
         callback(notClaimed());
-        releaseClaim(claim, m_settings.releaseTries);
+        if (outcome.mayStand)
+            release({ClaimOperation::Kind::Void, claim}, 0);
         return;
     }
 }
 
 void ClaimStore::release(const QByteArray &claimKey, const AttemptId &attempt)
 {
-    releaseClaim({claimKey, {}, attempt, m_self, 0}, m_settings.releaseTries);
+    release({ClaimOperation::Kind::Release, {claimKey, {}, attempt, m_self, 0}}, 0);
 }
 
-void ClaimStore::releaseClaim(const Claim &claim, int tries)
+void ClaimStore::release(const ClaimOperation &operation, int tries)
 {
-    if (tries == 0)
-        return;
-    shardOf(claim.key).submit(
-        {ClaimOperation::Kind::Release, claim}, true,
-        [this, claim, tries](const ClaimOutcome &outcome) {
+    const AttemptId attempt = operation.claim.attempt;
+    shardOf(operation.claim.key)
+        .submit(operation, true, [this, operation, attempt, tries](const ClaimOutcome &outcome) {
             if (outcome.kind == ClaimOutcome::Kind::Done) {
-                m_releases.erase(claim.attempt);
-                logEvent(LogLevel::Info, EventId::ClaimReleased, {attemptField(claim.attempt)});
-                return;
+                m_releases.erase(attempt);
+                logEvent(LogLevel::Info, EventId::ClaimReleased, {attemptField(attempt)});
+            } else {
+                releaseLater(operation, tries + 1);
             }
-            m_releases[claim.attempt] = m_timers.after(
-                m_settings.releasePause, [this, claim, tries] { releaseClaim(claim, tries - 1); });
         });
 }
 
+// The pause doubles, so that an outage does not end under the weight of what waited for it.
+void ClaimStore::releaseLater(const ClaimOperation &operation, int tries)
+{
+    constexpr int MostDoublings = 5;
+    const AttemptId attempt = operation.claim.attempt;
+    if (tries >= m_settings.releaseTries) {
+        m_releases.erase(attempt);
+        return;
+    }
+    const Milliseconds pause = m_settings.releasePause * (1 << std::min(tries, MostDoublings));
+    m_releases[attempt] =
+        m_timers.after(pause, [this, operation, tries] { release(operation, tries); });
+}
+
 ClaimCounts ClaimStore::counts() const
 {
     ClaimCounts sum;
--- a/src/claims/ClaimStore.h
+++ b/src/claims/ClaimStore.h
@@ -19,8 +19,9 @@
 class PeerNetwork;
 class TimerService;
 class TimerSubscription;
-struct ClaimOutcome;
 struct Claim;
+struct ClaimOperation;
+struct ClaimOutcome;
 
 /// Claims are spread over shards by their key. The one commit point of a shard is the
 /// compare-and-swap of its head in the platform's service; neither membership nor any clock
@@ -61,7 +62,8 @@
 
 private:
     void claimDecided(const Claim &claim, const ClaimOutcome &outcome, const Callback &callback);
-    void releaseClaim(const Claim &claim, int tries);
+    void release(const ClaimOperation &operation, int tries);
+    void releaseLater(const ClaimOperation &operation, int tries);
     ClaimShard &shardOf(const QByteArray &claimKey);
 
     const VmId m_self;
--- a/src/claims/SegmentUpdate.cpp
+++ b/src/claims/SegmentUpdate.cpp
@@ -15,8 +15,16 @@
     return standing->attempt == wanted.attempt ? OperationStep::Done : OperationStep::Held;
 }
 
-OperationStep decideRelease(const ClaimSegment &head, const Claim &released)
+// A claim in a sealed segment cannot be taken back.
+OperationStep decideRelease(const ClaimSegment &head, const SealedClaims &sealedClaims,
+                            const ClaimOperation &operation)
 {
+    const Claim &released = operation.claim;
+    if (operation.kind == ClaimOperation::Kind::Void) {
+        const std::optional<Claim> standing = sealedClaims.find(released.key);
+        const bool isSealed = standing && standing->attempt == released.attempt;
+        return isSealed ? OperationStep::Done : OperationStep::Write;
+    }
     const std::optional<Claim> standing = findClaim(head, released.key);
     const bool stands = standing && standing->attempt == released.attempt;
     return stands ? OperationStep::Write : OperationStep::Done;
@@ -35,11 +43,12 @@
     QList<Claim> released;
     for (const ClaimOperation &operation : operations) {
         const Claim &claim = operation.claim;
-        const bool releases = operation.kind == ClaimOperation::Kind::Release;
+        const bool releases = operation.kind != ClaimOperation::Kind::Claim;
         std::optional<Claim> standing = findClaim(head, claim.key);
         if (!standing)
             standing = sealedClaims.find(claim.key);
-        OperationStep step = releases ? decideRelease(head, claim) : decideClaim(standing, claim);
+        OperationStep step =
+            releases ? decideRelease(head, sealedClaims, operation) : decideClaim(standing, claim);
         if (step == OperationStep::Write && touched.contains(claim.key))
             step = OperationStep::Wait;
         if (step == OperationStep::Write) {
--- a/test/correctness/ClaimSegments.cpp
+++ b/test/correctness/ClaimSegments.cpp
@@ -89,6 +89,17 @@
     BOOST_CHECK(update.next.claims == QList({claimOf("k", "a1")}));
 }
 
+BOOST_AUTO_TEST_CASE(VoidWritesTheHeadEvenIfTheClaimDoesNotStandYet)
+{
+    const ClaimOperation voiding{ClaimOperation::Kind::Void, claimOf("k", "a1")};
+    const SegmentUpdate absent = decided(segmentWith({claimOf("l", "a2")}), {}, {voiding});
+    BOOST_CHECK(absent.steps == QList({OperationStep::Write}));
+    BOOST_CHECK(absent.next.claims == QList({claimOf("l", "a2")}));
+    const SegmentUpdate standing = decided(segmentWith({claimOf("k", "a1")}), {}, {voiding});
+    BOOST_CHECK(standing.steps == QList({OperationStep::Write}));
+    BOOST_CHECK(standing.next.claims.isEmpty());
+}
+
 BOOST_AUTO_TEST_CASE(FullSegmentIsSealedUnderTheRevisionOfItsHead)
 {
     const ClaimSegment head = segmentWith({claimOf("k", "a1"), claimOf("l", "a2")});
--- a/test/failure/ClaimsThroughOutages.cpp
+++ b/test/failure/ClaimsThroughOutages.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/EventLog.h"
+#include "claims/ClaimSegment.h"
 #include "claims/ClaimStore.h"
 #include "platform/HttpKeyValueStore.h"
 #include "support/EventLoop.h"
@@ -29,6 +30,15 @@
     return QCryptographicHash::hash(QByteArray::number(number), QCryptographicHash::Sha256);
 }
 
+/// Another key of the same shard.
+int neighbourOf(int number)
+{
+    int other = number + 1;
+    while (shardOfClaim(keyNumber(other)) != shardOfClaim(keyNumber(number)))
+        ++other;
+    return other;
+}
+
 ClaimSettings testSettings()
 {
     ClaimSettings settings;
@@ -104,7 +114,8 @@
 {
     // The write arrives after its daemon gave up. The key must come free again, as the caller
     // was told that the request did not run and sends it once more.
-    platform.setFaults({{"delay_ms", 2 * int(CallTimeout.count())}});
+    BOOST_REQUIRE(isWon(claim(first, neighbourOf(1), "a0"))); // so that it knows the head
+    platform.setFaults({{"delay_ms", 3 * int(CallTimeout.count())}});
     const Decision refused = claim(first, 1, "a1");
     platform.setFaults({{"delay_ms", 0}});
     BOOST_REQUIRE(!refused);
