--- a/test/support/MemoryPeerNetwork.cpp
+++ b/test/support/MemoryPeerNetwork.cpp
@@ -37,7 +37,7 @@
 
 void MemoryPeerNetwork::subscribe(PeerMessageKind kind, Handler handler)
 {
-    m_handlers.insert(kind, std::move(handler));
+    m_handlers.insert(kind, handler);
 }
 
 } // namespace cranberry::test
