--- a/src/console/ConsolePage.cpp
+++ b/src/console/ConsolePage.cpp
@@ -21,13 +21,18 @@
     const char *contentType;
 };
 
-constexpr std::array<ConsoleFile, 6> ConsoleFiles{{
+constexpr std::array<ConsoleFile, 11> ConsoleFiles{{
     {"/console", ":/console/console.html", "text/html; charset=utf-8"},
     {"/console/", ":/console/console.html", "text/html; charset=utf-8"},
     {"/console/console.css", ":/console/console.css", "text/css; charset=utf-8"},
     {"/console/console.js", ":/console/console.js", "text/javascript; charset=utf-8"},
-    {"/console/forms.js", ":/console/forms.js", "text/javascript; charset=utf-8"},
+    {"/console/api.js", ":/console/api.js", "text/javascript; charset=utf-8"},
     {"/console/document.js", ":/console/document.js", "text/javascript; charset=utf-8"},
+    {"/console/elements.js", ":/console/elements.js", "text/javascript; charset=utf-8"},
+    {"/console/forms.js", ":/console/forms.js", "text/javascript; charset=utf-8"},
+    {"/console/review.js", ":/console/review.js", "text/javascript; charset=utf-8"},
+    {"/console/status.js", ":/console/status.js", "text/javascript; charset=utf-8"},
+    {"/console/schema.json", ":/console/schema.json", "application/json"},
 }};
 
 /// Only the console's own files run, nothing may frame it, and no form leaves it: text from a
--- a/test/correctness/OperatorApi.cpp
+++ b/test/correctness/OperatorApi.cpp
@@ -85,8 +85,10 @@
 
 BOOST_FIXTURE_TEST_CASE(ConsoleFilesNeedNoTokenAndCarryAPolicy, Fixture)
 {
-    for (const char *path : {"/console", "/console/console.js", "/console/console.css",
-                             "/console/forms.js", "/console/document.js"}) {
+    for (const char *path :
+         {"/console", "/console/console.js", "/console/console.css", "/console/forms.js",
+          "/console/document.js", "/console/api.js", "/console/elements.js", "/console/review.js",
+          "/console/status.js", "/console/schema.json"}) {
         const HttpResponse page = server->call("GET", path, {}, {});
         BOOST_TEST(page.status == 200, path);
         BOOST_TEST(page.headers.value("Content-Security-Policy").contains("default-src 'none'"));
