--- a/src/configuration/ConfigurationSpread.cpp
+++ b/src/configuration/ConfigurationSpread.cpp
@@ -89,16 +89,31 @@
     chooseWatchers();
 }
 
+bool ConfigurationSpread::needsLoad() const
+{
+    return !m_store.current() || m_store.version() < m_heard;
+}
+
 void ConfigurationSpread::load()
 {
     m_store.load(m_guard.wrap([this](const Result<ConfigurationVersion> &loaded) {
         setPlatformReachable(loaded.has_value());
-        // A daemon that starts has to have a version; later, watches and heartbeats tell.
-        if (!loaded.has_value() && !m_store.current())
-            m_loadRetry = m_timers.after(nextDelay(), [this] { load(); });
+        if (!loaded.has_value())
+            m_loadRetry = m_timers.after(nextDelay(), [this] { loadAgain(); });
     }));
 }
 
+void ConfigurationSpread::loadAgain()
+{
+    if (needsLoad()) {
+        load();
+        return;
+    }
+    // A peer gave what the platform did not. Without a watch nothing would ever clear the mark.
+    if (!m_watching)
+        setPlatformReachable(true);
+}
+
 Milliseconds ConfigurationSpread::nextDelay()
 {
     Milliseconds delay = FirstRetry;
@@ -286,7 +301,7 @@
         return;
     m_fallback = m_timers.after(withJitter(FallbackTime, FallbackJitter), [this] {
         m_fallback.reset();
-        if (m_store.version() < m_heard)
+        if (needsLoad())
             load();
     });
 }
--- a/src/configuration/ConfigurationSpread.h
+++ b/src/configuration/ConfigurationSpread.h
@@ -47,7 +47,7 @@
 
     /// True while this daemon is one of those that watch the platform.
     bool isWatching() const { return m_watching; }
-    /// True if the last call on the platform was answered, or none was needed yet.
+    /// False from a failed call on the platform until one is answered or none is needed.
     bool isPlatformReachable() const { return m_platformReachable; }
 
 private:
@@ -60,7 +60,9 @@
         QByteArrayList parts;
     };
 
+    bool needsLoad() const;
     void load();
+    void loadAgain();
     Milliseconds nextDelay();
     void setPlatformReachable(bool reachable);
     void chooseWatchers();
