--- a/src/membership/MemberTable.cpp
+++ b/src/membership/MemberTable.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+/// Whole tables are gone through no more often.
+constexpr Milliseconds ExpiryInterval{1000};
 constexpr double MillisecondsPerSecond = 1000.0;
 
 /// A neighbour chosen newly has to choose this daemon too before it can be heard.
@@ -188,6 +190,11 @@
 
 void expireMembers(MembershipState &state, MonotonicTime now, MembershipOutput &output)
 {
+    if (now < state.nextExpiry)
+        return;
+    state.nextExpiry = now + ExpiryInterval;
+    for (auto guest = state.guests.begin(); guest != state.guests.end();)
+        guest = guest.value() < now ? state.guests.erase(guest) : std::next(guest);
     for (auto entry = state.others.begin(); entry != state.others.end();) {
         const Milliseconds age = std::chrono::duration_cast<Milliseconds>(now - entry->stateSince);
         const MemberState memberState = entry->member.state;
--- a/src/membership/MembershipRules.cpp
+++ b/src/membership/MembershipRules.cpp
@@ -85,15 +85,15 @@
     message.members.append(member);
 }
 
-/// The neighbours, and members whose view differs so that they have this daemon for one:
-/// they would suspect it if it stayed silent.
+/// The neighbours and the guests: those too would suspect this daemon if it stayed silent.
 QList<VmId> heartbeatReceivers(const MembershipState &state, MonotonicTime now)
 {
     QList<VmId> receivers = state.neighbours.all();
-    for (const MemberRecord &record : state.others) {
-        if (now < record.guestUntil && record.member.state != MemberState::Dead
-            && !state.neighbours.contains(record.member.vm))
-            receivers.append(record.member.vm);
+    for (auto guest = state.guests.constBegin(); guest != state.guests.constEnd(); ++guest) {
+        const auto record = state.others.constFind(guest.key());
+        if (now < guest.value() && record != state.others.constEnd()
+            && record->member.state != MemberState::Dead && !state.neighbours.contains(guest.key()))
+            receivers.append(guest.key());
     }
     return receivers;
 }
@@ -172,7 +172,7 @@
     record.grace = Milliseconds(0);
     record.heard = true;
     if (!state.neighbours.contains(from))
-        record.guestUntil = now + state.settings.missedHeartbeats * message.next;
+        state.guests.insert(from, now + state.settings.missedHeartbeats * message.next);
     return true;
 }
 
--- a/src/membership/MembershipState.h
+++ b/src/membership/MembershipState.h
@@ -23,8 +23,6 @@
     /// When this daemon's next heartbeat to it is due.
     MonotonicTime nextBeat;
     MonotonicTime stateSince;
-    /// It has this daemon for a neighbour, and so waits for its heartbeats, until then.
-    MonotonicTime guestUntil;
     /// True once it was heard directly in its present incarnation.
     bool heard = false;
 };
@@ -51,6 +49,9 @@
     Member self;
     QMap<VmId, MemberRecord> others;
     Neighbours neighbours;
+    /// Members whose view differs: they have this daemon for a neighbour, and so wait for its
+    /// heartbeats, until the given time.
+    QMap<VmId, MonotonicTime> guests;
     bool neighboursOutdated = true;
     GossipQueue gossip;
     QMap<VmId, Suspicion> suspicions;
@@ -58,6 +59,7 @@
     MonotonicTime lastTick;
     MonotonicTime lastHeardAnyone;
     MonotonicTime nextDeadContact;
+    MonotonicTime nextExpiry;
     /// Bytes that may be spent now on urgent heartbeats; negative after spending more.
     double allowance = 0;
     /// Average bytes of a heartbeat with headers.
