--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -50,6 +50,32 @@
     /// under @p request.attempt. Unless a first attempt is refused, requestEnded() must follow.
     void enqueue(const AdmissionRequest &request, Callback callback);
 
+    /// The three steps of enqueue(), for whoever decides between them where a request waits.
+    /// Counts a first attempt under its workspace's limits; an Error refuses it.
+    std::optional<Error> admit(const AdmissionRequest &request);
+    /// A target if one has room and nobody waits for it. Precondition: admitted.
+    std::optional<TargetId> tryNow(const AdmissionRequest &request);
+    /// Lets @p request wait its turn, or refuses it. Precondition: admitted.
+    void waitTurn(const AdmissionRequest &request, Callback callback);
+
+    /// How long @p request must expect to wait here; 0 while too little is known.
+    Milliseconds expectedWaitOf(const AdmissionRequest &request);
+
+    /// When @p request must be sent at the latest to be answered before its deadline, as far as
+    /// is known; a request waits no longer.
+    MonotonicTime latestStart(const AdmissionRequest &request) const;
+
+    /// The refusal of a request whose wait of @p expected is too long for its deadline.
+    Error tooShort(const AdmissionRequest &request, Milliseconds expected) const;
+
+    /// Records the send of @p request to @p target, which another daemon granted; @p ended is
+    /// called when the attempt ends.
+    void recordGranted(const AdmissionRequest &request, const TargetId &target,
+                       std::function<void()> ended);
+
+    /// Ends what was granted to another daemon for @p request; ignored if unknown.
+    void grantEnded(const RequestId &request);
+
     /// Takes a waiting request out without a callback; ignored if it does not wait.
     void cancel(const RequestId &request);
 
@@ -90,9 +116,10 @@
 
     const ServiceConfiguration *service(const ServiceId &id) const;
     double weight(const WorkspaceId &workspace) const;
-    std::optional<Error> checkLimits(const AdmissionRequest &request);
-    std::optional<Error> refusal(const AdmissionRequest &request, Lane &lane);
-    void wait(const AdmissionRequest &request, Lane &lane, Callback callback);
+    Lane &laneOf(const AdmissionRequest &request);
+    void countWaiting(Lane &lane, const WorkspaceId &workspace);
+    std::optional<Error> refusal(const AdmissionRequest &request);
+    void wait(const AdmissionRequest &request, Callback callback);
     bool makeRoom(const AdmissionRequest &request, int queueLimit);
     int waitingIn(const ServiceId &service) const;
     Placement tryPlace(const AdmissionRequest &request);
@@ -102,7 +129,6 @@
     bool serveOne(const LaneKey &key);
     void giveUpExpired();
     void finish(const RequestId &request, Result<TargetId> outcome);
-    void refuse(const AdmissionRequest &request, const Error &error, const Callback &callback);
     void armTimer();
 
     TimerService &m_timers;
@@ -113,6 +139,8 @@
     QHash<ServiceId, ServiceShares> m_shares;
     QHash<RequestId, Waiter> m_waiters;
     QHash<AttemptId, Charge> m_charges;
+    /// What to call when a send ends that another daemon granted.
+    QHash<AttemptId, std::function<void()>> m_granted;
     WorkspaceLimiter m_limiter;
     RetryBudget m_retries;
     std::unique_ptr<TimerSubscription> m_timer;
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -34,6 +34,12 @@
     /// still followed to their end.
     void setConfiguration(const Configuration &configuration);
 
+    /// Makes each target's home the one of @p members that its id hashes to; decide() and
+    /// decideGrant() then give out only the targets whose home is @p self. Without members
+    /// every target is given out. Daemons with other views of the members may both be home of
+    /// a target for a while: that costs preemptions, never correctness.
+    void setMembers(const VmId &self, const QList<VmId> &members);
+
     /// Records what @p target said; a report of an older incarnation than known is dropped.
     void reportReceived(const TargetId &target, const LoadReport &report, MonotonicTime now);
 
@@ -43,11 +49,27 @@
     Placement decide(const AttemptId &attempt, const PlacementRequest &request,
                      const ServiceConfiguration &service, MonotonicTime now, quint64 random);
 
-    /// Records a send that was not chosen by decide(), such as a resumed one.
+    /// As decide(), for another daemon that will send. Its send is seen in load reports later;
+    /// until then the room stays taken.
+    Placement decideGrant(const PlacementRequest &request, const ServiceConfiguration &service,
+                          MonotonicTime now, quint64 random);
+
+    /// Ends what decideGrant() recorded for @p request; ignored if unknown.
+    void grantEnded(const RequestId &request, MonotonicTime now);
+
+    /// The home, not among @p tried, of the target that looks best for @p request by the
+    /// lagging reports and own sends; empty if none is usable.
+    VmId suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
+                     const QList<VmId> &tried, MonotonicTime now, quint64 random) const;
+
+    /// Records a send that was not chosen by decide(), such as a granted or a resumed one.
     void attemptSent(const TargetId &target, const AttemptId &attempt,
                      const PlacementRequest &request, MonotonicTime now);
     /// Counts one generated token of @p attempt. Unknown attempts are ignored.
     void tokenReceived(const AttemptId &attempt);
+    /// How long an answer to @p request is expected to take once it is sent; 0 until answers
+    /// of its service have ended.
+    Milliseconds expectedAnswerTime(const PlacementRequest &request) const;
     /// Forgets @p attempt. Unknown attempts are ignored, so it may be told twice.
     void attemptEnded(const AttemptId &attempt, AttemptEnd end, MonotonicTime now);
 
@@ -62,6 +84,10 @@
 
     /// True if new work may go to @p target.
     bool usable(const TargetId &target) const;
+    /// True if @p target was seen leaving and not started anew since; for the status page.
+    bool isLeaving(const TargetId &target) const;
+    /// True between markDead() and markBack(); for the status page.
+    bool isDead(const TargetId &target) const;
     /// The incarnation of @p target as last reported; 0 if unknown.
     Incarnation incarnation(const TargetId &target) const;
 
@@ -80,22 +106,33 @@
     TargetState *find(const TargetId &target);
     const TargetState *find(const TargetId &target) const;
     void indexTargets();
+    void assignHomes();
+    PlacementRequest sized(const PlacementRequest &request) const;
+    Placement choose(const PlacementRequest &request, const ServiceConfiguration &service,
+                     MonotonicTime now, quint64 random);
     QList<TargetLoad> loads(const StateList &states, const PlacementRequest &request,
                             MonotonicTime now) const;
     SteadyForecast steadyForecast(const ServiceId &service, const ModelId &model) const;
     void refreshForecast(Attempt &attempt, TargetState &state);
     const StateList &candidates(const PlacementRequest &request) const;
+    void learnPace(const ServiceId &service, qint64 tokens, MonotonicTime::duration took);
     void recordSend(const TargetId &target, const AttemptId &attempt,
                     const PlacementRequest &request, MonotonicTime now);
     void subtractOwn(TargetState &state, const LoadReport &report);
+    void dropOldGrants(TargetState &state, MonotonicTime now);
 
     mutable std::mutex m_mutex;
     std::map<TargetId, TargetState> m_targets;
     QHash<ModelId, StateList> m_byModel;
     QHash<ServiceId, StateList> m_byService;
     QHash<AttemptId, Attempt> m_attempts;
+    QHash<RequestId, TargetId> m_grants;
     QHash<ServiceId, quint64> m_turns;
     LengthModel m_lengths;
+    /// Decayed mean of the time between two tokens, prompt work included.
+    QHash<ServiceId, double> m_millisecondsPerToken;
+    VmId m_self;
+    QList<VmId> m_members;
 };
 
 } // namespace cranberry
