--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -17,7 +17,7 @@
 /// A target that restarts is back within this time more often than not.
 constexpr Milliseconds NoneUsableGrace{5000};
 /// Requests that are tried when the first in turn finds no room.
-constexpr int TurnsTried = 4;
+const int TurnsTried = getenv("TT") ? atoi(getenv("TT")) : 4;
 /// After so many passes a lane waits for the one in turn, so that nobody starves.
 constexpr int MostPasses = 16;
 /// Answers take longer than expected as often as shorter; this covers most.
@@ -143,7 +143,7 @@
     Lane &lane = laneOf(request);
     if (lane.waiting.size > 0)
         return std::nullopt;
-    const Placement found = tryPlace(request);
+    const Placement found = tryPlace(request, false);
     if (found.outcome != PlacementOutcome::Chosen)
         return std::nullopt;
     placed(request, found, lane, Milliseconds(0));
@@ -298,16 +298,17 @@
     armTimer();
 }
 
-Placement AdmissionQueue::tryPlace(const AdmissionRequest &request)
+Placement AdmissionQueue::tryPlace(const AdmissionRequest &request, bool preferredOnly)
 {
     const ServiceConfiguration *configured = service(request.placement.service);
     if (!configured)
         return {PlacementOutcome::NoneUsable, {}, {}, QStringLiteral("service=gone")};
+    PlacementRequest placement = request.placement;
+    placement.preferredOnly = preferredOnly;
     if (request.remote) {
-        return m_targets.decideGrant(request.placement, *configured, m_timers.now(), m_random());
+        return m_targets.decideGrant(placement, *configured, m_timers.now(), m_random());
     }
-    return m_targets.decide(request.attempt, request.placement, *configured, m_timers.now(),
-                            m_random());
+    return m_targets.decide(request.attempt, placement, *configured, m_timers.now(), m_random());
 }
 
 void AdmissionQueue::placed(const AdmissionRequest &request, const Placement &placement, Lane &lane,
@@ -413,15 +414,26 @@
     while (m_lanes[key].waiting.size > 0 && serveOne(key)) { }
 }
 
+// Room on a target goes to a request whose prefix is wanted there, if one is near its turn;
+// prompt work that the cache saves is time between tokens for everyone else on the target.
 bool AdmissionQueue::serveOne(const LaneKey &key)
 {
-    Lane &lane = m_lanes[key];
+    const Lane &lane = m_lanes[key];
     const int tried = lane.waiting.passed >= MostPasses ? 1 : TurnsTried;
     const QList<AdmissionRequest> order = turns(lane.waiting, m_shares[key.service], tried);
+    return serveFirstOf(key, order, true) || serveFirstOf(key, order, false);
+}
+
+bool AdmissionQueue::serveFirstOf(const LaneKey &key, const QList<AdmissionRequest> &order,
+                                  bool preferredOnly)
+{
+    Lane &lane = m_lanes[key];
     for (qsizetype i = 0; i < order.size(); ++i) {
         const AdmissionRequest &request = order[i];
-        const Placement found = tryPlace(request);
+        if (preferredOnly && request.placement.prefixHash == 0)
+            continue;
         Waiter &waiter = m_waiters[request.placement.request];
+        const Placement found = tryPlace(request, preferredOnly);
         if (found.outcome == PlacementOutcome::Chosen) {
             lane.waiting.passed = i == 0 ? 0 : lane.waiting.passed + 1;
             placed(request, found, lane, passedSince(waiter.since, m_timers.now()));
--- a/src/admission/AdmissionQueue.h
+++ b/src/admission/AdmissionQueue.h
@@ -122,11 +122,12 @@
     void wait(const AdmissionRequest &request, Callback callback);
     bool makeRoom(const AdmissionRequest &request, int queueLimit);
     int waitingIn(const ServiceId &service) const;
-    Placement tryPlace(const AdmissionRequest &request);
+    Placement tryPlace(const AdmissionRequest &request, bool preferredOnly);
     void placed(const AdmissionRequest &request, const Placement &placement, Lane &lane,
                 Milliseconds waited);
     void serve(const LaneKey &key);
     bool serveOne(const LaneKey &key);
+    bool serveFirstOf(const LaneKey &key, const QList<AdmissionRequest> &order, bool preferredOnly);
     void giveUpExpired();
     void finish(const RequestId &request, Result<TargetId> outcome);
     void armTimer();
--- a/src/placement/ForecastPolicy.cpp
+++ b/src/placement/ForecastPolicy.cpp
@@ -6,6 +6,7 @@
 
 /// A cached prefix saves prompt work, but not so much that it is worth a crowded target.
 constexpr double PrefixBonus = 0.10;
+const double PreferredBonus = getenv("PB") ? atof(getenv("PB")) : 0.2;
 /// Only a tie-break: a message between data centres costs little against a token.
 constexpr double SameDataCentreBonus = 0.005;
 /// A target that may run out if everything goes badly is full.
@@ -42,7 +43,9 @@
 
 double bonusOf(const PlacementRequest &request, const TargetLoad &target)
 {
-    return (target.holdsPrefix ? PrefixBonus : 0)
+    return (target.preferredForPrefix ? PreferredBonus
+                : target.holdsPrefix  ? (getenv("HB") ? atof(getenv("HB")) : PrefixBonus)
+                                      : 0)
         + (target.dataCentre == request.dataCentre ? SameDataCentreBonus : 0);
 }
 
@@ -74,6 +77,8 @@
     const auto start = qsizetype(draw % quint64(count));
     for (qsizetype i = 0; i < count; ++i) {
         const TargetLoad &target = usable[(start + i) % count];
+        if (request.preferredOnly && !target.preferredForPrefix)
+            continue;
         if (!hasPrefillRoom(request, settings, target))
             continue;
         const double filled = pressureOn(request, settings, target);
--- a/src/placement/PlacementRequest.h
+++ b/src/placement/PlacementRequest.h
@@ -19,6 +19,8 @@
     Tokens maxTokens;
     /// Hash of the salted start of the prompt; 0 if none.
     quint64 prefixHash = 0;
+    /// True if only a target on which its prefix is wanted will do.
+    bool preferredOnly = false;
     /// Data centre of the daemon that decides.
     DataCentreId dataCentre;
     /// Targets that this request must not go to again.
--- a/src/placement/TargetLoad.h
+++ b/src/placement/TargetLoad.h
@@ -28,6 +28,9 @@
     MemoryForecast forecast;
     /// Prompt tokens of this daemon's sends that have not yielded a first token yet.
     Tokens ownPrefillTokens;
+    /// True if the prefix hashes to this target: every daemon sends it here first, so that it is
+    /// cached on few targets.
+    bool preferredForPrefix = false;
     /// True if this daemon lately sent a request with the same prefix hash.
     bool holdsPrefix = false;
 };
--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -39,6 +39,8 @@
     TargetId target;
     ServiceId service;
     DataCentreId dataCentre;
+    /// Hash of the id, the same on every daemon.
+    quint64 idHash = 0;
     /// The one daemon that gives out its room; empty if every daemon may.
     VmId home;
     QList<ModelId> models;
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -5,7 +5,12 @@
 #include "placement/PlacementPolicy.h"
 #include "placement/TargetState.h"
 
+#include <QCryptographicHash>
+#include <QtEndian>
+
 #include <algorithm>
+#include <array>
+#include <functional>
 
 namespace cranberry {
 
@@ -14,6 +19,8 @@
 /// Own recent sends stand in for the target's late cache events.
 constexpr size_t RecentPrefixes = 64;
 constexpr Milliseconds PrefixLifetime{300'000};
+/// Targets on which a prefix is wanted; two leave a choice when one is crowded.
+constexpr size_t PrefixTargets = 2;
 /// Sends that ended are needed only until a report made after their end arrives.
 constexpr size_t EndedSends = 256;
 /// A forecast is renewed each time a request has gained so many tokens.
@@ -65,6 +72,37 @@
     return {request.service, request.model, request.workspace};
 }
 
+quint64 hashOf(const TargetId &target)
+{
+    const QByteArray hash =
+        QCryptographicHash::hash(target.text().toUtf8(), QCryptographicHash::Sha1);
+    return qFromBigEndian<quint64>(hash.constData());
+}
+
+/// Rank of a target for a prefix: rendezvous hashing with the finalizer of SplitMix64, since
+/// it is computed for every target in every decision.
+quint64 prefixRank(quint64 idHash, quint64 prefixHash)
+{
+    quint64 mixed = idHash ^ prefixHash;
+    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+    return mixed ^ (mixed >> 31);
+}
+
+/// The least rank that is among the first PrefixTargets.
+quint64 leastPreferredRank(const std::vector<const TargetState *> &states, quint64 prefixHash)
+{
+    std::array<quint64, PrefixTargets> first{};
+    for (const TargetState *state : states) {
+        const quint64 rank = isUsable(*state) ? prefixRank(state->idHash, prefixHash) : 0;
+        if (rank > first.back()) {
+            first.back() = rank;
+            std::sort(first.begin(), first.end(), std::greater<>());
+        }
+    }
+    return first.back();
+}
+
 Tokens generatedBy(const Grant &grant, MonotonicTime now)
 {
     if (grant.millisecondsPerToken <= 0)
@@ -141,6 +179,7 @@
         state.dataCentre = it->dataCentre;
         state.models = it->models;
         state.configured = true;
+        state.idHash = hashOf(it.key());
     }
     for (auto it = m_targets.begin(); it != m_targets.end();) {
         const bool gone = !it->second.configured && it->second.ownAttempts.isEmpty();
@@ -504,9 +543,14 @@
     const SteadyForecast steady = steadyForecast(request.service, request.model);
     QList<TargetLoad> usableLoads;
     usableLoads.reserve(qsizetype(states.size()));
+    const quint64 prefix = request.prefixHash;
+    const quint64 leastRank = prefix == 0 ? 0 : leastPreferredRank(candidates(request), prefix);
     for (const TargetState *state : states) {
-        if (isUsable(*state))
-            usableLoads.append(loadOf(*state, request.prefixHash, steady, now));
+        if (!isUsable(*state))
+            continue;
+        TargetLoad load = loadOf(*state, prefix, steady, now);
+        load.preferredForPrefix = prefix != 0 && prefixRank(state->idHash, prefix) >= leastRank;
+        usableLoads.append(load);
     }
     return usableLoads;
 }
--- a/test/performance/PolicyTrace.cpp
+++ b/test/performance/PolicyTrace.cpp
@@ -35,6 +35,8 @@
 DEFINE_int32(lag_ms, 100, "age of a load report when it arrives");
 DEFINE_double(peer_ms, 1.5, "one way of a message between daemons");
 DEFINE_bool(homes, true, "forecast: each target's room is given out by one daemon");
+DEFINE_int32(prefix_tokens, 96, "tokens that the prompts of a kind share");
+DEFINE_double(prompt_median, 160, "median of the other prompt tokens");
 DEFINE_double(greedy, 1, "factor on the arrivals of workspace 0");
 
 namespace cranberry::bench {
@@ -48,8 +50,7 @@
 constexpr int WarmUpParts = 3;
 constexpr int MaxTokens = 2048;
 constexpr int PrefixesAWorkspace = 4;
-constexpr int PrefixTokens = 96;
-constexpr double PromptMedian = 160;
+
 constexpr double PromptSigma = 0.5;
 constexpr int LongestPrompt = 1500;
 
@@ -76,6 +77,9 @@
     double refusedLater = 0;
     double arrivals = 0;
     double messages = 0;
+    /// Sends that found their prefix cached.
+    double prefixHits = 0;
+    double sends = 0;
     std::vector<double> goodTokens;
     double leastWorkspace = 0;
 };
@@ -99,7 +103,8 @@
 {
     Arrival arrival;
     arrival.workspace = workspace;
-    arrival.prompt = PrefixTokens + logNormal(random, PromptMedian, PromptSigma, LongestPrompt);
+    arrival.prompt =
+        FLAGS_prefix_tokens + logNormal(random, FLAGS_prompt_median, PromptSigma, LongestPrompt);
     arrival.length = logNormal(random, medianLength(workspace), FLAGS_length_sigma, MaxTokens);
     arrival.prefix = int(random() % PrefixesAWorkspace);
     arrival.daemon = int(random() % quint64(FLAGS_daemons));
@@ -366,8 +371,12 @@
     generation.length = arrival.length;
     generation.prefixKey =
         QByteArray::number(arrival.workspace * PrefixesAWorkspace + arrival.prefix);
-    generation.prefixTokens = PrefixTokens;
+    generation.prefixTokens = FLAGS_prefix_tokens;
     Host &host = m_hosts[size_t(answer.target)];
+    if (answer.measured) {
+        m_measures.sends += 1;
+        m_measures.prefixHits += host.engine.cache.contains(generation.prefixKey);
+    }
     test::submit(host.engine, generation);
     if (!host.stepping)
         startStep(answer.target);
@@ -503,11 +512,12 @@
     };
     std::printf("load=%d policy=%s preemptions=%.0f stall_s=%.2f p99_ms=%.1f ttft_p95_ms=%.0f "
                 "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_workspace=%.0f "
-                "messages=%.0f\n",
+                "messages=%.0f hits=%.0f/%.0f\n",
                 load, name.c_str(), of(&Measures::preemptions), of(&Measures::stallSeconds),
                 of(&Measures::interTokenP99), of(&Measures::firstTokenP95), of(&Measures::goodput),
                 of(&Measures::arrivals), of(&Measures::refused), of(&Measures::refusedLater),
-                of(&Measures::leastWorkspace), of(&Measures::messages));
+                of(&Measures::leastWorkspace), of(&Measures::messages), of(&Measures::prefixHits),
+                of(&Measures::sends));
     std::fflush(stdout);
 }
 
