Claims: wired to requests; at most once proved with processes

Cause: at-most-once requests were refused by a placeholder; the claim store had landed. Guard shown by test/failure/AtMostOnce (8 cases: 200 pairs of one key at two daemons in one instant, kill -9 after the claim, platform down, lost answer, paused daemon, second sender, other content, no key). Ruled out: refusing the second sender always. Not proved: attach across daemons (409 outcome_unknown instead); keys older than the retention.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -70,6 +70,7 @@
     , dispatcher({timers, targets, admission, router, quarantine}, settings.dataCentre)
     , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
     , cancels(client)
+    , claims({platform, timers, members, peers}, ClaimSettings())
     , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
     , gateway(delivery, runs, workers, settings.vm)
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -7,11 +7,11 @@
 #include "base/QtTimerService.h"
 #include "base/TimerSubscription.h"
 #include "base/WorkerPool.h"
+#include "claims/ClaimStore.h"
 #include "configuration/ConfigurationSpread.h"
 #include "configuration/ConfigurationStore.h"
 #include "daemon/DaemonSettings.h"
 #include "daemon/Dispatcher.h"
-#include "daemon/NoClaims.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/RunRegistry.h"
 #include "delivery/TargetCancels.h"
@@ -51,7 +51,7 @@
     Dispatcher dispatcher;
     TargetPoller poller;
     TargetCancels cancels;
-    NoClaims claims;
+    ClaimStore claims;
     DeliveryContext delivery;
     RunRegistry runs;
     Gateway gateway;
