--- a/apps/load/CranberryLoad.cpp
+++ b/apps/load/CranberryLoad.cpp
@@ -1,8 +1,7 @@
 // cranberry-load: measures a running fleet under an open loop of requests.
 #include "load/ComparisonPlot.h"
 #include "load/LoadFlags.h"
-#include "load/PolicyComparison.h"
-#include "load/PolicySwitch.h"
+#include "load/PolicyCampaign.h"
 
 #include <QCoreApplication>
 #include <QFile>
@@ -69,26 +68,20 @@
 
 int compare(const LoadCommand &command)
 {
-    PolicyComparison comparison;
-    for (const QString &policy : command.policies)
-        comparison.append({policy, {}});
     bool kept = true;
-    for (qsizetype round = 0; round < command.seeds.size(); ++round) {
-        // The first policy of a round meets the coldest caches: each takes its turn.
-        for (qsizetype i = 0; i < comparison.size(); ++i) {
-            PolicyRuns &policy = comparison[(i + round) % comparison.size()];
-            const auto switched = switchPolicy(command.targets, command.service, policy.policy);
-            if (!switched)
-                return complain(switched.error().detail);
-            policy.runs.append(
-                runLoad(command.targets, command.mix, command.seeds.at(round), command.limits));
-            kept = kept && promisesKept(policy.runs.last());
+    const PolicyCampaign campaign{command.targets, command.mix,      command.limits,
+                                  command.service, command.policies, command.seeds};
+    const auto compared = comparePolicies(
+        campaign, [&](const QString &policy, quint64 seed, const LoadMetrics &metrics) {
+            kept = kept && promisesKept(metrics);
             print(QStringLiteral("%1, seed %2\n%3\n")
-                      .arg(policy.policy)
-                      .arg(command.seeds.at(round))
-                      .arg(metricsTable(policy.runs.last())));
-        }
-    }
+                      .arg(policy)
+                      .arg(seed)
+                      .arg(metricsTable(metrics)));
+        });
+    if (!compared)
+        return complain(compared.error().detail);
+    const PolicyComparison &comparison = compared.value();
     print(comparisonTable(comparison));
     const bool written =
         writeFile(command.jsonFile, QJsonDocument(comparisonJson(comparison)).toJson())
--- a/apps/load/PlannedRequest.h
+++ b/apps/load/PlannedRequest.h
@@ -28,4 +28,11 @@
     quint64 entry = 0;
 };
 
+/// The prompt as the engine sees it: a chat prompt reaches it as the text of its one message.
+inline QString promptSeen(const PlannedRequest &request)
+{
+    return request.kind == RequestKind::Chat ? QStringLiteral("user: %1\n").arg(request.prompt)
+                                             : request.prompt;
+}
+
 } // namespace cranberry::load
--- a/apps/load/RequestResult.cpp
+++ b/apps/load/RequestResult.cpp
@@ -82,11 +82,7 @@
 
 bool textIsRight(LoadMetrics &metrics, const RequestResult &result)
 {
-    // A chat prompt reaches the engine as the text of its one message.
-    const QString &prompt = result.request.prompt;
-    const bool chat = result.request.kind == RequestKind::Chat;
-    const QString seen = chat ? QStringLiteral("user: %1\n").arg(prompt) : prompt;
-    switch (test::checkAnswer(seen, result.answer.texts())) {
+    switch (test::checkAnswer(promptSeen(result.request), result.answer.texts())) {
     case test::AnswerFault::None:
         return true;
     case test::AnswerFault::Crossed:
--- a/apps/load/TargetCounts.cpp
+++ b/apps/load/TargetCounts.cpp
@@ -34,13 +34,6 @@
     return count;
 }
 
-QString hashOf(const PlannedRequest &request)
-{
-    const bool chat = request.kind == RequestKind::Chat;
-    const QString seen = chat ? QStringLiteral("user: %1\n").arg(request.prompt) : request.prompt;
-    return QString::fromLatin1(test::promptHash(seen));
-}
-
 qint64 sinceRestart(qint64 before, qint64 after)
 {
     return after >= before ? after - before : after;
@@ -78,7 +71,8 @@
     if (after.targets.isEmpty())
         return;
     for (const RequestResult &result : results) {
-        const int count = runs.value(hashOf(result.request));
+        const int count =
+            runs.value(QString::fromLatin1(test::promptHash(promptSeen(result.request))));
         metrics.ranTwice += result.request.atMostOnce && count > 1 ? 1 : 0;
         metrics.ranThoughRefused += toldNotRun(result) && count > 0 ? 1 : 0;
     }
--- a/test/performance/SiteCompare.cpp
+++ b/test/performance/SiteCompare.cpp
@@ -3,7 +3,7 @@
 // carry, compares placement policies at shares of it, and measures faults during the load.
 #include "load/ComparisonPlot.h"
 #include "load/LoadSession.h"
-#include "load/PolicyComparison.h"
+#include "load/PolicyCampaign.h"
 #include "load/PolicySwitch.h"
 #include "support/Fleet.h"
 
@@ -146,23 +146,25 @@
 
 bool compareAt(const LoadTargets &targets, const QString &percent)
 {
-    const TrafficMix mix = mixAt(FLAGS_capacity * percent.toDouble() / 100);
-    PolicyComparison comparison;
-    const QList<QString> policies = listOf(FLAGS_policies);
-    for (const QString &policy : policies)
-        comparison.append({policy, {}});
+    PolicyCampaign campaign{targets,
+                            mixAt(FLAGS_capacity * percent.toDouble() / 100),
+                            limits(),
+                            Service,
+                            listOf(FLAGS_policies),
+                            {}};
     const QList<QString> seeds = listOf(FLAGS_seeds);
-    for (qsizetype round = 0; round < seeds.size(); ++round) {
-        // The first policy of a round meets the coldest caches: each takes its turn.
-        for (qsizetype i = 0; i < comparison.size(); ++i) {
-            PolicyRuns &policy = comparison[(i + round) % comparison.size()];
-            if (!usePolicy(targets, policy.policy))
-                return false;
-            policy.runs.append(runLoad(targets, mix, seeds.at(round).toULongLong(), limits()));
-            print(QStringLiteral("%1, seed %2\n%3")
-                      .arg(policy.policy, seeds.at(round), metricsTable(policy.runs.last())));
-        }
+    for (const QString &seed : seeds)
+        campaign.seeds.append(seed.toULongLong());
+    const auto compared = comparePolicies(
+        campaign, [](const QString &policy, quint64 seed, const LoadMetrics &metrics) {
+            print(
+                QStringLiteral("%1, seed %2\n%3").arg(policy).arg(seed).arg(metricsTable(metrics)));
+        });
+    if (!compared) {
+        std::fprintf(stderr, "%s\n", qPrintable(compared.error().detail));
+        return false;
     }
+    const PolicyComparison &comparison = compared.value();
     const QString title = QStringLiteral("load %1%").arg(percent);
     print(title + QLatin1Char('\n') + comparisonTable(comparison));
     const QString ending = QLatin1Char('-') + percent;
--- a/test/standins/target/TargetServer.cpp
+++ b/test/standins/target/TargetServer.cpp
@@ -3,10 +3,10 @@
 #include "base/TimerSubscription.h"
 #include "http/HttpResponder.h"
 #include "http/HttpResponse.h"
+#include "standins/target/CompletionSubmission.h"
 
 #include <QDateTime>
 #include <QJsonDocument>
-#include <QUuid>
 
 #include <cmath>
 #include <cstdlib>
@@ -19,9 +19,6 @@
 constexpr Milliseconds KeepFinished{60'000};
 constexpr int DieStatus = 9;
 constexpr int WrongAttemptInterval = 4;
-/// Bytes at the start of a prompt that the cache knows it by.
-constexpr int PrefixBytes = 512;
-constexpr int DefaultMaxTokens = 4096;
 constexpr QByteArrayView GenerationPath = "/generations/";
 
 QByteArray toBytes(const QJsonObject &object)
@@ -40,22 +37,6 @@
     sendJson(responder, status, {{QStringLiteral("started"), started}});
 }
 
-QByteArray attemptOf(const HttpRequest &request)
-{
-    const QByteArray attempt = request.headers.value("Cranberry-Attempt");
-    return attempt.isEmpty() ? QUuid::createUuid().toByteArray(QUuid::WithoutBraces) : attempt;
-}
-
-void setPrefix(Generation &generation, const QString &prompt, const QByteArray &salt)
-{
-    const QByteArray bytes = prompt.toUtf8();
-    if (bytes.size() < PrefixBytes)
-        return;
-    const QString prefix = QString::fromUtf8(bytes.left(PrefixBytes));
-    generation.prefixKey = promptHash(prefix) + '/' + salt;
-    generation.prefixTokens = promptTokens(prefix);
-}
-
 bool isOver(const Generation &generation)
 {
     return generation.state == GenerationState::Finished
@@ -152,33 +133,18 @@
         sendRefusal(responder, 429, false);
         return;
     }
-    const QJsonObject body = QJsonDocument::fromJson(request.body).object();
-    Answer answer;
-    answer.prompt = promptOf(body);
-    answer.promptHash = promptHash(answer.prompt);
-    answer.key = request.headers.value("Idempotency-Key");
-    answer.salt = request.headers.value("Cranberry-Cache-Salt");
-    answer.workspace = request.headers.value("Cranberry-Workspace");
-    answer.chat = request.path.contains("/chat/");
-    const int maxTokens = body.value(QLatin1String("max_tokens")).toInt(DefaultMaxTokens);
-    Generation generation;
-    generation.attempt = attemptOf(request);
-    generation.priority = request.headers.value("Cranberry-Priority").toInt();
-    generation.promptTokens = promptTokens(answer.prompt);
-    generation.length = answerLength(m_settings.lengths, answer.promptHash, maxTokens);
-    answer.cutByBound = generation.length == maxTokens;
-    setPrefix(generation, answer.prompt, answer.salt);
-    const QByteArray attempt = generation.attempt;
-    if (!submit(m_engine, generation)) {
+    const CompletionSubmission submission = readCompletion(request, m_settings.lengths);
+    const QByteArray attempt = submission.generation.attempt;
+    if (!submit(m_engine, submission.generation)) {
         const auto known = m_engine.generations.constFind(attempt);
         const bool started = known != m_engine.generations.constEnd() && known->started;
         sendRefusal(responder, started ? 409 : 503, started);
         return;
     }
-    m_answers.insert(attempt, answer);
+    m_answers.insert(attempt, submission.answer);
     m_visible.insert(attempt, 0);
     if (!resetsNext(responder)) {
-        addReader({attempt, responder, 0, 0, body.value(QLatin1String("stream")).toBool(), false});
+        addReader({attempt, responder, 0, 0, submission.stream, false});
     }
     scheduleStep();
 }
