--- a/src/configuration/ConfigurationLog.cpp
+++ b/src/configuration/ConfigurationLog.cpp
@@ -82,12 +82,6 @@
         if (std::optional<ConfigurationChange> change = decodeChange(version, entry.value))
             page.changes.append(std::move(*change));
     }
-    if (page.base) {
-        const auto isTrimmed = [&page](const ConfigurationChange &change) {
-            return change.version <= page.base->trimmed;
-        };
-        page.changes.removeIf(isTrimmed);
-    }
     return page;
 }
 
--- a/src/configuration/ConfigurationLog.h
+++ b/src/configuration/ConfigurationLog.h
@@ -42,7 +42,7 @@
 struct LogPage {
     /// Absent from an answer of a watch if it has not changed.
     std::optional<LogBase> base;
-    /// In order of their version; those that `base` says are trimmed are left out.
+    /// In order of their version; trimmed ones that do not count may be among them.
     QList<ConfigurationChange> changes;
     /// Highest revision of any entry; a watch goes on from it.
     Revision highest;
--- a/src/configuration/ConfigurationStore.cpp
+++ b/src/configuration/ConfigurationStore.cpp
@@ -210,6 +210,7 @@
 {
     if (page.base && m_trimmed < page.base->trimmed)
         m_trimmed = page.base->trimmed;
+    // A key that was created anew after its trimming leads to no version: see LogBase.
     QList<ConfigurationChange> valid = page.changes;
     valid.removeIf(
         [this](const ConfigurationChange &change) { return change.version <= m_trimmed; });
--- a/test/failure/ConfigurationOutages.cpp
+++ b/test/failure/ConfigurationOutages.cpp
@@ -23,6 +23,16 @@
         });
     }
 
+    /// What a daemon paused since version 0 leaves when it submits after the trim.
+    static void putOrphan(SpreadFleet &fleet)
+    {
+        const ConfigurationVersion first(1);
+        const ConfigurationChange orphan{first, ChangeId("orphan"), test::smallDocument(999)};
+        fleet.table->entries.insert(
+            changeKey(first),
+            {changeKey(first), encodeChange(orphan), Revision(++fleet.table->lastRevision)});
+    }
+
     QtTimerService timers;
 };
 
@@ -84,8 +94,9 @@
 
 BOOST_FIXTURE_TEST_CASE(WatcherFarBehindTheTrimCatchesUpFromTheSnapshot, Fixture)
 {
-    // A daemon that was paused through many changes would wait for ever for one that is gone.
-    // Its watch answers with changes that do not follow on its version; it reads the snapshot.
+    // A daemon that was paused through many changes would wait for ever for one that is gone,
+    // or follow the key that another daemon, paused as long, created in its place. Its watch
+    // shows that key and the base record, which covers it; it reads the snapshot.
     SpreadFleet fleet(2, 1, timers);
     BOOST_REQUIRE(fleet.start());
     fleet[1].daemon.platform.isDown = true;
@@ -95,8 +106,11 @@
     BOOST_REQUIRE(test::waitFor([&] {
         return !fleet.table->entries.contains(changeKey(ConfigurationVersion(SnapshotInterval)));
     }));
+    BOOST_TEST(fleet.table->entries.contains(BaseKey));
+    putOrphan(fleet);
     fleet[1].daemon.platform.isDown = false;
     BOOST_REQUIRE(test::waitFor([&] { return fleet.agree(); }));
+    BOOST_TEST(!fleet[1].daemon.inForce.contains(1));
     const QList<qint64> &versions = fleet[1].daemon.inForce;
     BOOST_TEST(std::is_sorted(versions.begin(), versions.end()));
 }
