--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -27,7 +27,7 @@
 QCborMap releaseNews(const RequestFingerprint &fingerprint)
 {
     return quarantineNewsToCbor(
-        {QuarantineNewsKind::Released, {fingerprint}, WorkspaceId(), Milliseconds(0)});
+        {QuarantineNewsKind::Released, {fingerprint}, WorkspaceId(), Milliseconds(0), {}});
 }
 
 QList<QCborMap> newsOf(const QList<QuarantineOutcome> &outcomes, Milliseconds quarantine)
@@ -39,7 +39,8 @@
             news.append(quarantineNewsToCbor({QuarantineNewsKind::Quarantined,
                                               {outcome.fingerprint},
                                               outcome.workspace,
-                                              quarantine}));
+                                              quarantine,
+                                              {}}));
         else if (outcome.verdict == QuarantineVerdict::Suspect)
             suspects[outcome.workspace].append(outcome.fingerprint);
     }
@@ -47,7 +48,9 @@
         for (qsizetype first = 0; first < entry->size(); first += MostFingerprintsOfNews)
             news.append(quarantineNewsToCbor({QuarantineNewsKind::Suspects,
                                               entry->mid(first, MostFingerprintsOfNews),
-                                              entry.key(), Milliseconds(0)}));
+                                              entry.key(),
+                                              Milliseconds(0),
+                                              {}}));
     }
     return news;
 }
@@ -67,8 +70,9 @@
 QuarantineVerdict Quarantine::mayRun(const RequestFingerprint &fingerprint, MonotonicTime now)
 {
     const QMutexLocker lock(&m_mutex);
-    // Nearly all requests are not in the tables: only for those in them is time spent.
-    if (verdictOf(m_state, fingerprint) == QuarantineVerdict::Free)
+    // Nearly all requests are not in the tables, and nearly always these are empty.
+    if (verdictOf(m_state, fingerprint) == QuarantineVerdict::Free
+        && m_state.remoteProbations.isEmpty())
         return QuarantineVerdict::Free;
     expire(now);
     return verdictOf(m_state, fingerprint);
@@ -91,15 +95,33 @@
 void Quarantine::attemptStarted(const RequestFingerprint &fingerprint, const WorkspaceId &workspace,
                                 const TargetId &target, MonotonicTime now)
 {
-    const QMutexLocker lock(&m_mutex);
-    noteAttemptStarted(m_state, fingerprint, workspace, target, now);
+    Milliseconds lease{0};
+    {
+        const QMutexLocker lock(&m_mutex);
+        noteAttemptStarted(m_state, fingerprint, workspace, target, now);
+        if (verdictOf(m_state, fingerprint) != QuarantineVerdict::Suspect)
+            return;
+        lease = m_state.settings.probationLease;
+    }
+    tell({quarantineNewsToCbor(
+        {QuarantineNewsKind::ProbationStarted, {fingerprint}, workspace, lease, target})});
 }
 
 void Quarantine::attemptFinished(const RequestFingerprint &fingerprint, const TargetId &target,
                                  bool ran)
 {
-    const QMutexLocker lock(&m_mutex);
-    noteAttemptFinished(m_state, fingerprint, target, ran);
+    {
+        const QMutexLocker lock(&m_mutex);
+        const bool onProbation = verdictOf(m_state, fingerprint) == QuarantineVerdict::Suspect;
+        noteAttemptFinished(m_state, fingerprint, target, ran);
+        if (!onProbation)
+            return;
+    }
+    tell({quarantineNewsToCbor({QuarantineNewsKind::ProbationEnded,
+                                {fingerprint},
+                                WorkspaceId(),
+                                Milliseconds(0),
+                                target})});
 }
 
 QList<QuarantineOutcome> Quarantine::targetDied(const TargetId &target, TargetDeathCause cause,
@@ -141,6 +163,10 @@
             noteQuarantined(m_state, {fingerprint, news->workspace, now + news->left});
         else if (news->kind == QuarantineNewsKind::Released)
             releaseRequest(m_state, fingerprint);
+        else if (news->kind == QuarantineNewsKind::ProbationStarted)
+            noteRemoteProbation(m_state, fingerprint, news->target, now + news->left);
+        else if (news->kind == QuarantineNewsKind::ProbationEnded)
+            endRemoteProbation(m_state, fingerprint, news->target);
         else
             noteSuspect(m_state, fingerprint, news->workspace, now);
     }
--- a/src/quarantine/QuarantineNews.h
+++ b/src/quarantine/QuarantineNews.h
@@ -15,6 +15,8 @@
     Suspects = 1,
     Quarantined = 2,
     Released = 3,
+    ProbationStarted = 4,
+    ProbationEnded = 5,
 };
 
 struct QuarantineNews {
@@ -22,8 +24,10 @@
     /// Of one workspace; several only of suspects.
     QList<RequestFingerprint> fingerprints;
     WorkspaceId workspace;
-    /// Time that is left of a quarantine.
+    /// Time that is left of a quarantine or at most of a probation.
     Milliseconds left{0};
+    /// Where a suspect runs; only of probations.
+    TargetId target;
 };
 
 /// So many fingerprints fit the bound of a membership delta.
--- a/src/quarantine/QuarantineRules.cpp
+++ b/src/quarantine/QuarantineRules.cpp
@@ -119,10 +119,11 @@
 qsizetype suspectsOn(const QuarantineState &state, const TargetId &target)
 {
     const QHash<RequestFingerprint, RunningRequest> requests = state.running.value(target);
-    return std::count_if(requests.keyBegin(), requests.keyEnd(),
-                         [&](const RequestFingerprint &fingerprint) {
-                             return state.suspects.contains(fingerprint);
-                         });
+    const qsizetype own = std::count_if(requests.keyBegin(), requests.keyEnd(),
+                                        [&](const RequestFingerprint &fingerprint) {
+                                            return state.suspects.contains(fingerprint);
+                                        });
+    return own + state.remoteProbations.value(target).size();
 }
 
 std::optional<TargetId> probationTarget(const QuarantineState &state,
@@ -152,6 +153,9 @@
 void noteAttemptStarted(QuarantineState &state, const RequestFingerprint &fingerprint,
                         const WorkspaceId &workspace, const TargetId &target, MonotonicTime now)
 {
+    // A request without a fingerprint is never known again.
+    if (fingerprint.isEmpty())
+        return;
     RunningRequest &request = state.running[target][fingerprint];
     if (request.attempts == 0)
         request.since = now;
@@ -178,6 +182,7 @@
 {
     const qsizetype suspects = suspectsOn(state, target);
     const QHash<RequestFingerprint, RunningRequest> requests = state.running.take(target);
+    state.remoteProbations.remove(target);
     forgetOldDeaths(state, now);
     if (cause == TargetDeathCause::Crash)
         state.deaths.append({now, requests.keys()});
@@ -205,6 +210,25 @@
         addSuspect(state, fingerprint, {workspace, now, Milliseconds(0)});
 }
 
+void noteRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                         const TargetId &target, MonotonicTime until)
+{
+    if (state.remoteProbations.size() >= state.settings.mostSuspects)
+        return;
+    state.remoteProbations[target].insert(fingerprint, until);
+}
+
+void endRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                        const TargetId &target)
+{
+    const auto found = state.remoteProbations.find(target);
+    if (found == state.remoteProbations.end())
+        return;
+    found->remove(fingerprint);
+    if (found->isEmpty())
+        state.remoteProbations.erase(found);
+}
+
 void noteQuarantined(QuarantineState &state, const QuarantineEntry &entry)
 {
     state.suspects.remove(entry.fingerprint);
@@ -225,6 +249,12 @@
 QList<QuarantineEntry> expireQuarantine(QuarantineState &state, MonotonicTime now)
 {
     clearSurvivors(state, now);
+    for (auto probation = state.remoteProbations.begin();
+         probation != state.remoteProbations.end();) {
+        probation->removeIf([&](const auto &entry) { return entry.value() < now; });
+        probation =
+            probation->isEmpty() ? state.remoteProbations.erase(probation) : std::next(probation);
+    }
     state.suspects.removeIf([&](const auto &entry) {
         return elapsed(entry.value().since, now) > state.settings.suspicion
             && !isRunning(state, entry.key());
--- a/src/quarantine/QuarantineRules.h
+++ b/src/quarantine/QuarantineRules.h
@@ -18,7 +18,8 @@
 /// Precondition: expireQuarantine() was called with the present time.
 QuarantineVerdict verdictOf(const QuarantineState &state, const RequestFingerprint &fingerprint);
 
-/// How many suspects run on @p target; while any does, no other request should be sent there.
+/// How many suspects run on @p target, those of other daemons included; while any does, no other
+/// request should be sent there.
 qsizetype suspectsOn(const QuarantineState &state, const TargetId &target);
 
 /// Where a suspect may run: of the @p candidates, all usable targets of its service, one
@@ -45,6 +46,14 @@
 void noteSuspect(QuarantineState &state, const RequestFingerprint &fingerprint,
                  const WorkspaceId &workspace, MonotonicTime now);
 
+/// Another daemon runs a suspect on @p target; it counts until @p until.
+void noteRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                         const TargetId &target, MonotonicTime until);
+
+/// Another daemon's suspect has ended on @p target.
+void endRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                        const TargetId &target);
+
 /// Holds the request back until @p until, by this daemon's or another's finding.
 void noteQuarantined(QuarantineState &state, const QuarantineEntry &entry);
 
--- a/src/quarantine/QuarantineSettings.h
+++ b/src/quarantine/QuarantineSettings.h
@@ -21,6 +21,8 @@
     /// So many of a service's targets run a suspect at once, but at least one may: they take no
     /// other new work meanwhile.
     double probationShare = 0.2;
+    /// How long another daemon's probation of a target counts if its end is not heard.
+    Milliseconds probationLease{120'000};
     int mostSuspects = 4096;
     int mostQuarantined = 1024;
 };
--- a/src/quarantine/QuarantineState.h
+++ b/src/quarantine/QuarantineState.h
@@ -37,6 +37,8 @@
     QuarantineSettings settings;
     QMap<TargetId, QHash<RequestFingerprint, RunningRequest>> running;
     QHash<RequestFingerprint, SuspectRequest> suspects;
+    /// Suspects that run on a target by way of other daemons, and until when that counts.
+    QMap<TargetId, QHash<RequestFingerprint, MonotonicTime>> remoteProbations;
     QHash<RequestFingerprint, QuarantineEntry> quarantined;
     /// Of the last massWindow.
     QList<TargetDeath> deaths;
--- a/test/correctness/QuarantineBlame.cpp
+++ b/test/correctness/QuarantineBlame.cpp
@@ -167,6 +167,50 @@
     BOOST_TEST((peer.mayRun(print(7), Start) == QuarantineVerdict::Quarantined));
 }
 
+BOOST_AUTO_TEST_CASE(SuspectsOfTwoDaemonsDoNotMeet)
+{
+    // Two daemons share the targets. If each put a suspect on the same one, its death would
+    // convict both.
+    QuarantineSettings settings;
+    settings.probationShare = 1;
+    Quarantine table(settings);
+    Quarantine peer(settings);
+    table.onNews([&](const QCborMap &news) { peer.takeNews(news, Start); });
+    table.attemptStarted(print(0), Workspace, target(0), Start);
+    table.targetDied(target(0), TargetDeathCause::Crash, Start);
+    table.attemptStarted(print(0), Workspace, target(1), Start);
+    BOOST_TEST(peer.isOnProbation(target(1)));
+    BOOST_TEST((peer.probationTarget(print(5), {{target(1), 0}, {target(2), 9}}) == target(2)));
+    peer.attemptStarted(print(6), Workspace, target(1), Start);
+    peer.targetDied(target(1), TargetDeathCause::Crash, Start);
+    BOOST_TEST((peer.mayRun(print(6), Start) == QuarantineVerdict::Free));
+    table.attemptFinished(print(0), target(1), true);
+    BOOST_TEST(!peer.isOnProbation(target(1)));
+}
+
+BOOST_AUTO_TEST_CASE(ProbationWhoseEndIsNotHeardEnds)
+{
+    Quarantine table;
+    Quarantine peer;
+    table.onNews([&](const QCborMap &news) { peer.takeNews(news, Start); });
+    table.attemptStarted(print(0), Workspace, target(0), Start);
+    table.targetDied(target(0), TargetDeathCause::Crash, Start);
+    table.attemptStarted(print(0), Workspace, target(1), Start);
+    const MonotonicTime later = Start + QuarantineSettings().probationLease + Milliseconds(1);
+    peer.mayRun(print(7), later);
+    BOOST_TEST(!peer.isOnProbation(target(1)));
+}
+
+BOOST_AUTO_TEST_CASE(RequestWithoutFingerprintIsNeverBlamed)
+{
+    Quarantine table;
+    for (int i = 0; i < 2; ++i) {
+        table.attemptStarted(RequestFingerprint(), Workspace, target(i), Start);
+        table.targetDied(target(i), TargetDeathCause::Crash, Start);
+    }
+    BOOST_TEST((table.mayRun(RequestFingerprint(), Start) == QuarantineVerdict::Free));
+}
+
 BOOST_AUTO_TEST_CASE(TablesAreBounded)
 {
     QuarantineSettings settings;
--- a/test/error/PeerMessages.cpp
+++ b/test/error/PeerMessages.cpp
@@ -235,7 +235,8 @@
             {QuarantineNewsKind::Suspects,
              {requestFingerprint(WorkspaceId(QStringLiteral("w")), "/p", QByteArray::number(i))},
              WorkspaceId(QStringLiteral("w")),
-             Milliseconds(0)});
+             Milliseconds(0),
+             TargetId(QStringLiteral("t"))});
         const QByteArray damaged =
             generator.damaged(encodePeerFrame({PeerMessageKind::Quarantine, news}));
         if (const auto frame = decodePeerFrame(damaged))
