--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -11,7 +11,6 @@
     X(DaemonReady, 1002, "daemon.ready")                                                           \
     X(DaemonDraining, 1003, "daemon.draining")                                                     \
     X(DaemonStopped, 1004, "daemon.stopped")                                                       \
-    X(SettingsInvalid, 1005, "settings.invalid")                                                   \
     X(RequestAccepted, 1101, "request.accepted")                                                   \
     X(RequestRefused, 1102, "request.refused")                                                     \
     X(RequestFinished, 1103, "request.finished")                                                   \
