--- a/test/failure/AtMostOnce.cpp
+++ b/test/failure/AtMostOnce.cpp
@@ -39,10 +39,7 @@
         return fleet->complete(daemon, promptOfName(name), maxTokens, onceHeaders(name));
     }
 
-    static QString promptOfName(const QString &name)
-    {
-        return QStringLiteral("prompt of ") + name;
-    }
+    static QString promptOfName(const QString &name) { return QStringLiteral("prompt of ") + name; }
 
     int runsOfName(const QString &name) { return fleet->runsOf(promptOfName(name)); }
 
@@ -81,8 +78,8 @@
             const FleetStream &other = *streams[size_t(2 * i + 1)];
             BOOST_TEST((one.isWhole() || other.isWhole()));
             for (const FleetStream *stream : {&one, &other})
-                BOOST_TEST((stream->isWhole()
-                            || kindOf(*stream) == QLatin1String("outcome_unknown")));
+                BOOST_TEST(
+                    (stream->isWhole() || kindOf(*stream) == QLatin1String("outcome_unknown")));
             BOOST_TEST(runsOfName(QStringLiteral("pair%1").arg(first + i)) == 1);
         }
     }
@@ -113,8 +110,7 @@
     const QString name = QStringLiteral("alert");
     BOOST_REQUIRE(fleet->setFaults(fleet->platformEndpoint(), {{QStringLiteral("down"), true}}));
     const Stream refused = sendOnce(0, name);
-    const Stream served =
-        fleet->complete(0, QStringLiteral("draft"), ShortAnswer, fleet->caller());
+    const Stream served = fleet->complete(0, QStringLiteral("draft"), ShortAnswer, fleet->caller());
     BOOST_REQUIRE(refused->waitOver());
     BOOST_REQUIRE(served->waitOver());
     BOOST_TEST(refused->status() == 503);
@@ -132,10 +128,10 @@
     // would be told "not run" while its key is gone for a day; taken for nothing, a second
     // attempt would find its own claim and think it another's. The re-read finds the attempt id.
     const QString name = QStringLiteral("settled");
-    BOOST_REQUIRE(fleet->setFaults(fleet->platformEndpoint(),
-                                   {{QStringLiteral("lose_answers"), 1},
-                                    {QStringLiteral("lose_answers_under"),
-                                     QStringLiteral("claims/")}}));
+    BOOST_REQUIRE(
+        fleet->setFaults(fleet->platformEndpoint(),
+                         {{QStringLiteral("lose_answers"), 1},
+                          {QStringLiteral("lose_answers_under"), QStringLiteral("claims/")}}));
     const Stream stream = sendOnce(0, name);
     BOOST_REQUIRE(stream->waitOver());
     BOOST_TEST(stream->isWhole());
--- a/test/support/FleetProcess.h
+++ b/test/support/FleetProcess.h
@@ -38,6 +38,9 @@
     /// SIGCONT.
     void resume();
 
+    /// The id of the process, for what the system tells of it.
+    qint64 id() const { return m_process.processId(); }
+
     bool isRunning();
     /// Waits until the process has ended by itself.
     bool waitEnded();
