--- a/test/performance/Membership.cpp
+++ b/test/performance/Membership.cpp
@@ -5,22 +5,23 @@
 #include "base/EventLog.h"
 #include "base/QtTimerService.h"
 #include "support/PeerDaemon.h"
+#include "support/ProcessUsage.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QEventLoop>
 #include <QTimer>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <random>
 #include <vector>
 
 using namespace cranberry;
+using test::loadAverage;
 using test::PeerDaemon;
+using test::processorSeconds;
+using test::residentKilobytes;
 
 namespace {
 
@@ -31,32 +32,6 @@
 constexpr Milliseconds TrialLimit{60'000};
 /// IP and TCP headers with timestamps of a segment and of its acknowledgement.
 constexpr int SegmentBytes = 2 * 52;
-constexpr double MicrosecondsPerSecond = 1e6;
-
-double processorSeconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    const auto seconds = [](const timeval &time) {
-        return double(time.tv_sec) + double(time.tv_usec) / MicrosecondsPerSecond;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
-double loadAverage()
-{
-    std::ifstream file("/proc/loadavg");
-    double load = 0;
-    file >> load;
-    return load;
-}
-
-long residentKilobytes()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    return usage.ru_maxrss;
-}
 
 void runFor(Milliseconds time)
 {
@@ -156,7 +131,7 @@
                 chunks / perDaemonSecond);
     std::printf("core_percent_per_daemon=%.3f resident_kb_per_daemon=%.0f\n",
                 100 * (processorSeconds() - processorBefore) / perDaemonSecond,
-                double(residentKilobytes()) / members);
+                residentKilobytes() / members);
     std::printf("false_suspicions=%lld false_deaths=%lld platform_reads=%d\n",
                 static_cast<long long>(fleet.suspicions), static_cast<long long>(fleet.deaths),
                 fleet.reads() - readsBefore);
--- a/test/performance/MembershipFleet.cpp
+++ b/test/performance/MembershipFleet.cpp
@@ -3,12 +3,12 @@
 #include "base/EventLog.h"
 #include "base/QtTimerService.h"
 #include "support/PeerDaemon.h"
+#include "support/ProcessUsage.h"
 
 #include <QCoreApplication>
 #include <QEventLoop>
 #include <QTimer>
 
-#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,11 +17,11 @@
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
 #include <vector>
 
 using namespace cranberry;
 using test::PeerDaemon;
+using test::processorSeconds;
 
 namespace {
 
@@ -30,7 +30,6 @@
 constexpr Milliseconds Poll{50};
 /// IP and TCP headers with timestamps of a segment and of its acknowledgement.
 constexpr int SegmentBytes = 2 * 52;
-constexpr double MicrosecondsPerSecond = 1e6;
 
 struct Plan {
     int members = 0;
@@ -51,16 +50,6 @@
     std::array<double, 32> milliseconds{};
 };
 
-double processorSeconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    const auto seconds = [](const timeval &time) {
-        return double(time.tv_sec) + double(time.tv_usec) / MicrosecondsPerSecond;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
 void runFor(Milliseconds time)
 {
     QEventLoop loop;
@@ -149,9 +138,7 @@
         runFor(std::chrono::seconds(m_plan.seconds));
         addTraffic(1);
         m_report.processorSeconds += processorSeconds();
-        rusage usage{};
-        getrusage(RUSAGE_SELF, &usage);
-        m_report.residentKilobytes = double(usage.ru_maxrss);
+        m_report.residentKilobytes = test::residentKilobytes();
         m_idleSuspicions = m_report.suspicions;
         m_idleDeaths = m_report.deaths;
     }
@@ -240,11 +227,8 @@
     }
     std::sort(times.begin(), times.end());
     const double daemonSeconds = double(plan.members) * plan.seconds;
-    std::ifstream loadFile("/proc/loadavg");
-    double load = 0;
-    loadFile >> load;
     std::printf("members=%d processes=%d seconds=%d load=%.1f\n", plan.members, plan.processes,
-                plan.seconds, load);
+                plan.seconds, test::loadAverage());
     std::printf("bytes_per_second_both_ways=%.0f with_tcp_ip_estimate=%.0f messages=%.2f\n",
                 sum.bytes / daemonSeconds, (sum.bytes + sum.chunks * SegmentBytes) / daemonSeconds,
                 sum.chunks / daemonSeconds);
