--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -379,7 +379,10 @@
     const bool refused =
         failure == SendFailure::RefusedBeforeStart || failure == SendFailure::CancelledBeforeStart;
     dropStreams(refused ? AttemptOutcome::Refused : AttemptOutcome::TargetLost);
-    if (!m_context.targets.takeRetry(m_request.workspace, failed)) {
+    // A send of which no byte left has cost no target anything, and each target is excluded after
+    // it: only sends that may have cost something are taken from the budget.
+    const bool isFree = failure == SendFailure::NotConnected;
+    if (!isFree && !m_context.targets.takeRetry(m_request.workspace, failed)) {
         giveUp(failure, reason);
         return;
     }
--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -168,7 +168,9 @@
     releaseTarget(failure == SendFailure::RefusedBeforeStart ? AttemptOutcome::Refused
                                                              : AttemptOutcome::TargetLost);
     const bool mayRunAgain = ran == Ran::No || !m_request.atMostOnce;
-    if (mayRunAgain && m_context.targets.takeRetry(m_request.workspace, failed)) {
+    // As in GenerationRun: what cost no target anything is not taken from the budget.
+    const bool isFree = failure == SendFailure::NotConnected;
+    if (mayRunAgain && (isFree || m_context.targets.takeRetry(m_request.workspace, failed))) {
         ++m_context.counters.retries;
         m_excluded.insert(failed);
         m_isRetry = true;
