--- a/src/claims/ClaimGathering.cpp
+++ b/src/claims/ClaimGathering.cpp
@@ -47,8 +47,10 @@
         return;
     }
     const AttemptId attempt = claim.attempt;
-    auto timeout =
-        m_timers.after(m_settings.gathererTimeout, [this, attempt] { claimDirectly(attempt); });
+    // Without the window on top, every claim of a busy shard would be written twice.
+    const Milliseconds patience =
+        m_settings.gathererTimeout + m_windows[size_t(shardOfClaim(claim.key))];
+    auto timeout = m_timers.after(patience, [this, attempt] { claimDirectly(attempt); });
     m_asked[attempt] = {claim, std::move(callback), std::move(timeout)};
     if (!m_peers.send(gatherer, PeerMessageKind::ClaimRequest, claimRequestToCbor({claim})))
         claimDirectly(attempt);
@@ -57,7 +59,7 @@
 void ClaimGathering::claimDirectly(const AttemptId &attempt)
 {
     const Asked asked = std::move(m_asked.at(attempt));
-    m_asked.erase(attempt);
+    m_asked.erase(asked.claim.attempt);
     m_shardOf(asked.claim.key)
         .submit({ClaimOperation::Kind::Claim, asked.claim}, false,
                 [callback = asked.callback](ClaimOutcome outcome) {
@@ -73,9 +75,10 @@
     const AttemptId attempt = message.claim.attempt;
     m_shardOf(message.claim.key)
         .submit({ClaimOperation::Kind::Claim, message.claim}, true,
-                [this, from, attempt](const ClaimOutcome &outcome) {
+                [this, from, attempt, key = message.claim.key](const ClaimOutcome &outcome) {
+                    const Milliseconds window = m_shardOf(key).window();
                     m_peers.send(from, PeerMessageKind::ClaimAnswer,
-                                 claimAnswerToCbor({attempt, outcome}));
+                                 claimAnswerToCbor({attempt, outcome, shardOfClaim(key), window}));
                 });
 }
 
@@ -83,6 +86,7 @@
 // direct way is the one that counts, and it finds the gatherer's write in the service.
 void ClaimGathering::answered(const ClaimAnswerMessage &message)
 {
+    m_windows[size_t(message.shard)] = message.window;
     const auto found = m_asked.find(message.attempt);
     if (found == m_asked.end())
         return;
--- a/src/claims/ClaimGathering.h
+++ b/src/claims/ClaimGathering.h
@@ -5,6 +5,7 @@
 #include "claims/ClaimSettings.h"
 #include "claims/ClaimShard.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -55,6 +56,8 @@
     const ClaimSettings &m_settings;
     ShardOf m_shardOf;
     std::map<AttemptId, Asked> m_asked;
+    /// By shard, how long its gatherer last said that it holds claims.
+    std::array<Milliseconds, ClaimShardCount> m_windows{};
     internal::LifeGuard m_life;
 };
 
--- a/src/claims/ClaimMessages.cpp
+++ b/src/claims/ClaimMessages.cpp
@@ -1,6 +1,7 @@
 #include "claims/ClaimMessages.h"
 
 #include "claims/ClaimCodec.h"
+#include "claims/ClaimSegment.h"
 
 namespace cranberry {
 
@@ -11,8 +12,13 @@
     AttemptMember = 2,
     KindMember = 3,
     HolderMember = 4,
+    WindowMember = 5,
+    ShardMember = 6,
 };
 
+/// No gatherer makes others wait for longer, whatever it says.
+constexpr qint64 LongestWindowMs = 1000;
+
 enum WireKind {
     DoneKind = 1,
     HeldKind = 2,
@@ -64,7 +70,9 @@
 QCborMap claimAnswerToCbor(const ClaimAnswerMessage &message)
 {
     QCborMap body{{int(AttemptMember), message.attempt.text()},
-                  {int(KindMember), wireKind(message.outcome.kind)}};
+                  {int(KindMember), wireKind(message.outcome.kind)},
+                  {int(ShardMember), message.shard},
+                  {int(WindowMember), qint64(message.window.count())}};
     if (message.outcome.kind == ClaimOutcome::Kind::Held)
         body.insert(int(HolderMember), claimToCbor(message.outcome.holder));
     return body;
@@ -73,9 +81,16 @@
 std::optional<ClaimAnswerMessage> claimAnswerFromCbor(const QCborMap &body)
 {
     const auto kind = kindOnWire(body.value(KindMember).toInteger());
-    if (!kind || !body.value(AttemptMember).isString())
+    const qint64 shard = body.value(ShardMember).toInteger(-1);
+    const qint64 window = body.value(WindowMember).toInteger(-1);
+    const bool wellFormed =
+        kind && body.value(AttemptMember).isString() && window >= 0 && window <= LongestWindowMs;
+    if (!wellFormed)
         return std::nullopt;
-    ClaimAnswerMessage message{AttemptId(body.value(AttemptMember).toString()), {*kind, {}, true}};
+    ClaimAnswerMessage message{AttemptId(body.value(AttemptMember).toString()),
+                               {*kind, {}, true},
+                               int(shard),
+                               Milliseconds(window)};
     if (*kind != ClaimOutcome::Kind::Held)
         return message;
     const std::optional<Claim> holder = claimFromCbor(body.value(HolderMember));
--- a/src/claims/ClaimMessages.h
+++ b/src/claims/ClaimMessages.h
@@ -1,6 +1,7 @@
 // Defines the messages by which a daemon lets another write its claim.
 #pragma once
 
+#include "base/Units.h"
 #include "claims/ClaimOperation.h"
 
 #include <QCborMap>
@@ -16,6 +17,9 @@
 struct ClaimAnswerMessage {
     AttemptId attempt;
     ClaimOutcome outcome;
+    int shard = 0;
+    /// How long the gatherer holds claims of the shard at present.
+    Milliseconds window{0};
 };
 
 /// Thread-safe.
--- a/src/claims/ClaimShard.cpp
+++ b/src/claims/ClaimShard.cpp
@@ -2,7 +2,6 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "claims/GatherWindow.h"
 
 #include <algorithm>
 
@@ -23,16 +22,20 @@
 {
     m_waiting.push_back(
         {operation, std::move(callback), m_timers.now() + m_settings.settleLimit, false});
+    m_rate = afterArrival(m_rate, m_timers.now());
     if (m_inRound)
         return;
-    if (m_timers.now() - m_roundEnd > 2 * m_settings.longestWindow)
-        m_window = Milliseconds(0);
-    if (!mayGather || m_window.count() == 0) {
+    if (!mayGather || window().count() == 0) {
         startRound();
         return;
     }
     if (!m_windowEnd)
-        m_windowEnd = m_timers.after(m_window, [this] { startRound(); });
+        m_windowEnd = m_timers.after(window(), [this] { startRound(); });
+}
+
+Milliseconds ClaimShard::window() const
+{
+    return gatherWindow(m_rate, m_timers.now(), m_settings.longestWindow);
 }
 
 void ClaimShard::startRound()
@@ -46,7 +49,6 @@
     const auto end = m_waiting.begin() + qsizetype(taken);
     m_round.assign(std::make_move_iterator(m_waiting.begin()), std::make_move_iterator(end));
     m_waiting.erase(m_waiting.begin(), end);
-    m_batch = qsizetype(m_round.size());
     step();
 }
 
@@ -271,11 +273,9 @@
 void ClaimShard::endRound()
 {
     m_inRound = false;
-    m_roundEnd = m_timers.now();
-    m_window = nextGatherWindow(m_window, m_batch, m_settings.longestWindow);
     if (m_waiting.empty())
         return;
-    m_windowEnd = m_timers.after(m_window, [this] { startRound(); });
+    m_windowEnd = m_timers.after(window(), [this] { startRound(); });
 }
 
 void ClaimShard::finish(const Entry &entry, ClaimOutcome::Kind kind, const Claim &holder)
--- a/src/claims/ClaimShard.h
+++ b/src/claims/ClaimShard.h
@@ -4,6 +4,7 @@
 #include "claims/ClaimCounts.h"
 #include "claims/ClaimOperation.h"
 #include "claims/ClaimSettings.h"
+#include "claims/GatherWindow.h"
 #include "claims/SegmentUpdate.h"
 #include "configuration/LifeGuard.h"
 #include "platform/KeyValueStore.h"
@@ -45,6 +46,9 @@
     /// others to be written with it.
     void submit(const ClaimOperation &operation, bool mayGather, Callback callback);
 
+    /// How long an operation that may gather is held for others at present.
+    Milliseconds window() const;
+
     const ClaimCounts &counts() const { return m_counts; }
 
 private:
@@ -94,9 +98,7 @@
     Revision m_sealRevision;
     int m_sealedReads = 0;
     bool m_sealedReadFailed = false;
-    qsizetype m_batch = 0;
-    Milliseconds m_window{0};
-    MonotonicTime m_roundEnd;
+    ArrivalRate m_rate;
     std::unique_ptr<TimerSubscription> m_windowEnd;
     std::unique_ptr<TimerSubscription> m_pause;
     ClaimCounts m_counts;
