--- a/src/configuration/ConfigurationDocument.cpp
+++ b/src/configuration/ConfigurationDocument.cpp
@@ -5,6 +5,10 @@
 #include "configuration/DocumentRules.h"
 
 #include <QJsonArray>
+#include <QStringList>
+
+#include <functional>
+#include <optional>
 
 namespace cranberry {
 
@@ -29,6 +33,11 @@
 constexpr double LargestWeight = 1000;
 constexpr int LargestLimit = 1'000'000;
 
+const QString Services = QStringLiteral("services");
+const QString Models = QStringLiteral("models");
+const QString Workspaces = QStringLiteral("workspaces");
+const QString Targets = QStringLiteral("targets");
+
 const char IdExpected[] = "1..64 letters, digits, \".\", \"_\" or \"-\", a letter or digit first";
 const char IdPattern[] = "[A-Za-z0-9][A-Za-z0-9._-]{0,63}";
 const char ModelIdExpected[] =
@@ -173,14 +182,60 @@
     return target;
 }
 
+/// Reads those of @p names that are in @p parts into @p into, and removes the others there.
 template <typename Id, typename Part>
-QMap<Id, Part> readParts(const QJsonValue &parts, Part (*read)(const QJsonObject &))
+void readParts(const QJsonObject &parts, const QStringList &names,
+               Part (*read)(const QJsonObject &), QMap<Id, Part> &into)
 {
-    QMap<Id, Part> result;
-    const QJsonObject object = parts.toObject();
-    for (auto it = object.begin(); it != object.end(); ++it)
-        result.insert(Id(it.key()), read(it.value().toObject()));
-    return result;
+    for (const QString &name : names) {
+        const auto found = parts.constFind(name);
+        if (found == parts.constEnd())
+            into.remove(Id(name));
+        else
+            into.insert(Id(name), read(found->toObject()));
+    }
+}
+
+/// For each part of a document, the names in it.
+using PartNames = std::function<QStringList(const QString &part)>;
+
+void readInto(Configuration &configuration, const QJsonObject &document, const PartNames &names)
+{
+    const auto partOf = [&](const QString &part) { return document.value(part).toObject(); };
+    readParts(partOf(Services), names(Services), readService, configuration.services);
+    readParts(partOf(Models), names(Models), readModel, configuration.models);
+    readParts(partOf(Workspaces), names(Workspaces), readWorkspace, configuration.workspaces);
+    readParts(partOf(Targets), names(Targets), readTarget, configuration.targets);
+}
+
+Error invalid(const ConfigurationFault &fault)
+{
+    Error error;
+    error.kind = ErrorKind::InvalidConfiguration;
+    error.detail = fault.text();
+    error.field = fault.path;
+    return error;
+}
+
+/// The entries of @p document that @p patch touches, as a document of their own; nothing if
+/// the patch replaces a whole part.
+std::optional<QJsonObject> touchedDocument(const QJsonObject &document, const QJsonObject &patch)
+{
+    QJsonObject touched{{Services, QJsonObject()}};
+    for (auto part = patch.begin(); part != patch.end(); ++part) {
+        const QJsonValue present = document.value(part.key());
+        if (!part.value().isObject() || !present.isObject())
+            return std::nullopt;
+        const QJsonObject entries = present.toObject();
+        QJsonObject found;
+        const QStringList names = part.value().toObject().keys();
+        for (const QString &name : names) {
+            if (entries.contains(name))
+                found.insert(name, entries.value(name));
+        }
+        touched.insert(part.key(), found);
+    }
+    return touched;
 }
 
 } // namespace
@@ -197,19 +252,30 @@
                                                 ConfigurationVersion version)
 {
     const QList<ConfigurationFault> faults = validateDocument(document);
-    if (!faults.isEmpty()) {
-        Error error;
-        error.kind = ErrorKind::InvalidConfiguration;
-        error.detail = faults.first().text();
-        error.field = faults.first().path;
-        return error;
-    }
+    if (!faults.isEmpty())
+        return invalid(faults.first());
     Configuration configuration;
     configuration.version = version;
-    configuration.services = readParts<ServiceId>(document["services"], readService);
-    configuration.models = readParts<ModelId>(document["models"], readModel);
-    configuration.workspaces = readParts<WorkspaceId>(document["workspaces"], readWorkspace);
-    configuration.targets = readParts<TargetId>(document["targets"], readTarget);
+    readInto(configuration, document,
+             [&](const QString &part) { return document.value(part).toObject().keys(); });
+    return configuration;
+}
+
+Result<Configuration> configurationAfterPatch(const Configuration &before,
+                                              const QJsonObject &document, const QJsonObject &patch,
+                                              ConfigurationVersion version)
+{
+    const std::optional<QJsonObject> touched = touchedDocument(document, patch);
+    if (!touched)
+        return configurationFromDocument(document, version);
+    QList<ConfigurationFault> faults;
+    documentRule()(QString(), *touched, faults);
+    if (!faults.isEmpty())
+        return invalid(faults.first());
+    Configuration configuration = before;
+    configuration.version = version;
+    readInto(configuration, document,
+             [&](const QString &part) { return patch.value(part).toObject().keys(); });
     return configuration;
 }
 
--- a/src/configuration/ConfigurationDocument.h
+++ b/src/configuration/ConfigurationDocument.h
@@ -19,6 +19,15 @@
 Result<Configuration> configurationFromDocument(const QJsonObject &document,
                                                 ConfigurationVersion version);
 
+/// The same as configurationFromDocument(), at the cost of the entries that @p patch touches:
+/// the others are taken from @p before. What entries say of each other is not checked, as
+/// whoever accepted @p document has done that.
+/// Precondition: @p before is what the document stated before @p patch, and @p document is
+/// the result of the patch. Thread-safe.
+Result<Configuration> configurationAfterPatch(const Configuration &before,
+                                              const QJsonObject &document, const QJsonObject &patch,
+                                              ConfigurationVersion version);
+
 /// RFC 7396: @p patch applied to @p document. Thread-safe.
 QJsonObject mergePatch(const QJsonObject &document, const QJsonObject &patch);
 
--- a/test/correctness/ConfigurationDocument.cpp
+++ b/test/correctness/ConfigurationDocument.cpp
@@ -5,6 +5,8 @@
 #include "configuration/ConfigurationDocument.h"
 #include "support/JsonText.h"
 
+#include <QTextStream>
+
 using namespace cranberry;
 using cranberry::test::jsonObject;
 using cranberry::test::sourceJson;
@@ -52,6 +54,38 @@
     return result;
 }
 
+/// Every value of @p read, in the order of the ids.
+QString textOf(const Configuration &read)
+{
+    QString text = QString::number(read.version.value()) + '\n';
+    QTextStream out(&text);
+    for (auto it = read.services.begin(); it != read.services.end(); ++it) {
+        out << it.key().text() << int(it->kind) << int(it->objective) << int(it->policy)
+            << it->atMostOnce << it->preemptionChance << ' ' << it->queueLimit << ' '
+            << it->defaultDeadline.count() << it->targetsCheckFencing << it->concurrentLoads
+            << '\n';
+    }
+    for (auto it = read.models.begin(); it != read.models.end(); ++it)
+        out << it.key().text() << it->service.text() << it->version << it->maxTokens.value()
+            << '\n';
+    for (auto it = read.workspaces.begin(); it != read.workspaces.end(); ++it) {
+        out << it.key().text() << it->keyHashes.join(',') << it->weight << ' '
+            << it->limits.concurrentRequests << ' ' << it->limits.requestsPerSecond;
+        for (const ServiceId &service : it->services)
+            out << service.text() << ' ';
+        out << '\n';
+    }
+    for (auto it = read.targets.begin(); it != read.targets.end(); ++it) {
+        out << it.key().text() << it->service.text() << it->endpoint.address << it->endpoint.port
+            << it->dataCentre.text();
+        for (const ModelId &model : it->models)
+            out << model.text() << ' ';
+        out << '\n';
+    }
+    out.flush();
+    return text;
+}
+
 struct SchemaObject {
     QStringList path;
     QString definition;
@@ -194,3 +228,37 @@
         BOOST_TEST(mergePatchBetween(from, from).isEmpty());
     }
 }
+
+BOOST_AUTO_TEST_CASE(ReadingOnlyWhatAPatchTouchesGivesTheSame)
+{
+    const QList<QJsonObject> documents{
+        jsonObject(FullDocument), sourceJson("docs/examples/polinia.json"),
+        sourceJson("docs/examples/leeuwin.json"), jsonObject(R"({"services": {}})"),
+        jsonObject(R"({"services": {"bulletins": {"kind": "plain"}}, "models": {}})")};
+    for (const QJsonObject &from : documents) {
+        const Configuration before =
+            configurationFromDocument(from, ConfigurationVersion(1)).value();
+        for (const QJsonObject &to : documents) {
+            const QJsonObject patch = mergePatchBetween(from, to);
+            const Configuration whole =
+                configurationFromDocument(to, ConfigurationVersion(2)).value();
+            const Configuration touched =
+                configurationAfterPatch(before, to, patch, ConfigurationVersion(2)).value();
+            BOOST_TEST(textOf(touched).toStdString() == textOf(whole).toStdString());
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(PatchThatThisBuildCannotReadIsAFault)
+{
+    const QJsonObject from = jsonObject(FullDocument);
+    const Configuration before = configurationFromDocument(from, ConfigurationVersion(1)).value();
+    for (const QByteArray text :
+         {R"({"novel": {"x": 1}})", R"({"services": {"bulletins": {"novel": 1}}})",
+          R"({"targets": {"t1": {"url": "x"}}})", R"({"services": null})"}) {
+        const QJsonObject patch = jsonObject(text);
+        const Result<Configuration> read = configurationAfterPatch(before, mergePatch(from, patch),
+                                                                   patch, ConfigurationVersion(2));
+        BOOST_TEST(!read.has_value(), text.toStdString());
+    }
+}
