--- a/test/failure/DaemonsComeAndGo.cpp
+++ b/test/failure/DaemonsComeAndGo.cpp
@@ -32,7 +32,7 @@
     {
         QStringList states;
         const QJsonArray members = fleet->status(viewer).value(QStringLiteral("members")).toArray();
-        for (const QJsonValue &member : members)
+        for (const auto &member : members)
             states.append(member.toObject().value(QStringLiteral("state")).toString());
         return states;
     }
