--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -17,7 +17,7 @@
 /// A target that restarts is back within this time more often than not.
 constexpr Milliseconds NoneUsableGrace{5000};
 /// Requests that are tried when the first in turn finds no room.
-const int TurnsTried = getenv("TT") ? atoi(getenv("TT")) : 4;
+constexpr int TurnsTried = 12;
 /// After so many passes a lane waits for the one in turn, so that nobody starves.
 constexpr int MostPasses = 16;
 /// Answers take longer than expected as often as shorter; this covers most.
--- a/src/placement/ForecastPolicy.cpp
+++ b/src/placement/ForecastPolicy.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-/// A cached prefix saves prompt work, but not so much that it is worth a crowded target.
-constexpr double PrefixBonus = 0.10;
-const double PreferredBonus = getenv("PB") ? atof(getenv("PB")) : 0.2;
+/// A target on which the prefix is wanted is taken before others while it has room: the prompt
+/// work that its cache saves is time between tokens for every stream on it.
+constexpr double PrefixBonus = 0.8;
 /// Only a tie-break: a message between data centres costs little against a token.
 constexpr double SameDataCentreBonus = 0.005;
 /// A target that may run out if everything goes badly is full.
@@ -43,9 +43,7 @@
 
 double bonusOf(const PlacementRequest &request, const TargetLoad &target)
 {
-    return (target.preferredForPrefix ? PreferredBonus
-                : target.holdsPrefix  ? (getenv("HB") ? atof(getenv("HB")) : PrefixBonus)
-                                      : 0)
+    return (target.preferredForPrefix ? PrefixBonus : 0)
         + (target.dataCentre == request.dataCentre ? SameDataCentreBonus : 0);
 }
 
@@ -96,7 +94,7 @@
             {},
             QStringLiteral("pressure=%1 prefix=%2 of=%3")
                 .arg(best.pressure, 0, 'f', 3)
-                .arg(best.target->holdsPrefix ? 1 : 0)
+                .arg(best.target->preferredForPrefix ? 1 : 0)
                 .arg(count)};
 }
 
--- a/src/placement/TargetLoad.h
+++ b/src/placement/TargetLoad.h
@@ -31,8 +31,6 @@
     /// True if the prefix hashes to this target: every daemon sends it here first, so that it is
     /// cached on few targets.
     bool preferredForPrefix = false;
-    /// True if this daemon lately sent a request with the same prefix hash.
-    bool holdsPrefix = false;
 };
 
 } // namespace cranberry
--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -18,12 +18,6 @@
     Tokens tokens;
 };
 
-/// A prompt prefix that the target probably still caches.
-struct RecentPrefix {
-    quint64 hash = 0;
-    MonotonicTime sentAt;
-};
-
 /// A request of another daemon that was given room here. What it has generated is taken from
 /// the time that has passed.
 struct Grant {
@@ -62,7 +56,6 @@
     MemoryForecast ownForecast;
     std::deque<OwnSend> endedSends;
     std::deque<Grant> grants;
-    std::deque<RecentPrefix> prefixes;
 };
 
 } // namespace cranberry
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -16,9 +16,6 @@
 
 namespace {
 
-/// Own recent sends stand in for the target's late cache events.
-constexpr size_t RecentPrefixes = 64;
-constexpr Milliseconds PrefixLifetime{300'000};
 /// Targets on which a prefix is wanted; two leave a choice when one is crowded.
 constexpr size_t PrefixTargets = 2;
 /// Sends that ended are needed only until a report made after their end arrives.
@@ -41,27 +38,6 @@
     return state.configured && !state.dead && !state.leaving;
 }
 
-bool holdsPrefix(const TargetState &state, quint64 prefixHash, MonotonicTime now)
-{
-    if (prefixHash == 0)
-        return false;
-    return std::any_of(state.prefixes.begin(), state.prefixes.end(), [&](const RecentPrefix &p) {
-        return p.hash == prefixHash && now - p.sentAt < PrefixLifetime;
-    });
-}
-
-void rememberPrefix(TargetState &state, quint64 prefixHash, MonotonicTime now)
-{
-    if (prefixHash == 0)
-        return;
-    const auto same = [&](const RecentPrefix &p) { return p.hash == prefixHash; };
-    state.prefixes.erase(std::remove_if(state.prefixes.begin(), state.prefixes.end(), same),
-                         state.prefixes.end());
-    state.prefixes.push_back({prefixHash, now});
-    if (state.prefixes.size() > RecentPrefixes)
-        state.prefixes.pop_front();
-}
-
 bool isOwn(const TargetState &state, const VmId &self)
 {
     return state.home.isEmpty() || state.home == self;
@@ -111,8 +87,7 @@
     return Tokens(qint64(std::max(0.0, passed.count()) / grant.millisecondsPerToken));
 }
 
-TargetLoad loadOf(const TargetState &state, quint64 prefixHash, const SteadyForecast &steady,
-                  MonotonicTime now)
+TargetLoad loadOf(const TargetState &state, const SteadyForecast &steady, MonotonicTime now)
 {
     TargetLoad load;
     load.target = state.target;
@@ -137,7 +112,6 @@
             load.ownPrefillTokens += grant.promptTokens;
         ++load.othersRequests;
     }
-    load.holdsPrefix = holdsPrefix(state, prefixHash, now);
     return load;
 }
 
@@ -330,7 +304,6 @@
                                  m_lengths.distribution(lengthKey(request), request.maxTokens),
                                  m_millisecondsPerToken.value(request.service)});
         m_grants.insert(request.request, placement.target);
-        rememberPrefix(*state, request.prefixHash, now);
     }
     return placement;
 }
@@ -411,7 +384,6 @@
     state->ownAttempts.insert(attempt);
     state->ownResidentTokens += request.promptTokens;
     state->ownPrefillTokens += request.promptTokens;
-    rememberPrefix(*state, request.prefixHash, now);
 }
 
 void TargetTable::refreshForecast(Attempt &attempt, TargetState &state)
@@ -548,7 +520,7 @@
     for (const TargetState *state : states) {
         if (!isUsable(*state))
             continue;
-        TargetLoad load = loadOf(*state, prefix, steady, now);
+        TargetLoad load = loadOf(*state, steady, now);
         load.preferredForPrefix = prefix != 0 && prefixRank(state->idHash, prefix) >= leastRank;
         usableLoads.append(load);
     }
@@ -580,7 +552,7 @@
     QList<TargetLoad> all;
     for (const auto &[id, state] : m_targets) {
         if (state.configured)
-            all.append(loadOf(state, 0, steadyForecast(state.service, {}), now));
+            all.append(loadOf(state, steadyForecast(state.service, {}), now));
     }
     return all;
 }
