--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -2,8 +2,10 @@
 
 #include "base/EventLog.h"
 #include "daemon/DaemonParts.h"
+#include "daemon/StatusParts.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponder.h"
+#include "placement/TargetLeavingNews.h"
 
 #include <QFile>
 #include <QHostAddress>
@@ -14,15 +16,18 @@
 namespace {
 
 /// How often a draining daemon looks whether all is finished.
-constexpr Milliseconds DrainCheck { 20 };
+constexpr Milliseconds DrainCheck{20};
 constexpr qsizetype LeastSecretBytes = 16;
 
 Result<QByteArray> readSecret(const QString &path, const QString &setting)
 {
     QFile file(path);
     const auto fault = [&](const QString &what) {
-        return Error { ErrorKind::BadRequest, Ran::No,
-                       QStringLiteral("%1: cannot use \"%2\": %3").arg(setting, path, what), setting, {} };
+        return Error{ErrorKind::BadRequest,
+                     Ran::No,
+                     QStringLiteral("%1: cannot use \"%2\": %3").arg(setting, path, what),
+                     setting,
+                     {}};
     };
     if (!file.open(QIODevice::ReadOnly))
         return fault(file.errorString());
@@ -32,23 +37,44 @@
     return secret;
 }
 
+quint64 freshRandom()
+{
+    return QRandomGenerator::global()->generate64();
+}
+
+Member ownMember(const DaemonSettings &settings, const Result<quint16> &peerPort)
+{
+    Member member;
+    member.vm = settings.vm;
+    member.dataCentre = settings.dataCentre;
+    member.address = settings.peer.address;
+    member.peerPort = peerPort ? peerPort.value() : quint16(0);
+    return member;
+}
+
 } // namespace
 
-DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret)
+DaemonParts::DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret,
+                         const QByteArray &operatorToken)
     : workers(settings.workers)
     , client(timers)
     , platform(timers, settings.platform)
     , peers(timers, settings.vm, peerSecret)
-    , members(settings.vm, settings.dataCentre)
+    , peerPort(peers.listenOn(QHostAddress(settings.peer.address), settings.peer.port))
+    , members(timers, peers, platform, ownMember(settings, peerPort))
     , configuration(platform, workers, timers)
     , spread(configuration, platform, peers, members, timers)
-    , admission(timers, targets, [] { return QRandomGenerator::global()->generate64(); })
-    , dispatcher(timers, targets, admission, settings.dataCentre)
+    , admission(timers, targets, freshRandom)
+    , credits(timers, peers, admission)
+    , router(timers, targets, admission, credits, members, freshRandom)
+    , dispatcher({timers, targets, admission, router, quarantine}, settings.dataCentre)
     , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
     , cancels(client)
-    , delivery { client, timers, dispatcher, cancels, claims, settings.stall, {}, {} }
+    , claims({platform, timers, members, peers}, ClaimSettings())
+    , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
     , gateway(delivery, runs, workers, settings.vm)
+    , operators(settings.vm, operatorToken, configuration, workers, operatorStatus())
     , server(timers, settings.http,
              [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                  gateway.handle(request, responder);
@@ -56,26 +82,45 @@
 {
 }
 
-Daemon::Daemon(DaemonSettings settings) : m_settings(std::move(settings)) { }
+OperatorStatus DaemonParts::operatorStatus()
+{
+    OperatorStatus status;
+    status.ready = [this] { return gateway.isReady(); };
+    status.members = [this] { return memberStatus(members); };
+    status.targets = [this] {
+        const auto current = configuration.current();
+        return current ? targetStatus(targets, *current, timers.now()) : QJsonArray();
+    };
+    status.quarantine = [this] { return quarantineStatus(quarantine, timers.now()); };
+    status.platformReachable = [this] { return spread.isPlatformReachable(); };
+    return status;
+}
+
+Daemon::Daemon(DaemonSettings settings)
+    : m_settings(std::move(settings))
+{
+}
 
 Daemon::~Daemon() = default;
 
 Result<void> Daemon::readSecrets()
 {
-    BOOST_OUTCOME_TRY(token, readSecret(m_settings.operatorTokenFile, QStringLiteral("operator_token_file")));
+    BOOST_OUTCOME_TRY(
+        token, readSecret(m_settings.operatorTokenFile, QStringLiteral("operator_token_file")));
     m_operatorToken = token;
-    BOOST_OUTCOME_TRY(secret, readSecret(m_settings.peerSecretFile, QStringLiteral("peer.secret_file")));
+    BOOST_OUTCOME_TRY(secret,
+                      readSecret(m_settings.peerSecretFile, QStringLiteral("peer.secret_file")));
     m_peerSecret = secret;
     return outcome::success();
 }
 
 Result<void> Daemon::listen()
 {
-    BOOST_OUTCOME_TRY(gatewayPort, m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
-                                                            m_settings.gateway.port));
+    BOOST_OUTCOME_TRY(gatewayPort,
+                      m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
+                                               m_settings.gateway.port));
     m_gatewayPort = gatewayPort;
-    BOOST_OUTCOME_TRY(peerPort, m_parts->peers.listenOn(QHostAddress(m_settings.peer.address),
-                                                        m_settings.peer.port));
+    BOOST_OUTCOME_TRY(peerPort, m_parts->peerPort);
     m_peerPort = peerPort;
     return outcome::success();
 }
@@ -83,22 +128,46 @@
 Result<void> Daemon::start()
 {
     BOOST_OUTCOME_TRY(readSecrets());
-    m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret);
+    m_parts = std::make_unique<DaemonParts>(m_settings, m_peerSecret, m_operatorToken);
     BOOST_OUTCOME_TRY(listen());
     wire();
+    m_parts->members.start();
     m_parts->spread.start();
     logEvent(LogLevel::Info, EventId::DaemonStarted,
-             { { "vm", m_settings.vm.text() },
-               { "data_centre", m_settings.dataCentre.text() },
-               { "gateway_port", QString::number(m_gatewayPort) },
-               { "peer_port", QString::number(m_peerPort) } });
+             {{"vm", m_settings.vm.text()},
+              {"data_centre", m_settings.dataCentre.text()},
+              {"gateway_port", QString::number(m_gatewayPort)},
+              {"peer_port", QString::number(m_peerPort)}});
     return outcome::success();
 }
 
 void Daemon::wire()
 {
     m_parts->configuration.onInForce(
-            [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
+        [this](const std::shared_ptr<const Configuration> &) { configurationInForce(); });
+    m_parts->members.onVersionHeard([this](const VmId &from, ConfigurationVersion version) {
+        m_parts->spread.versionHeard(from, version);
+    });
+    m_parts->gateway.setOperatorHandler(
+        [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+            return m_parts->operators.handle(request, responder);
+        });
+    m_parts->quarantine.onNews([this](const QCborMap &news) {
+        m_parts->members.addDelta(PeerMessageKind::Quarantine, news);
+    });
+    m_parts->members.onDelta(PeerMessageKind::Quarantine,
+                             [this](const VmId &, const QCborMap &news) {
+                                 m_parts->quarantine.takeNews(news, m_parts->timers.now());
+                             });
+    m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
+        m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
+                                  toCbor(TargetLeavingNews{target, incarnation}));
+    });
+    m_parts->members.onDelta(
+        PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
+            if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
+                m_parts->targets.markLeaving(news->target, news->incarnation);
+        });
 }
 
 void Daemon::configurationInForce()
@@ -108,8 +177,9 @@
     m_parts->dispatcher.setConfiguration(configuration);
     m_parts->poller.setConfiguration(*configuration);
     m_parts->gateway.setConfiguration(configuration);
+    m_parts->members.setConfigurationVersion(configuration->version);
     if (!wasReady && m_parts->gateway.isReady())
-        logEvent(LogLevel::Info, EventId::DaemonReady, { { "vm", m_settings.vm.text() } });
+        logEvent(LogLevel::Info, EventId::DaemonReady, {{"vm", m_settings.vm.text()}});
 }
 
 void Daemon::drain(std::function<void()> done)
@@ -117,8 +187,9 @@
     if (m_drained)
         return;
     m_drained = std::move(done);
-    logEvent(LogLevel::Info, EventId::DaemonDraining, { { "vm", m_settings.vm.text() } });
+    logEvent(LogLevel::Info, EventId::DaemonDraining, {{"vm", m_settings.vm.text()}});
     m_parts->gateway.announceDrain();
+    m_parts->members.setLeaving();
     m_parts->drainTimer = m_parts->timers.after(m_settings.drainListen, [this] {
         m_parts->server.stopListening();
         m_parts->gateway.refuseNew();
@@ -131,7 +202,7 @@
     if (m_parts->gateway.pending() > 0 || m_parts->server.unsentBytes() > 0)
         return;
     m_parts->drainTimer.reset();
-    logEvent(LogLevel::Info, EventId::DaemonStopped, { { "vm", m_settings.vm.text() } });
+    logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_settings.vm.text()}});
     m_drained();
 }
 
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -2,52 +2,65 @@
 #pragma once
 
 #include "admission/AdmissionQueue.h"
+#include "admission/CreditExchange.h"
+#include "admission/PlacementRouter.h"
 #include "base/QtTimerService.h"
 #include "base/TimerSubscription.h"
 #include "base/WorkerPool.h"
+#include "claims/ClaimStore.h"
 #include "configuration/ConfigurationSpread.h"
 #include "configuration/ConfigurationStore.h"
 #include "daemon/DaemonSettings.h"
 #include "daemon/Dispatcher.h"
-#include "daemon/NoClaims.h"
-#include "daemon/SoloMember.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/RunRegistry.h"
 #include "delivery/TargetCancels.h"
 #include "gateway/Gateway.h"
+#include "gateway/OperatorApi.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
+#include "membership/Membership.h"
 #include "peer/PeerLinks.h"
 #include "placement/TargetPoller.h"
 #include "placement/TargetTable.h"
 #include "platform/HttpKeyValueStore.h"
+#include "quarantine/Quarantine.h"
 
 namespace cranberry {
 
 /// Members are destroyed in reverse, so that each outlives what refers to it.
-struct DaemonParts
-{
-    DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret);
+struct DaemonParts {
+    DaemonParts(const DaemonSettings &settings, const QByteArray &peerSecret,
+                const QByteArray &operatorToken);
 
     QtTimerService timers;
     WorkerPool workers;
     HttpClient client;
     HttpKeyValueStore platform;
     PeerLinks peers;
-    SoloMember members;
+    /// Known only once the links listen, and told to the other members.
+    Result<quint16> peerPort;
+    Membership members;
     ConfigurationStore configuration;
     ConfigurationSpread spread;
     TargetTable targets;
     AdmissionQueue admission;
+    CreditExchange credits;
+    PlacementRouter router;
+    Quarantine quarantine;
     Dispatcher dispatcher;
     TargetPoller poller;
     TargetCancels cancels;
-    NoClaims claims;
+    ClaimStore claims;
     DeliveryContext delivery;
     RunRegistry runs;
     Gateway gateway;
+    OperatorApi operators;
     HttpServer server;
     std::unique_ptr<TimerSubscription> drainTimer;
+
+private:
+    OperatorStatus operatorStatus();
 };
 
 } // namespace cranberry
--- a/test/performance/Membership.cpp
+++ b/test/performance/Membership.cpp
@@ -1,24 +1,27 @@
 // Measures membership over real loopback links in one process: bytes, processor time, time to
 // find a dead member, false suspicions. Usage: bench-Membership MEMBERS SECONDS TRIALS
+// [HEADER_BYTES] HEADER_BYTES is what the pace counts for the headers of a message; 8 leaves out IP
+// and TCP.
 #include "base/EventLog.h"
 #include "base/QtTimerService.h"
 #include "support/PeerDaemon.h"
+#include "support/ProcessUsage.h"
 
 #include <QCoreApplication>
 #include <QElapsedTimer>
 #include <QEventLoop>
 #include <QTimer>
 
-#include <sys/resource.h>
-
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <random>
 #include <vector>
 
 using namespace cranberry;
+using test::loadAverage;
 using test::PeerDaemon;
+using test::processorSeconds;
+using test::residentKilobytes;
 
 namespace {
 
@@ -29,32 +32,6 @@
 constexpr Milliseconds TrialLimit{60'000};
 /// IP and TCP headers with timestamps of a segment and of its acknowledgement.
 constexpr int SegmentBytes = 2 * 52;
-constexpr double MicrosecondsPerSecond = 1e6;
-
-double processorSeconds()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    const auto seconds = [](const timeval &time) {
-        return double(time.tv_sec) + double(time.tv_usec) / MicrosecondsPerSecond;
-    };
-    return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
-double loadAverage()
-{
-    std::ifstream file("/proc/loadavg");
-    double load = 0;
-    file >> load;
-    return load;
-}
-
-long residentKilobytes()
-{
-    rusage usage{};
-    getrusage(RUSAGE_SELF, &usage);
-    return usage.ru_maxrss;
-}
 
 void runFor(Milliseconds time)
 {
@@ -66,10 +43,10 @@
 class Fleet
 {
 public:
-    explicit Fleet(int count)
+    Fleet(int count, const MembershipSettings &settings)
     {
         for (int i = 0; i < count; ++i)
-            daemons.push_back(std::make_unique<PeerDaemon>(m_timers, m_platform, i));
+            daemons.push_back(std::make_unique<PeerDaemon>(m_timers, m_platform, i, settings));
         for (int i = 0; i < count; ++i)
             start(i);
     }
@@ -103,8 +80,10 @@
             if (allSee(target, state) || elapsed.elapsed() > TrialLimit.count())
                 loop.quit();
         });
-        constexpr int PollMilliseconds = 20;
-        poll.start(PollMilliseconds);
+        // A look compares all tables: less often the more there are.
+        constexpr int LeastPollMilliseconds = 20;
+        constexpr int DaemonsPerMillisecond = 8;
+        poll.start(LeastPollMilliseconds + int(daemons.size()) / DaemonsPerMillisecond);
         loop.exec();
         return allSee(target, state) ? double(elapsed.elapsed()) : -1.0;
     }
@@ -152,7 +131,7 @@
                 chunks / perDaemonSecond);
     std::printf("core_percent_per_daemon=%.3f resident_kb_per_daemon=%.0f\n",
                 100 * (processorSeconds() - processorBefore) / perDaemonSecond,
-                double(residentKilobytes()) / members);
+                residentKilobytes() / members);
     std::printf("false_suspicions=%lld false_deaths=%lld platform_reads=%d\n",
                 static_cast<long long>(fleet.suspicions), static_cast<long long>(fleet.deaths),
                 fleet.reads() - readsBefore);
@@ -196,7 +175,9 @@
     const int seconds = argument(2, DefaultSeconds);
     const int trials = argument(3, DefaultTrials);
     setLogLevel(LogLevel::Error);
-    Fleet fleet(members);
+    MembershipSettings settings;
+    settings.headerBytes = argument(4, settings.headerBytes);
+    Fleet fleet(members, settings);
     runFor(Settling);
     measureIdle(fleet, members, seconds);
     measureDetection(fleet, trials, true);
