--- a/test/failure/AtMostOnce.cpp
+++ b/test/failure/AtMostOnce.cpp
@@ -74,8 +74,8 @@
         for (const Stream &stream : streams)
             BOOST_REQUIRE(stream->waitOver());
         for (int i = 0; i < AtOnce; ++i) {
-            const FleetStream &one = *streams[size_t(2 * i)];
-            const FleetStream &other = *streams[size_t(2 * i + 1)];
+            const FleetStream &one = *streams[2 * size_t(i)];
+            const FleetStream &other = *streams[2 * size_t(i) + 1];
             BOOST_TEST((one.isWhole() || other.isWhole()));
             for (const FleetStream *stream : {&one, &other})
                 BOOST_TEST(
@@ -147,6 +147,7 @@
     const auto nameOf = [](int i) { return QStringLiteral("paused%1").arg(i); };
     fleet->daemon(2).pause();
     std::vector<Stream> streams;
+    streams.reserve(Keys);
     for (int i = 0; i < Keys; ++i)
         streams.push_back(sendOnce(i % 2, nameOf(i)));
     for (const Stream &stream : streams) {
--- a/test/failure/CrashingRequest.cpp
+++ b/test/failure/CrashingRequest.cpp
@@ -57,6 +57,7 @@
     // runs it, the system tries it elsewhere, and its caller sends it again and again. Everyone
     // who shared an engine with it looks as guilty, until the second crash tells them apart.
     std::vector<std::unique_ptr<FleetStream>> ordinary;
+    ordinary.reserve(Ordinary);
     for (int i = 0; i < Ordinary; ++i)
         ordinary.push_back(
             fleet->complete(i % 2, QStringLiteral("ordinary %1").arg(i), 40, fleet->caller(i % 2)));
--- a/test/performance/GatewayCost.cpp
+++ b/test/performance/GatewayCost.cpp
@@ -61,6 +61,7 @@
     const double memoryBefore = residentKilobytes(daemon);
     const double before = processorMs(daemon);
     std::vector<std::unique_ptr<FleetStream>> streams;
+    streams.reserve(size_t(shape.streams));
     for (int i = 0; i < shape.streams; ++i)
         streams.push_back(fleet.complete(0, QStringLiteral("round %1 stream %2").arg(number).arg(i),
                                          shape.maxTokens, fleet.caller()));
