--- a/test/support/InterleavedStore.h
+++ b/test/support/InterleavedStore.h
@@ -40,7 +40,7 @@
 
     void remove(const QString &key, Revision expected, SwapCallback callback) override
     {
-        write([=] { return m_service.table.remove(key, expected); }, std::move(callback));
+        write([=] { return m_service.table.remove(key, expected); }, callback);
     }
 
     void list(const QString &, ListCallback callback) override { callback(unavailable()); }
