Configuration spread: changes go down a tree in each data centre

Heartbeats and pulls remain for whoever the tree does not reach. Tried and dropped: to pass on only what is new to a daemon. The outage test lets no peer help now, as the tree would hide the watch.

--- a/src/configuration/ConfigurationSpread.cpp
+++ b/src/configuration/ConfigurationSpread.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "configuration/ConfigurationStore.h"
 #include "configuration/SnapshotWriter.h"
+#include "configuration/SpreadTree.h"
 #include "membership/MemberView.h"
 #include "membership/RendezvousHash.h"
 #include "peer/PeerNetwork.h"
@@ -28,9 +29,14 @@
 /// Without the changes from a peer by then, the platform is asked.
 constexpr Milliseconds FallbackTime{1500};
 constexpr Milliseconds FallbackJitter{1000};
+/// Daemons that each passes a change on to.
+constexpr int FanOut = 4;
+/// Heads of trees to remember; two at a time, and others as VMs are replaced.
+constexpr size_t MostTrees = 64;
 /// A frame between daemons holds 1 MB.
 constexpr qsizetype PeerPartSize = 256 * 1024;
 
+const QString WatchRankKey = QStringLiteral("configuration-watch");
 const QString After = QStringLiteral("after");
 const QString Part = QStringLiteral("part");
 const QString Parts = QStringLiteral("parts");
@@ -38,6 +44,7 @@
 const QString Document = QStringLiteral("document");
 const QString Changes = QStringLiteral("changes");
 const QString Id = QStringLiteral("id");
+const QString Root = QStringLiteral("root");
 const QString Patch = QStringLiteral("patch");
 
 Milliseconds withJitter(Milliseconds time, Milliseconds jitter)
@@ -69,6 +76,8 @@
     , m_members(members)
     , m_timers(timers)
 {
+    m_store.onInForce(
+        m_guard.wrap([this](const std::shared_ptr<const Configuration> &) { sendOut(); }));
     m_peers.subscribe(PeerMessageKind::ConfigurationPull,
                       [this](const VmId &from, const QCborMap &body) { answerPull(from, body); });
     m_peers.subscribe(PeerMessageKind::ConfigurationChanges,
@@ -132,24 +141,27 @@
              reachable ? EventId::PlatformBack : EventId::PlatformDown, {});
 }
 
-void ConfigurationSpread::chooseWatchers()
+QList<VmId> ConfigurationSpread::liveInOwnDataCentre() const
 {
     const VmId self = m_members.self();
     const QList<Member> live = m_members.liveMembers();
-    DataCentreId ownDataCentre;
-    for (const Member &member : live) {
-        if (member.vm == self)
-            ownDataCentre = member.dataCentre;
-    }
-    QList<VmId> candidates;
+    const auto own = std::find_if(live.begin(), live.end(),
+                                  [&self](const Member &member) { return member.vm == self; });
+    QList<VmId> found;
     for (const Member &member : live) {
-        if (member.dataCentre == ownDataCentre)
-            candidates.append(member.vm);
+        if (own != live.end() && member.dataCentre == own->dataCentre)
+            found.append(member.vm);
     }
-    const QString key = QLatin1String("configuration-watch/") + ownDataCentre.text();
-    const QList<VmId> watchers = rendezvousOrder(key, candidates, WatchersPerDataCentre);
+    return found;
+}
+
+void ConfigurationSpread::chooseWatchers()
+{
+    const VmId self = m_members.self();
+    const QList<VmId> candidates = liveInOwnDataCentre();
+    const QList<VmId> watchers = rendezvousOrder(WatchRankKey, candidates, WatchersPerDataCentre);
     // A daemon that knows of nobody, not even itself, has nobody to hear from but the platform.
-    m_watching = live.isEmpty() || watchers.contains(self);
+    m_watching = candidates.isEmpty() || watchers.contains(self);
     if (m_watching)
         watch();
 }
@@ -266,6 +278,8 @@
     for (const auto &value : list)
         changes.append(changeFromCbor(value.toMap()));
     m_pull.reset();
+    if (body.contains(Root) && !changes.isEmpty())
+        relay(body, VmId(body[Root].toString()), changes.last().version);
     m_store.applyChanges(changes);
 }
 
@@ -295,6 +309,36 @@
         m_store.applyDocument(version, document.object());
 }
 
+void ConfigurationSpread::sendOut()
+{
+    const std::optional<ConfigurationVersion> before = std::exchange(m_sentOut, m_store.version());
+    // What a daemon has when it starts is no news.
+    if (!m_watching || !before || m_store.version() <= *before)
+        return;
+    std::optional<QCborMap> message = changesMessage(*before);
+    if (!message)
+        return;
+    message->insert(Root, m_members.self().text());
+    relay(*message, m_members.self(), m_store.version());
+}
+
+void ConfigurationSpread::relay(const QCborMap &message, const VmId &root,
+                                ConfigurationVersion version)
+{
+    // Each tree is followed to its end, also with changes that came along another before: if
+    // daemons passed on only what is new to them, two trees could cut off each other's branches.
+    if (m_relayed.size() > MostTrees)
+        m_relayed.clear(); // of VMs that have gone; at worst a message is passed on twice
+    ConfigurationVersion &relayed = m_relayed[root];
+    if (version <= relayed)
+        return;
+    relayed = version;
+    const QList<VmId> children =
+        spreadChildren(liveInOwnDataCentre(), root, m_members.self(), FanOut);
+    for (const VmId &child : children)
+        m_peers.send(child, PeerMessageKind::ConfigurationChanges, message);
+}
+
 void ConfigurationSpread::fallBackLater()
 {
     if (m_fallback)
--- a/src/configuration/ConfigurationSpread.h
+++ b/src/configuration/ConfigurationSpread.h
@@ -11,6 +11,7 @@
 #include <QCborMap>
 #include <QList>
 
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -24,9 +25,10 @@
 class TimerSubscription;
 
 /// Two daemons a data centre, chosen by rendezvous hashing among the live members, watch the
-/// platform; the others hear of a version by heartbeat and pull its changes from whoever
-/// they heard it from. That keeps the calls on the platform independent of the number of
-/// daemons. Nothing that must hold rests on it: it only carries changes already accepted.
+/// platform and pass new changes on along a tree of the data centre's daemons. Whoever that
+/// does not reach hears of the version by heartbeat and pulls its changes from whoever it heard
+/// it from. That keeps the calls on the platform independent of the number of daemons. Nothing
+/// that must hold rests on it: it only carries changes already accepted.
 /// Thread safety: only from its own thread.
 class ConfigurationSpread
 {
@@ -65,6 +67,7 @@
     void loadAgain();
     Milliseconds nextDelay();
     void setPlatformReachable(bool reachable);
+    QList<VmId> liveInOwnDataCentre() const;
     void chooseWatchers();
     void watch();
     void watchAnswered(const QList<KeyValue> &entries);
@@ -75,6 +78,8 @@
     std::optional<QCborMap> changesMessage(ConfigurationVersion after) const;
     void takeChanges(const QCborMap &body);
     void takeDocumentPart(const VmId &peer, const QCborMap &body);
+    void sendOut();
+    void relay(const QCborMap &message, const VmId &root, ConfigurationVersion version);
     void fallBackLater();
 
     ConfigurationStore &m_store;
@@ -91,6 +96,10 @@
     /// Calls on the platform that failed running.
     int m_failures = 0;
     std::optional<Pull> m_pull;
+    /// The version in force up to which this daemon sent changes out, or was not to.
+    std::optional<ConfigurationVersion> m_sentOut;
+    /// For the head of each tree, the last version that was passed on along it.
+    std::map<VmId, ConfigurationVersion> m_relayed;
     /// Highest version that a peer told.
     ConfigurationVersion m_heard;
     /// The document in parts as peers pull it, kept for the version it was last made for.
--- a/test/correctness/ConfigurationSpread.cpp
+++ b/test/correctness/ConfigurationSpread.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "configuration/SnapshotWriter.h"
+#include "configuration/SpreadTree.h"
 #include "support/EventLoop.h"
 #include "support/SpreadFleet.h"
 
@@ -54,6 +55,35 @@
     BOOST_TEST(fleet.table->reads - reads == 5);
 }
 
+BOOST_AUTO_TEST_CASE(TreeReachesEveryoneExactlyOnce)
+{
+    for (const int count : {1, 2, 3, 5, 6, 21, 128}) {
+        QList<VmId> members;
+        for (int i = 0; i < count; ++i)
+            members.append(VmId(QStringLiteral("vm%1").arg(i)));
+        for (const VmId &root : members) {
+            QList<VmId> reached{root};
+            for (qsizetype i = 0; i < reached.size() && reached.size() <= count; ++i)
+                reached.append(spreadChildren(members, root, reached.at(i), 4));
+            std::sort(reached.begin(), reached.end());
+            std::sort(members.begin(), members.end());
+            BOOST_CHECK(reached == members);
+        }
+    }
+    BOOST_TEST(spreadChildren({VmId("a")}, VmId("b"), VmId("a"), 4).isEmpty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ChangesReachEveryoneWithoutAHeartbeat, Fixture)
+{
+    SpreadFleet fleet(40, 2, timers);
+    BOOST_REQUIRE(fleet.start());
+    BOOST_REQUIRE(fleet[0].daemon.submitMany(1));
+    BOOST_REQUIRE(spreadTo(fleet, 1));
+    BOOST_REQUIRE(fleet[0].daemon.submitMany(3));
+    BOOST_REQUIRE(test::waitFor([&] { return fleet.agree(); }));
+    BOOST_TEST(fleet[39].daemon.store.version().value() == 4);
+}
+
 BOOST_FIXTURE_TEST_CASE(OneFarBehindTakesTheWholeDocumentInParts, Fixture)
 {
     SpreadFleet fleet(3, 1, timers);
--- a/test/failure/ConfigurationOutages.cpp
+++ b/test/failure/ConfigurationOutages.cpp
@@ -74,7 +74,7 @@
 BOOST_FIXTURE_TEST_CASE(WatchersComeBackAfterAnOutageAndMissNothing, Fixture)
 {
     // After an outage daemons would follow no change any more. All watches fail and are taken
-    // up again, after the revision that was last seen.
+    // up again, after the revision that was last seen; no peer helps.
     SpreadFleet fleet(4, 2, timers);
     BOOST_REQUIRE(fleet.start());
     BOOST_REQUIRE(fleet[0].daemon.submitMany(1));
@@ -82,6 +82,7 @@
     for (int i = 1; i < fleet.size(); ++i) {
         fleet[i].daemon.platform.isDown = true;
         fleet[i].daemon.platform.failWatches();
+        fleet[i].peers.isCut = true;
     }
     BOOST_REQUIRE(test::waitFor([&] { return !fleet[1].spread.isPlatformReachable(); }));
     BOOST_REQUIRE(fleet[0].daemon.submitMany(3));
--- a/test/failure/ConfigurationProcesses.cpp
+++ b/test/failure/ConfigurationProcesses.cpp
@@ -137,6 +137,7 @@
     // is told 412 and starts again from the version that won.
     constexpr int Operators = 20;
     std::vector<std::unique_ptr<RacingOperator>> operators;
+    operators.reserve(Operators);
     for (int i = 0; i < Operators; ++i)
         operators.push_back(std::make_unique<RacingOperator>(*fleet, i));
     BOOST_REQUIRE(waitFor([&] {
