Quarantine: a probation is reserved before it starts; news of a crash does not queue

Found by real daemons and engines (a crashing request sent ten times through three daemons): all daemons find one target dead within a millisecond and chose the same next target for their suspects. A probation is now announced 300 ms before it starts, and of two for one target the smaller fingerprint goes first.

News of a crash took over 100 ms: its dozen items used up the allowance of four seconds' bytes. The allowance is 30 s now; the average is bounded as before.

--- a/src/membership/MembershipRules.cpp
+++ b/src/membership/MembershipRules.cpp
@@ -13,7 +13,7 @@
 /// Weight of one heartbeat in the average of their sizes.
 constexpr double AverageWeight = 0.05;
 /// Seconds of the byte rate that may be saved up for urgent heartbeats.
-constexpr double AllowanceSeconds = 4;
+constexpr double AllowanceSeconds = 30;
 constexpr qsizetype MostRelays = 64;
 constexpr Milliseconds LongestGrace{30'000};
 
--- a/src/membership/MembershipSettings.h
+++ b/src/membership/MembershipSettings.h
@@ -29,7 +29,7 @@
     /// Others that are remembered at most, whatever is said.
     int mostMembers = 4096;
     /// Bounds of what one heartbeat carries beside its fixed part.
-    int gossipBytes = 512;
+    int gossipBytes = 1200;
     int creditBytes = 256;
     /// Largest body of one news item.
     int newsBytes = 256;
--- a/src/quarantine/Quarantine.cpp
+++ b/src/quarantine/Quarantine.cpp
@@ -30,6 +30,12 @@
         {QuarantineNewsKind::Released, {fingerprint}, WorkspaceId(), Milliseconds(0), {}});
 }
 
+QCborMap probationNews(QuarantineNewsKind kind, const RequestFingerprint &fingerprint,
+                       const TargetId &target, Milliseconds left)
+{
+    return quarantineNewsToCbor({kind, {fingerprint}, WorkspaceId(), left, target});
+}
+
 QList<QCborMap> newsOf(const QList<QuarantineOutcome> &outcomes, Milliseconds quarantine)
 {
     QList<QCborMap> news;
@@ -70,6 +76,7 @@
 QuarantineVerdict Quarantine::mayRun(const RequestFingerprint &fingerprint, MonotonicTime now)
 {
     const QMutexLocker lock(&m_mutex);
+    m_now = now;
     // Nearly all requests are not in the tables, and nearly always these are empty.
     if (verdictOf(m_state, fingerprint) == QuarantineVerdict::Free
         && m_state.remoteProbations.isEmpty())
@@ -78,18 +85,31 @@
     return verdictOf(m_state, fingerprint);
 }
 
-std::optional<TargetId>
-Quarantine::probationTarget(const RequestFingerprint &fingerprint,
-                            const QList<ProbationCandidate> &candidates) const
+std::optional<TargetId> Quarantine::probationTarget(const RequestFingerprint &fingerprint,
+                                                    const QList<ProbationCandidate> &candidates)
 {
-    const QMutexLocker lock(&m_mutex);
-    return cranberry::probationTarget(m_state, fingerprint, candidates);
+    ProbationDecision decision;
+    Milliseconds life{0};
+    {
+        const QMutexLocker lock(&m_mutex);
+        if (!m_newsCallback)
+            return cranberry::probationTarget(m_state, fingerprint, candidates);
+        decision = decideProbation(m_state, fingerprint, candidates, m_now);
+        life = m_state.settings.reservationLife;
+    }
+    if (decision.givenUp)
+        tell({probationNews(QuarantineNewsKind::ProbationEnded, fingerprint, *decision.givenUp,
+                            Milliseconds(0))});
+    if (decision.reserved)
+        tell({probationNews(QuarantineNewsKind::ProbationReserved, fingerprint, *decision.reserved,
+                            life)});
+    return decision.start;
 }
 
 bool Quarantine::isOnProbation(const TargetId &target) const
 {
     const QMutexLocker lock(&m_mutex);
-    return suspectsOn(m_state, target) > 0;
+    return cranberry::isOnProbation(m_state, target);
 }
 
 void Quarantine::attemptStarted(const RequestFingerprint &fingerprint, const WorkspaceId &workspace,
@@ -103,8 +123,7 @@
             return;
         lease = m_state.settings.probationLease;
     }
-    tell({quarantineNewsToCbor(
-        {QuarantineNewsKind::ProbationStarted, {fingerprint}, workspace, lease, target})});
+    tell({probationNews(QuarantineNewsKind::ProbationStarted, fingerprint, target, lease)});
 }
 
 void Quarantine::attemptFinished(const RequestFingerprint &fingerprint, const TargetId &target,
@@ -117,11 +136,7 @@
         if (!onProbation)
             return;
     }
-    tell({quarantineNewsToCbor({QuarantineNewsKind::ProbationEnded,
-                                {fingerprint},
-                                WorkspaceId(),
-                                Milliseconds(0),
-                                target})});
+    tell({probationNews(QuarantineNewsKind::ProbationEnded, fingerprint, target, Milliseconds(0))});
 }
 
 QList<QuarantineOutcome> Quarantine::targetDied(const TargetId &target, TargetDeathCause cause,
@@ -164,7 +179,9 @@
         else if (news->kind == QuarantineNewsKind::Released)
             releaseRequest(m_state, fingerprint);
         else if (news->kind == QuarantineNewsKind::ProbationStarted)
-            noteRemoteProbation(m_state, fingerprint, news->target, now + news->left);
+            noteRemoteProbation(m_state, fingerprint, news->target, {now + news->left, true});
+        else if (news->kind == QuarantineNewsKind::ProbationReserved)
+            noteRemoteProbation(m_state, fingerprint, news->target, {now + news->left, false});
         else if (news->kind == QuarantineNewsKind::ProbationEnded)
             endRemoteProbation(m_state, fingerprint, news->target);
         else
--- a/src/quarantine/Quarantine.h
+++ b/src/quarantine/Quarantine.h
@@ -31,14 +31,16 @@
     /// Whether the request may be sent to a target, and how.
     QuarantineVerdict mayRun(const RequestFingerprint &fingerprint, MonotonicTime now);
 
-    /// True while a suspect runs on @p target: send no other request there.
+    /// True while a suspect runs, or is to run, on @p target: send no other request there.
     bool isOnProbation(const TargetId &target) const;
 
     /// The target for a suspect, of all usable ones of its service; empty: it has to wait, ask
-    /// again when something changes. Ask and call attemptStarted in one step of the event loop,
-    /// else two suspects may meet.
+    /// again in about a tenth of a second. With onNews() set, a target is first reserved and
+    /// told to the other daemons for the settings' time. Ask and call attemptStarted in one
+    /// step of the event loop, else two suspects may meet. Precondition: mayRun() was called
+    /// with the present time.
     std::optional<TargetId> probationTarget(const RequestFingerprint &fingerprint,
-                                            const QList<ProbationCandidate> &candidates) const;
+                                            const QList<ProbationCandidate> &candidates);
 
     /// An attempt of the request is being sent to @p target.
     void attemptStarted(const RequestFingerprint &fingerprint, const WorkspaceId &workspace,
@@ -68,6 +70,8 @@
     /// Guards m_state only; no other lock is taken while it is held.
     mutable QMutex m_mutex;
     QuarantineState m_state;
+    /// Of the last call that brought one.
+    MonotonicTime m_now;
     NewsCallback m_newsCallback;
 };
 
--- a/src/quarantine/QuarantineNews.cpp
+++ b/src/quarantine/QuarantineNews.cpp
@@ -44,7 +44,7 @@
     const QString target = body.value(NewsTarget).toString();
     const qint64 left = body.value(NewsLeft).toInteger(-1);
     if (kind < qint64(QuarantineNewsKind::Suspects)
-        || kind > qint64(QuarantineNewsKind::ProbationEnded) || fingerprints.isEmpty()
+        || kind > qint64(QuarantineNewsKind::ProbationReserved) || fingerprints.isEmpty()
         || fingerprints.size() > MostFingerprintsOfNews || workspace.size() > LongestName
         || target.size() > LongestName || left < 0 || left > LongestLeft)
         return std::nullopt;
--- a/src/quarantine/QuarantineNews.h
+++ b/src/quarantine/QuarantineNews.h
@@ -17,6 +17,7 @@
     Released = 3,
     ProbationStarted = 4,
     ProbationEnded = 5,
+    ProbationReserved = 6,
 };
 
 struct QuarantineNews {
--- a/src/quarantine/QuarantineRules.cpp
+++ b/src/quarantine/QuarantineRules.cpp
@@ -94,6 +94,24 @@
     return elapsed(running.since, now) >= needed;
 }
 
+/// Two daemons that reserve one target in the same moment hear of each other before either
+/// starts; the smaller fingerprint goes first.
+bool isGood(const QuarantineState &state, const RequestFingerprint &fingerprint,
+            const ProbationReservation &reservation, const QList<ProbationCandidate> &candidates,
+            MonotonicTime now)
+{
+    const bool isCandidate =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [&](const auto &one) { return one.target == reservation.target; });
+    const QHash<RequestFingerprint, RemoteProbation> remote =
+        state.remoteProbations.value(reservation.target);
+    const bool isFirst =
+        std::none_of(remote.keyBegin(), remote.keyEnd(),
+                     [&](const RequestFingerprint &other) { return other < fingerprint; });
+    return isCandidate && isFirst
+        && elapsed(reservation.since, now) <= state.settings.reservationLife;
+}
+
 void clearSurvivors(QuarantineState &state, MonotonicTime now)
 {
     for (const auto &requests : std::as_const(state.running)) {
@@ -123,7 +141,10 @@
                                         [&](const RequestFingerprint &fingerprint) {
                                             return state.suspects.contains(fingerprint);
                                         });
-    return own + state.remoteProbations.value(target).size();
+    const QHash<RequestFingerprint, RemoteProbation> remote = state.remoteProbations.value(target);
+    return own + std::count_if(remote.begin(), remote.end(), [](const RemoteProbation &probation) {
+               return probation.running;
+           });
 }
 
 std::optional<TargetId> probationTarget(const QuarantineState &state,
@@ -140,7 +161,7 @@
     int onProbation = 0;
     const ProbationCandidate *best = nullptr;
     for (const ProbationCandidate &candidate : candidates) {
-        if (suspectsOn(state, candidate.target) > 0)
+        if (isOnProbation(state, candidate.target))
             ++onProbation;
         else if (!best || order(candidate) < order(*best))
             best = &candidate;
@@ -150,6 +171,36 @@
     return best->target;
 }
 
+bool isOnProbation(const QuarantineState &state, const TargetId &target)
+{
+    return suspectsOn(state, target) > 0 || state.remoteProbations.contains(target)
+        || std::any_of(state.reservations.begin(), state.reservations.end(),
+                       [&](const ProbationReservation &entry) { return entry.target == target; });
+}
+
+ProbationDecision decideProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                                  const QList<ProbationCandidate> &candidates, MonotonicTime now)
+{
+    ProbationDecision decision;
+    const auto held = state.reservations.constFind(fingerprint);
+    if (held != state.reservations.constEnd()) {
+        const ProbationReservation reservation = *held;
+        if (isGood(state, fingerprint, reservation, candidates, now)) {
+            if (elapsed(reservation.since, now) < state.settings.reservation)
+                return decision;
+            state.reservations.remove(fingerprint);
+            decision.start = reservation.target;
+            return decision;
+        }
+        state.reservations.remove(fingerprint);
+        decision.givenUp = reservation.target;
+    }
+    decision.reserved = probationTarget(state, fingerprint, candidates);
+    if (decision.reserved)
+        state.reservations.insert(fingerprint, {*decision.reserved, now});
+    return decision;
+}
+
 void noteAttemptStarted(QuarantineState &state, const RequestFingerprint &fingerprint,
                         const WorkspaceId &workspace, const TargetId &target, MonotonicTime now)
 {
@@ -211,11 +262,11 @@
 }
 
 void noteRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
-                         const TargetId &target, MonotonicTime until)
+                         const TargetId &target, const RemoteProbation &probation)
 {
     if (state.remoteProbations.size() >= state.settings.mostSuspects)
         return;
-    state.remoteProbations[target].insert(fingerprint, until);
+    state.remoteProbations[target].insert(fingerprint, probation);
 }
 
 void endRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
@@ -249,9 +300,12 @@
 QList<QuarantineEntry> expireQuarantine(QuarantineState &state, MonotonicTime now)
 {
     clearSurvivors(state, now);
+    state.reservations.removeIf([&](const auto &entry) {
+        return elapsed(entry.value().since, now) > state.settings.reservationLife;
+    });
     for (auto probation = state.remoteProbations.begin();
          probation != state.remoteProbations.end();) {
-        probation->removeIf([&](const auto &entry) { return entry.value() < now; });
+        probation->removeIf([&](const auto &entry) { return entry.value().until < now; });
         probation =
             probation->isEmpty() ? state.remoteProbations.erase(probation) : std::next(probation);
     }
--- a/src/quarantine/QuarantineRules.h
+++ b/src/quarantine/QuarantineRules.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "quarantine/ProbationCandidate.h"
+#include "quarantine/ProbationDecision.h"
 #include "quarantine/QuarantineOutcome.h"
 #include "quarantine/QuarantineState.h"
 
@@ -29,6 +30,15 @@
                                         const RequestFingerprint &fingerprint,
                                         const QList<ProbationCandidate> &candidates);
 
+/// As probationTarget(), for a daemon that has others: the first call reserves a target, a
+/// later one lets the suspect start there if no other daemon's suspect that goes before it was
+/// announced for that target meanwhile.
+ProbationDecision decideProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
+                                  const QList<ProbationCandidate> &candidates, MonotonicTime now);
+
+/// True if a suspect runs on @p target or is to run there.
+bool isOnProbation(const QuarantineState &state, const TargetId &target);
+
 /// An attempt of the request is being sent to @p target.
 void noteAttemptStarted(QuarantineState &state, const RequestFingerprint &fingerprint,
                         const WorkspaceId &workspace, const TargetId &target, MonotonicTime now);
@@ -46,9 +56,9 @@
 void noteSuspect(QuarantineState &state, const RequestFingerprint &fingerprint,
                  const WorkspaceId &workspace, MonotonicTime now);
 
-/// Another daemon runs a suspect on @p target; it counts until @p until.
+/// Another daemon runs, or reserves for, a suspect on @p target.
 void noteRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
-                         const TargetId &target, MonotonicTime until);
+                         const TargetId &target, const RemoteProbation &probation);
 
 /// Another daemon's suspect has ended on @p target.
 void endRemoteProbation(QuarantineState &state, const RequestFingerprint &fingerprint,
--- a/src/quarantine/QuarantineSettings.h
+++ b/src/quarantine/QuarantineSettings.h
@@ -23,6 +23,11 @@
     double probationShare = 0.2;
     /// How long another daemon's probation of a target counts if its end is not heard.
     Milliseconds probationLease{120'000};
+    /// How long a daemon that has others announces a probation before it starts: daemons that
+    /// lose one target find out in the same moment and would choose the same one next.
+    Milliseconds reservation{300};
+    /// A reservation that is not used for so long is void.
+    Milliseconds reservationLife{3000};
     int mostSuspects = 4096;
     int mostQuarantined = 1024;
 };
--- a/src/quarantine/QuarantineState.h
+++ b/src/quarantine/QuarantineState.h
@@ -26,6 +26,20 @@
     Milliseconds ranBefore{0};
 };
 
+/// A probation that is announced and has not started.
+struct ProbationReservation {
+    TargetId target;
+    MonotonicTime since;
+};
+
+/// A probation of another daemon.
+struct RemoteProbation {
+    /// It counts until then if its end is not heard.
+    MonotonicTime until;
+    /// False while it is only reserved: a death of the target cannot be its fault.
+    bool running = false;
+};
+
 /// A target's death and what ran on it.
 struct TargetDeath {
     MonotonicTime time;
@@ -37,8 +51,9 @@
     QuarantineSettings settings;
     QMap<TargetId, QHash<RequestFingerprint, RunningRequest>> running;
     QHash<RequestFingerprint, SuspectRequest> suspects;
-    /// Suspects that run on a target by way of other daemons, and until when that counts.
-    QMap<TargetId, QHash<RequestFingerprint, MonotonicTime>> remoteProbations;
+    QHash<RequestFingerprint, ProbationReservation> reservations;
+    /// Suspects that run, or are to run, on a target by way of other daemons.
+    QMap<TargetId, QHash<RequestFingerprint, RemoteProbation>> remoteProbations;
     QHash<RequestFingerprint, QuarantineEntry> quarantined;
     /// Of the last massWindow.
     QList<TargetDeath> deaths;
--- a/test/correctness/QuarantineBlame.cpp
+++ b/test/correctness/QuarantineBlame.cpp
@@ -188,6 +188,43 @@
     BOOST_TEST(!peer.isOnProbation(target(1)));
 }
 
+BOOST_AUTO_TEST_CASE(TwoDaemonsThatChooseInTheSameMomentDoNotMeet)
+{
+    // Two daemons lose one target in the same moment, and each would try its suspect next on the
+    // target with least at stake.
+    QuarantineSettings settings;
+    settings.probationShare = 1;
+    Quarantine table(settings);
+    Quarantine peer(settings);
+    QList<QCborMap> toPeer;
+    QList<QCborMap> toTable;
+    table.onNews([&](const QCborMap &news) { toPeer.append(news); });
+    peer.onNews([&](const QCborMap &news) { toTable.append(news); });
+    table.attemptStarted(print(0), Workspace, target(0), Start);
+    peer.attemptStarted(print(1), Workspace, target(0), Start);
+    table.targetDied(target(0), TargetDeathCause::Crash, Start);
+    peer.targetDied(target(0), TargetDeathCause::Crash, Start);
+    const QList<ProbationCandidate> candidates{{target(1), 0}, {target(2), 5}};
+    std::optional<TargetId> first;
+    std::optional<TargetId> second;
+    for (Milliseconds passed{0}; passed < Milliseconds(2000) && !(first && second);
+         passed += Milliseconds(100)) {
+        const MonotonicTime now = Start + passed;
+        table.mayRun(print(0), now);
+        peer.mayRun(print(1), now);
+        if (!first && (first = table.probationTarget(print(0), candidates)))
+            table.attemptStarted(print(0), Workspace, *first, now);
+        if (!second && (second = peer.probationTarget(print(1), candidates)))
+            peer.attemptStarted(print(1), Workspace, *second, now);
+        for (const QCborMap &news : std::exchange(toPeer, {}))
+            peer.takeNews(news, now);
+        for (const QCborMap &news : std::exchange(toTable, {}))
+            table.takeNews(news, now);
+    }
+    BOOST_REQUIRE((first && second));
+    BOOST_TEST((*first != *second));
+}
+
 BOOST_AUTO_TEST_CASE(ProbationWhoseEndIsNotHeardEnds)
 {
     Quarantine table;
