--- a/src/quarantine/QuarantineRules.cpp
+++ b/src/quarantine/QuarantineRules.cpp
@@ -184,16 +184,16 @@
     ProbationDecision decision;
     const auto held = state.reservations.constFind(fingerprint);
     if (held != state.reservations.constEnd()) {
-        const ProbationReservation reservation = *held;
-        if (isGood(state, fingerprint, reservation, candidates, now)) {
-            if (elapsed(reservation.since, now) < state.settings.reservation)
+        const TargetId target = held->target;
+        if (isGood(state, fingerprint, *held, candidates, now)) {
+            if (elapsed(held->since, now) < state.settings.reservation)
                 return decision;
             state.reservations.remove(fingerprint);
-            decision.start = reservation.target;
+            decision.start = target;
             return decision;
         }
         state.reservations.remove(fingerprint);
-        decision.givenUp = reservation.target;
+        decision.givenUp = target;
     }
     decision.reserved = probationTarget(state, fingerprint, candidates);
     if (decision.reserved)
