--- /dev/null
+++ b/test/performance/PlacementCost.cpp
@@ -0,0 +1,121 @@
+// What one placement decision costs as targets grow, and what one workspace keeps in memory.
+#include "admission/ServiceShares.h"
+#include "admission/WorkspaceLimiter.h"
+#include "base/EventLog.h"
+#include "placement/LengthModel.h"
+#include "placement/TargetTable.h"
+
+#include <chrono>
+#include <cstdio>
+#include <malloc.h>
+
+namespace cranberry::bench {
+namespace {
+
+const ServiceId Service(QStringLiteral("s"));
+const ModelId Model(QStringLiteral("m"));
+const MonotonicTime Start{std::chrono::hours(1)};
+constexpr qint64 Capacity = 100'000'000;
+constexpr qint64 PromptTokens = 300;
+constexpr int RequestsATarget = 20;
+constexpr int Workspaces = 5500;
+constexpr int Models = 4;
+
+Configuration configurationOf(int targets)
+{
+    Configuration configuration;
+    configuration.services.insert(Service, {});
+    for (int i = 0; i < targets; ++i) {
+        configuration.targets.insert(TargetId(QStringLiteral("target-%1").arg(i)),
+                                     {Service, {}, {}, {Model}});
+    }
+    return configuration;
+}
+
+PlacementRequest request(int workspace)
+{
+    PlacementRequest made;
+    made.service = Service;
+    made.model = Model;
+    made.workspace = WorkspaceId(QStringLiteral("workspace-%1").arg(workspace));
+    made.promptTokens = Tokens(PromptTokens);
+    made.maxTokens = Tokens(4096);
+    made.prefixHash = quint64(workspace) + 1;
+    return made;
+}
+
+void reportAll(TargetTable &table, int targets)
+{
+    LoadReport report;
+    report.incarnation = Incarnation(1);
+    report.capacityTokens = Tokens(Capacity);
+    report.running = RequestsATarget;
+    report.residentTokens = Tokens(RequestsATarget * PromptTokens);
+    for (int i = 0; i < targets; ++i)
+        table.reportReceived(TargetId(QStringLiteral("target-%1").arg(i)), report, Start);
+}
+
+void measureDecisions(int targets)
+{
+    constexpr int Work = 2'000'000;
+    const int decisions = std::max(200, Work / targets / 10);
+    TargetTable table;
+    table.setConfiguration(configurationOf(targets));
+    reportAll(table, targets);
+    const ServiceConfiguration service;
+    const auto began = std::chrono::steady_clock::now();
+    for (int i = 0; i < decisions; ++i) {
+        const AttemptId attempt(QString::number(i));
+        table.decide(attempt, request(i % Workspaces), service, Start, quint64(i));
+        table.attemptEnded(attempt, AttemptEnd::CutOff, Start);
+    }
+    const std::chrono::duration<double, std::nano> took = std::chrono::steady_clock::now() - began;
+    std::printf("decision: targets=%d ns=%.0f ns_per_target=%.1f\n", targets,
+                took.count() / decisions, took.count() / decisions / targets);
+}
+
+double heapBytes()
+{
+    return double(mallinfo2().uordblks);
+}
+
+void measureMemory()
+{
+    const double before = heapBytes();
+    LengthModel lengths;
+    for (int w = 0; w < Workspaces; ++w) {
+        const WorkspaceId workspace(QStringLiteral("workspace-%1").arg(w));
+        for (int m = 0; m < Models; ++m)
+            lengths.finished({Service, ModelId(QStringLiteral("model-%1").arg(m)), workspace},
+                             Tokens(100 + w));
+    }
+    const double withLengths = heapBytes();
+    ServiceShares shares;
+    for (int w = 0; w < Workspaces; ++w)
+        charge(shares, WorkspaceId(QStringLiteral("workspace-%1").arg(w)), Tokens(1), 1.0);
+    const double withShares = heapBytes();
+    WorkspaceLimiter limiter;
+    for (int w = 0; w < Workspaces; ++w) {
+        const RequestId id(QString::number(w));
+        enter(limiter, id, WorkspaceId(QStringLiteral("workspace-%1").arg(w)), {1, 1.0}, Start);
+        leave(limiter, id);
+    }
+    const double withLimits = heapBytes();
+    std::printf("memory: workspaces=%d models=%d length_groups=%d length_bytes_per_workspace=%.0f "
+                "shares_bytes_per_workspace=%.0f limits_bytes_per_workspace=%.0f total_mb=%.2f\n",
+                Workspaces, Models, lengths.groups(), (withLengths - before) / Workspaces,
+                (withShares - withLengths) / Workspaces, (withLimits - withShares) / Workspaces,
+                (withLimits - before) / 1e6);
+}
+
+} // namespace
+} // namespace cranberry::bench
+
+int main()
+{
+    using namespace cranberry::bench;
+    for (const int targets : {26, 260, 5000})
+        measureDecisions(targets);
+    measureMemory();
+    return 0;
+}
