--- a/src/placement/TargetState.h
+++ b/src/placement/TargetState.h
@@ -56,6 +56,11 @@
     MemoryForecast ownForecast;
     std::deque<OwnSend> endedSends;
     std::deque<Grant> grants;
+    /// Sums over the grants as of grantsCountedAt; renewed by the home before it decides.
+    MemoryForecast grantForecast;
+    Tokens grantResidentTokens;
+    Tokens grantPrefillTokens;
+    MonotonicTime grantsCountedAt;
 };
 
 } // namespace cranberry
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -26,6 +26,8 @@
 constexpr double PaceWeight = 0.02;
 /// From a grant to the start of the granted send on the target.
 constexpr Milliseconds GrantFlight{20};
+/// How long the sums over a target's grants are used; a request gains a few tokens in it.
+constexpr Milliseconds GrantCountLifetime{40};
 /// A grant whose request has most probably ended, or that is older than this, is forgotten.
 constexpr double LeastGrantSurvival = 0.01;
 constexpr Milliseconds GrantLifetime{600'000};
@@ -87,6 +89,26 @@
     return Tokens(qint64(std::max(0.0, passed.count()) / grant.millisecondsPerToken));
 }
 
+void countGrant(TargetState &state, const Grant &grant, MonotonicTime now)
+{
+    const Tokens generated = generatedBy(grant, now);
+    const Tokens held = grant.promptTokens + generated;
+    state.grantForecast += forecastRequest(grant.length, held, generated);
+    state.grantResidentTokens += held;
+    if (generated == Tokens(0))
+        state.grantPrefillTokens += grant.promptTokens;
+}
+
+void countGrants(TargetState &state, MonotonicTime now)
+{
+    state.grantForecast = {};
+    state.grantResidentTokens = Tokens(0);
+    state.grantPrefillTokens = Tokens(0);
+    state.grantsCountedAt = now;
+    for (const Grant &grant : state.grants)
+        countGrant(state, grant, now);
+}
+
 TargetLoad loadOf(const TargetState &state, const SteadyForecast &steady, MonotonicTime now)
 {
     TargetLoad load;
@@ -103,15 +125,10 @@
     load.ownPrefillTokens = state.ownPrefillTokens;
     load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
     load.forecast += state.ownForecast;
-    for (const Grant &grant : state.grants) {
-        const Tokens generated = generatedBy(grant, now);
-        const Tokens held = grant.promptTokens + generated;
-        load.forecast += forecastRequest(grant.length, held, generated);
-        load.residentTokens += held;
-        if (generated == Tokens(0))
-            load.ownPrefillTokens += grant.promptTokens;
-        ++load.othersRequests;
-    }
+    load.forecast += state.grantForecast;
+    load.residentTokens += state.grantResidentTokens;
+    load.ownPrefillTokens += state.grantPrefillTokens;
+    load.othersRequests += int(state.grants.size());
     return load;
 }
 
@@ -270,8 +287,11 @@
 {
     StateList own;
     for (const TargetState *state : candidates(request)) {
-        if (!givenOutByHomes(service) || isOwn(*state, m_self))
-            own.push_back(state);
+        if (givenOutByHomes(service) && !isOwn(*state, m_self))
+            continue;
+        own.push_back(state);
+        if (!state->grants.empty() && now - state->grantsCountedAt > GrantCountLifetime)
+            countGrants(*find(state->target), now);
     }
     const bool inTurn = service.policy == PolicyName::RoundRobin;
     const quint64 draw = inTurn ? m_turns[request.service]++ : random;
@@ -304,6 +324,7 @@
                                  m_lengths.distribution(lengthKey(request), request.maxTokens),
                                  m_millisecondsPerToken.value(request.service)});
         m_grants.insert(request.request, placement.target);
+        countGrant(*state, state->grants.back(), now);
     }
     return placement;
 }
@@ -321,6 +342,7 @@
     state->endedSends.push_back(
         {found->grantedAt, now, found->promptTokens + generatedBy(*found, now)});
     state->grants.erase(found);
+    countGrants(*state, now);
 }
 
 // The message that ends a grant may be lost, and the one who asked may have died. The report
@@ -337,6 +359,7 @@
     };
     state.grants.erase(std::remove_if(state.grants.begin(), state.grants.end(), old),
                        state.grants.end());
+    countGrants(state, now);
 }
 
 VmId TargetTable::suggestHome(const PlacementRequest &request, const ServiceConfiguration &service,
