--- a/src/admission/CreditMessages.cpp
+++ b/src/admission/CreditMessages.cpp
@@ -93,8 +93,10 @@
     QCborMap body;
     body.insert(qint64(Ask), qint64(request.ask));
     body.insert(qint64(Kind), qint64(request.kind));
-    body.insert(qint64(TimeLeft), qint64(request.timeLeft.count()));
     body.insert(qint64(Request), placement.request.text());
+    if (request.kind == CreditRequestKind::Done)
+        return body;
+    body.insert(qint64(TimeLeft), qint64(request.timeLeft.count()));
     body.insert(qint64(Service), placement.service.text());
     putText(body, Model, placement.model.text());
     putText(body, Workspace, placement.workspace.text());
@@ -121,8 +123,11 @@
     request.ask = quint64(reader.number(Ask, 0, Most));
     request.kind = CreditRequestKind(
         reader.number(Kind, qint64(CreditRequestKind::Try), qint64(CreditRequestKind::Done)));
-    request.timeLeft = Milliseconds(reader.number(TimeLeft, 0, MostMilliseconds));
     placement.request = RequestId(reader.text(Request));
+    request.request.remote = true;
+    if (request.kind == CreditRequestKind::Done)
+        return reader.valid() ? std::optional(request) : std::nullopt;
+    request.timeLeft = Milliseconds(reader.number(TimeLeft, 0, MostMilliseconds));
     placement.service = ServiceId(reader.text(Service));
     placement.model = ModelId(reader.optionalText(Model));
     placement.workspace = WorkspaceId(reader.optionalText(Workspace));
@@ -132,7 +137,6 @@
     placement.prefixHash = quint64(reader.number(PrefixHash, -Most - 1, Most));
     placement.excluded = reader.targets(Excluded);
     request.request.priority = int(reader.number(Priority, -MostPriority, MostPriority));
-    request.request.remote = true;
     if (!reader.valid())
         return std::nullopt;
     return request;
--- a/test/correctness/PlacementRouter.cpp
+++ b/test/correctness/PlacementRouter.cpp
@@ -207,6 +207,29 @@
     BOOST_TEST(load.residentTokens.value() == 120);
 }
 
+BOOST_FIXTURE_TEST_CASE(EndOfAGrantedSendFreesTheRoomAtItsHome, Fixture)
+{
+    enqueue(A);
+    deliver();
+    here.queue.attemptEnded(AttemptId(A), AttemptEnd::Finished);
+    here.queue.requestEnded(RequestId(A));
+    deliver();
+    const TargetLoad load = there.targets.loadsFor(Model, timers.now()).first();
+    BOOST_TEST(load.othersRequests == 0);
+    BOOST_TEST(load.residentTokens.value() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(GrantWhoseEndIsLostIsForgottenInTime, Fixture)
+{
+    // The daemon that was granted room dies. Its requests would otherwise fill the target in
+    // the eyes of its home for ever, and callers would wait before an idle target.
+    enqueue(A);
+    deliver();
+    timers.advance(Milliseconds(601'000));
+    report(there, 0);
+    BOOST_TEST(there.targets.loadsFor(Model, timers.now()).first().othersRequests == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(FullHomeLetsTheRequestWaitItsTurn, Fixture)
 {
     report(there, Capacity);
@@ -297,6 +320,14 @@
     BOOST_TEST(read->request.priority == -3);
     BOOST_TEST(read->request.remote);
 
+    const QByteArray whole = toCbor(request).toCborValue().toCbor();
+    request.kind = CreditRequestKind::Done;
+    const std::optional<CreditRequest> done = creditRequestFromCbor(toCbor(request));
+    BOOST_REQUIRE(done.has_value());
+    BOOST_CHECK(done->request.placement.request == RequestId(QStringLiteral("r")));
+    BOOST_TEST(toCbor(request).toCborValue().toCbor().size() < whole.size() / 2);
+
+    request.kind = CreditRequestKind::Wait;
     QCborMap broken = toCbor(request);
     broken.insert(qint64(2), 99);
     BOOST_TEST(!creditRequestFromCbor(broken).has_value());
