--- a/test/performance/PlacementCost.cpp
+++ b/test/performance/PlacementCost.cpp
@@ -1,10 +1,14 @@
 // What one placement decision costs as targets grow, and what one workspace keeps in memory.
+#include "admission/CreditMessages.h"
 #include "admission/ServiceShares.h"
 #include "admission/WorkspaceLimiter.h"
 #include "base/EventLog.h"
 #include "placement/LengthModel.h"
 #include "placement/TargetTable.h"
 
+#include <QCborValue>
+#include <QUuid>
+
 #include <chrono>
 #include <cstdio>
 #include <malloc.h>
@@ -74,6 +78,28 @@
                 took.count() / decisions, took.count() / decisions / targets);
 }
 
+int wireBytes(const QCborMap &body)
+{
+    return int(body.toCborValue().toCbor().size());
+}
+
+void measureMessages()
+{
+    CreditRequest ask;
+    ask.ask = 1'000'000;
+    ask.request.placement = request(1);
+    ask.request.placement.request = RequestId(QUuid::createUuid().toString(QUuid::WithoutBraces));
+    ask.timeLeft = Milliseconds(60'000);
+    CreditRequest done = ask;
+    done.kind = CreditRequestKind::Done;
+    CreditAnswer answer;
+    answer.ask = ask.ask;
+    answer.outcome = CreditOutcome::Granted;
+    answer.target = TargetId(QStringLiteral("target-1"));
+    std::printf("messages: ask_bytes=%d answer_bytes=%d done_bytes=%d\n", wireBytes(toCbor(ask)),
+                wireBytes(toCbor(answer)), wireBytes(toCbor(done)));
+}
+
 double heapBytes()
 {
     return double(mallinfo2().uordblks);
@@ -117,5 +143,6 @@
     for (const int targets : {26, 260, 5000})
         measureDecisions(targets);
     measureMemory();
+    measureMessages();
     return 0;
 }
--- a/test/performance/PolicyTrace.cpp
+++ b/test/performance/PolicyTrace.cpp
@@ -4,17 +4,16 @@
 #include "admission/CreditExchange.h"
 #include "admission/PlacementRouter.h"
 #include "base/EventLog.h"
-#include "membership/MemberView.h"
-#include "peer/PeerNetwork.h"
-#include "performance/VirtualTime.h"
+#include "performance/FleetFakes.h"
+#include "performance/SyntheticTrace.h"
 #include "placement/TargetTable.h"
-#include "standins/target/EngineModel.h"
 
 #include <gflags/gflags.h>
 
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <numeric>
 #include <random>
 #include <sstream>
 #include <vector>
@@ -46,26 +45,10 @@
 using test::EngineStep;
 
 constexpr double StallMs = 250;
-constexpr double MsPerSecond = 1000;
 constexpr int WarmUpParts = 3;
-constexpr int MaxTokens = 2048;
-constexpr int PrefixesAWorkspace = 4;
-
-constexpr double PromptSigma = 0.5;
-constexpr int LongestPrompt = 1500;
-
 const ServiceId Service(QStringLiteral("s"));
 const ModelId Model(QStringLiteral("m"));
 
-struct Arrival {
-    double atMs = 0;
-    int workspace = 0;
-    int prompt = 0;
-    int length = 0;
-    int prefix = 0;
-    int daemon = 0;
-};
-
 struct Measures {
     double preemptions = 0;
     double stallSeconds = 0;
@@ -81,90 +64,11 @@
     double prefixHits = 0;
     double sends = 0;
     std::vector<double> goodTokens;
-    double leastWorkspace = 0;
+    std::vector<double> offeredTokens;
+    /// Of the workspaces but the first the least part of its max-min share that one got.
+    double leastShare = 0;
 };
 
-int logNormal(std::mt19937_64 &random, double median, double sigma, int most)
-{
-    std::lognormal_distribution<double> draw(std::log(median), sigma);
-    return std::clamp(int(draw(random)), 1, most);
-}
-
-/// Some workspaces write lines, some pages.
-double medianLength(int workspace)
-{
-    constexpr double Shortest = 40;
-    constexpr double Longest = 400;
-    const double part = FLAGS_workspaces > 1 ? double(workspace) / (FLAGS_workspaces - 1) : 0;
-    return Shortest * std::pow(Longest / Shortest, part);
-}
-
-Arrival drawArrival(std::mt19937_64 &random, int workspace)
-{
-    Arrival arrival;
-    arrival.workspace = workspace;
-    arrival.prompt =
-        FLAGS_prefix_tokens + logNormal(random, FLAGS_prompt_median, PromptSigma, LongestPrompt);
-    arrival.length = logNormal(random, medianLength(workspace), FLAGS_length_sigma, MaxTokens);
-    arrival.prefix = int(random() % PrefixesAWorkspace);
-    arrival.daemon = int(random() % quint64(FLAGS_daemons));
-    return arrival;
-}
-
-/// Requests a second that would keep all memory exactly full, an upper bound that no policy
-/// reaches: the memory that a request holds, summed over its steps, against what the targets
-/// offer in a step of a full batch.
-double fullRate()
-{
-    constexpr int Samples = 200'000;
-    constexpr int SampleSeed = 99;
-    std::mt19937_64 random(SampleSeed);
-    const test::EngineSettings engine;
-    double memory = 0;
-    double steps = 0;
-    double prefillMs = 0;
-    for (int i = 0; i < Samples; ++i) {
-        const Arrival a = drawArrival(random, i % FLAGS_workspaces);
-        memory += (double(a.prompt) * a.length + double(a.length) * a.length / 2) / Samples;
-        steps += double(a.length) / Samples;
-        prefillMs += a.prompt * engine.stepPerPrefillTokenMs / Samples;
-    }
-    const double streams =
-        std::min(double(engine.maxBatch), engine.capacityTokens * steps / memory);
-    const double requestsAStep = streams / steps;
-    const double stepMs =
-        engine.stepBaseMs + streams * engine.stepPerStreamMs + requestsAStep * prefillMs;
-    return requestsAStep / stepMs * MsPerSecond * FLAGS_targets;
-}
-
-std::vector<Arrival> trace(quint64 seed, double rate)
-{
-    std::mt19937_64 random(seed);
-    std::vector<Arrival> arrivals;
-    const double others = FLAGS_workspaces - 1;
-    const double all = others + FLAGS_greedy;
-    std::exponential_distribution<double> gap(rate / MsPerSecond * all / FLAGS_workspaces);
-    std::uniform_real_distribution<double> which(0, all);
-    for (double at = gap(random); at < FLAGS_seconds * MsPerSecond; at += gap(random)) {
-        const double drawn = which(random);
-        const int workspace = drawn < others ? 1 + int(drawn) : 0;
-        arrivals.push_back(drawArrival(random, std::min(workspace, FLAGS_workspaces - 1)));
-        arrivals.back().atMs = at;
-    }
-    return arrivals;
-}
-
-MonotonicTime::duration fromMs(double ms)
-{
-    return std::chrono::duration_cast<MonotonicTime::duration>(
-        std::chrono::duration<double, std::milli>(ms));
-}
-
-double toMs(MonotonicTime::duration duration)
-{
-    return std::chrono::duration<double, std::milli>(duration).count();
-}
-
 double quantile(std::vector<double> values, double part)
 {
     if (values.empty())
@@ -174,61 +78,33 @@
     return *place;
 }
 
-class FixedMembers final : public MemberView
+/// What each workspace would get of @p all tokens if nobody got more than it wants and the
+/// rest were shared equally.
+std::vector<double> maxMinShares(std::vector<double> wanted, double all)
 {
-public:
-    FixedMembers(VmId self, int count)
-        : m_self(std::move(self))
-    {
-        for (int i = 0; i < count; ++i) {
-            Member member;
-            member.vm = VmId(QString::number(i));
-            m_members.append(member);
-        }
+    std::vector<size_t> order(wanted.size());
+    std::iota(order.begin(), order.end(), size_t(0));
+    std::sort(order.begin(), order.end(),
+              [&](size_t a, size_t b) { return wanted[a] < wanted[b]; });
+    auto left = double(wanted.size());
+    for (const size_t workspace : order) {
+        wanted[workspace] = std::min(wanted[workspace], all / left);
+        all -= wanted[workspace];
+        left -= 1;
     }
-    VmId self() const override { return m_self; }
-    QList<Member> members() const override { return m_members; }
-    QList<Member> liveMembers() const override { return m_members; }
-
-private:
-    VmId m_self;
-    QList<Member> m_members;
-};
+    return wanted;
+}
 
-/// Delivers each message after the same time.
-class DelayedNetwork final : public PeerNetwork
+double leastShare(const Measures &measures)
 {
-public:
-    using Peers = std::map<VmId, DelayedNetwork *>;
-
-    DelayedNetwork(VirtualTime &time, VmId self, Peers &peers, double &messages)
-        : m_time(time)
-        , m_self(std::move(self))
-        , m_peers(peers)
-        , m_messages(messages)
-    {
-        m_peers[m_self] = this;
-    }
-    bool send(const VmId &vm, PeerMessageKind kind, const QCborMap &body) override
-    {
-        m_messages += 1;
-        DelayedNetwork *peer = m_peers[vm];
-        m_time.at(m_time.now() + fromMs(FLAGS_peer_ms),
-                  [peer, kind, body, from = m_self] { peer->m_handlers[kind](from, body); });
-        return true;
-    }
-    void subscribe(PeerMessageKind kind, Handler handler) override
-    {
-        m_handlers[kind] = std::move(handler);
-    }
-
-private:
-    VirtualTime &m_time;
-    VmId m_self;
-    Peers &m_peers;
-    double &m_messages;
-    std::map<PeerMessageKind, Handler> m_handlers;
-};
+    const std::vector<double> &good = measures.goodTokens;
+    const double all = std::accumulate(good.begin(), good.end(), 0.0);
+    const std::vector<double> shares = maxMinShares(measures.offeredTokens, all);
+    double least = 1;
+    for (size_t i = 1; i < good.size(); ++i)
+        least = std::min(least, shares[i] > 0 ? good[i] / shares[i] : 1);
+    return least;
+}
 
 class Run
 {
@@ -287,6 +163,7 @@
     , m_answers(m_arrivals.size())
 {
     m_measures.goodTokens.resize(size_t(FLAGS_workspaces));
+    m_measures.offeredTokens.resize(size_t(FLAGS_workspaces));
     makeDaemons(policy, seed);
     for (size_t i = 0; i < m_arrivals.size(); ++i)
         m_time.at(m_start + fromMs(m_arrivals[i].atMs), [this, i] { arrive(int(i)); });
@@ -336,6 +213,8 @@
     answer.arrived = m_time.now();
     answer.measured = warm();
     m_measures.arrivals += answer.measured;
+    if (answer.measured)
+        m_measures.offeredTokens[size_t(arrival.workspace)] += arrival.length;
     AdmissionRequest request;
     request.placement.request = RequestId(QString::number(number));
     request.attempt = AttemptId(QString::number(number));
@@ -473,8 +352,7 @@
     m_measures.interTokenP99 = quantile(m_gaps, 0.99);
     m_measures.firstTokenP95 = quantile(m_firstTokens, 0.95);
     m_measures.goodput /= double(FLAGS_seconds) * (WarmUpParts - 1) / WarmUpParts;
-    const std::vector<double> &good = m_measures.goodTokens;
-    m_measures.leastWorkspace = *std::min_element(good.begin() + 1, good.end());
+    m_measures.leastShare = leastShare(m_measures);
     return m_measures;
 }
 
@@ -511,12 +389,12 @@
         return quantile(values, 0.5);
     };
     std::printf("load=%d policy=%s preemptions=%.0f stall_s=%.2f p99_ms=%.1f ttft_p95_ms=%.0f "
-                "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_workspace=%.0f "
+                "goodput=%.0f arrivals=%.0f refused=%.0f refused_later=%.0f least_share=%.3f "
                 "messages=%.0f hits=%.0f/%.0f\n",
                 load, name.c_str(), of(&Measures::preemptions), of(&Measures::stallSeconds),
                 of(&Measures::interTokenP99), of(&Measures::firstTokenP95), of(&Measures::goodput),
                 of(&Measures::arrivals), of(&Measures::refused), of(&Measures::refusedLater),
-                of(&Measures::leastWorkspace), of(&Measures::messages), of(&Measures::prefixHits),
+                of(&Measures::leastShare), of(&Measures::messages), of(&Measures::prefixHits),
                 of(&Measures::sends));
     std::fflush(stdout);
 }
