--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -5,19 +5,12 @@
 #include "placement/PlacementPolicy.h"
 #include "placement/TargetState.h"
 
-#include <QCryptographicHash>
-#include <QtEndian>
-
 #include <algorithm>
-#include <array>
-#include <functional>
 
 namespace cranberry {
 
 namespace {
 
-/// Targets on which a prefix is wanted; two leave a choice when one is crowded.
-constexpr size_t PrefixTargets = 2;
 /// Sends that ended are needed only until a report made after their end arrives.
 constexpr size_t EndedSends = 256;
 /// A forecast is renewed each time a request has gained so many tokens.
@@ -35,103 +28,11 @@
 /// is asked of its home: each ask is a message.
 constexpr double OwnTargetBonus = 0.05;
 
-bool isUsable(const TargetState &state)
-{
-    return state.configured && !state.dead && !state.leaving;
-}
-
-bool isOwn(const TargetState &state, const VmId &self)
-{
-    return state.home.isEmpty() || state.home == self;
-}
-
 LengthKey lengthKey(const PlacementRequest &request)
 {
     return {request.service, request.model, request.workspace};
 }
 
-quint64 hashOf(const TargetId &target)
-{
-    const QByteArray hash =
-        QCryptographicHash::hash(target.text().toUtf8(), QCryptographicHash::Sha1);
-    return qFromBigEndian<quint64>(hash.constData());
-}
-
-/// Rank of a target for a prefix: rendezvous hashing with the finalizer of SplitMix64, since
-/// it is computed for every target in every decision.
-quint64 prefixRank(quint64 idHash, quint64 prefixHash)
-{
-    quint64 mixed = idHash ^ prefixHash;
-    mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
-    mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
-    return mixed ^ (mixed >> 31);
-}
-
-/// The least rank that is among the first PrefixTargets.
-quint64 leastPreferredRank(const std::vector<const TargetState *> &states, quint64 prefixHash)
-{
-    std::array<quint64, PrefixTargets> first{};
-    for (const TargetState *state : states) {
-        const quint64 rank = isUsable(*state) ? prefixRank(state->idHash, prefixHash) : 0;
-        if (rank > first.back()) {
-            first.back() = rank;
-            std::sort(first.begin(), first.end(), std::greater<>());
-        }
-    }
-    return first.back();
-}
-
-Tokens generatedBy(const Grant &grant, MonotonicTime now)
-{
-    if (grant.millisecondsPerToken <= 0)
-        return Tokens(0);
-    const std::chrono::duration<double, std::milli> passed = now - grant.grantedAt;
-    return Tokens(qint64(std::max(0.0, passed.count()) / grant.millisecondsPerToken));
-}
-
-void countGrant(TargetState &state, const Grant &grant, MonotonicTime now)
-{
-    const Tokens generated = generatedBy(grant, now);
-    const Tokens held = grant.promptTokens + generated;
-    state.grantForecast += forecastRequest(grant.length, held, generated);
-    state.grantResidentTokens += held;
-    if (generated == Tokens(0))
-        state.grantPrefillTokens += grant.promptTokens;
-}
-
-void countGrants(TargetState &state, MonotonicTime now)
-{
-    state.grantForecast = {};
-    state.grantResidentTokens = Tokens(0);
-    state.grantPrefillTokens = Tokens(0);
-    state.grantsCountedAt = now;
-    for (const Grant &grant : state.grants)
-        countGrant(state, grant, now);
-}
-
-TargetLoad loadOf(const TargetState &state, const SteadyForecast &steady, MonotonicTime now)
-{
-    TargetLoad load;
-    load.target = state.target;
-    load.dataCentre = state.dataCentre;
-    load.residentTokens = state.othersResidentTokens + state.ownResidentTokens;
-    load.capacityTokens = state.report.capacityTokens;
-    load.running = state.report.running;
-    load.waiting = state.report.waiting;
-    load.reportAge = std::chrono::duration_cast<Milliseconds>(now - state.reportMadeAt);
-    load.ownRequests = int(state.ownAttempts.size());
-    load.othersRequests = state.othersRequests;
-    load.ownResidentTokens = state.ownResidentTokens;
-    load.ownPrefillTokens = state.ownPrefillTokens;
-    load.forecast = forecastOthers(steady, state.othersRequests, state.othersResidentTokens);
-    load.forecast += state.ownForecast;
-    load.forecast += state.grantForecast;
-    load.residentTokens += state.grantResidentTokens;
-    load.ownPrefillTokens += state.grantPrefillTokens;
-    load.othersRequests += int(state.grants.size());
-    return load;
-}
-
 } // namespace
 
 struct TargetTable::Attempt {
@@ -216,8 +117,10 @@
         return;
     const bool newer = report.incarnation > state->incarnation;
     state->incarnation = report.incarnation;
-    if (newer)
+    if (newer) {
         state->dead = false;
+        forgetGrants(*state);
+    }
     if (newer && report.incarnation > state->leavingIncarnation)
         state->leaving = false;
     if (report.leaving) {
@@ -262,6 +165,17 @@
     state.othersRequests = std::max(requests, 0);
 }
 
+// What ran on an earlier incarnation is gone with it.
+void TargetTable::forgetGrants(TargetState &state)
+{
+    for (const Grant &grant : state.grants)
+        m_grants.remove(grant.request);
+    state.grants.clear();
+    state.grantForecast = {};
+    state.grantResidentTokens = Tokens(0);
+    state.grantPrefillTokens = Tokens(0);
+}
+
 const TargetTable::StateList &TargetTable::candidates(const PlacementRequest &request) const
 {
     static const StateList none;
--- a/test/correctness/PlacementRouter.cpp
+++ b/test/correctness/PlacementRouter.cpp
@@ -230,6 +230,17 @@
     BOOST_TEST(there.targets.loadsFor(Model, timers.now()).first().othersRequests == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(RestartedTargetIsFreeOfEarlierGrants, Fixture)
+{
+    enqueue(A);
+    deliver();
+    LoadReport restarted;
+    restarted.incarnation = Incarnation(2);
+    restarted.capacityTokens = Tokens(Capacity);
+    there.targets.reportReceived(target, restarted, timers.now());
+    BOOST_TEST(there.targets.loadsFor(Model, timers.now()).first().othersRequests == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(FullHomeLetsTheRequestWaitItsTurn, Fixture)
 {
     report(there, Capacity);
