Delivery: "not run" stays true when a target dies or restarts; stalls of resumes and sends

A send whose engine died while it ran ended as ran "no": the last failure was that of a resume that did not connect, which by itself means that no byte left. An engine that was started anew on the same address answered a cancel with "not started", true of itself only. Cancel answers now carry the incarnation and are believed only from the one known before the send. A resume whose link stalled too was never replaced; the stream hung to its deadline. A request lost on a stalled link before the engine had it waited to its deadline, although the engine said that it did not know it. Now it is cancelled there and runs elsewhere.

Without a test so far: a resume that takes over from its stream and then does not connect counted as a first send that did not connect (the resume flag of the stream is the guard); and a target that answers 400, 413 or 422 was marked dead with everything on it suspect: the request is at fault, it is now answered target_refused at once.

A refusal may say "leaving": the target is out at once and the peers are told. A plain service reports no incarnation, so it is left alone for a minute instead.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -158,10 +158,12 @@
                              [this](const VmId &, const QCborMap &news) {
                                  m_parts->quarantine.takeNews(news, m_parts->timers.now());
                              });
-    m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
+    const auto tellLeaving = [this](const TargetId &target, Incarnation incarnation) {
         m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
                                   toCbor(TargetLeavingNews{target, incarnation}));
-    });
+    };
+    m_parts->poller.onLeaving(tellLeaving);
+    m_parts->dispatcher.onLeaving(tellLeaving);
     m_parts->members.onDelta(
         PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
             if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
--- a/src/daemon/Dispatcher.cpp
+++ b/src/daemon/Dispatcher.cpp
@@ -16,6 +16,8 @@
 
 /// How long a plain service's target that could not be reached is left alone.
 constexpr Milliseconds PlainTargetPause{1000};
+/// The same for one that refused because it leaves.
+constexpr Milliseconds PlainTargetLeavingPause{60'000};
 /// How soon a request is looked at again that has to keep away from suspects, or is one.
 constexpr Milliseconds ProbationPause{100};
 
@@ -159,7 +161,7 @@
     const auto found = m_configuration->targets.constFind(target);
     const HttpEndpoint endpoint =
         found == m_configuration->targets.constEnd() ? HttpEndpoint() : found->endpoint;
-    wait->callback(TargetPlace{target, endpoint});
+    wait->callback(TargetPlace{target, endpoint, m_surroundings.targets.incarnation(target)});
 }
 
 void Dispatcher::refuse(const Wait &wait, const Error &error)
@@ -185,6 +187,8 @@
     const RequestFingerprint fingerprint = m_running.take(attempt);
     if (outcome == AttemptOutcome::TargetLost)
         targetLost(target);
+    else if (outcome == AttemptOutcome::Leaving)
+        targetLeaves(target);
     const bool finished = outcome == AttemptOutcome::Finished;
     m_surroundings.quarantine.attemptFinished(fingerprint, target, finished);
     m_surroundings.admission.attemptEnded(attempt,
@@ -203,11 +207,36 @@
         logEvent(LogLevel::Warning, held ? EventId::QuarantineAdded : EventId::QuarantineSuspect,
                  {{"fingerprint", outcome.fingerprint.text()}, {"target", target.text()}});
     }
-    const auto found = m_configuration->targets.constFind(target);
-    const bool plain = found != m_configuration->targets.constEnd() && found->models.isEmpty();
-    if (!plain)
+    if (isPlain(target))
+        bringBackAfter(target, PlainTargetPause);
+}
+
+void Dispatcher::targetLeaves(const TargetId &target)
+{
+    if (isPlain(target)) {
+        // It never reports an incarnation, so only time can show that it was started anew.
+        if (m_surroundings.targets.markDead(target))
+            logEvent(LogLevel::Info, EventId::TargetLeaving, {{"target", target.text()}});
+        bringBackAfter(target, PlainTargetLeavingPause);
         return;
-    m_backAgain[target] = m_surroundings.timers.after(PlainTargetPause, [this, target] {
+    }
+    const Incarnation incarnation = m_surroundings.targets.incarnation(target);
+    if (!m_surroundings.targets.markLeaving(target, incarnation))
+        return;
+    logEvent(LogLevel::Info, EventId::TargetLeaving, {{"target", target.text()}});
+    if (m_leaving)
+        m_leaving(target, incarnation);
+}
+
+bool Dispatcher::isPlain(const TargetId &target) const
+{
+    const auto found = m_configuration->targets.constFind(target);
+    return found != m_configuration->targets.constEnd() && found->models.isEmpty();
+}
+
+void Dispatcher::bringBackAfter(const TargetId &target, Milliseconds pause)
+{
+    m_backAgain[target] = m_surroundings.timers.after(pause, [this, target] {
         m_surroundings.targets.markBack(target);
         m_surroundings.admission.capacityChanged();
         m_backAgain.remove(target);
--- a/src/daemon/Dispatcher.h
+++ b/src/daemon/Dispatcher.h
@@ -42,6 +42,12 @@
     /// New decisions are made under @p configuration.
     void setConfiguration(const std::shared_ptr<const Configuration> &configuration);
 
+    /// @p callback is told once for each start of a target that refuses because it leaves.
+    void onLeaving(std::function<void(const TargetId &, Incarnation)> callback)
+    {
+        m_leaving = std::move(callback);
+    }
+
     void acquire(const TargetDemand &demand, Callback callback) override;
     void withdraw(const RequestId &request) override;
     void tokenReceived(const AttemptId &attempt) override;
@@ -61,10 +67,14 @@
     void refuse(const Wait &wait, const Error &error);
     void tryLater(const Wait &wait);
     void targetLost(const TargetId &target);
+    void targetLeaves(const TargetId &target);
+    bool isPlain(const TargetId &target) const;
+    void bringBackAfter(const TargetId &target, Milliseconds pause);
 
     Surroundings m_surroundings;
     const DataCentreId m_dataCentre;
     std::shared_ptr<const Configuration> m_configuration;
+    std::function<void(const TargetId &, Incarnation)> m_leaving;
     QHash<RequestId, Wait> m_waiting;
     /// Fingerprints of attempts that are under way.
     QHash<AttemptId, RequestFingerprint> m_running;
--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -23,6 +23,15 @@
 constexpr Milliseconds ResumeDelay{150};
 constexpr int StatusNotFound = 404;
 
+/// Whether a target's answer @p status blames the request and not the target.
+bool isFaultOfRequest(int status)
+{
+    constexpr int BadRequest = 400;
+    constexpr int TooLarge = 413;
+    constexpr int Unprocessable = 422;
+    return status == BadRequest || status == TooLarge || status == Unprocessable;
+}
+
 AttemptId freshAttemptId()
 {
     return AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
@@ -145,6 +154,7 @@
     }
     m_target = place.value().target;
     m_endpoint = place.value().endpoint;
+    m_incarnation = place.value().incarnation;
     if (m_request.atMostOnce && !m_claimed)
         claimAndSend();
     else
@@ -216,7 +226,7 @@
     };
     const HttpRequest request =
         isResume ? resumeRequest(m_attempt, m_sequence.next) : sendRequest(m_request, m_attempt);
-    return {number,
+    return {number, isResume,
             std::make_unique<TargetStream>(m_context.client, m_endpoint, request, m_attempt,
                                            std::move(callbacks))};
 }
@@ -289,27 +299,39 @@
         m_beside = {};
         return;
     }
+    const bool isResume = m_stream.isResume;
     m_stream = {};
     m_stallTimer.reset();
     if (status == StatusNotFound && m_sequence.next > 0) {
         giveUp(SendFailure::BrokenAfterStart, QStringLiteral("the target forgot the generation"));
         return;
     }
-    sendFailed(failure.value_or(SendFailure::BrokenAfterStart), reason);
+    sendFailed(failure.value_or(SendFailure::BrokenAfterStart), status, isResume, reason);
 }
 
 void GenerationRun::besideEnded(int status)
 {
     m_beside = {};
-    // A resume that fails says nothing of the silent stream beside it, unless the target
-    // answers that it has forgotten a generation of which it has given events.
-    if (status == StatusNotFound && m_sequence.next > 0)
-        giveUp(SendFailure::BrokenAfterStart, QStringLiteral("the target forgot the generation"));
-    else
+    if (status != StatusNotFound) {
+        // A resume that fails says nothing of the silent stream beside it.
         watchForStall();
+        return;
+    }
+    const QString reason = QStringLiteral("the target does not know the generation");
+    if (m_sequence.next > 0) {
+        giveUp(SendFailure::BrokenAfterStart, reason);
+        return;
+    }
+    // The request was lost on a link that stalled, or the target has started anew since: the
+    // silent stream will never bring anything and the caller would wait to its deadline. A
+    // cancel settles which, and keeps a request that is still on its way from starting.
+    m_stream = {};
+    m_stallTimer.reset();
+    settleByCancel(SendFailure::BrokenBeforeAnswer, StatusNotFound, reason);
 }
 
-void GenerationRun::sendFailed(SendFailure failure, const QString &reason)
+void GenerationRun::sendFailed(SendFailure failure, int status, bool isResume,
+                               const QString &reason)
 {
     logEvent(LogLevel::Warning, EventId::AttemptFailed,
              {{"request", m_request.id.text()},
@@ -317,7 +339,8 @@
               {"target", m_target.text()},
               {"failure", QLatin1String(sendFailureName(failure))},
               {"reason", reason}});
-    const bool mayHaveBegun = m_began || m_sequence.next > 0 || m_resumeTries > 0;
+    // Of a resume that failed nothing follows for the send before it.
+    const bool mayHaveBegun = m_began || m_sequence.next > 0 || isResume;
     const bool neverStarted = ranAfter(failure) == Ran::No && !mayHaveBegun;
     if (neverStarted) {
         retryElsewhere(failure, reason);
@@ -333,7 +356,7 @@
         giveUp(SendFailure::BrokenAfterStart, reason);
         return;
     }
-    settleByCancel(failure, reason);
+    settleByCancel(failure, status, reason);
 }
 
 void GenerationRun::resumeLater()
@@ -352,33 +375,50 @@
     });
 }
 
-void GenerationRun::settleByCancel(SendFailure failure, const QString &reason)
+void GenerationRun::settleByCancel(SendFailure failure, int status, const QString &reason)
 {
     // Only the target can say whether a send whose answer was lost has run. Until it has been
     // told to cancel, a second send could run beside the first.
-    const auto decide = [weak = weak_from_this(), failure, reason](CancelOutcome outcome) {
-        const auto self = weak.lock();
-        if (!self || self->m_over)
-            return;
-        if (outcome == CancelOutcome::NotStarted)
-            self->retryElsewhere(SendFailure::CancelledBeforeStart, reason);
-        else if (!self->m_request.atMostOnce)
-            self->retryElsewhere(failure, reason);
-        else if (outcome == CancelOutcome::Started)
-            self->giveUp(SendFailure::CancelledAfterStart, reason);
-        else
-            self->giveUp(SendFailure::BrokenBeforeAnswer, reason);
-    };
-    m_context.cancels.cancel(m_endpoint, m_attempt, decide);
+    m_context.cancels.cancel(
+        m_endpoint, m_attempt, m_incarnation,
+        [weak = weak_from_this(), failure, status, reason](CancelOutcome outcome) {
+            const auto self = weak.lock();
+            if (self && !self->m_over)
+                self->settled(outcome, failure, status, reason);
+        });
+}
+
+void GenerationRun::settled(CancelOutcome outcome, SendFailure failure, int status,
+                            const QString &reason)
+{
+    if (failure == SendFailure::ErrorAnswer && isFaultOfRequest(status)) {
+        // Every other target would say the same of this request.
+        const Ran ran = outcome == CancelOutcome::NotStarted ? Ran::No : ranAfter(failure);
+        giveUpAs(ErrorKind::TargetRefused, ran, failure, reason);
+        return;
+    }
+    if (outcome == CancelOutcome::NotStarted) {
+        retryElsewhere(SendFailure::CancelledBeforeStart, reason);
+        return;
+    }
+    // What failed last may be a resume that did not connect, which alone would pass for "not
+    // run"; the send before it did leave, and nobody vouches that it did not start.
+    SendFailure known = failure;
+    if (outcome == CancelOutcome::Started)
+        known = SendFailure::CancelledAfterStart;
+    else if (ranAfter(failure) == Ran::No)
+        known = SendFailure::BrokenBeforeAnswer;
+    if (m_request.atMostOnce)
+        giveUp(known, reason);
+    else
+        retryElsewhere(known, reason);
 }
 
 void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason)
 {
     const TargetId failed = m_target;
     m_ranBefore = std::max(m_ranBefore, ranAfter(failure));
-    const bool refused =
-        failure == SendFailure::RefusedBeforeStart || failure == SendFailure::CancelledBeforeStart;
-    dropStreams(refused ? AttemptOutcome::Refused : AttemptOutcome::TargetLost);
+    dropStreams(outcomeAfter(failure));
     if (!m_context.targets.takeRetry(m_request.workspace, failed)) {
         giveUp(failure, reason);
         return;
@@ -393,35 +433,45 @@
 
 void GenerationRun::giveUp(SendFailure failure, const QString &reason)
 {
-    const Ran ran = m_sequence.next > 0 ? Ran::Yes : ranAfter(failure);
-    Error error;
-    error.ran = ran;
-    error.detail = QStringLiteral("%1: %2").arg(QLatin1String(sendFailureName(failure)), reason);
     if (m_sequence.next > 0) {
-        error.kind = ErrorKind::GenerationLost;
         ++m_context.counters.generationsLost;
-    } else if (failure == SendFailure::ErrorAnswer) {
-        error.kind = ErrorKind::TargetRefused;
-    } else {
-        error.kind = ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed;
+        giveUpAs(ErrorKind::GenerationLost, Ran::Yes, failure, reason);
+        return;
     }
-    dropStreams(AttemptOutcome::TargetLost);
+    const Ran ran = ranAfter(failure);
+    ErrorKind kind = ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed;
+    if (failure == SendFailure::ErrorAnswer)
+        kind = ErrorKind::TargetRefused;
+    giveUpAs(kind, ran, failure, reason);
+}
+
+void GenerationRun::giveUpAs(ErrorKind kind, Ran ran, SendFailure failure, const QString &reason)
+{
+    Error error;
+    error.kind = kind;
+    error.ran = ran;
+    error.detail = QStringLiteral("%1: %2").arg(QLatin1String(sendFailureName(failure)), reason);
+    dropStreams(outcomeAfter(failure));
     fail(error);
 }
 
 void GenerationRun::watchForStall()
 {
-    const Milliseconds silence = m_sequence.next > 0
-        ? stallThreshold(m_context.gaps, m_context.stallLimits)
-        : m_context.stallLimits.ceiling;
+    watchForStall(m_sequence.next > 0 ? stallThreshold(m_context.gaps, m_context.stallLimits)
+                                      : m_context.stallLimits.ceiling);
+}
+
+void GenerationRun::watchForStall(Milliseconds silence)
+{
     m_stallTimer = m_context.timers.after(silence, [this] { stalled(); });
 }
 
 void GenerationRun::stalled()
 {
     // A link can stall without closing: neither side sees an error and the caller waits for
-    // ever. A resume on a fresh connection beside it brings what the target has generated.
-    if (m_over || m_target.isEmpty() || m_beside.stream)
+    // ever. A resume on a fresh connection beside it brings what the target has generated. Its
+    // link may stall as well, so a resume that stays silent gives way to another.
+    if (m_over || m_target.isEmpty())
         return;
     ++m_context.counters.resumes;
     logEvent(LogLevel::Info, EventId::StreamResumed,
@@ -429,6 +479,7 @@
               {"attempt", m_attempt.text()},
               {"from", QString::number(m_sequence.next)}});
     m_beside = openStream(true);
+    watchForStall(m_context.stallLimits.ceiling);
 }
 
 void GenerationRun::deadlinePassed()
@@ -459,7 +510,7 @@
         return;
     logEvent(LogLevel::Info, EventId::AttemptCancelled,
              {{"request", m_request.id.text()}, {"attempt", m_attempt.text()}});
-    m_context.cancels.cancel(m_endpoint, m_attempt, [](CancelOutcome) {});
+    m_context.cancels.cancel(m_endpoint, m_attempt, m_incarnation, [](CancelOutcome) {});
 }
 
 void GenerationRun::dropStreams(AttemptOutcome outcome)
--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -21,6 +21,7 @@
 class AnswerSink;
 class TargetStream;
 class TimerSubscription;
+enum class CancelOutcome;
 struct ClaimDecision;
 struct DeliveryContext;
 
@@ -74,6 +75,8 @@
     /// A stream with a number, so that a callback can tell which of two streams it is for.
     struct NumberedStream {
         quint64 number = 0;
+        /// It asks for what a send before it has started.
+        bool isResume = false;
         std::unique_ptr<TargetStream> stream;
     };
 
@@ -84,12 +87,15 @@
     void streamEnded(std::optional<SendFailure> failure, int status, const QString &reason,
                      quint64 stream);
     void besideEnded(int status);
-    void sendFailed(SendFailure failure, const QString &reason);
+    void sendFailed(SendFailure failure, int status, bool isResume, const QString &reason);
     void resumeLater();
-    void settleByCancel(SendFailure failure, const QString &reason);
+    void settleByCancel(SendFailure failure, int status, const QString &reason);
+    void settled(CancelOutcome outcome, SendFailure failure, int status, const QString &reason);
     void retryElsewhere(SendFailure failure, const QString &reason);
     void giveUp(SendFailure failure, const QString &reason);
+    void giveUpAs(ErrorKind kind, Ran ran, SendFailure failure, const QString &reason);
     void watchForStall();
+    void watchForStall(Milliseconds silence);
     void stalled();
     void deadlinePassed();
     void dropStreams(AttemptOutcome outcome);
@@ -111,6 +117,7 @@
     AttemptId m_attempt;
     TargetId m_target;
     HttpEndpoint m_endpoint;
+    Incarnation m_incarnation;
     QSet<TargetId> m_excluded;
     TokenSequence m_sequence;
     quint64 m_streamCount = 0;
--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -12,17 +12,6 @@
 
 namespace cranberry {
 
-namespace {
-
-bool saysFailure(const HttpResponse &response)
-{
-    constexpr int TooManyRequests = 429;
-    constexpr int Unavailable = 503;
-    return response.status == TooManyRequests || response.status == Unavailable;
-}
-
-} // namespace
-
 PlainRun::PlainRun(DeliveryContext &context, PlainRequest request, Callback callback)
     : m_context(context)
     , m_request(std::move(request))
@@ -144,10 +133,9 @@
         sendFailed(failureOfExchange(end, false), response);
         return;
     }
-    const bool refused = saysFailure(response)
-        && failureOfAnswer(response.status, response.body) == SendFailure::RefusedBeforeStart;
-    if (refused) {
-        sendFailed(SendFailure::RefusedBeforeStart, response);
+    const SendFailure failure = failureOfAnswer(response.status, response.body);
+    if (ranAfter(failure) == Ran::No) {
+        sendFailed(failure, response);
         return;
     }
     releaseTarget(AttemptOutcome::Finished);
@@ -165,8 +153,7 @@
     const TargetId failed = m_target;
     const Ran ran = ranAfter(failure);
     m_ranBefore = std::max(m_ranBefore, ran);
-    releaseTarget(failure == SendFailure::RefusedBeforeStart ? AttemptOutcome::Refused
-                                                             : AttemptOutcome::TargetLost);
+    releaseTarget(outcomeAfter(failure));
     const bool mayRunAgain = ran == Ran::No || !m_request.atMostOnce;
     if (mayRunAgain && m_context.targets.takeRetry(m_request.workspace, failed)) {
         ++m_context.counters.retries;
--- a/src/delivery/SendFailure.cpp
+++ b/src/delivery/SendFailure.cpp
@@ -17,6 +17,7 @@
     switch (failure) {
     case SendFailure::NotConnected:
     case SendFailure::RefusedBeforeStart:
+    case SendFailure::RefusedAsLeaving:
     case SendFailure::CancelledBeforeStart:
         return Ran::No;
     case SendFailure::CancelledAfterStart:
@@ -30,6 +31,25 @@
     return Ran::Maybe;
 }
 
+AttemptOutcome outcomeAfter(SendFailure failure)
+{
+    switch (failure) {
+    case SendFailure::RefusedAsLeaving:
+        return AttemptOutcome::Leaving;
+    case SendFailure::RefusedBeforeStart:
+    case SendFailure::CancelledBeforeStart:
+    case SendFailure::CancelledAfterStart:
+    case SendFailure::ErrorAnswer:
+        return AttemptOutcome::Refused;
+    case SendFailure::NotConnected:
+    case SendFailure::BrokenBeforeAnswer:
+    case SendFailure::MalformedAnswer:
+    case SendFailure::BrokenAfterStart:
+        break;
+    }
+    return AttemptOutcome::TargetLost;
+}
+
 const char *sendFailureName(SendFailure failure)
 {
     switch (failure) {
@@ -37,6 +57,8 @@
         return "not_connected";
     case SendFailure::RefusedBeforeStart:
         return "refused_before_start";
+    case SendFailure::RefusedAsLeaving:
+        return "refused_as_leaving";
     case SendFailure::CancelledBeforeStart:
         return "cancelled_before_start";
     case SendFailure::CancelledAfterStart:
@@ -69,12 +91,14 @@
     const bool mayBeRefusal = status == StatusTooManyRequests || status == StatusUnavailable;
     if (!mayBeRefusal)
         return SendFailure::ErrorAnswer;
-    const QJsonValue started =
-        QJsonDocument::fromJson(body).object().value(QStringLiteral("started"));
+    const QJsonObject answer = QJsonDocument::fromJson(body).object();
+    const QJsonValue started = answer.value(QStringLiteral("started"));
     // A proxy on the way may answer 503 for a request that did reach the target: only the
     // target's own word counts.
-    return started.isBool() && !started.toBool() ? SendFailure::RefusedBeforeStart
-                                                 : SendFailure::ErrorAnswer;
+    if (!started.isBool() || started.toBool())
+        return SendFailure::ErrorAnswer;
+    return answer.value(QStringLiteral("leaving")).toBool() ? SendFailure::RefusedAsLeaving
+                                                            : SendFailure::RefusedBeforeStart;
 }
 
 } // namespace cranberry
--- a/src/delivery/SendFailure.h
+++ b/src/delivery/SendFailure.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/ErrorKind.h"
+#include "delivery/TargetSource.h"
 #include "http/HttpExchangeEnd.h"
 
 namespace cranberry {
@@ -12,6 +13,8 @@
     NotConnected,
     /// The target answered 429 or 503 and said that it had not started.
     RefusedBeforeStart,
+    /// As RefusedBeforeStart, and the target said that it leaves.
+    RefusedAsLeaving,
     /// The target answered a cancel and said that it had not started and never will.
     CancelledBeforeStart,
     /// The target answered a cancel and said that it had started.
@@ -30,6 +33,9 @@
 /// byte left or the target itself said that it did not start. Thread-safe.
 Ran ranAfter(SendFailure failure);
 
+/// What @p failure says of the target. Thread-safe.
+AttemptOutcome outcomeAfter(SendFailure failure);
+
 /// The name of @p failure in log lines. Thread-safe.
 const char *sendFailureName(SendFailure failure);
 
--- a/src/delivery/TargetCancels.cpp
+++ b/src/delivery/TargetCancels.cpp
@@ -12,15 +12,19 @@
 
 constexpr Milliseconds CancelTimeout{2000};
 
-CancelOutcome outcomeOf(HttpExchangeEnd end, const HttpResponse &response)
+CancelOutcome outcomeOf(HttpExchangeEnd end, const HttpResponse &response, Incarnation sentTo)
 {
     if (end != HttpExchangeEnd::Complete || response.status != 200)
         return CancelOutcome::NoAnswer;
-    const QJsonValue started =
-        QJsonDocument::fromJson(response.body).object().value(QStringLiteral("started"));
+    const QJsonObject answer = QJsonDocument::fromJson(response.body).object();
+    const QJsonValue started = answer.value(QStringLiteral("started"));
     if (!started.isBool())
         return CancelOutcome::NoAnswer;
-    return started.toBool() ? CancelOutcome::Started : CancelOutcome::NotStarted;
+    if (started.toBool())
+        return CancelOutcome::Started;
+    const Incarnation incarnation(qint64(answer.value(QStringLiteral("incarnation")).toDouble()));
+    const bool vouches = sentTo != Incarnation(0) && incarnation == sentTo;
+    return vouches ? CancelOutcome::NotStarted : CancelOutcome::NoAnswer;
 }
 
 } // namespace
@@ -33,7 +37,7 @@
 TargetCancels::~TargetCancels() = default;
 
 void TargetCancels::cancel(const HttpEndpoint &endpoint, const AttemptId &attempt,
-                           Callback callback)
+                           Incarnation sentTo, Callback callback)
 {
     HttpRequest request;
     request.method = "DELETE";
@@ -42,11 +46,11 @@
     options.timeout = CancelTimeout;
     const quint64 number = m_nextNumber++;
     m_exchanges[number] = m_client.fetch(endpoint, request, options,
-                                         [this, number, callback = std::move(callback)](
+                                         [this, number, sentTo, callback = std::move(callback)](
                                              HttpExchangeEnd end, const HttpResponse &response) {
                                              const auto exchange = std::move(m_exchanges[number]);
                                              m_exchanges.erase(number);
-                                             callback(outcomeOf(end, response));
+                                             callback(outcomeOf(end, response, sentTo));
                                          });
 }
 
--- a/src/delivery/TargetCancels.h
+++ b/src/delivery/TargetCancels.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
 #include <functional>
@@ -36,8 +37,12 @@
     TargetCancels(const TargetCancels &) = delete;
     TargetCancels &operator=(const TargetCancels &) = delete;
 
-    /// Cancels @p attempt at the target and calls back once.
-    void cancel(const HttpEndpoint &endpoint, const AttemptId &attempt, Callback callback);
+    /// Cancels @p attempt at the target and calls back once. NotStarted is only told if the
+    /// answer comes from the target's start @p sentTo: one that was started anew knows nothing
+    /// of what ran before. Incarnations only grow and @p sentTo was known before the send, so
+    /// the same one now was there all the time.
+    void cancel(const HttpEndpoint &endpoint, const AttemptId &attempt, Incarnation sentTo,
+                Callback callback);
 
 private:
     HttpClient &m_client;
--- a/src/delivery/TargetSource.h
+++ b/src/delivery/TargetSource.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Result.h"
+#include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
 #include <functional>
@@ -15,6 +16,8 @@
 struct TargetPlace {
     TargetId target;
     HttpEndpoint endpoint;
+    /// The start of the target that was known when it was chosen; 0 if none was.
+    Incarnation incarnation;
 };
 
 /// How an attempt ended, as far as the target's state is concerned.
@@ -23,6 +26,8 @@
     Cancelled,
     /// The target refused it and named no reason to think that it is unwell.
     Refused,
+    /// The target refused it because it leaves.
+    Leaving,
     /// No connection, or it broke: the target may be dead.
     TargetLost,
 };
--- a/test/correctness/RanTable.cpp
+++ b/test/correctness/RanTable.cpp
@@ -10,6 +10,7 @@
 {
     BOOST_CHECK(ranAfter(SendFailure::NotConnected) == Ran::No);
     BOOST_CHECK(ranAfter(SendFailure::RefusedBeforeStart) == Ran::No);
+    BOOST_CHECK(ranAfter(SendFailure::RefusedAsLeaving) == Ran::No);
     BOOST_CHECK(ranAfter(SendFailure::CancelledBeforeStart) == Ran::No);
     BOOST_CHECK(ranAfter(SendFailure::CancelledAfterStart) == Ran::Yes);
     BOOST_CHECK(ranAfter(SendFailure::ErrorAnswer) == Ran::Maybe);
@@ -39,6 +40,9 @@
     // told "not run", sends again and the clinic gets its alert twice.
     BOOST_CHECK(failureOfAnswer(503, "{\"started\":false}") == SendFailure::RefusedBeforeStart);
     BOOST_CHECK(failureOfAnswer(429, "{\"started\":false}") == SendFailure::RefusedBeforeStart);
+    BOOST_CHECK(failureOfAnswer(503, "{\"started\":false,\"leaving\":true}")
+                == SendFailure::RefusedAsLeaving);
+    BOOST_CHECK(failureOfAnswer(503, "{\"leaving\":true}") == SendFailure::ErrorAnswer);
     BOOST_CHECK(failureOfAnswer(503, "{\"started\":true}") == SendFailure::ErrorAnswer);
     BOOST_CHECK(failureOfAnswer(503, "Service Unavailable") == SendFailure::ErrorAnswer);
     BOOST_CHECK(failureOfAnswer(503, "") == SendFailure::ErrorAnswer);
--- a/test/standins/target/TargetFaults.cpp
+++ b/test/standins/target/TargetFaults.cpp
@@ -6,6 +6,8 @@
 {
     faults.dieOn = change.value(QLatin1String("die_on")).toString(faults.dieOn);
     faults.stallAfter = change.value(QLatin1String("stall_after")).toInt(faults.stallAfter);
+    faults.stallResumes = change.value(QLatin1String("stall_resumes")).toInt(faults.stallResumes);
+    faults.swallow = change.value(QLatin1String("swallow")).toInt(faults.swallow);
     faults.slowFactor = change.value(QLatin1String("slow_factor")).toDouble(faults.slowFactor);
     faults.leaving = change.value(QLatin1String("leaving")).toBool(faults.leaving);
     faults.refuse = change.value(QLatin1String("refuse")).toBool(faults.refuse);
@@ -19,6 +21,8 @@
 {
     return {{QStringLiteral("die_on"), faults.dieOn},
             {QStringLiteral("stall_after"), faults.stallAfter},
+            {QStringLiteral("stall_resumes"), faults.stallResumes},
+            {QStringLiteral("swallow"), faults.swallow},
             {QStringLiteral("slow_factor"), faults.slowFactor},
             {QStringLiteral("leaving"), faults.leaving},
             {QStringLiteral("refuse"), faults.refuse},
--- a/test/standins/target/TargetFaults.h
+++ b/test/standins/target/TargetFaults.h
@@ -13,11 +13,15 @@
     /// Links of first sends go silent, open, after this many tokens; 0 is off. Resumed
     /// streams are not touched.
     int stallAfter = 0;
+    /// The next N resumed streams go silent, open, before their first event.
+    int stallResumes = 0;
+    /// The next N requests are neither run nor answered, as if they were lost on the way.
+    int swallow = 0;
     /// Factor on the duration of every step.
     double slowFactor = 1.0;
     /// GET /load says that the target leaves; it still takes what it is sent.
     bool leaving = false;
-    /// New requests get 503 with "started" false.
+    /// New requests get 503 with "started" false, and with "leaving" true if it leaves.
     bool refuse = false;
     /// The next N requests run, but their connection is reset before the answer.
     int resetBeforeAnswer = 0;
--- a/test/standins/target/TargetServer.cpp
+++ b/test/standins/target/TargetServer.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds SampleInterval{20};
 constexpr Milliseconds KeepFinished{60'000};
 constexpr int DieStatus = 9;
+constexpr int StatusUnavailable = 503;
 constexpr int WrongAttemptInterval = 4;
 /// Bytes at the start of a prompt that the cache knows it by.
 constexpr int PrefixBytes = 512;
@@ -40,6 +41,14 @@
     sendJson(responder, status, {{QStringLiteral("started"), started}});
 }
 
+void refuseAll(const std::shared_ptr<HttpResponder> &responder, bool leaving)
+{
+    QJsonObject refusal{{QStringLiteral("started"), false}};
+    if (leaving)
+        refusal.insert(QStringLiteral("leaving"), true);
+    sendJson(responder, StatusUnavailable, refusal);
+}
+
 QByteArray attemptOf(const HttpRequest &request)
 {
     const QByteArray attempt = request.headers.value("Cranberry-Attempt");
@@ -145,7 +154,12 @@
 void TargetServer::handleCompletion(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
-        sendRefusal(responder, 503, false);
+        refuseAll(responder, m_faults.leaving);
+        return;
+    }
+    if (m_faults.swallow > 0) {
+        --m_faults.swallow;
+        m_swallowed.append(responder);
         return;
     }
     if (m_engine.waiting.size() >= m_settings.queueLimit) {
@@ -178,7 +192,8 @@
     m_answers.insert(attempt, answer);
     m_visible.insert(attempt, 0);
     if (!resetsNext(responder)) {
-        addReader({attempt, responder, 0, 0, body.value(QLatin1String("stream")).toBool(), false});
+        addReader(
+            {attempt, responder, 0, 0, body.value(QLatin1String("stream")).toBool(), false, false});
     }
     scheduleStep();
 }
@@ -191,7 +206,10 @@
         return;
     }
     const int from = request.query.queryItemValue(QStringLiteral("from")).toInt();
-    addReader({attempt, responder, std::max(0, from), 0, true, true});
+    const bool silent = m_faults.stallResumes > 0;
+    if (silent)
+        --m_faults.stallResumes;
+    addReader({attempt, responder, std::max(0, from), 0, true, true, silent});
     pump();
 }
 
@@ -203,7 +221,8 @@
         answer->finishedAt = m_timers.now();
     sendJson(responder, 200,
              {{QStringLiteral("started"), outcome.started},
-              {QStringLiteral("finished"), outcome.finished}});
+              {QStringLiteral("finished"), outcome.finished},
+              {QStringLiteral("incarnation"), m_incarnation}});
     pump();
 }
 
@@ -224,7 +243,7 @@
 void TargetServer::handlePlain(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
-        sendRefusal(responder, 503, false);
+        refuseAll(responder, m_faults.leaving);
         return;
     }
     Answer answer;
@@ -397,6 +416,8 @@
              wholeAnswer(generation, *answer)});
         return false;
     }
+    if (reader.silent)
+        return true;
     const int visible = m_visible.value(reader.attempt);
     while (reader.next < visible) {
         if (!reader.resumed && m_faults.stallAfter > 0 && reader.sent >= m_faults.stallAfter)
--- a/test/standins/target/TargetServer.h
+++ b/test/standins/target/TargetServer.h
@@ -39,6 +39,8 @@
         int sent = 0;
         bool stream = true;
         bool resumed = false;
+        /// Its link has stalled from the start.
+        bool silent = false;
     };
 
     void handle(const HttpRequest &request, const Responder &responder);
@@ -67,6 +69,8 @@
     TimerService &m_timers;
     const TargetSettings m_settings;
     TargetFaults m_faults;
+    /// Kept so that their connections stay open.
+    QList<Responder> m_swallowed;
     HttpServer m_server;
     Engine m_engine;
     QHash<QByteArray, Answer> m_answers;
