--- a/test/failure/StreamsSurvive.cpp
+++ b/test/failure/StreamsSurvive.cpp
@@ -16,6 +16,7 @@
 
 constexpr int ManyStreams = 500;
 constexpr int TokensOfEach = 40;
+constexpr int DealtStreams = 8;
 
 FleetPlan planOf(int engines)
 {
@@ -43,7 +44,7 @@
 QString longPrompt(const QString &start, int tokens)
 {
     for (int i = 0;; ++i) {
-        const QString prompt = start + QString::number(i);
+        QString prompt = start + QString::number(i);
         if (answerLength(AnswerLengths(), promptHash(prompt), tokens) == tokens)
             return prompt;
     }
@@ -155,14 +156,15 @@
     HttpHeaders headers = fleet.caller();
     headers.add("Cranberry-Deadline-Ms", "10000");
     std::vector<std::unique_ptr<FleetStream>> streams;
-    for (int i = 0; i < 8; ++i)
+    streams.reserve(DealtStreams);
+    for (int i = 0; i < DealtStreams; ++i)
         streams.push_back(fleet.complete(0, prompt, TokensOfEach, headers));
     for (const auto &stream : streams) {
         BOOST_REQUIRE(stream->waitOver());
         BOOST_CHECK_MESSAGE(isOwnWholeAnswer(prompt, *stream, TokensOfEach),
                             stream->response().body.constData());
     }
-    BOOST_TEST(fleet.runsOf(prompt) == 8);
+    BOOST_TEST(fleet.runsOf(prompt) == DealtStreams);
     const FleetAnswer faults =
         fleet.client().sendJson(fleet.engineEndpoint(0), "POST", "/faults", {});
     BOOST_TEST(faults.json[QLatin1String("swallow")].toInt(-1) == 0);
--- a/test/standins/target/TargetServer.cpp
+++ b/test/standins/target/TargetServer.cpp
@@ -126,6 +126,7 @@
     } else if (request.path == "/runs" && request.method == "GET") {
         sendJson(responder, 200,
                  {{QStringLiteral("runs"), m_runs},
+                  {QStringLiteral("refused"), m_refused},
                   {QStringLiteral("preemptions"), m_engine.preemptions},
                   {QStringLiteral("tokens"), m_engine.tokens}});
     } else if (request.path == "/load" && request.method == "GET") {
@@ -154,6 +155,7 @@
 void TargetServer::handleCompletion(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
+        ++m_refused;
         refuseAll(responder, m_faults.leaving);
         return;
     }
@@ -243,6 +245,7 @@
 void TargetServer::handlePlain(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
+        ++m_refused;
         refuseAll(responder, m_faults.leaving);
         return;
     }
--- a/test/standins/target/TargetServer.h
+++ b/test/standins/target/TargetServer.h
@@ -69,6 +69,8 @@
     TimerService &m_timers;
     const TargetSettings m_settings;
     TargetFaults m_faults;
+    /// Requests that the fault "refuse" turned away.
+    int m_refused = 0;
     /// Kept so that their connections stay open.
     QList<Responder> m_swallowed;
     HttpServer m_server;
