--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -37,6 +37,13 @@
     return secret;
 }
 
+Error ofSetting(const QString &setting, Error error)
+{
+    error.detail = QStringLiteral("%1: %2").arg(setting, error.detail);
+    error.field = setting;
+    return error;
+}
+
 quint64 freshRandom()
 {
     return QRandomGenerator::global()->generate64();
@@ -70,6 +77,7 @@
     , dispatcher({timers, targets, admission, router, quarantine}, settings.dataCentre)
     , poller(timers, client, targets, settings.loadPoll, [this] { admission.capacityChanged(); })
     , cancels(client)
+    , claims({platform, timers, members, peers}, ClaimSettings())
     , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
     , gateway(delivery, runs, workers, settings.vm)
@@ -115,12 +123,14 @@
 
 Result<void> Daemon::listen()
 {
-    BOOST_OUTCOME_TRY(gatewayPort,
-                      m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
-                                               m_settings.gateway.port));
-    m_gatewayPort = gatewayPort;
-    BOOST_OUTCOME_TRY(peerPort, m_parts->peerPort);
-    m_peerPort = peerPort;
+    const Result<quint16> gatewayPort =
+        m_parts->server.listenOn(QHostAddress(m_settings.gateway.address), m_settings.gateway.port);
+    if (!gatewayPort)
+        return ofSetting(QStringLiteral("gateway.port"), gatewayPort.error());
+    m_gatewayPort = gatewayPort.value();
+    if (!m_parts->peerPort)
+        return ofSetting(QStringLiteral("peer.port"), m_parts->peerPort.error());
+    m_peerPort = m_parts->peerPort.value();
     return outcome::success();
 }
 
--- a/test/failure/NotRunIsTrue.cpp
+++ b/test/failure/NotRunIsTrue.cpp
@@ -36,6 +36,14 @@
     return headers;
 }
 
+HttpHeaders onceHeaders(const Fleet &fleet, const QByteArray &key)
+{
+    HttpHeaders headers = withDeadline(fleet, 8000);
+    headers.add("Idempotency-Key", key);
+    headers.add("Cranberry-Idempotent", "no");
+    return headers;
+}
+
 /// What the answer says of whether the request ran; "yes" for a whole answer.
 QString ranOf(const FleetStream &stream)
 {
@@ -211,3 +219,46 @@
     const std::vector<Sent> sent = storm(fleet, change);
     BOOST_TEST(checkNotRun(fleet, sent) > 0);
 }
+
+BOOST_AUTO_TEST_CASE(RequestThatMayHaveRunIsNotSentAgain)
+{
+    // A clinic gets one alert twice: its engine died while the alert ran, and the alert was
+    // sent to the next engine as a draft would be.
+    Fleet fleet(planOf(2));
+    BOOST_REQUIRE(fleet.start());
+    BOOST_REQUIRE(setAll(fleet, {{QStringLiteral("slow_factor"), 400.0}}));
+    const QString prompt = QStringLiteral("alert that must not go out twice");
+    const auto stream = fleet.complete(0, prompt, 20, onceHeaders(fleet, "alert"));
+    BOOST_REQUIRE(waitFor([&] { return fleet.runsOf(prompt) == 1; }));
+    const QString hash = QString::fromUtf8(promptHash(prompt));
+    const QJsonArray runs =
+        fleet.runs(fleet.engineEndpoint(0)).value(QLatin1String("runs")).toArray();
+    const int first = runs.isEmpty() ? 1 : 0;
+    fleet.engine(first).kill();
+    BOOST_REQUIRE(fleet.restartEngine(first));
+    BOOST_REQUIRE(stream->waitOver());
+    BOOST_TEST(ranOf(*stream).toStdString() == "maybe");
+    BOOST_TEST(runsByPrompt(fleet).value(hash) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(CallThatMayHaveRunIsNotSentAgain)
+{
+    // A fixture is booked twice: the plain service did the work and its connection broke before
+    // the answer. Such a service can neither be asked nor told to cancel.
+    FleetPlan plan = planOf(1);
+    plan.plainServices = 2;
+    Fleet fleet(plan);
+    BOOST_REQUIRE(fleet.start());
+    for (int i = 0; i < 2; ++i)
+        BOOST_REQUIRE(
+            fleet.setFaults(fleet.plainEndpoint(i), {{QStringLiteral("reset_before_answer"), 1}}));
+    const FleetAnswer answer =
+        fleet.client().sendJson(fleet.gateway(0), "POST", "/services/status/book",
+                                {{QStringLiteral("ship"), 1}}, onceHeaders(fleet, "booking"));
+    BOOST_CHECK_MESSAGE(answer.is(502), answer.response.body.constData());
+    BOOST_TEST(answer.json[QLatin1String("ran")].toString().toStdString() == "maybe");
+    int runs = 0;
+    for (int i = 0; i < 2; ++i)
+        runs += int(fleet.runs(fleet.plainEndpoint(i))[QLatin1String("runs")].toArray().size());
+    BOOST_TEST(runs == 1);
+}
