--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -37,6 +37,13 @@
     return secret;
 }
 
+Error ofSetting(const QString &setting, Error error)
+{
+    error.detail = QStringLiteral("%1: %2").arg(setting, error.detail);
+    error.field = setting;
+    return error;
+}
+
 quint64 freshRandom()
 {
     return QRandomGenerator::global()->generate64();
@@ -116,12 +123,14 @@
 
 Result<void> Daemon::listen()
 {
-    BOOST_OUTCOME_TRY(gatewayPort,
-                      m_parts->server.listenOn(QHostAddress(m_settings.gateway.address),
-                                               m_settings.gateway.port));
-    m_gatewayPort = gatewayPort;
-    BOOST_OUTCOME_TRY(peerPort, m_parts->peerPort);
-    m_peerPort = peerPort;
+    const Result<quint16> gatewayPort =
+        m_parts->server.listenOn(QHostAddress(m_settings.gateway.address), m_settings.gateway.port);
+    if (!gatewayPort)
+        return ofSetting(QStringLiteral("gateway.port"), gatewayPort.error());
+    m_gatewayPort = gatewayPort.value();
+    if (!m_parts->peerPort)
+        return ofSetting(QStringLiteral("peer.port"), m_parts->peerPort.error());
+    m_peerPort = m_parts->peerPort.value();
     return outcome::success();
 }
 
@@ -159,10 +168,12 @@
                              [this](const VmId &, const QCborMap &news) {
                                  m_parts->quarantine.takeNews(news, m_parts->timers.now());
                              });
-    m_parts->poller.onLeaving([this](const TargetId &target, Incarnation incarnation) {
+    const auto tellLeaving = [this](const TargetId &target, Incarnation incarnation) {
         m_parts->members.addDelta(PeerMessageKind::TargetLeaving,
                                   toCbor(TargetLeavingNews{target, incarnation}));
-    });
+    };
+    m_parts->poller.onLeaving(tellLeaving);
+    m_parts->dispatcher.onLeaving(tellLeaving);
     m_parts->members.onDelta(
         PeerMessageKind::TargetLeaving, [this](const VmId &, const QCborMap &body) {
             if (const std::optional<TargetLeavingNews> news = targetLeavingNewsFrom(body))
--- a/test/standins/target/TargetServer.cpp
+++ b/test/standins/target/TargetServer.cpp
@@ -18,6 +18,7 @@
 constexpr Milliseconds SampleInterval{20};
 constexpr Milliseconds KeepFinished{60'000};
 constexpr int DieStatus = 9;
+constexpr int StatusUnavailable = 503;
 constexpr int WrongAttemptInterval = 4;
 constexpr QByteArrayView GenerationPath = "/generations/";
 
@@ -37,6 +38,14 @@
     sendJson(responder, status, {{QStringLiteral("started"), started}});
 }
 
+void refuseAll(const std::shared_ptr<HttpResponder> &responder, bool leaving)
+{
+    QJsonObject refusal{{QStringLiteral("started"), false}};
+    if (leaving)
+        refusal.insert(QStringLiteral("leaving"), true);
+    sendJson(responder, StatusUnavailable, refusal);
+}
+
 bool isOver(const Generation &generation)
 {
     return generation.state == GenerationState::Finished
@@ -98,6 +107,7 @@
     } else if (request.path == "/runs" && request.method == "GET") {
         sendJson(responder, 200,
                  {{QStringLiteral("runs"), m_runs},
+                  {QStringLiteral("refused"), m_refused},
                   {QStringLiteral("preemptions"), m_engine.preemptions},
                   {QStringLiteral("tokens"), m_engine.tokens}});
     } else if (request.path == "/load" && request.method == "GET") {
@@ -126,7 +136,13 @@
 void TargetServer::handleCompletion(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
-        sendRefusal(responder, 503, false);
+        ++m_refused;
+        refuseAll(responder, m_faults.leaving);
+        return;
+    }
+    if (m_faults.swallow > 0) {
+        --m_faults.swallow;
+        m_swallowed.append(responder);
         return;
     }
     if (m_engine.waiting.size() >= m_settings.queueLimit) {
@@ -144,7 +160,7 @@
     m_answers.insert(attempt, submission.answer);
     m_visible.insert(attempt, 0);
     if (!resetsNext(responder)) {
-        addReader({attempt, responder, 0, 0, submission.stream, false});
+        addReader({attempt, responder, 0, 0, submission.stream, false, false});
     }
     scheduleStep();
 }
@@ -157,7 +173,10 @@
         return;
     }
     const int from = request.query.queryItemValue(QStringLiteral("from")).toInt();
-    addReader({attempt, responder, std::max(0, from), 0, true, true});
+    const bool silent = m_faults.stallResumes > 0;
+    if (silent)
+        --m_faults.stallResumes;
+    addReader({attempt, responder, std::max(0, from), 0, true, true, silent});
     pump();
 }
 
@@ -169,7 +188,8 @@
         answer->finishedAt = m_timers.now();
     sendJson(responder, 200,
              {{QStringLiteral("started"), outcome.started},
-              {QStringLiteral("finished"), outcome.finished}});
+              {QStringLiteral("finished"), outcome.finished},
+              {QStringLiteral("incarnation"), m_incarnation}});
     pump();
 }
 
@@ -190,7 +210,8 @@
 void TargetServer::handlePlain(const HttpRequest &request, const Responder &responder)
 {
     if (m_faults.refuse) {
-        sendRefusal(responder, 503, false);
+        ++m_refused;
+        refuseAll(responder, m_faults.leaving);
         return;
     }
     Answer answer;
@@ -363,6 +384,8 @@
              wholeAnswer(generation, *answer)});
         return false;
     }
+    if (reader.silent)
+        return true;
     const int visible = m_visible.value(reader.attempt);
     while (reader.next < visible) {
         if (!reader.resumed && m_faults.stallAfter > 0 && reader.sent >= m_faults.stallAfter)
