Claims: sealed segments outlive retention by an allowance for wall clocks

Found by reading: a VM whose clock is ahead trimmed segments whose keys another VM still took for young enough. The test of the seal fails without the allowance, as it then drops the segment that is just within it.

--- a/src/claims/ClaimSegment.cpp
+++ b/src/claims/ClaimSegment.cpp
@@ -44,7 +44,7 @@
 {
     ClaimSegment next;
     next.sequence = head.sequence + 1;
-    const qint64 forgottenBefore = nowMs - Milliseconds(retention).count();
+    const qint64 forgottenBefore = nowMs - Milliseconds(retention + ClaimClockSkew).count();
     for (const SealedSegment &sealed : head.sealed) {
         if (sealed.sealedAtMs >= forgottenBefore)
             next.sealed.append(sealed);
--- a/src/claims/ClaimSegment.h
+++ b/src/claims/ClaimSegment.h
@@ -13,6 +13,11 @@
 
 constexpr int ClaimShardCount = 64;
 
+/// Sealed segments are kept for so much longer than retention. Failure: a VM whose wall clock
+/// is ahead forgets a claim while another still takes its key for young enough to be sent. The
+/// allowance holds while no two clocks are further apart.
+constexpr std::chrono::hours ClaimClockSkew{1};
+
 /// A segment that takes no further claims, by its place in the platform's service.
 struct SealedSegment {
     qint64 sequence = 0;
@@ -53,7 +58,7 @@
 bool removeClaim(ClaimSegment &segment, const QByteArray &claimKey, const AttemptId &attempt);
 
 /// What follows on @p head once it is sealed: no claims yet, the sealed one named, those
-/// older than @p retention no longer. Thread-safe.
+/// older than @p retention and the allowance for clocks no longer. Thread-safe.
 ClaimSegment segmentAfterSeal(const ClaimSegment &head, Revision headRevision, qint64 nowMs,
                               std::chrono::hours retention);
 
