Credits: room granted too late is given back

A home that answered after the ask was given up kept the room taken until the answer would very probably have ended, minutes for long ones: after a stalled link its targets looked full while they were idle. The ask that is given up now says so, and a request that is granted again gives up what it had. The new test fails without (one request counted where none runs).

--- a/src/admission/CreditExchange.cpp
+++ b/src/admission/CreditExchange.cpp
@@ -77,6 +77,8 @@
     const std::shared_ptr<Pending> pending = m_pending.take(ask);
     if (!pending)
         return;
+    // The home may have granted it all the same: its answer was lost or comes too late.
+    release(pending->home, pending->request);
     CreditAnswer answer;
     answer.ask = ask;
     pending->callback(answer);
--- a/src/placement/TargetTable.cpp
+++ b/src/placement/TargetTable.cpp
@@ -233,6 +233,7 @@
     const PlacementRequest sizedRequest = sized(request);
     Placement placement = choose(sizedRequest, service, now, random);
     if (placement.outcome == PlacementOutcome::Chosen) {
+        endGrant(request.request, now); // one that asks again does not use what it was granted
         TargetState *state = find(placement.target);
         state->grants.push_back({request.request, now, request.promptTokens,
                                  m_lengths.distribution(lengthKey(request), request.maxTokens),
@@ -246,6 +247,11 @@
 void TargetTable::grantEnded(const RequestId &request, MonotonicTime now)
 {
     const std::lock_guard lock(m_mutex);
+    endGrant(request, now);
+}
+
+void TargetTable::endGrant(const RequestId &request, MonotonicTime now)
+{
     TargetState *state = find(m_grants.take(request));
     if (!state)
         return;
@@ -253,8 +259,8 @@
     const auto found = std::find_if(state->grants.begin(), state->grants.end(), same);
     if (found == state->grants.end())
         return;
-    state->endedSends.push_back(
-        {found->grantedAt, now, found->promptTokens + generatedBy(*found, now)});
+    const Tokens held = found->promptTokens + generatedBy(*found, now);
+    state->endedSends.push_back({found->grantedAt, now, held});
     state->grants.erase(found);
     countGrants(*state, now);
 }
--- a/src/placement/TargetTable.h
+++ b/src/placement/TargetTable.h
@@ -119,6 +119,7 @@
     void recordSend(const TargetId &target, const AttemptId &attempt,
                     const PlacementRequest &request, MonotonicTime now);
     void subtractOwn(TargetState &state, const LoadReport &report);
+    void endGrant(const RequestId &request, MonotonicTime now);
     void forgetGrants(TargetState &state);
     void dropOldGrants(TargetState &state, MonotonicTime now);
 
--- a/test/correctness/PlacementRouter.cpp
+++ b/test/correctness/PlacementRouter.cpp
@@ -294,6 +294,21 @@
     deliver();
     BOOST_TEST(outcomes[A].calls == 1);
     BOOST_TEST(here.targets.loadsFor(Model, timers.now()).first().ownRequests == 1);
+    BOOST_TEST(there.targets.loadsFor(Model, timers.now()).first().othersRequests == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(RoomGrantedTooLateIsGivenBack, Fixture)
+{
+    // A slow home grants room after whoever asked has gone elsewhere. If nobody said so, the
+    // target would look full for minutes and callers would wait before an idle target.
+    enqueue(A);
+    here.members.live = {Here};
+    report(here, 0);
+    timers.advance(Milliseconds(250));
+    BOOST_TEST(outcomes[A].calls == 1);
+    deliver();
+    BOOST_TEST(outcomes[A].calls == 1);
+    BOOST_TEST(there.targets.loadsFor(Model, timers.now()).first().othersRequests == 0);
 }
 
 BOOST_FIXTURE_TEST_CASE(NoUsableTargetIsToldAfterTheGrace, Fixture)
