--- a/test/performance/SiteCompare.cpp
+++ b/test/performance/SiteCompare.cpp
@@ -1,6 +1,8 @@
 // A site of the size of today under load: nine daemons in three data centres, ten engines, two
 // plain services and ten workspaces, all as processes on this machine. Finds what the engines
 // carry, compares placement policies at shares of it, and measures faults during the load.
+// A run takes the time of the arrivals and of the longest answers after them, about 20 s; keep
+// the machine otherwise quiet, and distrust figures whose "own send lag" is not a few ms.
 #include "load/ComparisonPlot.h"
 #include "load/LoadSession.h"
 #include "load/PolicyCampaign.h"
