Configuration spread: the platform counts as unreachable until a call is answered

A daemon without a watch cleared the mark as soon as a peer gave it the version, with the platform still down; a run of the outage test in about thirteen showed it. It now tries on, with backoff, until the platform answers.

--- a/src/configuration/ConfigurationSpread.cpp
+++ b/src/configuration/ConfigurationSpread.cpp
@@ -107,22 +107,13 @@
 {
     m_store.load(m_guard.wrap([this](const Result<ConfigurationVersion> &loaded) {
         setPlatformReachable(loaded.has_value());
+        // Tried on even if a peer gives the version meanwhile: nothing else would tell a daemon
+        // without a watch that the platform is back.
         if (!loaded.has_value())
-            m_loadRetry = m_timers.after(nextDelay(), [this] { loadAgain(); });
+            m_loadRetry = m_timers.after(nextDelay(), [this] { load(); });
     }));
 }
 
-void ConfigurationSpread::loadAgain()
-{
-    if (needsLoad()) {
-        load();
-        return;
-    }
-    // A peer gave what the platform did not. Without a watch nothing would ever clear the mark.
-    if (!m_watching)
-        setPlatformReachable(true);
-}
-
 Milliseconds ConfigurationSpread::nextDelay()
 {
     Milliseconds delay = FirstRetry;
--- a/src/configuration/ConfigurationSpread.h
+++ b/src/configuration/ConfigurationSpread.h
@@ -49,7 +49,7 @@
 
     /// True while this daemon is one of those that watch the platform.
     bool isWatching() const { return m_watching; }
-    /// False from a failed call on the platform until one is answered or none is needed.
+    /// False from a failed call on the platform until one is answered.
     bool isPlatformReachable() const { return m_platformReachable; }
 
 private:
@@ -64,7 +64,6 @@
 
     bool needsLoad() const;
     void load();
-    void loadAgain();
     Milliseconds nextDelay();
     void setPlatformReachable(bool reachable);
     QList<VmId> liveInOwnDataCentre() const;
--- a/test/failure/ConfigurationOutages.cpp
+++ b/test/failure/ConfigurationOutages.cpp
@@ -44,14 +44,20 @@
     // the platform; it hears a version by heartbeat, pulls the document and is ready.
     SpreadFleet fleet(3, 1, timers);
     fleet[2].daemon.platform.isDown = true;
+    fleet[2].peers.isCut = true; // it is not there yet
     fleet[0].spread.start();
     fleet[1].spread.start();
     BOOST_REQUIRE(reaches(fleet, fleet[0], 0));
     BOOST_REQUIRE(fleet[0].daemon.submitMany(3));
     fleet[2].spread.start();
+    BOOST_REQUIRE(test::waitFor([&] { return !fleet[2].spread.isPlatformReachable(); }));
+    BOOST_TEST(fleet[2].daemon.store.current() == nullptr);
+    fleet[2].peers.isCut = false;
     BOOST_REQUIRE(reaches(fleet, fleet[2], 3));
     BOOST_TEST(fleet[2].daemon.store.current() != nullptr);
     BOOST_TEST(!fleet[2].spread.isPlatformReachable());
+    fleet[2].daemon.platform.isDown = false;
+    BOOST_TEST(test::waitFor([&] { return fleet[2].spread.isPlatformReachable(); }));
 }
 
 BOOST_FIXTURE_TEST_CASE(DaemonWhosePeersDoNotAnswerFallsBackOnThePlatform, Fixture)
