--- a/src/membership/MembershipSettings.h
+++ b/src/membership/MembershipSettings.h
@@ -44,7 +44,7 @@
     Milliseconds deadRetention{600'000};
     /// All daemons together read the list of VMs about once in this time.
     Milliseconds fleetListInterval{10'000};
-    Milliseconds listRetryFirst{2000};
+    Milliseconds listRetryFirst{500};
     Milliseconds listRetryLast{300'000};
     /// Nothing heard for so long: this daemon is isolated and asks the platform again.
     Milliseconds isolated{5000};
