Attach: a key sent again through another VM gets the answer of the one run

Before, the second sender got 409 outcome_unknown although the run was alive on a peer: WhileItRunsAndAfterwards without the wiring: 409 outcome_unknown, 0 of 300 tokens

The follower asks the holder for events from a number on (AttachRequest); each ask is answered once (AttachData), as soon as there is something, with at most some 128 KB, or with nothing after 300 ms. So the follower sets the pace, what is on the way is bounded, and a lost message is made good by asking again. Three asks of 700 ms without an answer, or a holder that was started anew (the claim's attempt tells it), end in 409 outcome_unknown, or in generation_lost once tokens were delivered. A draining daemon stays until its followers have everything.

A push of every event was weighed: it needs a window and gap repair of its own, and a slow follower would fill the holder's send queue.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -80,6 +80,8 @@
     , claims({platform, timers, members, peers}, ClaimSettings())
     , delivery{client, timers, dispatcher, cancels, claims, settings.stall, {}, {}}
     , runs(delivery, settings.retention)
+    , attachHolder(peers, timers, runs)
+    , attached(peers, timers)
     , gateway(delivery, runs, workers, settings.vm)
     , operators(settings.vm, operatorToken, configuration, workers, operatorStatus())
     , server(timers, settings.http,
@@ -157,6 +159,7 @@
     m_parts->members.onVersionHeard([this](const VmId &from, ConfigurationVersion version) {
         m_parts->spread.versionHeard(from, version);
     });
+    m_parts->gateway.setAttached(&m_parts->attached);
     m_parts->gateway.setOperatorHandler(
         [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
             return m_parts->operators.handle(request, responder);
@@ -210,7 +213,8 @@
 
 void Daemon::finishDrainWhenIdle()
 {
-    if (m_parts->gateway.pending() > 0 || m_parts->server.unsentBytes() > 0)
+    const bool busy = m_parts->gateway.pending() > 0 || m_parts->attachHolder.followers() > 0;
+    if (busy || m_parts->server.unsentBytes() > 0)
         return;
     m_parts->drainTimer.reset();
     logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_settings.vm.text()}});
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -12,6 +12,8 @@
 #include "configuration/ConfigurationStore.h"
 #include "daemon/DaemonSettings.h"
 #include "daemon/Dispatcher.h"
+#include "delivery/AttachHolder.h"
+#include "delivery/AttachedAnswers.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/RunRegistry.h"
 #include "delivery/TargetCancels.h"
@@ -54,6 +56,8 @@
     ClaimStore claims;
     DeliveryContext delivery;
     RunRegistry runs;
+    AttachHolder attachHolder;
+    AttachedAnswers attached;
     Gateway gateway;
     OperatorApi operators;
     HttpServer server;
--- /dev/null
+++ b/src/delivery/AttachHolder.h
@@ -0,0 +1,52 @@
+// Defines AttachHolder, which lets other daemons follow the at-most-once runs of this one.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+
+#include <map>
+#include <memory>
+
+namespace cranberry {
+
+class GenerationRun;
+class PeerNetwork;
+class RunRegistry;
+class TimerService;
+class TimerSubscription;
+struct AttachRequestMessage;
+
+/// Each message asks for events from a number on and is answered once: as soon as there are
+/// any, or with none after a while. So the follower sets the pace, what is on the way stays
+/// bounded, and a lost message is made good by asking again.
+/// Thread safety: only from the thread of the event loop.
+class AttachHolder
+{
+public:
+    /// Preconditions: all outlive the holder; nobody else subscribes to AttachRequest.
+    AttachHolder(PeerNetwork &peers, TimerService &timers, RunRegistry &runs);
+    ~AttachHolder();
+    AttachHolder(const AttachHolder &) = delete;
+    AttachHolder &operator=(const AttachHolder &) = delete;
+
+    /// Followers that have not got everything yet, as far as is known.
+    int followers() const { return int(m_sessions.size()); }
+
+private:
+    struct Session;
+
+    void requested(const VmId &from, const AttachRequestMessage &message);
+    Session *sessionFor(const VmId &from, const AttachRequestMessage &message);
+    void answerIfAny(Session &session);
+    void answer(Session &session);
+    void remove(const RequestId &session);
+    void sweep();
+
+    PeerNetwork &m_peers;
+    TimerService &m_timers;
+    RunRegistry &m_runs;
+    std::map<RequestId, std::unique_ptr<Session>> m_sessions;
+    std::unique_ptr<TimerSubscription> m_sweep;
+};
+
+} // namespace cranberry
--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -58,6 +58,10 @@
     void cancelIfAbandoned();
 
     const GenerationRequest &request() const { return m_request; }
+    /// Events so far, if the run keeps them; event i stands at place i.
+    const QList<TokenEvent> &events() const { return m_events; }
+    /// The attempt under which it claimed; empty before.
+    const AttemptId &claimAttempt() const { return m_claimAttempt; }
     bool isOver() const { return m_over; }
     /// Every event up to the last was received.
     bool isWhole() const { return m_sequence.complete; }
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -4,6 +4,7 @@
 #include "base/TimerService.h"
 #include "base/WorkerPool.h"
 #include "configuration/Configuration.h"
+#include "delivery/AttachedAnswers.h"
 #include "delivery/ClaimGate.h"
 #include "delivery/DeliveryContext.h"
 #include "delivery/PlainRun.h"
@@ -78,7 +79,8 @@
 
 int Gateway::pending() const
 {
-    return m_runs.running() + m_parsing + m_plainCalls;
+    const int attached = m_attached ? m_attached->running() : 0;
+    return m_runs.running() + attached + m_parsing + m_plainCalls;
 }
 
 void Gateway::handle(const HttpRequest &request, const Responder &responder)
@@ -194,8 +196,10 @@
          {"at_most_once", generation.atMostOnce ? QStringLiteral("yes") : QStringLiteral("no")}});
     auto runOfSink = std::make_shared<std::weak_ptr<GenerationRun>>();
     auto answer = std::make_shared<std::weak_ptr<AnswerSink>>();
-    const auto leave = [runOfSink, answer] {
+    const auto leave = [this, runOfSink, answer] {
         const auto sink = answer->lock();
+        if (sink && m_attached)
+            m_attached->leave(sink.get());
         if (const auto running = runOfSink->lock(); running && sink)
             running->detach(sink.get());
     };
@@ -241,6 +245,12 @@
         sink->failed(keyReused());
         return;
     }
+    if (m_attached && held.holder != m_self) {
+        logEvent(LogLevel::Info, EventId::ClaimAttached,
+                 {{"request", request.generation.id.text()}, {"holder", held.holder.text()}});
+        m_attached->follow(held, request.generation, sink);
+        return;
+    }
     sink->failed({ErrorKind::OutcomeUnknown,
                   Ran::Maybe,
                   QStringLiteral("an earlier request holds this key and its answer is not at hand"),
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -14,6 +14,7 @@
 namespace cranberry {
 
 class AnswerSink;
+class AttachedAnswers;
 class GenerationRun;
 class HttpResponder;
 class RunRegistry;
@@ -46,6 +47,10 @@
     /// @p text gives further lines for /metrics.
     void setMetricsSource(std::function<QByteArray()> text) { m_metricsSource = std::move(text); }
 
+    /// Requests whose key another daemon holds are answered through @p attached, which outlives
+    /// the gateway.
+    void setAttached(AttachedAnswers *attached) { m_attached = attached; }
+
     /// /readyz says no from now on; requests are still served.
     void announceDrain() { m_announcedDrain = true; }
     /// Requests from now on are refused with ErrorKind::Draining.
@@ -79,6 +84,7 @@
     std::shared_ptr<const WorkspaceKeys> m_keys;
     PathHandler m_operatorHandler;
     std::function<QByteArray()> m_metricsSource;
+    AttachedAnswers *m_attached = nullptr;
     AnswerMetrics m_metrics;
     int m_parsing = 0;
     int m_plainCalls = 0;
