Delivery: a resume that never connects; GenerationRun in two files; one way to count members

Four resumes in a row that are not begun to be answered now end it; a target that is only slow begins to answer.

--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -8,57 +8,24 @@
 #include "delivery/DeliveryContext.h"
 #include "delivery/TargetCancels.h"
 #include "delivery/TargetDemand.h"
+#include "delivery/TargetRequests.h"
 #include "delivery/TargetStream.h"
 #include "http/HttpRequest.h"
 
-#include <QUrl>
 #include <QUuid>
 
 namespace cranberry {
 
 namespace {
 
-/// Resumes in a row that bring no event before the generation counts as lost.
-constexpr int ResumeTries = 4;
-constexpr Milliseconds ResumeDelay{150};
-constexpr int StatusNotFound = 404;
-
-/// Whether a target's answer @p status blames the request and not the target.
-bool isFaultOfRequest(int status)
-{
-    constexpr int BadRequest = 400;
-    constexpr int TooLarge = 413;
-    constexpr int Unprocessable = 422;
-    return status == BadRequest || status == TooLarge || status == Unprocessable;
-}
+/// Resumes in a row beside a silent stream that are not even begun to be answered.
+constexpr int MostUnansweredResumes = 4;
 
 AttemptId freshAttemptId()
 {
     return AttemptId(QUuid::createUuid().toString(QUuid::WithoutBraces));
 }
 
-HttpRequest sendRequest(const GenerationRequest &request, const AttemptId &attempt)
-{
-    HttpRequest result;
-    result.method = "POST";
-    result.path = request.path;
-    result.headers.add("Content-Type", "application/json");
-    result.headers.add("Cranberry-Attempt", attempt.text().toUtf8());
-    result.headers.add("Cranberry-Cache-Salt", request.cacheSalt);
-    result.headers.add("Cranberry-Priority", QByteArray::number(request.priority));
-    result.body = request.body;
-    return result;
-}
-
-HttpRequest resumeRequest(const AttemptId &attempt, qint64 from)
-{
-    HttpRequest result;
-    result.method = "GET";
-    result.path = "/generations/" + QUrl::toPercentEncoding(attempt.text());
-    result.query.addQueryItem(QStringLiteral("from"), QString::number(from));
-    return result;
-}
-
 } // namespace
 
 GenerationRun::GenerationRun(DeliveryContext &context, GenerationRequest request,
@@ -121,6 +88,7 @@
     m_sent = false;
     m_began = false;
     m_resumeTries = 0;
+    m_unansweredResumes = 0;
     m_acquiring = true;
     TargetDemand demand;
     demand.fingerprint = m_request.crashFingerprint;
@@ -214,7 +182,10 @@
 {
     const quint64 number = ++m_streamCount;
     TargetStreamCallbacks callbacks;
-    callbacks.began = [this] { m_began = true; };
+    callbacks.began = [this] {
+        m_began = true;
+        m_unansweredResumes = 0;
+    };
     callbacks.event = [this, number](const TokenEvent &event) {
         const std::shared_ptr<GenerationRun> alive = shared_from_this();
         streamEvent(event, number);
@@ -225,7 +196,7 @@
         streamEnded(failure, status, reason, number);
     };
     const HttpRequest request =
-        isResume ? resumeRequest(m_attempt, m_sequence.next) : sendRequest(m_request, m_attempt);
+        isResume ? resumeRequest(m_attempt, m_sequence.next) : attemptRequest(m_request, m_attempt);
     return {number, isResume,
             std::make_unique<TargetStream>(m_context.client, m_endpoint, request, m_attempt,
                                            std::move(callbacks))};
@@ -285,179 +256,6 @@
         watchForStall();
 }
 
-void GenerationRun::streamEnded(std::optional<SendFailure> failure, int status,
-                                const QString &reason, quint64 stream)
-{
-    if (m_over)
-        return;
-    if (isBeside(stream)) {
-        besideEnded(status);
-        return;
-    }
-    if (m_beside.stream) {
-        m_stream = std::move(m_beside);
-        m_beside = {};
-        return;
-    }
-    const bool isResume = m_stream.isResume;
-    m_stream = {};
-    m_stallTimer.reset();
-    if (status == StatusNotFound && m_sequence.next > 0) {
-        giveUp(SendFailure::BrokenAfterStart, QStringLiteral("the target forgot the generation"));
-        return;
-    }
-    sendFailed(failure.value_or(SendFailure::BrokenAfterStart), status, isResume, reason);
-}
-
-void GenerationRun::besideEnded(int status)
-{
-    m_beside = {};
-    if (status != StatusNotFound) {
-        // A resume that fails says nothing of the silent stream beside it.
-        watchForStall();
-        return;
-    }
-    const QString reason = QStringLiteral("the target does not know the generation");
-    if (m_sequence.next > 0) {
-        giveUp(SendFailure::BrokenAfterStart, reason);
-        return;
-    }
-    // The request was lost on a link that stalled, or the target has started anew since: the
-    // silent stream will never bring anything and the caller would wait to its deadline. A
-    // cancel settles which, and keeps a request that is still on its way from starting.
-    m_stream = {};
-    m_stallTimer.reset();
-    settleByCancel(SendFailure::BrokenBeforeAnswer, StatusNotFound, reason);
-}
-
-void GenerationRun::sendFailed(SendFailure failure, int status, bool isResume,
-                               const QString &reason)
-{
-    logEvent(LogLevel::Warning, EventId::AttemptFailed,
-             {{"request", m_request.id.text()},
-              {"attempt", m_attempt.text()},
-              {"target", m_target.text()},
-              {"failure", QLatin1String(sendFailureName(failure))},
-              {"reason", reason}});
-    // Of a resume that failed nothing follows for the send before it.
-    const bool mayHaveBegun = m_began || m_sequence.next > 0 || isResume;
-    const bool neverStarted = ranAfter(failure) == Ran::No && !mayHaveBegun;
-    if (neverStarted) {
-        retryElsewhere(failure, reason);
-        return;
-    }
-    const bool connectionFailed = failure == SendFailure::BrokenAfterStart
-        || failure == SendFailure::BrokenBeforeAnswer || failure == SendFailure::NotConnected;
-    if (connectionFailed && m_resumeTries < ResumeTries) {
-        resumeLater();
-        return;
-    }
-    if (m_sequence.next > 0) {
-        giveUp(SendFailure::BrokenAfterStart, reason);
-        return;
-    }
-    settleByCancel(failure, status, reason);
-}
-
-void GenerationRun::resumeLater()
-{
-    ++m_resumeTries;
-    ++m_context.counters.resumes;
-    logEvent(LogLevel::Info, EventId::StreamResumed,
-             {{"request", m_request.id.text()},
-              {"attempt", m_attempt.text()},
-              {"from", QString::number(m_sequence.next)}});
-    m_resumeTimer = m_context.timers.after(ResumeDelay * (m_resumeTries - 1), [this] {
-        if (m_over)
-            return;
-        m_stream = openStream(true);
-        watchForStall();
-    });
-}
-
-void GenerationRun::settleByCancel(SendFailure failure, int status, const QString &reason)
-{
-    // Only the target can say whether a send whose answer was lost has run. Until it has been
-    // told to cancel, a second send could run beside the first.
-    m_context.cancels.cancel(
-        m_endpoint, m_attempt, m_incarnation,
-        [weak = weak_from_this(), failure, status, reason](CancelOutcome outcome) {
-            const auto self = weak.lock();
-            if (self && !self->m_over)
-                self->settled(outcome, failure, status, reason);
-        });
-}
-
-void GenerationRun::settled(CancelOutcome outcome, SendFailure failure, int status,
-                            const QString &reason)
-{
-    if (failure == SendFailure::ErrorAnswer && isFaultOfRequest(status)) {
-        // Every other target would say the same of this request.
-        const Ran ran = outcome == CancelOutcome::NotStarted ? Ran::No : ranAfter(failure);
-        giveUpAs(ErrorKind::TargetRefused, ran, failure, reason);
-        return;
-    }
-    if (outcome == CancelOutcome::NotStarted) {
-        retryElsewhere(SendFailure::CancelledBeforeStart, reason);
-        return;
-    }
-    // What failed last may be a resume that did not connect, which alone would pass for "not
-    // run"; the send before it did leave, and nobody vouches that it did not start.
-    SendFailure known = failure;
-    if (outcome == CancelOutcome::Started)
-        known = SendFailure::CancelledAfterStart;
-    else if (ranAfter(failure) == Ran::No)
-        known = SendFailure::BrokenBeforeAnswer;
-    if (m_request.atMostOnce)
-        giveUp(known, reason);
-    else
-        retryElsewhere(known, reason);
-}
-
-void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason)
-{
-    const TargetId failed = m_target;
-    m_ranBefore = std::max(m_ranBefore, ranAfter(failure));
-    dropStreams(outcomeAfter(failure));
-    // A send of which no byte left has cost no target anything, and each target is excluded after
-    // it: only sends that may have cost something are taken from the budget.
-    const bool isFree = failure == SendFailure::NotConnected;
-    if (!isFree && !m_context.targets.takeRetry(m_request.workspace, failed)) {
-        giveUp(failure, reason);
-        return;
-    }
-    ++m_context.counters.retries;
-    logEvent(LogLevel::Info, EventId::AttemptRetried,
-             {{"request", m_request.id.text()}, {"after", failed.text()}});
-    m_excluded.insert(failed);
-    m_isRetry = true;
-    acquireTarget();
-}
-
-void GenerationRun::giveUp(SendFailure failure, const QString &reason)
-{
-    if (m_sequence.next > 0) {
-        ++m_context.counters.generationsLost;
-        giveUpAs(ErrorKind::GenerationLost, Ran::Yes, failure, reason);
-        return;
-    }
-    const Ran ran = ranAfter(failure);
-    ErrorKind kind = ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed;
-    if (failure == SendFailure::ErrorAnswer)
-        kind = ErrorKind::TargetRefused;
-    giveUpAs(kind, ran, failure, reason);
-}
-
-void GenerationRun::giveUpAs(ErrorKind kind, Ran ran, SendFailure failure, const QString &reason)
-{
-    Error error;
-    error.kind = kind;
-    error.ran = ran;
-    error.detail = QStringLiteral("%1: %2").arg(QLatin1String(sendFailureName(failure)), reason);
-    dropStreams(outcomeAfter(failure));
-    fail(error);
-}
-
 void GenerationRun::watchForStall()
 {
     watchForStall(m_sequence.next > 0 ? stallThreshold(m_context.gaps, m_context.stallLimits)
@@ -476,6 +274,11 @@
     // link may stall as well, so a resume that stays silent gives way to another.
     if (m_over || m_target.isEmpty())
         return;
+    if (m_unansweredResumes >= MostUnansweredResumes) {
+        targetUnreachable();
+        return;
+    }
+    ++m_unansweredResumes;
     ++m_context.counters.resumes;
     logEvent(LogLevel::Info, EventId::StreamResumed,
              {{"request", m_request.id.text()},
--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -93,6 +93,7 @@
     void besideEnded(int status);
     void sendFailed(SendFailure failure, int status, bool isResume, const QString &reason);
     void resumeLater();
+    void targetUnreachable();
     void settleByCancel(SendFailure failure, int status, const QString &reason);
     void settled(CancelOutcome outcome, SendFailure failure, int status, const QString &reason);
     void retryElsewhere(SendFailure failure, const QString &reason);
@@ -133,6 +134,7 @@
     std::unique_ptr<TimerSubscription> m_resumeTimer;
     MonotonicTime m_lastEvent;
     int m_resumeTries = 0;
+    int m_unansweredResumes = 0;
     bool m_acquiring = false;
     bool m_isRetry = false;
     bool m_claimed = false;
--- a/test/failure/DrainCutsNobody.cpp
+++ b/test/failure/DrainCutsNobody.cpp
@@ -43,16 +43,6 @@
         + counts[QLatin1String("refused")].toInt();
 }
 
-/// Members that daemon @p index sees alive.
-int aliveMembers(Fleet &fleet, int index)
-{
-    int alive = 0;
-    const QJsonArray members = fleet.status(index)[QLatin1String("members")].toArray();
-    for (const QJsonValue member : members)
-        alive += member[QLatin1String("state")].toString() == QLatin1String("alive") ? 1 : 0;
-    return alive;
-}
-
 bool waitSent(const SteadyLoad &load, int more)
 {
     const int wanted = load.sentCount() + more;
@@ -172,7 +162,7 @@
     // Each daemon deals to both engines, whichever of them gives their room out.
     plan.draftsService = {{QStringLiteral("policy"), QStringLiteral("round_robin")}};
     Leaving test(plan);
-    BOOST_REQUIRE(waitFor([&] { return aliveMembers(test.fleet, 1) == 2; }));
+    BOOST_REQUIRE(waitFor([&] { return test.fleet.aliveMembers(1) == 2; }));
     test.load.setDaemons({0});
     BOOST_REQUIRE(test.fleet.setFaults(
         test.fleet.engineEndpoint(0),
--- a/test/failure/SecondSenderAttaches.cpp
+++ b/test/failure/SecondSenderAttaches.cpp
@@ -21,15 +21,6 @@
 /// Shorter than what a follower waits for before it gives its holder up.
 constexpr Milliseconds ShortPause{800};
 
-int aliveMembers(Fleet &fleet, int index)
-{
-    int alive = 0;
-    const QJsonArray members = fleet.status(index)[QLatin1String("members")].toArray();
-    for (const QJsonValue member : members)
-        alive += member[QLatin1String("state")].toString() == QLatin1String("alive") ? 1 : 0;
-    return alive;
-}
-
 /// A prompt whose answer is as long as the bound.
 QString longPrompt()
 {
@@ -57,7 +48,7 @@
     {
         BOOST_REQUIRE(fleet.start());
         BOOST_REQUIRE(
-            waitFor([this] { return aliveMembers(fleet, 0) == 2 && aliveMembers(fleet, 1) == 2; }));
+            waitFor([this] { return fleet.aliveMembers(0) == 2 && fleet.aliveMembers(1) == 2; }));
     }
 
     Stream send(int daemon)
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -309,6 +309,15 @@
     return m_client.get(gateway(index), "/v1/status", operatorHeaders()).json;
 }
 
+int Fleet::aliveMembers(int index)
+{
+    int alive = 0;
+    const QJsonArray members = status(index)[QLatin1String("members")].toArray();
+    for (const QJsonValue member : members)
+        alive += member[QLatin1String("state")].toString() == QLatin1String("alive") ? 1 : 0;
+    return alive;
+}
+
 bool Fleet::setFaults(const HttpEndpoint &endpoint, const QJsonObject &faults)
 {
     return m_client.sendJson(endpoint, "POST", "/faults", faults).is(200);
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -73,6 +73,8 @@
     qint64 versionOf(int index);
     /// GET /v1/status of daemon @p index.
     QJsonObject status(int index);
+    /// Members that daemon @p index sees alive, itself included.
+    int aliveMembers(int index);
 
     /// POST /faults; false if it is not taken.
     bool setFaults(const HttpEndpoint &endpoint, const QJsonObject &faults);
