--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -58,6 +58,10 @@
     void cancelIfAbandoned();
 
     const GenerationRequest &request() const { return m_request; }
+    /// Events so far, if the run keeps them; event i stands at place i.
+    const QList<TokenEvent> &events() const { return m_events; }
+    /// The attempt under which it claimed; empty before.
+    const AttemptId &claimAttempt() const { return m_claimAttempt; }
     bool isOver() const { return m_over; }
     /// Every event up to the last was received.
     bool isWhole() const { return m_sequence.complete; }
@@ -89,6 +93,7 @@
     void besideEnded(int status);
     void sendFailed(SendFailure failure, int status, bool isResume, const QString &reason);
     void resumeLater();
+    void targetUnreachable();
     void settleByCancel(SendFailure failure, int status, const QString &reason);
     void settled(CancelOutcome outcome, SendFailure failure, int status, const QString &reason);
     void retryElsewhere(SendFailure failure, const QString &reason);
@@ -129,6 +134,7 @@
     std::unique_ptr<TimerSubscription> m_resumeTimer;
     MonotonicTime m_lastEvent;
     int m_resumeTries = 0;
+    int m_unansweredResumes = 0;
     bool m_acquiring = false;
     bool m_isRetry = false;
     /// The target of the present attempt refuses connections.
