Quarantine: a request that never reached a target is not blamed; reclaimed targets accuse nobody

Cause: a suspect sent to a target that was dead already was convicted of its death; a leaving target's end made suspects of what ran on it; a request that became a suspect while it queued was placed as if it were free. No test brings each about alone.

--- a/src/daemon/Dispatcher.cpp
+++ b/src/daemon/Dispatcher.cpp
@@ -120,9 +120,12 @@
         refuse(wait, target.error());
         return;
     }
-    if (m_surroundings.quarantine.isOnProbation(target.value())) {
-        // A suspect went there while this one waited. It would become a suspect itself if that
-        // target died, so it goes on waiting, elsewhere.
+    const QuarantineVerdict verdict =
+        m_surroundings.quarantine.mayRun(wait->fingerprint, m_surroundings.timers.now());
+    const bool onProbation = m_surroundings.quarantine.isOnProbation(target.value());
+    if (onProbation || verdict != QuarantineVerdict::Free) {
+        // While this one waited, a suspect went to that target, or it became a suspect itself.
+        // Two suspects on one target could not be told apart if it died.
         m_surroundings.admission.attemptEnded(wait->admission.attempt, AttemptEnd::CutOff);
         tryLater(wait);
         return;
@@ -185,7 +188,11 @@
                               AttemptOutcome outcome)
 {
     const RequestFingerprint fingerprint = m_running.take(attempt);
-    if (outcome == AttemptOutcome::TargetLost)
+    // A request that never reached a target cannot have crashed it: it is off the target before
+    // the blame is laid.
+    if (outcome == AttemptOutcome::NotReached)
+        m_surroundings.quarantine.attemptFinished(fingerprint, target, false);
+    if (outcome == AttemptOutcome::TargetLost || outcome == AttemptOutcome::NotReached)
         targetLost(target);
     else if (outcome == AttemptOutcome::Leaving)
         targetLeaves(target);
@@ -200,13 +207,10 @@
     if (!m_surroundings.targets.markDead(target))
         return;
     logEvent(LogLevel::Warning, EventId::TargetDead, {{"target", target.text()}});
-    const MonotonicTime now = m_surroundings.timers.now();
-    for (const QuarantineOutcome &outcome :
-         m_surroundings.quarantine.targetDied(target, TargetDeathCause::Crash, now)) {
-        const bool held = outcome.verdict == QuarantineVerdict::Quarantined;
-        logEvent(LogLevel::Warning, held ? EventId::QuarantineAdded : EventId::QuarantineSuspect,
-                 {{"fingerprint", outcome.fingerprint.text()}, {"target", target.text()}});
-    }
+    const bool wasLeaving = m_surroundings.targets.isLeaving(target);
+    m_surroundings.quarantine.targetDied(
+        target, wasLeaving ? TargetDeathCause::Reclaimed : TargetDeathCause::Crash,
+        m_surroundings.timers.now());
     if (isPlain(target))
         bringBackAfter(target, PlainTargetPause);
 }
--- a/src/delivery/SendFailure.cpp
+++ b/src/delivery/SendFailure.cpp
@@ -42,6 +42,7 @@
     case SendFailure::ErrorAnswer:
         return AttemptOutcome::Refused;
     case SendFailure::NotConnected:
+        return AttemptOutcome::NotReached;
     case SendFailure::BrokenBeforeAnswer:
     case SendFailure::MalformedAnswer:
     case SendFailure::BrokenAfterStart:
--- a/src/delivery/TargetSource.h
+++ b/src/delivery/TargetSource.h
@@ -28,7 +28,9 @@
     Refused,
     /// The target refused it because it leaves.
     Leaving,
-    /// No connection, or it broke: the target may be dead.
+    /// No connection came about: the target may be dead, and the attempt is not to blame.
+    NotReached,
+    /// The connection broke: the target may be dead, and the attempt may be to blame.
     TargetLost,
 };
 
