Gateway: a key older than claims are kept is refused

One check now covers a missing and an old key, for completions and plain calls, where the refusal stood twice. Keys without a time are not covered, as the callers' page says.

--- a/src/gateway/CallerHeaders.cpp
+++ b/src/gateway/CallerHeaders.cpp
@@ -1,5 +1,8 @@
 #include "gateway/CallerHeaders.h"
 
+#include "claims/ClaimKeyAge.h"
+#include "claims/ClaimSettings.h"
+#include "gateway/ArrivalTime.h"
 #include "http/HttpRequest.h"
 
 namespace cranberry {
@@ -34,6 +37,16 @@
     return std::optional<qint64>(number);
 }
 
+Error keyRequired()
+{
+    return {ErrorKind::IdempotencyKeyRequired,
+            Ran::No,
+            QStringLiteral("send an Idempotency-Key, or Cranberry-Idempotent: yes if the request "
+                           "may run twice"),
+            QStringLiteral("Idempotency-Key"),
+            {}};
+}
+
 } // namespace
 
 Result<CallerHeaders> parseCallerHeaders(const HttpRequest &request)
@@ -61,14 +74,18 @@
     return headers;
 }
 
-Error keyRequired()
+Result<void> checkOnceKey(const QByteArray &idempotencyKey, const ArrivalTime &arrival)
 {
-    return {ErrorKind::IdempotencyKeyRequired,
-            Ran::No,
-            QStringLiteral("send an Idempotency-Key, or Cranberry-Idempotent: yes if the request "
-                           "may run twice"),
-            QStringLiteral("Idempotency-Key"),
-            {}};
+    if (idempotencyKey.isEmpty())
+        return keyRequired();
+    // The claim of such a key may have been forgotten: a caller that sends a request of the day
+    // before yesterday again would have it run twice.
+    const auto retention = ClaimSettings().retention;
+    if (!isBeyondRetention(idempotencyKey, arrival.wallClockMs, retention))
+        return outcome::success();
+    return badHeader("Idempotency-Key",
+                     QStringLiteral("a key of the last %1 h").arg(retention.count()),
+                     idempotencyKey);
 }
 
 } // namespace cranberry
--- a/src/gateway/CallerHeaders.h
+++ b/src/gateway/CallerHeaders.h
@@ -10,6 +10,7 @@
 
 namespace cranberry {
 
+struct ArrivalTime;
 struct HttpRequest;
 
 struct CallerHeaders {
@@ -25,7 +26,9 @@
 /// Error BadHeader names the header, what it holds and what is allowed. Thread-safe.
 Result<CallerHeaders> parseCallerHeaders(const HttpRequest &request);
 
-/// The refusal of a request that must run at most once and has no key. Thread-safe.
-Error keyRequired();
+/// Whether a request that must run at most once may run under this key. Error
+/// IdempotencyKeyRequired: there is none. Error BadHeader: it says that it is older than claims
+/// are kept, so that nobody could tell whether the request has run. Thread-safe.
+Result<void> checkOnceKey(const QByteArray &idempotencyKey, const ArrivalTime &arrival);
 
 } // namespace cranberry
--- a/src/gateway/CompletionRequest.cpp
+++ b/src/gateway/CompletionRequest.cpp
@@ -1,6 +1,7 @@
 #include "gateway/CompletionRequest.h"
 
 #include "configuration/Configuration.h"
+#include "gateway/ArrivalTime.h"
 #include "gateway/CallerHeaders.h"
 #include "http/HttpRequest.h"
 
@@ -151,14 +152,15 @@
 
 /// What the caller's headers, or else the service's defaults, say of how it is run.
 Result<void> applyHeaders(GenerationRequest &generation, const CallerHeaders &headers,
-                          const ServiceConfiguration &service, MonotonicTime now)
+                          const ServiceConfiguration &service, const ArrivalTime &arrival)
 {
     generation.priority = headers.priority;
-    generation.deadline = now + headers.deadline.value_or(service.defaultDeadline);
+    generation.deadline = arrival.monotonic + headers.deadline.value_or(service.defaultDeadline);
     generation.atMostOnce = headers.atMostOnce.value_or(service.atMostOnce);
     const bool hasKey = !headers.idempotencyKey.isEmpty();
-    if (generation.atMostOnce && !hasKey)
-        return keyRequired();
+    if (generation.atMostOnce) {
+        BOOST_OUTCOME_TRY(checkOnceKey(headers.idempotencyKey, arrival));
+    }
     if (hasKey)
         generation.claimKey = claimKeyOf(generation.workspace, headers.idempotencyKey);
     return outcome::success();
@@ -174,7 +176,7 @@
 Result<CompletionRequest> parseCompletion(const HttpRequest &request, CompletionShape shape,
                                           const WorkspaceId &workspace,
                                           const std::shared_ptr<const Configuration> &configuration,
-                                          MonotonicTime now)
+                                          const ArrivalTime &arrival)
 {
     BOOST_OUTCOME_TRY(headers, parseCallerHeaders(request));
     BOOST_OUTCOME_TRY(body, parseBody(request.body));
@@ -201,7 +203,7 @@
         sha256({workspace.text().toUtf8(), model.service.text().toUtf8()}).toHex().left(32);
     generation.prefixHash = prefixHashOf(generation.cacheSalt, text);
     BOOST_OUTCOME_TRY(
-        applyHeaders(generation, headers, configuration->services.value(model.service), now));
+        applyHeaders(generation, headers, configuration->services.value(model.service), arrival));
     // Streaming or not, it is the same request.
     body.remove(StreamMember);
     generation.fingerprint =
--- a/src/gateway/CompletionRequest.h
+++ b/src/gateway/CompletionRequest.h
@@ -6,6 +6,7 @@
 
 namespace cranberry {
 
+struct ArrivalTime;
 struct HttpRequest;
 
 enum class CompletionShape {
@@ -25,7 +26,7 @@
 Result<CompletionRequest> parseCompletion(const HttpRequest &request, CompletionShape shape,
                                           const WorkspaceId &workspace,
                                           const std::shared_ptr<const Configuration> &configuration,
-                                          MonotonicTime now);
+                                          const ArrivalTime &arrival);
 
 /// SHA-256 of @p workspace and @p idempotencyKey: what a claim is kept under. Thread-safe.
 QByteArray claimKeyOf(const WorkspaceId &workspace, const QByteArray &idempotencyKey);
--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -9,6 +9,7 @@
 #include "delivery/DeliveryContext.h"
 #include "delivery/PlainRun.h"
 #include "delivery/RunRegistry.h"
+#include "gateway/ArrivalTime.h"
 #include "gateway/CompletionAnswer.h"
 #include "gateway/MetricsText.h"
 #include "gateway/PlainCall.h"
@@ -17,6 +18,7 @@
 #include "http/HttpRequest.h"
 #include "http/HttpResponder.h"
 
+#include <QDateTime>
 #include <QJsonArray>
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -102,7 +104,7 @@
         parseThenRun(request, workspace.value(), CompletionShape::Chat, responder);
     } else if (request.path.startsWith("/services/")) {
         const Result<PlainRequest> call =
-            parsePlainCall(request, workspace.value(), m_configuration, m_delivery.timers.now());
+            parsePlainCall(request, workspace.value(), m_configuration, arrivalNow());
         if (call)
             callPlain(call.value(), responder);
         else
@@ -167,15 +169,19 @@
     responder->send(jsonResponse(200, QJsonDocument(body).toJson(QJsonDocument::Compact)));
 }
 
+ArrivalTime Gateway::arrivalNow() const
+{
+    return {m_delivery.timers.now(), QDateTime::currentMSecsSinceEpoch()};
+}
+
 void Gateway::parseThenRun(const HttpRequest &request, const WorkspaceId &workspace,
                            CompletionShape shape, const Responder &responder)
 {
     ++m_parsing;
-    const MonotonicTime now = m_delivery.timers.now();
     m_workers.run(
         this,
-        [request, shape, workspace, configuration = m_configuration, now] {
-            return parseCompletion(request, shape, workspace, configuration, now);
+        [request, shape, workspace, configuration = m_configuration, arrival = arrivalNow()] {
+            return parseCompletion(request, shape, workspace, configuration, arrival);
         },
         [this, responder](const Result<CompletionRequest> &parsed) {
             --m_parsing;
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -21,6 +21,7 @@
 class TimerService;
 class WorkerPool;
 class WorkspaceKeys;
+struct ArrivalTime;
 struct ClaimDecision;
 struct DeliveryContext;
 struct HttpRequest;
@@ -66,6 +67,7 @@
 
     bool handleOpenPath(const HttpRequest &request, const Responder &responder);
     Result<WorkspaceId> admit(const HttpRequest &request) const;
+    ArrivalTime arrivalNow() const;
     void listModels(const WorkspaceId &workspace, const Responder &responder);
     void parseThenRun(const HttpRequest &request, const WorkspaceId &workspace,
                       CompletionShape shape, const Responder &responder);
--- a/src/gateway/PlainCall.cpp
+++ b/src/gateway/PlainCall.cpp
@@ -1,6 +1,7 @@
 #include "gateway/PlainCall.h"
 
 #include "configuration/Configuration.h"
+#include "gateway/ArrivalTime.h"
 #include "gateway/CallerHeaders.h"
 #include "gateway/CompletionRequest.h"
 
@@ -63,7 +64,7 @@
 
 Result<PlainRequest> parsePlainCall(const HttpRequest &request, const WorkspaceId &workspace,
                                     const std::shared_ptr<const Configuration> &configuration,
-                                    MonotonicTime now)
+                                    const ArrivalTime &arrival)
 {
     BOOST_OUTCOME_TRY(headers, parseCallerHeaders(request));
     const QByteArray rest = request.path.mid(Prefix.size());
@@ -84,17 +85,12 @@
     result.service = id;
     result.configuration = configuration;
     result.upstream = upstreamRequest(request, slash < 0 ? QByteArray("/") : rest.mid(slash));
-    result.deadline = now + headers.deadline.value_or(service->defaultDeadline);
+    result.deadline = arrival.monotonic + headers.deadline.value_or(service->defaultDeadline);
     const bool byDefault = service->atMostOnce && !isIdempotentMethod(request.method);
     result.atMostOnce = headers.atMostOnce.value_or(byDefault);
-    if (result.atMostOnce && headers.idempotencyKey.isEmpty())
-        return Error{
-            ErrorKind::IdempotencyKeyRequired,
-            Ran::No,
-            QStringLiteral(
-                "send an Idempotency-Key, or Cranberry-Idempotent: yes if the call may run twice"),
-            QStringLiteral("Idempotency-Key"),
-            {}};
+    if (result.atMostOnce) {
+        BOOST_OUTCOME_TRY(checkOnceKey(headers.idempotencyKey, arrival));
+    }
     result.claimKey = claimKeyOf(workspace, headers.idempotencyKey);
     result.fingerprint = fingerprintOf(result.upstream);
     result.crashFingerprint =
