Delivery: work lost with a target that is gone is free to repeat, and still may have run

Their engine had died with them; the resume was refused a connection, which passed for a send of which no byte left, so that it was free of the retry budget and "ran: no" was said. Whether a repeat is free and whether the request may have run are now apart.

--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -96,7 +96,7 @@
     void targetUnreachable();
     void settleByCancel(SendFailure failure, int status, const QString &reason);
     void settled(CancelOutcome outcome, SendFailure failure, int status, const QString &reason);
-    void retryElsewhere(SendFailure failure, const QString &reason);
+    void retryElsewhere(SendFailure failure, const QString &reason, bool targetIsGone = false);
     void giveUp(SendFailure failure, const QString &reason);
     void giveUpAs(ErrorKind kind, Ran ran, SendFailure failure, const QString &reason);
     void watchForStall();
--- a/src/delivery/GenerationRunFailures.cpp
+++ b/src/delivery/GenerationRunFailures.cpp
@@ -167,17 +167,18 @@
     if (m_request.atMostOnce)
         giveUp(known, reason);
     else
-        retryElsewhere(known, reason);
+        retryElsewhere(known, reason, failure == SendFailure::NotConnected);
 }
 
-void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason)
+void GenerationRun::retryElsewhere(SendFailure failure, const QString &reason, bool targetIsGone)
 {
     const TargetId failed = m_target;
     m_ranBefore = std::max(m_ranBefore, ranAfter(failure));
     dropStreams(outcomeAfter(failure));
-    // A send of which no byte left has cost no target anything, and each target is excluded after
-    // it: only sends that may have cost something are taken from the budget.
-    const bool isFree = failure == SendFailure::NotConnected;
+    // Neither a send of which no byte left nor one to a target that takes no connection any more
+    // burdens a target further, and each target is excluded after it: only sends beside living
+    // targets' work are taken from the budget. What may be said of "ran" does not depend on it.
+    const bool isFree = targetIsGone || failure == SendFailure::NotConnected;
     if (!isFree && !m_context.targets.takeRetry(m_request.workspace, failed)) {
         giveUp(failure, reason);
         return;
