--- a/src/gateway/Gateway.cpp
+++ b/src/gateway/Gateway.cpp
@@ -200,30 +200,13 @@
         {{"request", generation.id.text()},
          {"service", generation.service.text()},
          {"at_most_once", generation.atMostOnce ? QStringLiteral("yes") : QStringLiteral("no")}});
-    auto runOfSink = std::make_shared<std::weak_ptr<GenerationRun>>();
-    auto answer = std::make_shared<std::weak_ptr<AnswerSink>>();
-    const auto leave = [this, runOfSink, answer] {
-        const auto sink = answer->lock();
-        if (sink && m_attached)
-            m_attached->leave(sink.get());
-        if (const auto running = runOfSink->lock(); running && sink)
-            running->detach(sink.get());
-    };
-    const auto tooSlow = [leave, answer] {
-        if (const auto sink = answer->lock())
-            sink->failed({ErrorKind::ReaderTooSlow,
-                          Ran::Yes,
-                          QStringLiteral("the answer was not read as fast as it was generated"),
-                          {},
-                          {}});
-        leave();
-    };
+    const auto link = std::make_shared<CallerLink>();
     const std::shared_ptr<AnswerSink> sink = std::make_shared<CompletionAnswer>(
-        responder, request, m_delivery.timers, m_metrics, tooSlow);
-    *answer = sink;
-    responder->onCallerGone([leave, id = generation.id] {
+        responder, request, m_delivery.timers, m_metrics, [this, link] { cutSlowReader(*link); });
+    link->sink = sink;
+    responder->onCallerGone([this, link, id = generation.id] {
         logEvent(LogLevel::Info, EventId::CallerGone, {{"request", id.text()}});
-        leave();
+        detach(*link);
     });
     const auto earlier = generation.atMostOnce ? m_runs.findByClaim(generation.claimKey) : nullptr;
     if (earlier) {
@@ -232,16 +215,36 @@
             return;
         }
         logEvent(LogLevel::Info, EventId::ClaimAttached, {{"request", generation.id.text()}});
-        *runOfSink = earlier;
+        link->run = earlier;
         earlier->attach(sink);
         return;
     }
-    const std::weak_ptr<AnswerSink> weakSink = sink;
-    *runOfSink =
-        m_runs.start(generation, sink, [this, request, weakSink](const ClaimDecision &held) {
-            if (const auto waiting = weakSink.lock())
-                answerHeld(held, request, waiting);
-        });
+    link->run = m_runs.start(generation, sink, [this, request, link](const ClaimDecision &held) {
+        if (const auto waiting = link->sink.lock())
+            answerHeld(held, request, waiting);
+    });
+}
+
+void Gateway::detach(const CallerLink &link)
+{
+    const auto sink = link.sink.lock();
+    if (!sink)
+        return;
+    if (m_attached)
+        m_attached->leave(sink.get());
+    if (const auto run = link.run.lock())
+        run->detach(sink.get());
+}
+
+void Gateway::cutSlowReader(const CallerLink &link)
+{
+    if (const auto sink = link.sink.lock())
+        sink->failed({ErrorKind::ReaderTooSlow,
+                      Ran::Yes,
+                      QStringLiteral("the answer was not read as fast as it was generated"),
+                      {},
+                      {}});
+    detach(link);
 }
 
 void Gateway::answerHeld(const ClaimDecision &held, const CompletionRequest &request,
--- a/src/gateway/Gateway.h
+++ b/src/gateway/Gateway.h
@@ -71,6 +71,14 @@
     void listModels(const WorkspaceId &workspace, const Responder &responder);
     void parseThenRun(const HttpRequest &request, const WorkspaceId &workspace,
                       CompletionShape shape, const Responder &responder);
+    /// Which run answers which caller. Neither is kept alive by it: the run holds its sinks.
+    struct CallerLink {
+        std::weak_ptr<GenerationRun> run;
+        std::weak_ptr<AnswerSink> sink;
+    };
+
+    void detach(const CallerLink &link);
+    void cutSlowReader(const CallerLink &link);
     void run(const CompletionRequest &request, const Responder &responder);
     void answerHeld(const ClaimDecision &held, const CompletionRequest &request,
                     const std::shared_ptr<AnswerSink> &sink);
