Delivery: the claim of a request is one object, given back also when the request is gone

Cause: found by reading what stood twice (taking and giving back a claim, in GenerationRun and PlainRun). Ruled out: keeping the run alive until the claim is decided; the claim's own state is enough.

--- a/src/delivery/GenerationRun.cpp
+++ b/src/delivery/GenerationRun.cpp
@@ -32,6 +32,7 @@
                              EndedCallback ended, HeldCallback held)
     : m_context(context)
     , m_request(std::move(request))
+    , m_claim(context.claims, m_request.claimKey, m_request.fingerprint)
     , m_ended(std::move(ended))
     , m_held(std::move(held))
 {
@@ -124,7 +125,7 @@
     m_target = place.value().target;
     m_endpoint = place.value().endpoint;
     m_incarnation = place.value().incarnation;
-    if (m_request.atMostOnce && !m_claimed)
+    if (m_request.atMostOnce && !m_claim.isHeld())
         claimAndSend();
     else
         send();
@@ -132,29 +133,20 @@
 
 void GenerationRun::claimAndSend()
 {
-    m_claimAttempt = m_attempt;
-    m_context.claims.claim(m_request.claimKey, m_request.fingerprint, m_attempt,
-                           [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
-                               if (const auto self = weak.lock())
-                                   self->claimDecided(decision);
-                           });
+    m_claim.take(m_attempt, [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
+        if (const auto self = weak.lock())
+            self->claimDecided(decision);
+    });
 }
 
 void GenerationRun::claimDecided(const Result<ClaimDecision> &decision)
 {
-    const bool won = decision && decision.value().kind == ClaimDecision::Kind::Won;
-    if (m_over) {
-        // The deadline passed while the claim was under way; nothing was sent under it.
-        if (won)
-            m_context.claims.release(m_request.claimKey, m_claimAttempt);
-        return;
-    }
     if (!decision) {
         dropStreams(AttemptOutcome::Cancelled);
         fail(decision.error());
         return;
     }
-    if (!won) {
+    if (!m_claim.isHeld()) {
         dropStreams(AttemptOutcome::Cancelled);
         const std::shared_ptr<GenerationRun> alive = shared_from_this();
         const HeldCallback held = std::move(m_held);
@@ -162,7 +154,6 @@
         over();
         return;
     }
-    m_claimed = true;
     send();
 }
 
@@ -347,8 +338,8 @@
     // then be false of the request as a whole.
     error.ran = std::max(error.ran, m_ranBefore);
     m_failure = error;
-    if (m_claimed && error.ran == Ran::No)
-        m_context.claims.release(m_request.claimKey, m_claimAttempt);
+    if (error.ran == Ran::No)
+        m_claim.release();
     const QList<std::shared_ptr<AnswerSink>> sinks = std::exchange(m_sinks, {});
     for (const std::shared_ptr<AnswerSink> &sink : sinks)
         sink->failed(error);
@@ -360,6 +351,7 @@
     if (m_over)
         return;
     m_over = true;
+    m_claim.abandon();
     m_deadlineTimer.reset();
     m_context.targets.requestEnded(m_request.id);
     const EndedCallback ended = std::move(m_ended);
--- a/src/delivery/GenerationRun.h
+++ b/src/delivery/GenerationRun.h
@@ -4,6 +4,7 @@
 #include "base/Error.h"
 #include "base/Units.h"
 #include "delivery/GenerationRequest.h"
+#include "delivery/RequestClaim.h"
 #include "delivery/SendFailure.h"
 #include "delivery/TargetSource.h"
 #include "delivery/TokenEvent.h"
@@ -61,7 +62,7 @@
     /// Events so far, if the run keeps them; event i stands at place i.
     const QList<TokenEvent> &events() const { return m_events; }
     /// The attempt under which it claimed; empty before.
-    const AttemptId &claimAttempt() const { return m_claimAttempt; }
+    const AttemptId &claimAttempt() const { return m_claim.attempt(); }
     bool isOver() const { return m_over; }
     /// Every event up to the last was received.
     bool isWhole() const { return m_sequence.complete; }
@@ -112,6 +113,7 @@
 
     DeliveryContext &m_context;
     const GenerationRequest m_request;
+    RequestClaim m_claim;
     EndedCallback m_ended;
     HeldCallback m_held;
 
@@ -139,8 +141,6 @@
     bool m_isRetry = false;
     /// The target of the present attempt refuses connections.
     bool m_targetGone = false;
-    bool m_claimed = false;
-    AttemptId m_claimAttempt;
     bool m_sent = false;
     bool m_began = false;
     bool m_over = false;
--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -15,6 +15,7 @@
 PlainRun::PlainRun(DeliveryContext &context, PlainRequest request, Callback callback)
     : m_context(context)
     , m_request(std::move(request))
+    , m_claim(context.claims, m_request.claimKey, m_request.fingerprint)
     , m_callback(std::move(callback))
 {
 }
@@ -66,31 +67,23 @@
     }
     m_target = place.value().target;
     m_endpoint = place.value().endpoint;
-    if (!m_request.atMostOnce || m_claimed) {
+    if (!m_request.atMostOnce || m_claim.isHeld()) {
         send();
         return;
     }
-    m_claimAttempt = m_attempt;
-    m_context.claims.claim(m_request.claimKey, m_request.fingerprint, m_attempt,
-                           [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
-                               if (const auto self = weak.lock())
-                                   self->claimDecided(decision);
-                           });
+    m_claim.take(m_attempt, [weak = weak_from_this()](const Result<ClaimDecision> &decision) {
+        if (const auto self = weak.lock())
+            self->claimDecided(decision);
+    });
 }
 
 void PlainRun::claimDecided(const Result<ClaimDecision> &decision)
 {
-    const bool won = decision && decision.value().kind == ClaimDecision::Kind::Won;
-    if (m_over) {
-        if (won)
-            m_context.claims.release(m_request.claimKey, m_claimAttempt);
-        return;
-    }
     if (!decision) {
         fail(decision.error());
         return;
     }
-    if (!won) {
+    if (!m_claim.isHeld()) {
         const bool same = decision.value().heldFingerprint == m_request.fingerprint;
         fail(same ? Error{ErrorKind::OutcomeUnknown,
                           Ran::Maybe,
@@ -104,7 +97,6 @@
                           {}});
         return;
     }
-    m_claimed = true;
     send();
 }
 
@@ -188,14 +180,15 @@
     releaseTarget(AttemptOutcome::Cancelled);
     // An earlier attempt may have run: the answer may not say less than that.
     error.ran = std::max(error.ran, m_ranBefore);
-    if (m_claimed && error.ran == Ran::No)
-        m_context.claims.release(m_request.claimKey, m_claimAttempt);
+    if (error.ran == Ran::No)
+        m_claim.release();
     finish(error);
 }
 
 void PlainRun::finish(const Result<HttpResponse> &answer)
 {
     m_over = true;
+    m_claim.abandon();
     m_deadlineTimer.reset();
     m_context.targets.requestEnded(m_request.id);
     const Callback callback = std::move(m_callback);
--- a/src/delivery/PlainRun.h
+++ b/src/delivery/PlainRun.h
@@ -3,6 +3,7 @@
 
 #include "base/Result.h"
 #include "delivery/PlainRequest.h"
+#include "delivery/RequestClaim.h"
 #include "delivery/SendFailure.h"
 #include "delivery/TargetSource.h"
 #include "http/HttpExchangeEnd.h"
@@ -50,9 +51,9 @@
 
     DeliveryContext &m_context;
     const PlainRequest m_request;
+    RequestClaim m_claim;
     Callback m_callback;
     AttemptId m_attempt;
-    AttemptId m_claimAttempt;
     TargetId m_target;
     HttpEndpoint m_endpoint;
     QSet<TargetId> m_excluded;
@@ -60,7 +61,6 @@
     std::unique_ptr<TimerSubscription> m_deadlineTimer;
     Ran m_ranBefore = Ran::No;
     bool m_isRetry = false;
-    bool m_claimed = false;
     bool m_sent = false;
     bool m_over = false;
 };
