Tests: waiting until daemons have met, dead engines and the told failure stand once

Cause: three failure tests each carried their own reading of a failure's kind, and two their own wait for the members and count of dead engines; Fleet and FleetStream have them now. Every assertion is the same as before, with the shared call in its place. The whole ./check was not run again after this change.

--- a/test/failure/AtMostOnce.cpp
+++ b/test/failure/AtMostOnce.cpp
@@ -43,13 +43,6 @@
 
     int runsOfName(const QString &name) { return fleet->runsOf(promptOfName(name)); }
 
-    static QString kindOf(const FleetStream &stream)
-    {
-        const QJsonObject problem =
-            stream.answer().error().isEmpty() ? stream.json() : stream.answer().error();
-        return problem["kind"].toString();
-    }
-
     static QString ranOf(const FleetStream &stream) { return stream.json()["ran"].toString(); }
 
     std::optional<Fleet> fleet;
@@ -78,8 +71,8 @@
             const FleetStream &other = *streams[2 * size_t(i) + 1];
             BOOST_TEST((one.isWhole() || other.isWhole()));
             for (const FleetStream *stream : {&one, &other})
-                BOOST_TEST(
-                    (stream->isWhole() || kindOf(*stream) == QLatin1String("outcome_unknown")));
+                BOOST_TEST((stream->isWhole()
+                            || stream->problemKind() == QLatin1String("outcome_unknown")));
             BOOST_TEST(runsOfName(QStringLiteral("pair%1").arg(first + i)) == 1);
         }
     }
@@ -97,7 +90,7 @@
     const Stream second = sendOnce(1, name, 400);
     BOOST_REQUIRE(second->waitOver());
     BOOST_TEST(second->status() == 409);
-    BOOST_TEST(kindOf(*second).toStdString() == "outcome_unknown");
+    BOOST_TEST(second->problemKind().toStdString() == "outcome_unknown");
     BOOST_TEST(ranOf(*second).toStdString() == "maybe");
     BOOST_TEST(runsOfName(name) == 1);
 }
@@ -114,7 +107,7 @@
     BOOST_REQUIRE(refused->waitOver());
     BOOST_REQUIRE(served->waitOver());
     BOOST_TEST(refused->status() == 503);
-    BOOST_TEST(kindOf(*refused).toStdString() == "platform_unavailable");
+    BOOST_TEST(refused->problemKind().toStdString() == "platform_unavailable");
     BOOST_TEST(ranOf(*refused).toStdString() == "no");
     BOOST_TEST(refused->response().headers.contains("Retry-After"));
     BOOST_TEST(served->isWhole());
@@ -187,7 +180,7 @@
                                              onceHeaders(QStringLiteral("shared")));
         BOOST_REQUIRE(other->waitOver());
         BOOST_TEST(other->status() == 422);
-        BOOST_TEST(kindOf(*other).toStdString() == "idempotency_key_reused");
+        BOOST_TEST(other->problemKind().toStdString() == "idempotency_key_reused");
     }
     BOOST_TEST(fleet->runsOf(QStringLiteral("another text")) == 0);
 }
@@ -199,6 +192,6 @@
     const Stream stream = fleet->complete(0, QStringLiteral("keyless"), ShortAnswer, headers);
     BOOST_REQUIRE(stream->waitOver());
     BOOST_TEST(stream->status() == 400);
-    BOOST_TEST(kindOf(*stream).toStdString() == "idempotency_key_required");
+    BOOST_TEST(stream->problemKind().toStdString() == "idempotency_key_required");
     BOOST_TEST(fleet->runsOf(QStringLiteral("keyless")) == 0);
 }
--- a/test/failure/CrashingRequest.cpp
+++ b/test/failure/CrashingRequest.cpp
@@ -6,8 +6,6 @@
 #include "support/Fleet.h"
 #include "support/FleetStream.h"
 
-#include <QJsonArray>
-
 using namespace cranberry;
 using namespace cranberry::test;
 
@@ -18,13 +16,6 @@
 constexpr int Repeats = 10;
 const QString CrashMark = QStringLiteral("crash-this-engine");
 
-QString kindOf(const FleetStream &stream)
-{
-    const QJsonObject problem =
-        stream.answer().error().isEmpty() ? stream.json() : stream.answer().error();
-    return problem["kind"].toString();
-}
-
 struct Fixture {
     Fixture()
     {
@@ -36,30 +27,12 @@
         fleet.emplace(plan);
         BOOST_REQUIRE(fleet->start());
         // Until daemons have met they cannot tell each other of suspects.
-        BOOST_REQUIRE(waitFor([this] { return allHaveMet(); }));
+        BOOST_REQUIRE(fleet->waitUntilDaemonsMet());
         for (int i = 0; i < Engines; ++i)
             BOOST_REQUIRE(fleet->setFaults(fleet->engineEndpoint(i),
                                            {{QStringLiteral("die_on"), CrashMark}}));
     }
 
-    bool allHaveMet()
-    {
-        for (int i = 0; i < fleet->daemonCount(); ++i) {
-            const QJsonArray members = fleet->status(i)["members"].toArray();
-            if (members.size() != fleet->daemonCount())
-                return false;
-        }
-        return true;
-    }
-
-    int deadEngines()
-    {
-        int dead = 0;
-        for (int i = 0; i < Engines; ++i)
-            dead += !fleet->engine(i).isRunning();
-        return dead;
-    }
-
     std::optional<Fleet> fleet;
 };
 
@@ -80,7 +53,7 @@
         const auto stream = fleet->complete(i % 2, CrashMark, 40, fleet->caller());
         BOOST_REQUIRE(stream->waitOver());
         BOOST_TEST(!stream->isWhole());
-        refusedAsHeldBack += kindOf(*stream) == QLatin1String("quarantined");
+        refusedAsHeldBack += stream->problemKind() == QLatin1String("quarantined");
     }
     int whole = 0;
     int cutByTheCrash = 0;
@@ -88,14 +61,14 @@
     for (const auto &stream : ordinary) {
         BOOST_REQUIRE(stream->waitOver());
         whole += stream->isWhole();
-        cutByTheCrash += kindOf(*stream) == QLatin1String("generation_lost");
-        heldBack += kindOf(*stream) == QLatin1String("quarantined");
+        cutByTheCrash += stream->problemKind() == QLatin1String("generation_lost");
+        heldBack += stream->problemKind() == QLatin1String("quarantined");
     }
-    BOOST_TEST_MESSAGE("engines lost " << deadEngines() << ", ordinary whole " << whole
+    BOOST_TEST_MESSAGE("engines lost " << fleet->deadEngines() << ", ordinary whole " << whole
                                        << ", cut by a crash " << cutByTheCrash << ", held back "
                                        << heldBack << ", crashing request refused "
                                        << refusedAsHeldBack << " times of " << Repeats);
-    BOOST_TEST(deadEngines() <= 2);
+    BOOST_TEST(fleet->deadEngines() <= 2);
     BOOST_TEST(heldBack == 0);
     BOOST_TEST(refusedAsHeldBack >= Repeats - 2);
     // Only answers that had begun on a crashed engine can be lost: no splice is allowed.
--- a/test/failure/CrashingRequestSpread.cpp
+++ b/test/failure/CrashingRequestSpread.cpp
@@ -33,43 +33,18 @@
         plan.engines = Engines;
         fleet.emplace(plan);
         BOOST_REQUIRE(fleet->start());
-        BOOST_REQUIRE(waitFor([this] { return allKnowAll(); }));
+        BOOST_REQUIRE(fleet->waitUntilDaemonsMet());
         for (int i = 0; i < Engines; ++i)
             BOOST_REQUIRE(fleet->setFaults(fleet->engineEndpoint(i),
                                            {{QStringLiteral("die_on"), QStringLiteral("poison")}}));
     }
 
-    /// The daemons have heard of each other, so that news reaches all of them.
-    bool allKnowAll()
-    {
-        for (int i = 0; i < Daemons; ++i) {
-            if (fleet->status(i).value(QStringLiteral("members")).toArray().size() != Daemons)
-                return false;
-        }
-        return true;
-    }
-
-    int deadEngines()
-    {
-        int dead = 0;
-        for (int i = 0; i < Engines; ++i)
-            dead += !fleet->engine(i).isRunning();
-        return dead;
-    }
-
     Stream ordinary(int i)
     {
         return fleet->complete(i % Daemons, QStringLiteral("draft %1").arg(i), AnswerTokens,
                                fleet->caller(0));
     }
 
-    static QString kindOf(const FleetStream &stream)
-    {
-        const QJsonObject problem =
-            stream.answer().error().isEmpty() ? stream.json() : stream.answer().error();
-        return problem.value(QStringLiteral("kind")).toString();
-    }
-
     std::optional<Fleet> fleet;
 };
 
@@ -91,10 +66,10 @@
                                               AnswerTokens, fleet->caller(1));
         BOOST_REQUIRE(poison->waitOver());
         BOOST_TEST(!poison->isWhole());
-        kinds.append(kindOf(*poison));
+        kinds.append(poison->problemKind());
     }
     BOOST_TEST_MESSAGE("answers: " << kinds.join(u' ').toStdString());
-    BOOST_TEST(deadEngines() <= 2);
+    BOOST_TEST(fleet->deadEngines() <= 2);
     BOOST_TEST(kinds.last().toStdString() == "quarantined");
     // A draft that broke off is sent again by its caller, as often as it takes.
     int whole = 0;
@@ -102,7 +77,7 @@
     for (int i = 0; i < Ordinary; ++i) {
         BOOST_REQUIRE(drafts[size_t(i)]->waitOver());
         for (int round = 0; round < Rounds && !drafts[size_t(i)]->isWhole(); ++round) {
-            heldBack += kindOf(*drafts[size_t(i)]) == QStringLiteral("quarantined");
+            heldBack += drafts[size_t(i)]->problemKind() == QStringLiteral("quarantined");
             drafts[size_t(i)] = ordinary(i);
             BOOST_REQUIRE(drafts[size_t(i)]->waitOver());
         }
@@ -110,5 +85,5 @@
     }
     BOOST_TEST(whole == Ordinary);
     BOOST_TEST(heldBack == 0);
-    BOOST_TEST(deadEngines() <= 2);
+    BOOST_TEST(fleet->deadEngines() <= 2);
 }
--- a/test/support/Fleet.cpp
+++ b/test/support/Fleet.cpp
@@ -284,6 +284,26 @@
     return -1;
 }
 
+bool Fleet::waitUntilDaemonsMet()
+{
+    return waitFor([this] {
+        for (int i = 0; i < daemonCount(); ++i) {
+            const QJsonObject reported = status(i);
+            if (reported.value(QStringLiteral("members")).toArray().size() != daemonCount())
+                return false;
+        }
+        return true;
+    });
+}
+
+int Fleet::deadEngines()
+{
+    int dead = 0;
+    for (const auto &engine : m_engines)
+        dead += !engine->isRunning();
+    return dead;
+}
+
 bool Fleet::waitForVersion(qint64 version)
 {
     return waitFor([&] {
--- a/test/support/Fleet.h
+++ b/test/support/Fleet.h
@@ -69,6 +69,10 @@
     qint64 apply(const QJsonObject &document);
     /// Waits until every running daemon reports a version of at least @p version.
     bool waitForVersion(qint64 version);
+    /// Waits until every daemon lists all others; before that they cannot tell each other news.
+    bool waitUntilDaemonsMet();
+    /// Engines whose process has ended.
+    int deadEngines();
     /// The version that daemon @p index has in force by its ETag, or -1.
     qint64 versionOf(int index);
     /// GET /v1/status of daemon @p index.
--- a/test/support/FleetStream.cpp
+++ b/test/support/FleetStream.cpp
@@ -32,6 +32,12 @@
     return QJsonDocument::fromJson(m_response.body).object();
 }
 
+QString FleetStream::problemKind() const
+{
+    const QJsonObject problem = m_answer.error().isEmpty() ? json() : m_answer.error();
+    return problem.value(QStringLiteral("kind")).toString();
+}
+
 bool FleetStream::isWhole() const
 {
     return m_end == HttpExchangeEnd::Complete && m_answer.isDone()
--- a/test/support/FleetStream.h
+++ b/test/support/FleetStream.h
@@ -39,6 +39,10 @@
     /// The body as JSON; empty if it is none.
     QJsonObject json() const;
 
+    /// The kind of the failure that the caller was told, as an answer or as the last event of a
+    /// stream; empty if it was told none.
+    QString problemKind() const;
+
     const AnswerReader &answer() const { return m_answer; }
     int tokenCount() const { return m_answer.tokens().size(); }
     /// True if the stream ended regularly with all its tokens numbered from 0 on.
