--- a/src/base/ErrorKind.cpp
+++ b/src/base/ErrorKind.cpp
@@ -57,6 +57,7 @@
      "The generation was lost partway through the answer",
      {}},
     {ErrorKind::ReaderTooSlow, "reader_too_slow", 408, "The caller reads too slowly", {}},
+    {ErrorKind::RequestTooSlow, "request_too_slow", 408, "The request did not arrive in time", {}},
     {ErrorKind::PlatformUnavailable, "platform_unavailable", 503,
      "The platform's service does not answer", 5},
     {ErrorKind::NotReady, "not_ready", 503, "The daemon has no configuration yet", 1},
--- a/src/base/ErrorKind.h
+++ b/src/base/ErrorKind.h
@@ -34,6 +34,7 @@
     TargetFailed,
     GenerationLost,
     ReaderTooSlow,
+    RequestTooSlow,
     PlatformUnavailable,
     NotReady,
     Draining,
--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -51,7 +51,29 @@
     X(OrderIssued, 1801, "order.issued")                                                           \
     X(OrderRefused, 1802, "order.refused")                                                         \
     X(IssuerGained, 1803, "issuer.gained")                                                         \
-    X(IssuerLost, 1804, "issuer.lost")
+    X(IssuerLost, 1804, "issuer.lost")                                                             \
+    X(ReportMissing, 1207, "report.missing")                                                       \
+    X(TargetJoined, 1208, "target.joined")                                                         \
+    X(TargetGone, 1209, "target.gone")                                                             \
+    X(TargetSuspected, 1210, "target.suspected")                                                   \
+    X(TargetCleared, 1211, "target.cleared")                                                       \
+    X(ConfigurationUnreadable, 1506, "configuration.unreadable")                                   \
+    X(TargetUnreadable, 1507, "target.unreadable")                                                 \
+    X(StoreCompacted, 1508, "store.compacted")                                                     \
+    X(RelayArrived, 1901, "relay.arrived")                                                         \
+    X(RelayRefused, 1902, "relay.refused")                                                         \
+    X(RelayWaiting, 1903, "relay.waiting")                                                         \
+    X(RelaySent, 1904, "relay.sent")                                                               \
+    X(RelaySendEnded, 1905, "relay.send_ended")                                                    \
+    X(RelayRetried, 1906, "relay.retried")                                                         \
+    X(RelayEnded, 1907, "relay.ended")                                                             \
+    X(RelayEventGap, 1908, "relay.event_gap")                                                      \
+    X(StreamLost, 1909, "stream.lost")                                                             \
+    X(MoveBegun, 1910, "move.begun")                                                               \
+    X(MoveEnded, 1911, "move.ended")                                                               \
+    X(MoveFailed, 1912, "move.failed")                                                             \
+    X(SettingsReloaded, 1005, "settings.reloaded")                                                 \
+    X(LogDropped, 1006, "log.dropped")
 
 enum class EventId {
 // An enumerator cannot be put in parentheses.
--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -1,5 +1,9 @@
 #include "base/EventLog.h"
 
+#include "base/LogSink.h"
+
+#include <QDateTime>
+
 #include <glog/logging.h>
 
 #include <atomic>
@@ -33,6 +37,11 @@
     return result + u'"';
 }
 
+QByteArray timeStamp()
+{
+    return "time=" + QDateTime::currentDateTimeUtc().toString(Qt::ISODateWithMs).toLatin1();
+}
+
 } // namespace
 
 const char *eventName(EventId event)
@@ -63,6 +72,10 @@
         line += u' ' + QLatin1String(field.key) + u'=';
         line += needsQuotes(field.value) ? quoted(field.value) : field.value;
     }
+    if (LogSink *sink = LogSink::current()) {
+        sink->append(timeStamp() + ' ' + line.toUtf8(), level >= LogLevel::Warning);
+        return;
+    }
     const std::string text = line.toStdString();
     if (level >= LogLevel::Error)
         LOG(ERROR) << text;
--- a/src/base/EventLog.h
+++ b/src/base/EventLog.h
@@ -25,8 +25,8 @@
 /// Sets the least level that is written; the default is Info. Thread-safe.
 void setLogLevel(LogLevel level);
 
-/// Writes "event=NUMBER name=NAME key=value ..." to stderr through glog. Thread-safe.
-/// Precondition: glog was initialised by the main program.
+/// Writes "event=NUMBER name=NAME key=value ...": to the LogSink, if there is one, else to stderr
+/// through glog. Thread-safe. Precondition: there is a sink or glog was initialised.
 void logEvent(LogLevel level, EventId event, std::initializer_list<EventField> fields);
 
 } // namespace cranberry
--- a/src/claims/ClaimSegment.h
+++ b/src/claims/ClaimSegment.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "claims/Claim.h"
-#include "platform/KeyValue.h"
+#include "platformstore/KeyValue.h"
 
 #include <QList>
 
--- a/src/claims/ClaimShard.h
+++ b/src/claims/ClaimShard.h
@@ -7,7 +7,7 @@
 #include "claims/GatherWindow.h"
 #include "claims/SegmentUpdate.h"
 #include "configuration/LifeGuard.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <functional>
 #include <memory>
--- a/src/configuration/ConfigurationSpread.cpp
+++ b/src/configuration/ConfigurationSpread.cpp
@@ -9,7 +9,7 @@
 #include "membership/MemberView.h"
 #include "membership/RendezvousHash.h"
 #include "peer/PeerNetwork.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QCborArray>
 #include <QJsonDocument>
--- a/src/configuration/ConfigurationSpread.h
+++ b/src/configuration/ConfigurationSpread.h
@@ -4,7 +4,7 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "configuration/LifeGuard.h"
-#include "platform/KeyValue.h"
+#include "platformstore/KeyValue.h"
 
 #include <QByteArray>
 #include <QByteArrayList>
--- a/src/configuration/LogReader.cpp
+++ b/src/configuration/LogReader.cpp
@@ -1,6 +1,6 @@
 #include "configuration/LogReader.h"
 
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QJsonDocument>
 
--- a/src/configuration/SnapshotWriter.cpp
+++ b/src/configuration/SnapshotWriter.cpp
@@ -1,6 +1,6 @@
 #include "configuration/SnapshotWriter.h"
 
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QUuid>
 
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -25,7 +25,7 @@
 #include "peer/PeerLinks.h"
 #include "placement/TargetPoller.h"
 #include "placement/TargetTable.h"
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 #include "quarantine/Quarantine.h"
 
 namespace cranberry {
--- a/src/daemon/SettingsReader.cpp
+++ b/src/daemon/SettingsReader.cpp
@@ -84,4 +84,17 @@
     return qint64(number);
 }
 
+double SettingsReader::decimal(const QString &name, double least, double most, double fallback)
+{
+    m_faults.noteRead(pathOf(name));
+    const QJsonValue value = m_object.value(name);
+    if (value.isUndefined())
+        return fallback;
+    const double number = value.toDouble(std::nan(""));
+    if (value.isDouble() && number >= least && number <= most)
+        return number;
+    fault(name, QStringLiteral("a number from %1 to %2").arg(least).arg(most));
+    return fallback;
+}
+
 } // namespace cranberry
--- a/src/daemon/SettingsReader.h
+++ b/src/daemon/SettingsReader.h
@@ -22,6 +22,8 @@
     QString requiredString(const QString &name);
     /// A whole number in [@p least, @p most].
     qint64 number(const QString &name, qint64 least, qint64 most, qint64 fallback);
+    /// A number in [@p least, @p most].
+    double decimal(const QString &name, double least, double most, double fallback);
 
     /// Adds the fault that member @p name is not @p allowed.
     void fault(const QString &name, const QString &allowed);
--- a/src/delivery/ServerSentEvents.cpp
+++ b/src/delivery/ServerSentEvents.cpp
@@ -1,5 +1,7 @@
 #include "delivery/ServerSentEvents.h"
 
+#include <utility>
+
 namespace cranberry {
 
 namespace {
@@ -57,12 +59,15 @@
         const auto [position, length] = firstBlankLine(m_pending);
         if (length == 0)
             break;
-        const ServerSentEvent event = parseBlock(m_pending.left(position));
+        ServerSentEvent event = parseBlock(m_pending.left(position));
+        m_skipped += m_pending.left(position + length);
         m_pending.remove(0, position + length);
-        if (!event.data.isEmpty())
-            events.append(event);
+        if (event.data.isEmpty())
+            continue;
+        event.raw = std::exchange(m_skipped, {});
+        events.append(event);
     }
-    m_malformed = m_pending.size() > LongestEventBytes;
+    m_malformed = m_pending.size() + m_skipped.size() > LongestEventBytes;
     return events;
 }
 
--- a/src/delivery/ServerSentEvents.h
+++ b/src/delivery/ServerSentEvents.h
@@ -10,6 +10,8 @@
     QByteArray id;
     QByteArray name;
     QByteArray data;
+    /// The bytes as they came, with the blank line and any block without data before it.
+    QByteArray raw;
 };
 
 /// Collects bytes until an event is whole. Source: the event stream format of the HTML
@@ -24,8 +26,13 @@
 
     bool isMalformed() const { return m_malformed; }
 
+    /// Bytes that belong to no whole event.
+    QByteArray rest() const { return m_skipped + m_pending; }
+
 private:
     QByteArray m_pending;
+    /// Whole blocks without data, which go out with the next event.
+    QByteArray m_skipped;
     bool m_malformed = false;
 };
 
--- /dev/null
+++ b/src/http/CallerConnection.cpp
@@ -0,0 +1,240 @@
+#include "http/CallerConnection.h"
+
+#include "base/ErrorKind.h"
+#include "base/TimerService.h"
+#include "http/CallerLimits.h"
+#include "http/CallerReply.h"
+#include "http/HttpRequestParser.h"
+#include "http/HttpResponse.h"
+#include "http/TcpStream.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Time in which a caller may read the last answer before the connection is closed under it. A
+/// close with unread bytes is a reset, which may overtake the answer.
+constexpr Milliseconds LingerTime{1000};
+/// Bytes that a caller may send ahead of the answer to its last request.
+constexpr qsizetype MostPipelinedBytes = 64 * 1024;
+
+ErrorKind kindOf(const boost::beast::error_code &error)
+{
+    if (error == boost::beast::http::error::header_limit)
+        return ErrorKind::HeadersTooLarge;
+    if (error == boost::beast::http::error::body_limit)
+        return ErrorKind::BodyTooLarge;
+    return ErrorKind::BadRequest;
+}
+
+const char *reasonPhrase(int status)
+{
+    // Only the number counts; one phrase a class keeps the line well formed.
+    return status < 300 ? "OK" : status < 500 ? "Rejected" : "Failed";
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(CallerConnectionContext &context,
+                                   std::unique_ptr<TcpStream> stream)
+    : m_context(context)
+    , m_stream(std::move(stream))
+    , m_since(context.timers.now())
+{
+}
+
+CallerConnection::~CallerConnection() = default;
+
+void CallerConnection::start()
+{
+    TcpStreamCallbacks callbacks;
+    const std::weak_ptr<CallerConnection> weak = weak_from_this();
+    callbacks.received = [weak](const QByteArray &data) {
+        if (const auto self = weak.lock())
+            self->received(data);
+    };
+    callbacks.ended = [weak](TcpEnd) {
+        if (const auto self = weak.lock())
+            self->finish();
+    };
+    m_stream->setCallbacks(std::move(callbacks));
+}
+
+void CallerConnection::received(const QByteArray &data)
+{
+    if (m_state == State::Lingering)
+        return;
+    m_incoming += data;
+    if (m_state == State::Reading)
+        parse();
+    else if (m_incoming.size() > MostPipelinedBytes)
+        m_stream->setReading(false);
+}
+
+void CallerConnection::parse()
+{
+    // An answer that is sent from inside the handler comes back here; the loop then goes on.
+    if (m_parsing)
+        return;
+    m_parsing = true;
+    while (m_state == State::Reading && !m_incoming.isEmpty()) {
+        if (!m_parser) {
+            m_parser = std::make_unique<internal::HttpRequestParser>(
+                std::uint32_t(m_context.limits.headers.value()),
+                std::uint64_t(m_context.limits.body.value()));
+            m_since = m_context.timers.now();
+        }
+        const bool hadHeaders = m_parser->is_header_done();
+        boost::beast::error_code error;
+        const std::size_t used = m_parser->put(
+            boost::asio::const_buffer(m_incoming.constData(), size_t(m_incoming.size())), error);
+        m_incoming.remove(0, qsizetype(used));
+        if (error == boost::beast::http::error::need_more || (!error && used == 0))
+            break;
+        if (error) {
+            reject(kindOf(error));
+            break;
+        }
+        if (!hadHeaders && m_parser->is_header_done() && !m_parser->is_done()
+            && m_parser->request().headers.contains("Expect"))
+            m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
+        if (m_parser->is_header_done())
+            m_since = m_context.timers.now();
+        if (m_parser->is_done())
+            dispatch();
+    }
+    m_parsing = false;
+}
+
+void CallerConnection::dispatch()
+{
+    m_state = State::Answering;
+    ++m_request;
+    m_closeAfter = !m_parser->keep_alive();
+    const HttpRequest request = m_parser->request();
+    m_parser.reset();
+    const auto self = shared_from_this();
+    m_context.handler(request, std::make_shared<CallerReply>(self, m_request));
+}
+
+void CallerConnection::reject(ErrorKind kind)
+{
+    m_state = State::Answering;
+    m_closeAfter = true;
+    m_incoming.clear();
+    send(m_context.rejection(kind));
+}
+
+bool CallerConnection::isAnswering(quint64 request) const
+{
+    return isAnswering() && m_request == request;
+}
+
+void CallerConnection::writeHead(int status, const HttpHeaders &headers)
+{
+    QByteArray head =
+        "HTTP/1.1 " + QByteArray::number(status) + ' ' + reasonPhrase(status) + "\r\n";
+    for (const HttpHeaders::Field &field : headers.fields())
+        head += field.first + ": " + field.second + "\r\n";
+    if (m_closeAfter || m_context.closing) {
+        m_closeAfter = true;
+        head += "Connection: close\r\n";
+    }
+    m_stream->write(head + "\r\n");
+}
+
+void CallerConnection::send(const HttpResponse &response)
+{
+    HttpHeaders headers = response.headers;
+    headers.add("Content-Length", QByteArray::number(response.body.size()));
+    writeHead(response.status, headers);
+    m_stream->write(response.body);
+    answered();
+}
+
+void CallerConnection::startStream(int status, const HttpHeaders &headers)
+{
+    m_state = State::Streaming;
+    HttpHeaders all = headers;
+    all.add("Transfer-Encoding", "chunked");
+    writeHead(status, all);
+}
+
+void CallerConnection::writeChunk(const QByteArray &data)
+{
+    if (!data.isEmpty())
+        m_stream->write(QByteArray::number(data.size(), 16) + "\r\n" + data + "\r\n");
+}
+
+void CallerConnection::endStream()
+{
+    m_stream->write("0\r\n\r\n");
+    answered();
+}
+
+void CallerConnection::abort()
+{
+    m_gone = {};
+    finish();
+}
+
+qsizetype CallerConnection::unsentBytes() const
+{
+    return m_stream ? m_stream->unsentBytes() : 0;
+}
+
+void CallerConnection::answered()
+{
+    m_gone = {};
+    m_since = m_context.timers.now();
+    if (m_closeAfter) {
+        linger();
+        return;
+    }
+    m_state = State::Reading;
+    m_stream->setReading(true);
+    parse();
+}
+
+void CallerConnection::linger()
+{
+    m_state = State::Lingering;
+    m_stream->setReading(true);
+    m_stream->finishSending();
+}
+
+void CallerConnection::sweep()
+{
+    const Milliseconds waited =
+        std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_since);
+    if (m_state == State::Lingering && waited > LingerTime && unsentBytes() == 0)
+        finish();
+    if (m_state != State::Reading)
+        return;
+    const bool headersDue = m_parser && !m_parser->is_header_done();
+    if (headersDue && waited > m_context.limits.headerTime)
+        reject(ErrorKind::RequestTooSlow);
+    else if (waited > m_context.limits.idle)
+        m_parser ? reject(ErrorKind::RequestTooSlow) : linger();
+}
+
+void CallerConnection::closeIfIdle()
+{
+    if (m_state == State::Reading && !m_parser && m_incoming.isEmpty())
+        linger();
+}
+
+void CallerConnection::finish()
+{
+    if (m_state == State::Ended)
+        return;
+    m_state = State::Ended;
+    const auto self = shared_from_this();
+    const auto gone = std::exchange(m_gone, {});
+    m_stream.reset();
+    if (gone)
+        gone();
+    m_context.ended(this);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/http/CallerReply.cpp
@@ -0,0 +1,62 @@
+#include "http/CallerReply.h"
+
+#include "http/CallerConnection.h"
+#include "http/HttpResponse.h"
+
+namespace cranberry {
+
+CallerReply::CallerReply(std::weak_ptr<CallerConnection> connection, quint64 request)
+    : m_connection(std::move(connection))
+    , m_request(request)
+{
+}
+
+std::shared_ptr<CallerConnection> CallerReply::connection() const
+{
+    const std::shared_ptr<CallerConnection> connection = m_connection.lock();
+    return connection && connection->isAnswering(m_request) ? connection : nullptr;
+}
+
+void CallerReply::send(const HttpResponse &response)
+{
+    if (const auto open = connection())
+        open->send(response);
+}
+
+void CallerReply::startStream(int status, const HttpHeaders &headers)
+{
+    if (const auto open = connection())
+        open->startStream(status, headers);
+}
+
+void CallerReply::write(const QByteArray &data)
+{
+    if (const auto open = connection())
+        open->writeChunk(data);
+}
+
+void CallerReply::end()
+{
+    if (const auto open = connection())
+        open->endStream();
+}
+
+void CallerReply::abort()
+{
+    if (const auto open = connection())
+        open->abort();
+}
+
+void CallerReply::onCallerGone(std::function<void()> callback)
+{
+    if (const auto open = connection())
+        open->onGone(std::move(callback));
+}
+
+qsizetype CallerReply::unsentBytes() const
+{
+    const auto open = connection();
+    return open ? open->unsentBytes() : 0;
+}
+
+} // namespace cranberry
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -27,6 +27,7 @@
     /// Precondition: @p timers outlives the client.
     explicit HttpClient(TimerService &timers)
         : m_timers(timers)
+        , m_pool(timers)
     {
     }
 
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -4,6 +4,7 @@
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 #include "http/HttpExchangeEnd.h"
+#include "http/HttpExchangeOptions.h"
 #include "http/HttpHeaders.h"
 
 #include <QByteArray>
@@ -11,15 +12,14 @@
 #include <functional>
 #include <memory>
 
-class QTcpSocket;
-
 namespace cranberry {
 
 class HttpConnectionPool;
+class TcpStream;
 class TimerService;
 class TimerSubscription;
+enum class TcpEnd;
 struct HttpRequest;
-struct HttpExchangeOptions;
 
 namespace internal {
 class HttpResponseParser;
@@ -49,22 +49,28 @@
 
 private:
     void connected();
-    void readAvailable();
-    void closed(const QString &reason);
+    void received(const QByteArray &data);
+    bool parse();
+    bool takeHeaders();
+    void ended(TcpEnd end);
     void finish(HttpExchangeEnd end, const QString &reason);
+    Milliseconds keepFor() const;
 
     HttpConnectionPool &m_pool;
     TimerService &m_timers;
     HttpEndpoint m_endpoint;
-    bool m_reuse;
-    Milliseconds m_timeLimit;
+    HttpExchangeOptions m_options;
     QByteArray m_outgoing;
     QByteArray m_incoming;
     HttpExchangeCallbacks m_callbacks;
     std::unique_ptr<internal::HttpResponseParser> m_parser;
     std::unique_ptr<TimerSubscription> m_timeout;
-    QTcpSocket *m_socket;
+    std::unique_ptr<TcpStream> m_stream;
     bool m_connected = false;
+    /// The answer at hand is that to another request.
+    bool m_skipping = false;
+    /// Something came that no request asked for; the connection is not used again.
+    bool m_odd = false;
     bool m_finished = false;
     /// Set to true by the destructor, so that a loop that called back knows to stop.
     std::shared_ptr<bool> m_destroyed;
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -3,6 +3,8 @@
 
 #include "base/Units.h"
 
+#include <QByteArray>
+
 namespace cranberry {
 
 struct HttpExchangeOptions {
@@ -14,6 +16,14 @@
     /// connection may turn out closed after bytes were written, so not for requests whose
     /// "did not run" matters.
     bool reuseConnection = false;
+    /// Leave the connection for another exchange when done, whether or not it was a reused one.
+    bool keepConnection = false;
+    /// A connection that has been idle for longer is not reused.
+    Milliseconds mostIdle{Milliseconds::max()};
+    /// A target repeats this header's value in its answer. An answer with another value belongs
+    /// to an earlier request of the connection and is skipped. Empty: not checked.
+    QByteArray echoHeader;
+    QByteArray echoValue;
 };
 
 } // namespace cranberry
--- /dev/null
+++ b/src/http/HttpListener.cpp
@@ -0,0 +1,117 @@
+#include "http/HttpListener.h"
+
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/TcpStream.h"
+
+#include <QSocketNotifier>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace cranberry {
+
+namespace {
+
+/// Bounds of time are checked this often; they are seconds.
+constexpr Milliseconds SweepInterval{250};
+constexpr int Backlog = 1024;
+
+Error listenError(const HttpEndpoint &endpoint)
+{
+    Error error;
+    error.kind = ErrorKind::BadRequest;
+    error.detail = QStringLiteral("cannot listen on %1:%2: %3")
+                       .arg(endpoint.address)
+                       .arg(endpoint.port)
+                       .arg(QString::fromLocal8Bit(std::strerror(errno)));
+    return error;
+}
+
+} // namespace
+
+HttpListener::HttpListener(TimerService &timers, Handler handler, Rejection rejection)
+    : m_timers(timers)
+    , m_context{timers,    m_limits, std::move(handler), std::move(rejection),
+                m_closing, {}}
+    , m_sweep(timers.every(SweepInterval, [this] {
+        const auto connections = m_connections;
+        for (const auto &connection : connections)
+            connection->sweep();
+    }))
+{
+    m_context.ended = [this](CallerConnection *connection) { m_connections.remove(connection); };
+}
+
+HttpListener::~HttpListener()
+{
+    stopAccepting();
+}
+
+Result<quint16> HttpListener::listenOn(const HttpEndpoint &endpoint)
+{
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int reuse = 1;
+    (void)::setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    const QByteArray text = endpoint.address.toLatin1();
+    const bool isValid = ::inet_pton(AF_INET, text.constData(), &address.sin_addr) == 1;
+    auto *generic = reinterpret_cast<sockaddr *>(&address);
+    socklen_t size = sizeof(address);
+    if (!isValid || m_descriptor < 0 || ::bind(m_descriptor, generic, size) != 0
+        || ::listen(m_descriptor, Backlog) != 0
+        || ::getsockname(m_descriptor, generic, &size) != 0)
+        return listenError(endpoint);
+    m_notifier = new QSocketNotifier(m_descriptor, QSocketNotifier::Read);
+    QObject::connect(m_notifier, &QSocketNotifier::activated, m_notifier, [this] { accept(); });
+    return ntohs(address.sin_port);
+}
+
+void HttpListener::accept()
+{
+    for (;;) {
+        const int descriptor =
+            ::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (descriptor < 0)
+            return;
+        auto connection =
+            std::make_shared<CallerConnection>(m_context, TcpStream::adopt(descriptor));
+        m_connections.insert(connection.get(), connection);
+        connection->start();
+    }
+}
+
+void HttpListener::closeIdle()
+{
+    m_closing = true;
+    const auto connections = m_connections;
+    for (const auto &connection : connections)
+        connection->closeIfIdle();
+}
+
+void HttpListener::stopAccepting()
+{
+    if (m_descriptor < 0)
+        return;
+    m_notifier->setEnabled(false);
+    m_notifier->deleteLater();
+    m_notifier = nullptr;
+    ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+int HttpListener::busyConnections() const
+{
+    int busy = 0;
+    for (const auto &connection : m_connections)
+        busy += connection->isAnswering() || connection->unsentBytes() > 0 ? 1 : 0;
+    return busy;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/http/HttpRequestParser.h
@@ -0,0 +1,45 @@
+// Defines HttpRequestParser, the incremental parser of requests of one connection.
+#pragma once
+
+#include "http/HttpRequest.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+namespace cranberry::internal {
+
+/// Collects one request with its whole body; strict about framing, as Boost.Beast is: a length
+/// given twice, or beside a chunked body, is an error, so that no second request can hide in the
+/// body of the first.
+/// Thread safety: only from the thread of its connection.
+class HttpRequestParser final : public boost::beast::http::basic_parser<true>
+{
+public:
+    HttpRequestParser(std::uint32_t headerLimit, std::uint64_t bodyLimit);
+
+    /// The request; its path holds the target as it was sent, with the query.
+    const HttpRequest &request() const { return m_request; }
+    /// A byte of the request has come.
+    bool hasBegun() const { return m_begun; }
+    void setBegun() { m_begun = true; }
+
+private:
+    using Error = boost::beast::error_code;
+    using View = boost::beast::string_view;
+
+    void on_request_impl(boost::beast::http::verb verb, View method, View target, int version,
+                         Error &ec) override;
+    void on_response_impl(int code, View reason, int version, Error &ec) override;
+    void on_field_impl(boost::beast::http::field name, View nameText, View value,
+                       Error &ec) override;
+    void on_header_impl(Error &ec) override;
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &ec) override;
+    std::size_t on_body_impl(View body, Error &ec) override;
+    void on_chunk_header_impl(std::uint64_t size, View extensions, Error &ec) override;
+    std::size_t on_chunk_body_impl(std::uint64_t remain, View body, Error &ec) override;
+    void on_finish_impl(Error &ec) override;
+
+    HttpRequest m_request;
+    bool m_begun = false;
+};
+
+} // namespace cranberry::internal
--- a/src/membership/Membership.cpp
+++ b/src/membership/Membership.cpp
@@ -5,7 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "membership/MembershipRules.h"
 #include "peer/PeerLinks.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QDateTime>
 #include <QRandomGenerator>
--- a/src/orders/IssuerLease.h
+++ b/src/orders/IssuerLease.h
@@ -4,7 +4,7 @@
 #include "base/Ids.h"
 #include "configuration/LifeGuard.h"
 #include "orders/LeaseTiming.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <functional>
 #include <memory>
--- a/src/platform/HttpKeyValueStore.cpp
+++ b/src/platformstore/HttpKeyValueStore.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 
 #include "base/TimerService.h"
 
--- a/src/platform/HttpKeyValueStore.h
+++ b/src/platformstore/HttpKeyValueStore.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "http/HttpClient.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QObject>
 
--- a/src/platform/KeyValueStore.h
+++ b/src/platformstore/KeyValueStore.h
@@ -3,7 +3,7 @@
 
 #include "base/Result.h"
 #include "base/Units.h"
-#include "platform/KeyValue.h"
+#include "platformstore/KeyValue.h"
 
 #include <functional>
 #include <optional>
--- /dev/null
+++ b/src/relay/EngineReports.cpp
@@ -0,0 +1,103 @@
+#include "relay/EngineReports.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/HttpClient.h"
+#include "relay/RelayCounters.h"
+#include "relay/TargetDirectory.h"
+#include "relay/TargetProtocol.h"
+
+namespace cranberry {
+
+namespace {
+
+/// A report takes a round trip, under 5 ms in the region. A request waits no longer for it than
+/// this, about 3% of the time to its first event.
+constexpr Milliseconds ReportTimeout{50};
+constexpr int StatusOk = 200;
+
+} // namespace
+
+/// Requests that wait for some reports; called back once.
+struct EngineReports::Waiter {
+    int missing = 0;
+    Done done;
+};
+
+struct EngineReports::Question {
+    std::unique_ptr<HttpExchange> exchange;
+    QList<std::shared_ptr<Waiter>> waiters;
+};
+
+EngineReports::EngineReports(TimerService &timers, HttpClient &client, TargetDirectory &targets,
+                             const TargetProtocol &protocol, RelayCounters &counters)
+    : m_timers(timers)
+    , m_client(client)
+    , m_targets(targets)
+    , m_protocol(protocol)
+    , m_counters(counters)
+{
+}
+
+EngineReports::~EngineReports() = default;
+
+bool EngineReports::isFresh(const TargetId &target, Milliseconds freshFor) const
+{
+    const TargetRecord *record = m_targets.find(target);
+    return !record || (record->report && m_timers.now() - record->reportedAt <= freshFor);
+}
+
+void EngineReports::refresh(const QList<TargetId> &targets, Milliseconds freshFor, Done done)
+{
+    const auto waiter = std::make_shared<Waiter>();
+    for (const TargetId &target : targets) {
+        if (isFresh(target, freshFor))
+            continue;
+        if (!m_questions.contains(target))
+            ask(target);
+        m_questions[target]->waiters.append(waiter);
+        ++waiter->missing;
+    }
+    if (waiter->missing == 0)
+        done();
+    else
+        waiter->done = std::move(done);
+}
+
+void EngineReports::ask(const TargetId &target)
+{
+    const auto question = std::make_shared<Question>();
+    m_questions.insert(target, question);
+    ++m_counters.reportsAsked;
+    HttpExchangeOptions options;
+    options.connectTimeout = ReportTimeout;
+    options.timeout = ReportTimeout;
+    options.reuseConnection = true;
+    question->exchange = m_client.fetch(
+        m_targets.find(target)->entry.endpoint, m_protocol.report(), options,
+        [this, target](HttpExchangeEnd end, const HttpResponse &response) {
+            const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
+            const Result<EngineReport> report =
+                isWhole ? m_protocol.readReport(response) : Result<EngineReport>(Error());
+            if (report)
+                m_targets.reported(target, report.value());
+            else
+                logEvent(LogLevel::Debug, EventId::ReportMissing,
+                         {{"target", target.text()}, {"status", QString::number(response.status)}});
+            answered(target);
+        });
+}
+
+void EngineReports::answered(const TargetId &target)
+{
+    const std::shared_ptr<Question> question = m_questions.take(target);
+    if (!question)
+        return;
+    for (const std::shared_ptr<Waiter> &waiter : std::as_const(question->waiters)) {
+        if (--waiter->missing == 0)
+            waiter->done();
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/EngineTraits.h
@@ -0,0 +1,20 @@
+// Defines EngineTraits, what the engines of a service can do.
+#pragma once
+
+#include "base/Units.h"
+
+namespace cranberry {
+
+struct EngineTraits {
+    int batchSlots = 0;
+    /// Memory for prompts and generated tokens.
+    Tokens memory;
+    /// A running generation can be copied to another engine and go on there.
+    bool canMove = false;
+    /// A running generation can keep a copy of itself at another engine.
+    bool canBackup = false;
+    /// Tokens in one event of a stream.
+    int tokensPerEvent = 1;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/GenerationMove.cpp
@@ -0,0 +1,67 @@
+#include "relay/GenerationMove.h"
+
+#include "http/HttpClient.h"
+#include "relay/MoveOrder.h"
+#include "relay/RelayContext.h"
+
+namespace cranberry {
+
+namespace {
+
+/// An engine that leaves does so within about two seconds: a copy that takes longer is lost.
+constexpr Milliseconds CopyTimeout{3000};
+constexpr Milliseconds ConnectTimeout{200};
+
+} // namespace
+
+GenerationMove::GenerationMove(RelayContext &context, const RequestId &request,
+                               const HttpEndpoint &source, const HttpEndpoint &destination,
+                               Callbacks callbacks)
+    : m_context(context)
+    , m_request(request)
+    , m_source(source)
+    , m_destination(destination)
+    , m_callbacks(std::move(callbacks))
+{
+    order(false);
+}
+
+GenerationMove::~GenerationMove() = default;
+
+void GenerationMove::order(bool isLast)
+{
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.timeout = CopyTimeout;
+    options.keepConnection = true;
+    const MoveOrder order{m_request, m_destination, isLast};
+    m_exchange =
+        m_context.client.fetch(m_source, m_context.protocol.move(order), options,
+                               [this, isLast](HttpExchangeEnd end, const HttpResponse &response) {
+                                   const MoveOutcome outcome = end == HttpExchangeEnd::Complete
+                                       ? m_context.protocol.readMove(response)
+                                       : MoveOutcome();
+                                   answered(isLast, outcome);
+                               });
+}
+
+void GenerationMove::answered(bool isLast, const MoveOutcome &outcome)
+{
+    const bool goesOn = !isLast && outcome.kind == MoveOutcome::Kind::Copied;
+    if (!goesOn) {
+        end(outcome, isLast);
+        return;
+    }
+    if (m_callbacks.stopping())
+        order(true);
+    else
+        end(outcome, false);
+}
+
+void GenerationMove::end(const MoveOutcome &outcome, bool stopped)
+{
+    const auto callback = std::move(m_callbacks.ended);
+    callback(outcome, stopped);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/MoveOutcome.h
@@ -0,0 +1,26 @@
+// Defines MoveOutcome, what became of an order to copy a running generation.
+#pragma once
+
+#include <QByteArray>
+
+namespace cranberry {
+
+struct MoveOutcome {
+    enum class Kind {
+        Copied,
+        /// The engine runs no such request.
+        NoSuchRun,
+        /// Another copy of it is under way.
+        Busy,
+        /// No room at the destination, or it is not reached.
+        NoRoom,
+        /// No answer, or one that says nothing.
+        Unknown,
+    };
+
+    Kind kind = Kind::Unknown;
+    /// Set whenever the source holds memory for it, also with NoRoom.
+    QByteArray handle;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayAttempt.cpp
@@ -0,0 +1,147 @@
+#include "relay/RelayAttempt.h"
+
+#include "http/HttpClient.h"
+#include "relay/AttemptPlan.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayRequest.h"
+
+namespace cranberry {
+
+namespace {
+
+/// A target in the region answers a connection within 5 ms; one that is dark answers never. No
+/// byte has left until then, so that giving up early costs nothing.
+constexpr Milliseconds ConnectTimeout{300};
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirect = 300;
+
+bool isSuccess(const AnswerHead &head)
+{
+    return head.status >= FirstSuccess && head.status < FirstRedirect;
+}
+
+HttpExchangeOptions optionsFor(const RelayContext &context, const RelayRequest &request,
+                               Milliseconds reuseIdle)
+{
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.reuseConnection = reuseIdle.count() > 0;
+    options.keepConnection = true;
+    options.mostIdle = reuseIdle;
+    options.echoHeader = context.protocol.echoHeader;
+    options.echoValue = request.id.text().toUtf8();
+    return options;
+}
+
+} // namespace
+
+Ran ranAfter(SendResult::Kind kind)
+{
+    switch (kind) {
+    case SendResult::Kind::NotConnected:
+    case SendResult::Kind::NotExecuted:
+    case SendResult::Kind::Misdirected:
+        return Ran::No;
+    case SendResult::Kind::Answered:
+        return Ran::Yes;
+    case SendResult::Kind::Broken:
+    case SendResult::Kind::Spoilt:
+        break;
+    }
+    return Ran::Maybe;
+}
+
+const char *sendResultName(SendResult::Kind kind)
+{
+    switch (kind) {
+    case SendResult::Kind::Answered:
+        return "answered";
+    case SendResult::Kind::NotConnected:
+        return "not_connected";
+    case SendResult::Kind::NotExecuted:
+        return "not_executed";
+    case SendResult::Kind::Misdirected:
+        return "misdirected";
+    case SendResult::Kind::Broken:
+        return "broken";
+    case SendResult::Kind::Spoilt:
+        return "spoilt";
+    }
+    return "unknown";
+}
+
+RelayAttempt::RelayAttempt(RelayContext &context, const RelayRequest &request,
+                           const HttpEndpoint &endpoint, const AttemptPlan &plan,
+                           Milliseconds reuseIdle, RelayAttemptCallbacks callbacks)
+    : m_context(context)
+    , m_request(request)
+    , m_callbacks(std::move(callbacks))
+    , m_alive(std::make_shared<bool>(true))
+{
+    HttpExchangeCallbacks events;
+    events.headers = [this](int status, const HttpHeaders &headers) {
+        headersCame(status, headers);
+    };
+    events.body = [this](const QByteArray &data) { bodyCame(data); };
+    events.finished = [this](HttpExchangeEnd end, const QString &reason) {
+        finished(end, reason);
+    };
+    m_exchange = context.client.send(endpoint, context.protocol.attempt(request, plan),
+                                     optionsFor(context, request, reuseIdle), std::move(events));
+}
+
+void RelayAttempt::headersCame(int status, const HttpHeaders &headers)
+{
+    m_head = m_context.protocol.answerHead(m_request, status, headers);
+    m_hasHead = true;
+    m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isOdd;
+    if (!m_isStream)
+        return;
+    const auto began = m_callbacks.began;
+    began(m_head);
+}
+
+void RelayAttempt::bodyCame(const QByteArray &data)
+{
+    if (!m_isStream) {
+        m_body += data;
+        return;
+    }
+    const std::weak_ptr<bool> alive = m_alive;
+    const auto callback = m_callbacks.event;
+    for (const ServerSentEvent &event : m_events.feed(data)) {
+        callback(event);
+        if (alive.expired())
+            return;
+    }
+}
+
+SendResult::Kind RelayAttempt::judge(HttpExchangeEnd end) const
+{
+    if (end == HttpExchangeEnd::NotConnected)
+        return SendResult::Kind::NotConnected;
+    if (m_hasHead && m_head.isMisdirected)
+        return SendResult::Kind::Misdirected;
+    if (m_hasHead && m_head.isNotExecuted)
+        return SendResult::Kind::NotExecuted;
+    if (end == HttpExchangeEnd::Malformed)
+        return SendResult::Kind::Spoilt;
+    if (end != HttpExchangeEnd::Complete)
+        return SendResult::Kind::Broken;
+    if (m_head.isOdd || (isSuccess(m_head) && !m_head.isSealed))
+        return SendResult::Kind::Spoilt;
+    return SendResult::Kind::Answered;
+}
+
+void RelayAttempt::finished(HttpExchangeEnd end, const QString &reason)
+{
+    SendResult result;
+    result.kind = judge(end);
+    result.head = m_head;
+    result.body = m_body;
+    result.reason = reason;
+    const auto callback = std::move(m_callbacks.ended);
+    callback(result);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayConfiguration.cpp
@@ -0,0 +1,53 @@
+#include "relay/RelayConfiguration.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+/// Fixed, so that every daemon draws the same service for a request.
+constexpr size_t ShareSeed = 0x5e1ec7;
+
+} // namespace
+
+void sortRoutes(RelayConfiguration &configuration)
+{
+    for (QList<RelayRoute> &routes : configuration.routes) {
+        std::stable_sort(routes.begin(), routes.end(),
+                         [](const RelayRoute &a, const RelayRoute &b) {
+                             return a.prefix.size() > b.prefix.size();
+                         });
+    }
+}
+
+const RelayRoute *findRoute(const RelayConfiguration &configuration, const QByteArray &host,
+                            const QByteArray &target)
+{
+    const auto found = configuration.routes.constFind(host);
+    if (found == configuration.routes.cend())
+        return nullptr;
+    const QByteArray path = target.split('?').first();
+    const auto route =
+        std::find_if(found->cbegin(), found->cend(),
+                     [&path](const RelayRoute &r) { return path.startsWith(r.prefix); });
+    return route == found->cend() ? nullptr : &*route;
+}
+
+ServiceId serviceFor(const RelayRoute &route, const RequestId &id)
+{
+    int total = 0;
+    for (const ServiceShare &share : route.services)
+        total += std::max(share.weight, 0);
+    if (total == 0)
+        return route.services.isEmpty() ? ServiceId() : route.services.first().service;
+    int drawn = int(qHash(id, ShareSeed) % size_t(total));
+    for (const ServiceShare &share : route.services) {
+        drawn -= std::max(share.weight, 0);
+        if (drawn < 0)
+            return share.service;
+    }
+    return route.services.last().service;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayConfiguration.h
@@ -0,0 +1,39 @@
+// Defines RelayConfiguration, one version of routes, services, keys and limits.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/CallerLimits.h"
+#include "relay/RelayRoute.h"
+#include "relay/RelayService.h"
+
+#include <QHash>
+#include <QList>
+
+namespace cranberry {
+
+/// Immutable once in force; requests keep the version that they began with.
+struct RelayConfiguration {
+    ConfigurationVersion version;
+    /// The routes of each host, longest prefix first.
+    QHash<QByteArray, QList<RelayRoute>> routes;
+    QHash<ServiceId, RelayService> services;
+    CallerLimits limits;
+    /// Requests need a key, except on open routes.
+    bool needsKey = false;
+    QHash<QByteArray, WorkspaceId> workspaceOfKey;
+};
+
+/// Sorts each host's routes as findRoute() expects them.
+void sortRoutes(RelayConfiguration &configuration);
+
+/// The route with the longest prefix that begins @p target; null if there is none.
+/// Precondition: the routes are sorted. Thread-safe.
+const RelayRoute *findRoute(const RelayConfiguration &configuration, const QByteArray &host,
+                            const QByteArray &target);
+
+/// The service that takes the request @p id: the same one at every daemon and each time.
+/// Thread-safe.
+ServiceId serviceFor(const RelayRoute &route, const RequestId &id);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayContext.h
@@ -0,0 +1,34 @@
+// Defines RelayContext, what all requests of a relaying daemon share.
+#pragma once
+
+#include "base/Ids.h"
+#include "relay/CallerProtocol.h"
+#include "relay/RelayCounters.h"
+#include "relay/RetryShare.h"
+#include "relay/TargetProtocol.h"
+
+namespace cranberry {
+
+class EngineReports;
+class HttpClient;
+class MoveQueue;
+class TargetDirectory;
+class TimerService;
+class WaitingRequests;
+
+/// Every member outlives every request.
+struct RelayContext {
+    TimerService &timers;
+    HttpClient &client;
+    TargetDirectory &targets;
+    EngineReports &reports;
+    WaitingRequests &waiting;
+    MoveQueue &moves;
+    RetryShare &retries;
+    RelayCounters &counters;
+    const CallerProtocol &callers;
+    const TargetProtocol &protocol;
+    DataCentreId dataCentre;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayCounters.h
@@ -0,0 +1,39 @@
+// Defines RelayCounters, what a relaying daemon counts for its metrics.
+#pragma once
+
+#include "base/LatencyHistogram.h"
+#include "relay/RequestKind.h"
+
+#include <array>
+
+namespace cranberry {
+
+constexpr std::size_t RequestKindCount = 3;
+
+/// Figures of one kind of request.
+struct KindCounters {
+    qint64 arrived = 0;
+    qint64 answered = 0;
+    qint64 refused = 0;
+    qint64 failed = 0;
+    qint64 callerGone = 0;
+    qint64 retried = 0;
+    /// From the arrival to the answer, or to the first event of a stream.
+    LatencyHistogram toAnswer;
+};
+
+/// Thread safety: none; one event loop.
+struct RelayCounters {
+    std::array<KindCounters, RequestKindCount> kinds;
+    qint64 movesBegun = 0;
+    qint64 movesDone = 0;
+    qint64 movesFailed = 0;
+    qint64 resumedFromBackup = 0;
+    qint64 streamsLost = 0;
+    qint64 storeCalls = 0;
+    qint64 reportsAsked = 0;
+
+    KindCounters &of(RequestKind kind) { return kinds[std::size_t(kind)]; }
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayDaemon.cpp
@@ -0,0 +1,163 @@
+#include "relay/RelayDaemon.h"
+
+#include "base/EventLog.h"
+#include "base/TimerSubscription.h"
+#include "http/CallerReply.h"
+#include "relay/RelayMetrics.h"
+#include "relay/RelayParts.h"
+
+namespace cranberry {
+
+namespace {
+
+/// The balancer asks each second and takes a daemon out after two misses.
+constexpr Milliseconds BalancerLeaves{3000};
+constexpr Milliseconds DrainCheck{50};
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
+{
+    Error error;
+    error.kind = kind;
+    error.detail = QStringLiteral("the request could not be read");
+    return callers.failure(error, std::nullopt);
+}
+
+} // namespace
+
+RelayParts::RelayParts(const RelaySettings &given, const RelayProtocols &spoken)
+    : settings(given)
+    , protocols(spoken)
+    , client(timers)
+    , targets(timers)
+    , reports(timers, client, targets, protocols.targets, counters)
+    , waiting(timers)
+    , retries(given.retries)
+    , context{timers,  client,   targets,           reports,           waiting,          moves,
+              retries, counters, protocols.callers, protocols.targets, given.dataCentre}
+    , configuration(timers, client, given.store, protocols.store, counters,
+                    protocols.store.configurationKey)
+    , entries(timers, client, given.store, protocols.store, counters,
+              protocols.store.targetPrefix)
+    , gateway(context, [this] { return configuration.isCurrent(); })
+    , callers(
+          timers,
+          [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+              gateway.handle(request, reply);
+          },
+          [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
+    , readiness(timers, {}, [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
+{
+}
+
+RelayDaemon::RelayDaemon(const RelaySettings &settings, const RelayProtocols &protocols)
+    : m_parts(std::make_unique<RelayParts>(settings, protocols))
+{
+    RelayParts &parts = *m_parts;
+    parts.configuration.setCallbacks(
+        {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
+    parts.entries.setCallbacks(
+        {[this](const StoreItem &item) { targetRead(item.key, item.value); },
+         [this](const QString &key) {
+             m_parts->targets.remove(
+                 TargetId(key.mid(m_parts->protocols.store.targetPrefix.size())));
+         }});
+    parts.readiness.setHandler(
+        [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+            readiness(request, reply);
+        });
+    parts.targets.onLeaving([this](const TargetId &target) {
+        m_parts->gateway.targetLeaving(target);
+    });
+    parts.targets.onRoom([this] { m_parts->waiting.roomChanged(); });
+}
+
+RelayDaemon::~RelayDaemon() = default;
+
+Result<void> RelayDaemon::start()
+{
+    BOOST_OUTCOME_TRY(callers, m_parts->callers.listenOn(m_parts->settings.callers));
+    BOOST_OUTCOME_TRY(readiness, m_parts->readiness.listenOn(m_parts->settings.readiness));
+    m_parts->configuration.start();
+    m_parts->entries.start();
+    logEvent(LogLevel::Info, EventId::DaemonStarted,
+             {{"vm", m_parts->settings.vm.text()},
+              {"data_centre", m_parts->settings.dataCentre.text()},
+              {"callers", QString::number(callers)},
+              {"readiness", QString::number(readiness)}});
+    return outcome::success();
+}
+
+bool RelayDaemon::isReady() const
+{
+    return m_parts->gateway.configuration() && m_parts->entries.hasRead() && !m_drained;
+}
+
+void RelayDaemon::readiness(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply)
+{
+    if (request.path == m_parts->protocols.readinessPath)
+        reply->send({isReady() ? StatusOk : StatusUnavailable, {}, {}});
+    else if (request.path == "/metrics")
+        reply->send({StatusOk,
+                     {{"Content-Type", "text/plain; charset=utf-8"}},
+                     relayMetricsText(*m_parts)});
+    else
+        reply->send({StatusNotFound, {}, {}});
+}
+
+void RelayDaemon::configurationRead(const QByteArray &value)
+{
+    const Result<RelayConfiguration> read = m_parts->protocols.store.readConfiguration(value);
+    if (!read) {
+        logEvent(LogLevel::Error, EventId::ConfigurationUnreadable,
+                 {{"detail", read.error().detail}});
+        return;
+    }
+    const bool wasReady = isReady();
+    m_parts->gateway.setConfiguration(read.value());
+    m_parts->callers.setLimits(read.value().limits);
+    if (!wasReady && isReady())
+        logEvent(LogLevel::Info, EventId::DaemonReady, {{"vm", m_parts->settings.vm.text()}});
+}
+
+void RelayDaemon::targetRead(const QString &key, const QByteArray &value)
+{
+    const Result<RelayTarget> read = m_parts->protocols.store.readTarget(key, value);
+    if (read)
+        m_parts->targets.put(read.value());
+    else
+        logEvent(LogLevel::Error, EventId::TargetUnreadable,
+                 {{"key", key}, {"detail", read.error().detail}});
+}
+
+void RelayDaemon::drain(std::function<void()> done)
+{
+    if (m_drained)
+        return;
+    m_drained = std::move(done);
+    m_drainBegan = m_parts->timers.now();
+    logEvent(LogLevel::Info, EventId::DaemonDraining,
+             {{"vm", m_parts->settings.vm.text()},
+              {"running", QString::number(m_parts->gateway.running())}});
+    m_parts->gateway.drainUntil(m_drainBegan + m_parts->settings.grace);
+    m_parts->callers.closeAfterAnswers();
+    m_drainTimer = m_parts->timers.every(DrainCheck, [this] { finishDrainWhenIdle(); });
+}
+
+void RelayDaemon::finishDrainWhenIdle()
+{
+    // Until the balancer has left, new connections still come and must not be turned away.
+    if (m_parts->timers.now() - m_drainBegan < BalancerLeaves)
+        return;
+    m_parts->callers.closeIdle();
+    const bool busy = m_parts->gateway.running() > 0 || m_parts->callers.busyConnections() > 0;
+    if (busy)
+        return;
+    m_drainTimer.reset();
+    logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_parts->settings.vm.text()}});
+    m_drained();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayDaemon.h
@@ -0,0 +1,46 @@
+// Defines RelayDaemon, a daemon that relays requests of a platform's callers to its targets.
+#pragma once
+
+#include "base/Result.h"
+#include "base/Units.h"
+
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+class TimerSubscription;
+struct CallerProtocol;
+struct RelayParts;
+struct RelayProtocols;
+struct RelaySettings;
+
+/// Keeps nothing: configuration and targets are read from the platform's store.
+/// Thread safety: only from the thread of the event loop.
+class RelayDaemon
+{
+public:
+    RelayDaemon(const RelaySettings &settings, const RelayProtocols &protocols);
+    ~RelayDaemon();
+
+    /// Listens and begins to read the store. Error: BadRequest naming an address.
+    Result<void> start();
+    /// Takes no new connections once the balancer has seen it, finishes what it has and then
+    /// calls @p done. Later calls do nothing.
+    void drain(std::function<void()> done);
+
+private:
+    void readiness(const struct HttpRequest &request,
+                   const std::shared_ptr<class CallerReply> &reply);
+    void configurationRead(const QByteArray &value);
+    void targetRead(const QString &key, const QByteArray &value);
+    bool isReady() const;
+    void finishDrainWhenIdle();
+
+    std::unique_ptr<RelayParts> m_parts;
+    std::function<void()> m_drained;
+    MonotonicTime m_drainBegan;
+    std::unique_ptr<TimerSubscription> m_drainTimer;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayGateway.cpp
@@ -0,0 +1,144 @@
+#include "relay/RelayGateway.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "http/CallerReply.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayRun.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Time that an engine takes for one token of one of many generations.
+constexpr double TokenMilliseconds = 10;
+/// Lengths are forecast at the median: twice that covers most.
+constexpr double LengthMargin = 2;
+/// After a refusal that another daemon would not give; the caller comes back at once.
+constexpr Milliseconds ComeBackElsewhere{20};
+constexpr Milliseconds ComeBackWhenReady{300};
+
+Error errorOf(ErrorKind kind, const QString &detail)
+{
+    Error error;
+    error.kind = kind;
+    error.detail = detail;
+    return error;
+}
+
+} // namespace
+
+RelayGateway::RelayGateway(RelayContext &context, std::function<bool()> isCurrent)
+    : m_context(context)
+    , m_isCurrent(std::move(isCurrent))
+{
+}
+
+RelayGateway::~RelayGateway() = default;
+
+void RelayGateway::setConfiguration(RelayConfiguration configuration)
+{
+    if (m_configuration && configuration.version <= m_configuration->version)
+        return;
+    logEvent(LogLevel::Info, EventId::ConfigurationInForce,
+             {{"version", QString::number(configuration.version.value())},
+              {"hosts", QString::number(configuration.routes.size())},
+              {"keys", QString::number(configuration.workspaceOfKey.size())}});
+    m_configuration = std::make_shared<const RelayConfiguration>(std::move(configuration));
+}
+
+void RelayGateway::targetLeaving(const TargetId &target)
+{
+    const auto runs = m_runs;
+    for (const std::shared_ptr<RelayRun> &run : runs)
+        run->targetLeaving(target);
+}
+
+void RelayGateway::handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply)
+{
+    const Result<RelayRequest> admitted = admit(request);
+    if (!admitted) {
+        refuse(request, admitted.error(), reply);
+        return;
+    }
+    const RelayRoute &route =
+        *findRoute(*m_configuration, admitted.value().host, admitted.value().target);
+    run(admitted.value(), route, reply);
+}
+
+Result<RelayRequest> RelayGateway::admit(const HttpRequest &request) const
+{
+    if (!m_configuration)
+        return errorOf(ErrorKind::NotReady, QStringLiteral("no configuration is known yet"));
+    BOOST_OUTCOME_TRY(parsed, m_context.callers.readRequest(request));
+    // A route or key that is not known here may be in a newer version: a daemon that is not
+    // sure to have the newest one must not say for good that there is none.
+    const bool isSure = m_isCurrent();
+    const RelayRoute *route = findRoute(*m_configuration, parsed.host, parsed.target);
+    if (!route)
+        return errorOf(isSure ? ErrorKind::UnknownPath : ErrorKind::NotReady,
+                       QStringLiteral("no route"));
+    const bool isAllowed = !m_configuration->needsKey || route->isOpen
+        || m_configuration->workspaceOfKey.contains(parsed.key);
+    if (!isAllowed)
+        return errorOf(isSure ? ErrorKind::Unauthorized : ErrorKind::NotReady,
+                       QStringLiteral("the key is not known"));
+    if (outlastsDrain(parsed, *route))
+        return errorOf(ErrorKind::Draining, QStringLiteral("this daemon is shutting down"));
+    return parsed;
+}
+
+bool RelayGateway::outlastsDrain(const RelayRequest &request, const RelayRoute &route) const
+{
+    if (!m_drainUntil)
+        return false;
+    const Milliseconds left =
+        std::chrono::duration_cast<Milliseconds>(*m_drainUntil - m_context.timers.now());
+    if (route.kind != RequestKind::Stream)
+        return left < route.objective;
+    const double tokens =
+        double(request.expectedOutput.value_or(request.mostOutput).value()) * LengthMargin;
+    return tokens * TokenMilliseconds + double(route.objective.count()) > double(left.count());
+}
+
+void RelayGateway::refuse(const HttpRequest &request, const Error &error,
+                          const std::shared_ptr<CallerReply> &reply)
+{
+    const qint64 version = m_configuration ? m_configuration->version.value() : 0;
+    logEvent(LogLevel::Info, EventId::RelayRefused,
+             {{"path", QString::fromUtf8(request.path.left(80))},
+              {"kind", QLatin1String(errorAnswer(error.kind).name)},
+              {"version", QString::number(version)},
+              {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"detail", error.detail}});
+    const bool elsewhere = error.kind == ErrorKind::Draining;
+    reply->send(m_context.callers.failure(error, elsewhere ? ComeBackElsewhere
+                                                           : ComeBackWhenReady));
+}
+
+void RelayGateway::run(RelayRequest request, const RelayRoute &route,
+                       const std::shared_ptr<CallerReply> &reply)
+{
+    RelayTask task;
+    task.service = serviceFor(route, request.id);
+    task.workspace = m_configuration->workspaceOfKey.value(request.key);
+    task.engine = m_configuration->services.value(task.service).engine;
+    task.request = std::move(request);
+    task.route = route;
+    task.arrived = m_context.timers.now();
+    ++m_context.counters.of(route.kind).arrived;
+    logEvent(LogLevel::Info, EventId::RelayArrived,
+             {{"request", task.request.id.text()},
+              {"route", route.name},
+              {"service", task.service.text()},
+              {"workspace", task.workspace.text()},
+              {"version", QString::number(m_configuration->version.value())},
+              {"prompt", QString::number(task.request.promptTokens.value())},
+              {"expected", QString::number(task.request.expectedOutput.value_or(Tokens(0)).value())}});
+    const auto run = std::make_shared<RelayRun>(
+        m_context, std::move(task), reply, [this](const RelayRun *ended) { m_runs.remove(ended); });
+    m_runs.insert(run.get(), run);
+    run->start();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayGateway.h
@@ -0,0 +1,63 @@
+// Defines RelayGateway, which takes callers' requests and starts their runs.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "base/Units.h"
+#include "relay/RelayConfiguration.h"
+
+#include <QHash>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class CallerReply;
+class RelayRun;
+struct Error;
+struct HttpRequest;
+struct RelayContext;
+struct RelayRequest;
+
+/// Thread safety: only from the thread of the event loop.
+class RelayGateway
+{
+public:
+    /// Precondition: @p context outlives the gateway. @p isCurrent tells whether the newest
+    /// configuration is known for sure.
+    RelayGateway(RelayContext &context, std::function<bool()> isCurrent);
+    ~RelayGateway();
+
+    void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
+
+    /// Puts @p configuration in force; an older version than the one in force is ignored.
+    void setConfiguration(RelayConfiguration configuration);
+    /// Null until one is known.
+    const std::shared_ptr<const RelayConfiguration> &configuration() const
+    {
+        return m_configuration;
+    }
+    /// Requests that would outlast @p until are refused from now on.
+    void drainUntil(MonotonicTime until) { m_drainUntil = until; }
+    /// Tells the runs at @p target that it leaves.
+    void targetLeaving(const TargetId &target);
+    int running() const { return int(m_runs.size()); }
+
+private:
+    Result<RelayRequest> admit(const HttpRequest &request) const;
+    bool outlastsDrain(const RelayRequest &request, const RelayRoute &route) const;
+    void refuse(const HttpRequest &request, const Error &error,
+                const std::shared_ptr<CallerReply> &reply);
+    void run(RelayRequest request, const RelayRoute &route,
+             const std::shared_ptr<CallerReply> &reply);
+
+    RelayContext &m_context;
+    std::function<bool()> m_isCurrent;
+    std::shared_ptr<const RelayConfiguration> m_configuration;
+    std::optional<MonotonicTime> m_drainUntil;
+    QHash<const RelayRun *, std::shared_ptr<RelayRun>> m_runs;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayMetrics.cpp
@@ -0,0 +1,49 @@
+#include "relay/RelayMetrics.h"
+
+#include "gateway/MetricsText.h"
+#include "relay/RelayParts.h"
+
+namespace cranberry {
+
+namespace {
+
+constexpr std::array<const char *, RequestKindCount> KindNames{"idempotent", "at_most_once",
+                                                               "stream"};
+
+QByteArray kindText(const char *kind, const KindCounters &counters)
+{
+    const QByteArray prefix = QByteArray("cranberry_relay_") + kind;
+    QByteArray text = counterText(prefix + "_arrived_total", counters.arrived);
+    text += counterText(prefix + "_answered_total", counters.answered);
+    text += counterText(prefix + "_refused_total", counters.refused);
+    text += counterText(prefix + "_failed_total", counters.failed);
+    text += counterText(prefix + "_caller_gone_total", counters.callerGone);
+    text += counterText(prefix + "_retried_total", counters.retried);
+    return text + counters.toAnswer.prometheusText(prefix + "_to_answer_seconds");
+}
+
+} // namespace
+
+QByteArray relayMetricsText(const RelayParts &parts)
+{
+    const RelayCounters &counters = parts.counters;
+    QByteArray text;
+    for (std::size_t kind = 0; kind < RequestKindCount; ++kind)
+        text += kindText(KindNames[kind], counters.kinds[kind]);
+    text += counterText("cranberry_relay_moves_begun_total", counters.movesBegun);
+    text += counterText("cranberry_relay_moves_done_total", counters.movesDone);
+    text += counterText("cranberry_relay_moves_failed_total", counters.movesFailed);
+    text += counterText("cranberry_relay_resumed_from_backup_total", counters.resumedFromBackup);
+    text += counterText("cranberry_relay_streams_lost_total", counters.streamsLost);
+    text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
+    text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
+    const auto &configuration = parts.gateway.configuration();
+    text += gaugeText("cranberry_relay_configuration_version",
+                      configuration ? configuration->version.value() : 0);
+    text += gaugeText("cranberry_relay_store_current", parts.configuration.isCurrent() ? 1 : 0);
+    text += gaugeText("cranberry_relay_running", parts.gateway.running());
+    text += gaugeText("cranberry_relay_waiting", parts.waiting.size());
+    return text + gaugeText("cranberry_relay_connections", parts.callers.openConnections());
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayMetrics.h
@@ -0,0 +1,14 @@
+// Defines relayMetricsText, the metrics page of a relaying daemon.
+#pragma once
+
+#include <QByteArray>
+
+namespace cranberry {
+
+struct RelayParts;
+
+/// Counters, gauges and histograms in Prometheus' text format, by kind of request and never by
+/// workspace or key. Precondition: called from the thread of the event loop.
+QByteArray relayMetricsText(const RelayParts &parts);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayParts.h
@@ -0,0 +1,42 @@
+// Defines RelayParts, what a relaying daemon is made of.
+#pragma once
+
+#include "base/QtTimerService.h"
+#include "http/HttpClient.h"
+#include "http/HttpListener.h"
+#include "relay/EngineReports.h"
+#include "relay/MoveQueue.h"
+#include "relay/RelayContext.h"
+#include "relay/RelayGateway.h"
+#include "relay/RelayProtocols.h"
+#include "relay/RelaySettings.h"
+#include "relay/RetryShare.h"
+#include "relay/StoreMirror.h"
+#include "relay/TargetDirectory.h"
+#include "relay/WaitingRequests.h"
+
+namespace cranberry {
+
+/// Members in the order in which they depend on each other.
+struct RelayParts {
+    RelayParts(const RelaySettings &given, const RelayProtocols &spoken);
+
+    RelaySettings settings;
+    RelayProtocols protocols;
+    RelayCounters counters;
+    QtTimerService timers;
+    HttpClient client;
+    TargetDirectory targets;
+    EngineReports reports;
+    WaitingRequests waiting;
+    MoveQueue moves;
+    RetryShare retries;
+    RelayContext context;
+    StoreMirror configuration;
+    StoreMirror entries;
+    RelayGateway gateway;
+    HttpListener callers;
+    HttpListener readiness;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayProgram.cpp
@@ -0,0 +1,108 @@
+#include "relay/RelayProgram.h"
+
+#include "base/EventLog.h"
+#include "base/LogSink.h"
+#include "relay/RelayDaemon.h"
+#include "relay/RelayProtocols.h"
+#include "relay/RelaySettings.h"
+
+#include <QCoreApplication>
+#include <QFile>
+#include <QSocketNotifier>
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdio>
+#include <unistd.h>
+
+DEFINE_string(settings, "", "path of the settings file (JSON)");
+DEFINE_bool(check, false, "only check the settings file, then exit with 0 or 2");
+
+namespace cranberry {
+
+namespace {
+
+constexpr int ExitBadUse = 2;
+
+int signalPipe[2];
+
+/// Only write() is safe in a handler; the event loop does the rest.
+void onSignal(int number)
+{
+    const char byte = char(number);
+    (void)!write(signalPipe[1], &byte, 1);
+}
+
+int complain(const QString &line)
+{
+    std::fprintf(stderr, "cranberryd: %s\n", qPrintable(line));
+    return ExitBadUse;
+}
+
+QString settingsPath(const char *settingsVariable)
+{
+    return FLAGS_settings.empty() ? qEnvironmentVariable(settingsVariable)
+                                  : QString::fromStdString(FLAGS_settings);
+}
+
+Result<RelaySettings> readSettings(const QString &path)
+{
+    QFile file(path);
+    if (path.isEmpty() || !file.open(QIODevice::ReadOnly)) {
+        Error error;
+        error.detail =
+            QStringLiteral("--settings: cannot read \"%1\": %2").arg(path, file.errorString());
+        return error;
+    }
+    return parseRelaySettings(file.readAll());
+}
+
+/// Addresses and names hold from the start on; a reload tells whether the file is still good.
+void reload(const QString &path)
+{
+    const Result<RelaySettings> read = readSettings(path);
+    logEvent(read ? LogLevel::Info : LogLevel::Error, EventId::SettingsReloaded,
+             {{"detail", read ? QStringLiteral("valid") : read.error().detail}});
+}
+
+} // namespace
+
+int runRelayProgram(int argc, char *argv[], const char *settingsVariable,
+                    const RelayProtocols &protocols)
+{
+    gflags::SetUsageMessage("runs one entry VM of cranberryquay on a platform\n"
+                            "  cranberryd-platform [--settings FILE] [--check]\n"
+                            "SIGTERM drains, SIGHUP reads the settings again.");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const QString path = settingsPath(settingsVariable);
+    const Result<RelaySettings> settings = readSettings(path);
+    if (!settings)
+        return complain(settings.error().detail);
+    if (FLAGS_check)
+        return 0;
+    // The loop over poll() needs no further library and no threads.
+    qputenv("QT_NO_GLIB", "1");
+    QCoreApplication application(argc, argv);
+    LogSink sink;
+    RelayDaemon daemon(settings.value(), protocols);
+    if (const auto started = daemon.start(); !started)
+        return complain(started.error().detail);
+
+    (void)!pipe(signalPipe);
+    QSocketNotifier notifier(signalPipe[0], QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&] {
+        char number = 0;
+        (void)!read(signalPipe[0], &number, 1);
+        if (number == SIGHUP)
+            reload(path);
+        else
+            daemon.drain([] { QCoreApplication::quit(); });
+    });
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        std::signal(number, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
+    return QCoreApplication::exec();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayRun.cpp
@@ -0,0 +1,467 @@
+#include "relay/RelayRun.h"
+
+#include "base/Error.h"
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/CallerReply.h"
+#include "relay/AttemptPlan.h"
+#include "relay/EngineReports.h"
+#include "relay/GenerationMove.h"
+#include "relay/MoveQueue.h"
+#include "relay/RelayAttempt.h"
+#include "relay/RelayContext.h"
+#include "relay/TargetDirectory.h"
+#include "relay/WaitingRequests.h"
+
+namespace cranberry {
+
+namespace {
+
+/// A request waits for room for this part of its objective, then it is refused: a refusal that
+/// comes later leaves the caller too little time to come back.
+constexpr double WaitPart = 0.6;
+/// Sends of one request, so that targets that all refuse do not share it for ever.
+constexpr int MostSends = 4;
+/// Engines asked for their load before a generation is placed. Two choices spread almost as well
+/// as asking all; the third covers one that does not answer.
+constexpr int EnginesAsked = 3;
+constexpr Milliseconds ReportFreshFor{250};
+/// Load at which an engine takes nothing new. Outputs are forecast at their median, and an engine
+/// out of memory preempts a stream that runs.
+constexpr double FullLoad = 0.95;
+/// An idempotent request that is silent for this many objectives is tried elsewhere.
+constexpr double SilentObjectives = 2.5;
+/// Idle connections that may be reused: an idempotent request that meets a closed one is sent
+/// again, one that may run once is lost by it.
+constexpr Milliseconds ReuseIdempotent{60000};
+constexpr Milliseconds ReuseAtMostOnce{2000};
+constexpr Milliseconds NoReuse{0};
+/// Part of the retries kept back from plain requests for generations that move.
+constexpr double RetryReserve = 0.5;
+/// When a caller that was refused should come back: about the time in which a generation ends
+/// somewhere.
+constexpr Milliseconds ComeBackAfter{600};
+/// Bytes that a caller may leave unread; a stream sends some 10 KB a second.
+constexpr qsizetype MostUnsentBytes = 1024 * 1024;
+constexpr int FirstServerFailure = 500;
+/// Output expected where the caller does not say, as part of the most that it allows.
+constexpr double UnstatedOutputPart = 0.5;
+
+/// Statuses by which a system promises that a request has not run.
+bool isPromise(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+RelayRun::RelayRun(RelayContext &context, RelayTask task, std::shared_ptr<CallerReply> reply,
+                   Ended ended)
+    : m_context(context)
+    , m_task(std::move(task))
+    , m_reply(std::move(reply))
+    , m_ended(std::move(ended))
+    , m_deadline(m_task.arrived
+                 + std::min(m_task.route.timeout,
+                            m_task.request.patience.value_or(m_task.route.timeout)))
+{
+}
+
+RelayRun::~RelayRun() = default;
+
+Milliseconds RelayRun::timeLeft() const
+{
+    const auto left = m_deadline - m_context.timers.now();
+    return std::max(std::chrono::duration_cast<Milliseconds>(left), Milliseconds(0));
+}
+
+Tokens RelayRun::expectedOutput() const
+{
+    const RelayRequest &request = m_task.request;
+    const Tokens unstated(qint64(UnstatedOutputPart * double(request.mostOutput.value())));
+    const Tokens expected = request.expectedOutput.value_or(unstated);
+    return std::min(expected, request.mostOutput);
+}
+
+Tokens RelayRun::expectedTokens() const
+{
+    return m_task.engine ? m_task.request.promptTokens + expectedOutput() : Tokens(0);
+}
+
+TargetNeed RelayRun::need() const
+{
+    return {m_context.dataCentre, expectedTokens(), m_task.engine, m_excluded};
+}
+
+void RelayRun::start()
+{
+    const auto self = shared_from_this();
+    m_reply->onCallerGone([weak = weak_from_this()] {
+        if (const auto run = weak.lock())
+            run->callerGone();
+    });
+    m_deadlineTimer = m_context.timers.after(timeLeft(), [this] { deadlinePassed(); });
+    m_context.retries.countRequest(m_task.service, m_context.timers.now());
+    place();
+}
+
+void RelayRun::place()
+{
+    m_phase = Phase::Placing;
+    if (!m_task.engine) {
+        if (!tryPlace())
+            waitForRoom();
+        return;
+    }
+    const QList<TargetId> asked = likelyTargets(m_context.targets.takingWork(m_task.service),
+                                                need(), m_context.timers.now(), EnginesAsked);
+    m_context.reports.refresh(asked, ReportFreshFor, [weak = weak_from_this()] {
+        const auto run = weak.lock();
+        if (run && run->m_phase == Phase::Placing && !run->tryPlace())
+            run->waitForRoom();
+    });
+}
+
+bool RelayRun::tryPlace()
+{
+    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), need(),
+                                         m_context.timers.now());
+    const bool isFull = m_task.engine && pick.load > FullLoad;
+    if (!pick.target || isFull)
+        return false;
+    send(pick);
+    return true;
+}
+
+void RelayRun::waitForRoom()
+{
+    m_phase = Phase::Waiting;
+    logEvent(LogLevel::Info, EventId::RelayWaiting,
+             {{"request", m_task.request.id.text()},
+              {"service", m_task.service.text()},
+              {"targets", QString::number(m_context.targets.count(m_task.service))}});
+    m_context.waiting.add(shared_from_this(), m_task.route.priority);
+    const auto until = m_task.arrived
+        + std::chrono::duration_cast<MonotonicTime::duration>(WaitPart * m_task.route.objective);
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
+    m_waitTimer =
+        m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
+            const auto self = shared_from_this();
+            waitedTooLong();
+        });
+}
+
+void RelayRun::waitedTooLong()
+{
+    if (m_phase != Phase::Waiting)
+        return;
+    fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
+}
+
+void RelayRun::send(const TargetPick &pick)
+{
+    m_waitTimer.reset();
+    const RelayTarget &entry = pick.target->entry;
+    logEvent(LogLevel::Info, EventId::RelaySent,
+             {{"request", m_task.request.id.text()},
+              {"target", entry.id.text()},
+              {"load", QString::number(pick.load, 'f', 2)},
+              {"own", QString::number(pick.target->ownRunning)},
+              {"send", QString::number(m_sends + 1)},
+              {"left_ms", QString::number(timeLeft().count())}});
+    AttemptPlan plan;
+    plan.target = entry.id;
+    plan.workspace = m_task.workspace;
+    plan.timeLeft = timeLeft();
+    open(entry.id, entry.endpoint, plan);
+    if (m_task.route.kind == RequestKind::Idempotent) {
+        const auto silence = std::chrono::duration_cast<Milliseconds>(
+            SilentObjectives * m_task.route.objective);
+        m_silenceTimer = m_context.timers.after(silence, [this] {
+            const auto self = shared_from_this();
+            silentTooLong();
+        });
+    }
+}
+
+void RelayRun::open(const TargetId &target, const HttpEndpoint &endpoint, const AttemptPlan &plan)
+{
+    m_phase = Phase::Sent;
+    ++m_sends;
+    m_target = target;
+    m_endpoint = endpoint;
+    m_reserved = expectedTokens();
+    m_context.targets.requestPlaced(target, m_reserved);
+    RelayAttemptCallbacks callbacks;
+    if (isStream()) {
+        callbacks.began = [this](const AnswerHead &head) { m_streamHead = head; };
+        callbacks.event = [this](const ServerSentEvent &event) {
+            const auto self = shared_from_this();
+            eventCame(event);
+        };
+    }
+    callbacks.ended = [this](const SendResult &result) {
+        const auto self = shared_from_this();
+        attemptEnded(result);
+    };
+    const Milliseconds reuse = isStream()
+        ? NoReuse
+        : m_task.route.kind == RequestKind::Idempotent ? ReuseIdempotent : ReuseAtMostOnce;
+    m_attempt = std::make_unique<RelayAttempt>(m_context, m_task.request, endpoint, plan, reuse,
+                                               std::move(callbacks));
+}
+
+void RelayRun::leaveTarget()
+{
+    m_silenceTimer.reset();
+    if (m_target.isEmpty())
+        return;
+    m_attempt.reset();
+    m_context.targets.requestEnded(m_target, m_reserved);
+    m_target = TargetId();
+}
+
+void RelayRun::eventCame(const ServerSentEvent &event)
+{
+    bool isNumber = false;
+    const qint64 id = event.id.toLongLong(&isNumber);
+    // A resumed stream may begin with events that the caller has.
+    if (isNumber && id <= m_lastEvent)
+        return;
+    if (!isNumber || (hasBegun() && id != m_lastEvent + 1)) {
+        logEvent(LogLevel::Warning, EventId::RelayEventGap,
+                 {{"request", m_task.request.id.text()},
+                  {"target", m_target.text()},
+                  {"last", QString::number(m_lastEvent)},
+                  {"came", QString::fromUtf8(event.id.left(20))}});
+        streamLost(QStringLiteral("an event is missing"));
+        return;
+    }
+    if (!m_streamOpen) {
+        m_streamOpen = true;
+        m_firstEventAt = m_context.timers.now();
+        const std::chrono::duration<double, std::milli> taken = m_firstEventAt - m_task.arrived;
+        m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
+        m_context.targets.succeeded(m_target);
+        m_reply->startStream(m_streamHead.status, m_streamHead.headers);
+    }
+    const bool isFirstHere = m_ran != Ran::Yes;
+    m_ran = Ran::Yes;
+    m_lastEvent = id;
+    m_reply->write(event.raw);
+    if (m_reply->unsentBytes() > MostUnsentBytes) {
+        streamLost(QStringLiteral("the caller reads too slowly"));
+        return;
+    }
+    // A generation that began after its target was found to leave moves as soon as it can.
+    const TargetRecord *record = isFirstHere ? m_context.targets.find(m_target) : nullptr;
+    if (record && record->isLeaving)
+        targetLeaving(m_target);
+}
+
+void RelayRun::attemptEnded(const SendResult &result)
+{
+    if (m_phase == Phase::Over)
+        return;
+    if (m_phase == Phase::Moving) {
+        m_endedWhileMoving = result;
+        return;
+    }
+    logEvent(LogLevel::Info, EventId::RelaySendEnded,
+             {{"request", m_task.request.id.text()},
+              {"target", m_target.text()},
+              {"result", QLatin1String(sendResultName(result.kind))},
+              {"status", QString::number(result.head.status)},
+              {"events", QString::number(m_lastEvent)},
+              {"reason", result.reason}});
+    m_ran = std::max(m_ran, ranAfter(result.kind));
+    if (ranAfter(result.kind) != Ran::No)
+        ++m_runs;
+    judgeTarget(result);
+    if (hasBegun()) {
+        if (result.kind != SendResult::Kind::Answered) {
+            streamLost(result.reason);
+            return;
+        }
+        m_reply->write(m_attempt->unfinishedEvent());
+        succeed();
+        return;
+    }
+    const TargetId target = m_target;
+    leaveTarget();
+    m_excluded.insert(target);
+    if (tryAgain(result))
+        return;
+    // A stream that ends whole before its first event has nothing to pass on.
+    const bool isEmptyStream = isStream() && result.head.isSealed
+        && result.head.status < FirstServerFailure && result.body.isEmpty();
+    if (result.kind == SendResult::Kind::Answered && !isEmptyStream)
+        answered(result);
+    else if (m_fallback)
+        answered(*m_fallback);
+    else if (m_ran == Ran::No)
+        fail(ErrorKind::NoTarget, QStringLiteral("no target took the request"));
+    else
+        fail(ErrorKind::TargetFailed, QStringLiteral("the target did not answer whole"));
+}
+
+void RelayRun::judgeTarget(const SendResult &result)
+{
+    switch (result.kind) {
+    case SendResult::Kind::Answered:
+        if (result.head.status >= FirstServerFailure)
+            m_context.targets.failed(m_target, "answered with a failure");
+        else
+            m_context.targets.succeeded(m_target);
+        break;
+    case SendResult::Kind::NotExecuted:
+        // A full target is not a broken one; the load figures speak of that.
+        break;
+    case SendResult::Kind::Misdirected:
+        m_context.targets.markLeaving(m_target, "another target has its address");
+        break;
+    case SendResult::Kind::NotConnected:
+    case SendResult::Kind::Broken:
+    case SendResult::Kind::Spoilt:
+        m_context.targets.failed(m_target, sendResultName(result.kind));
+        break;
+    }
+}
+
+bool RelayRun::mayTryAgain(const SendResult &result) const
+{
+    if (m_sends >= MostSends || timeLeft().count() == 0)
+        return false;
+    if (ranAfter(result.kind) == Ran::No)
+        return m_ran == Ran::No || m_task.route.kind == RequestKind::Idempotent;
+    const bool isFailure = result.kind != SendResult::Kind::Answered
+        || result.head.status >= FirstServerFailure;
+    return isFailure && m_task.route.kind == RequestKind::Idempotent
+        && m_runs < m_task.route.mostTargets;
+}
+
+bool RelayRun::tryAgain(const SendResult &result)
+{
+    if (!mayTryAgain(result))
+        return false;
+    if (!m_context.retries.take(m_task.service, m_context.timers.now(),
+                                isStream() ? 0 : RetryReserve))
+        return false;
+    if (result.kind == SendResult::Kind::Answered)
+        m_fallback = result;
+    ++m_context.counters.of(m_task.route.kind).retried;
+    logEvent(LogLevel::Info, EventId::RelayRetried,
+             {{"request", m_task.request.id.text()},
+              {"after", QLatin1String(sendResultName(result.kind))},
+              {"sends", QString::number(m_sends)}});
+    place();
+    return true;
+}
+
+void RelayRun::answered(const SendResult &result)
+{
+    // A target's 503 that does not say "not run" would be taken for a promise by the caller; one
+    // without a seal is not known to be a target's at all.
+    const bool isOwnWord = result.head.isSealed && !result.head.isOdd;
+    if (!isOwnWord || isPromise(result.head.status)) {
+        fail(ErrorKind::TargetFailed, QStringLiteral("the target failed"));
+        return;
+    }
+    const std::chrono::duration<double, std::milli> taken =
+        m_context.timers.now() - m_task.arrived;
+    m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
+    m_reply->send({result.head.status, result.head.headers, result.body});
+    ++m_context.counters.of(m_task.route.kind).answered;
+    over("answered");
+}
+
+void RelayRun::silentTooLong()
+{
+    if (m_phase != Phase::Sent)
+        return;
+    SendResult silence;
+    silence.reason = QStringLiteral("silent");
+    // Without another target to go to, a late answer is better than none.
+    const bool canMove = m_context.targets.takingWork(m_task.service).size() > 1;
+    if (!canMove || m_runs + 1 >= m_task.route.mostTargets)
+        return;
+    attemptEnded(silence);
+}
+
+void RelayRun::deadlinePassed()
+{
+    const auto self = shared_from_this();
+    if (m_phase == Phase::Over)
+        return;
+    if (!m_target.isEmpty())
+        m_ran = std::max(m_ran, Ran::Maybe);
+    if (m_phase == Phase::Sent && !hasBegun())
+        m_context.targets.failed(m_target, "deadline passed");
+    if (m_fallback)
+        answered(*m_fallback);
+    else
+        fail(m_ran == Ran::No ? ErrorKind::DeadlineTooShort : ErrorKind::DeadlineExceeded,
+             QStringLiteral("the deadline has passed"));
+}
+
+void RelayRun::callerGone()
+{
+    if (m_phase == Phase::Over)
+        return;
+    ++m_context.counters.of(m_task.route.kind).callerGone;
+    over("caller gone");
+}
+
+void RelayRun::succeed()
+{
+    m_reply->end();
+    ++m_context.counters.of(m_task.route.kind).answered;
+    over("answered");
+}
+
+void RelayRun::fail(ErrorKind kind, const QString &detail)
+{
+    KindCounters &counters = m_context.counters.of(m_task.route.kind);
+    if (m_streamOpen) {
+        ++counters.failed;
+        m_reply->abort();
+        over("broken off");
+        return;
+    }
+    Error error;
+    error.kind = kind;
+    error.ran = m_ran;
+    error.detail = detail;
+    m_ran == Ran::No ? ++counters.refused : ++counters.failed;
+    m_reply->send(m_context.callers.failure(
+        error, m_ran == Ran::No ? std::optional<Milliseconds>(ComeBackAfter) : std::nullopt));
+    over(errorAnswer(kind).name);
+}
+
+void RelayRun::over(const char *outcome)
+{
+    if (m_phase == Phase::Over)
+        return;
+    const std::chrono::duration<double, std::milli> taken =
+        m_context.timers.now() - m_task.arrived;
+    logEvent(LogLevel::Info, EventId::RelayEnded,
+             {{"request", m_task.request.id.text()},
+              {"route", m_task.route.name},
+              {"outcome", QLatin1String(outcome)},
+              {"ran", QLatin1String(ranName(m_ran))},
+              {"sends", QString::number(m_sends)},
+              {"events", QString::number(m_lastEvent)},
+              {"ms", QString::number(taken.count(), 'f', 0)}});
+    finishMove(false);
+    leaveTarget();
+    m_phase = Phase::Over;
+    m_move.reset();
+    m_deadlineTimer.reset();
+    m_waitTimer.reset();
+    const auto ended = std::move(m_ended);
+    ended(this);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayRun.h
@@ -0,0 +1,147 @@
+// Defines RelayRun, one caller's request on its way through targets to its answer.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/HttpEndpoint.h"
+#include "relay/EngineTraits.h"
+#include "relay/RelayRequest.h"
+#include "relay/RelayRoute.h"
+#include "relay/SendResult.h"
+#include "relay/TargetChoice.h"
+
+#include <QSet>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class CallerReply;
+class GenerationMove;
+class RelayAttempt;
+class TimerSubscription;
+struct AttemptPlan;
+struct CopyReference;
+struct MoveOutcome;
+struct RelayContext;
+struct ServerSentEvent;
+
+/// What was decided about a request before it needs a target.
+struct RelayTask {
+    RelayRequest request;
+    RelayRoute route;
+    ServiceId service;
+    std::optional<EngineTraits> engine;
+    WorkspaceId workspace;
+    MonotonicTime arrived;
+};
+
+/// Finds a target, sends, judges what came of it, and either answers the caller or tries again
+/// as far as the request's kind allows. "Has not run" is said only if each send was one by which
+/// nothing can have run: none of its bytes left or the target itself said so.
+/// Thread safety: only from the thread of the event loop.
+class RelayRun : public std::enable_shared_from_this<RelayRun>
+{
+public:
+    using Ended = std::function<void(const RelayRun *run)>;
+
+    /// Precondition: @p context outlives the run; the run is held by a shared pointer.
+    RelayRun(RelayContext &context, RelayTask task, std::shared_ptr<CallerReply> reply,
+             Ended ended);
+    ~RelayRun();
+
+    void start();
+    /// It has no target and waits for one.
+    bool isWaiting() const { return m_phase == Phase::Waiting; }
+    /// Sends it if a target can take it; false if it still waits.
+    bool tryPlace();
+    /// The target is about to go; a generation there moves on.
+    void targetLeaving(const TargetId &target);
+    /// Begins to move away from @p source; false if it need not move any more.
+    bool beginMove(const TargetId &source);
+
+private:
+    enum class Phase {
+        Placing,
+        Waiting,
+        Sent,
+        /// The generation was stopped at its target and is on the way to another.
+        Moving,
+        Over,
+    };
+
+    bool isStream() const { return m_task.route.kind == RequestKind::Stream; }
+    bool hasBegun() const { return m_lastEvent > 0; }
+    Milliseconds timeLeft() const;
+    Tokens expectedTokens() const;
+    Tokens expectedOutput() const;
+    TargetNeed need() const;
+
+    void place();
+    void waitForRoom();
+    void waitedTooLong();
+    void send(const TargetPick &pick);
+    void open(const TargetId &target, const HttpEndpoint &endpoint, const AttemptPlan &plan);
+    void leaveTarget();
+    void eventCame(const ServerSentEvent &event);
+    void attemptEnded(const SendResult &result);
+    void judgeTarget(const SendResult &result);
+    bool mayTryAgain(const SendResult &result) const;
+    bool tryAgain(const SendResult &result);
+    void answered(const SendResult &result);
+    void silentTooLong();
+    void deadlinePassed();
+    void callerGone();
+
+    void moveEnded(const MoveOutcome &outcome, bool stopped);
+    void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
+    void finishMove(bool done);
+    void streamLost(const QString &reason);
+
+    void succeed();
+    void fail(ErrorKind kind, const QString &detail);
+    void over(const char *outcome);
+
+    RelayContext &m_context;
+    const RelayTask m_task;
+    const std::shared_ptr<CallerReply> m_reply;
+    Ended m_ended;
+    const MonotonicTime m_deadline;
+
+    Phase m_phase = Phase::Placing;
+    /// What the sends so far leave behind; it never becomes less.
+    Ran m_ran = Ran::No;
+    int m_sends = 0;
+    /// Sends after which the request may have run.
+    int m_runs = 0;
+    QSet<TargetId> m_excluded;
+    TargetId m_target;
+    HttpEndpoint m_endpoint;
+    Tokens m_reserved;
+    std::unique_ptr<RelayAttempt> m_attempt;
+    /// A target's failure answer, which goes to the caller if no further try succeeds.
+    std::optional<SendResult> m_fallback;
+    AnswerHead m_streamHead;
+    bool m_streamOpen = false;
+    qint64 m_lastEvent = 0;
+    MonotonicTime m_firstEventAt;
+
+    std::unique_ptr<GenerationMove> m_move;
+    /// Set from being queued for a move away from there to its end.
+    TargetId m_moveSource;
+    /// The queue of moves counts this one as begun.
+    bool m_moveActive = false;
+    TargetId m_moveDestination;
+    HttpEndpoint m_moveDestinationEndpoint;
+    /// The stream ended while its generation was being stopped; the move's answer says how.
+    std::optional<SendResult> m_endedWhileMoving;
+    int m_moveTries = 0;
+
+    std::unique_ptr<TimerSubscription> m_deadlineTimer;
+    std::unique_ptr<TimerSubscription> m_waitTimer;
+    std::unique_ptr<TimerSubscription> m_silenceTimer;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelayRunMoves.cpp
@@ -0,0 +1,162 @@
+// The part of RelayRun that moves a generation from one engine to another.
+#include "relay/RelayRun.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/CallerReply.h"
+#include "relay/AttemptPlan.h"
+#include "relay/GenerationMove.h"
+#include "relay/MoveQueue.h"
+#include "relay/RelayAttempt.h"
+#include "relay/RelayContext.h"
+#include "relay/TargetDirectory.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Destinations tried for one move.
+constexpr int MostMoveTries = 3;
+
+} // namespace
+
+void RelayRun::targetLeaving(const TargetId &target)
+{
+    const bool canMove = m_task.engine && m_task.engine->canMove && isStream();
+    const bool isThere = m_phase == Phase::Sent && m_target == target && hasBegun();
+    if (!canMove || !isThere || !m_moveSource.isEmpty())
+        return;
+    const double made = double(m_lastEvent) * m_task.engine->tokensPerEvent;
+    const double left = std::max(double(expectedOutput().value()) - made, 1.0);
+    m_moveSource = target;
+    m_context.moves.add(target, shared_from_this(), left);
+}
+
+bool RelayRun::beginMove(const TargetId &source)
+{
+    if (m_phase != Phase::Sent || m_target != source) {
+        m_moveSource = TargetId();
+        return false;
+    }
+    TargetNeed wanted = need();
+    wanted.excluded.insert(source);
+    if (const TargetRecord *record = m_context.targets.find(source))
+        wanted.dataCentre = record->entry.dataCentre;
+    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted,
+                                         m_context.timers.now());
+    const bool hasRetry = pick.target
+        && m_context.retries.take(m_task.service, m_context.timers.now(), 0);
+    if (!hasRetry) {
+        logEvent(LogLevel::Warning, EventId::MoveFailed,
+                 {{"request", m_task.request.id.text()},
+                  {"source", source.text()},
+                  {"reason", pick.target ? QStringLiteral("retry budget")
+                                         : QStringLiteral("no destination")}});
+        m_moveSource = TargetId();
+        return false;
+    }
+    ++m_moveTries;
+    m_moveActive = true;
+    ++m_context.counters.movesBegun;
+    m_moveDestination = pick.target->entry.id;
+    m_moveDestinationEndpoint = pick.target->entry.endpoint;
+    logEvent(LogLevel::Info, EventId::MoveBegun,
+             {{"request", m_task.request.id.text()},
+              {"source", source.text()},
+              {"destination", m_moveDestination.text()},
+              {"load", QString::number(pick.load, 'f', 2)},
+              {"events", QString::number(m_lastEvent)}});
+    GenerationMove::Callbacks callbacks;
+    callbacks.stopping = [this] {
+        if (m_phase != Phase::Sent)
+            return false;
+        m_phase = Phase::Moving;
+        return true;
+    };
+    callbacks.ended = [this](const MoveOutcome &outcome, bool stopped) {
+        const auto self = shared_from_this();
+        moveEnded(outcome, stopped);
+    };
+    m_move = std::make_unique<GenerationMove>(m_context, m_task.request.id, m_endpoint,
+                                              m_moveDestinationEndpoint, std::move(callbacks));
+    return true;
+}
+
+void RelayRun::moveEnded(const MoveOutcome &outcome, bool stopped)
+{
+    if (m_phase == Phase::Over)
+        return;
+    logEvent(LogLevel::Info, EventId::MoveEnded,
+             {{"request", m_task.request.id.text()},
+              {"outcome", QString::number(int(outcome.kind))},
+              {"stopped", stopped ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"events", QString::number(m_lastEvent)}});
+    if (!stopped) {
+        const TargetId source = m_moveSource;
+        finishMove(false);
+        const bool tryOther = outcome.kind == MoveOutcome::Kind::NoRoom
+            && m_moveTries < MostMoveTries && m_phase == Phase::Sent;
+        if (tryOther) {
+            m_excluded.insert(m_moveDestination);
+            targetLeaving(source);
+        }
+        return;
+    }
+    const CopyReference copy{m_endpoint, outcome.handle};
+    const bool copied = outcome.kind == MoveOutcome::Kind::Copied && !copy.handle.isEmpty();
+    if (copied) {
+        resume(m_moveDestinationEndpoint, m_moveDestination, copy);
+    } else if (outcome.kind == MoveOutcome::Kind::NoRoom && !copy.handle.isEmpty()) {
+        // The generation is stopped and only its source has it.
+        resume(m_endpoint, m_target, copy);
+    } else {
+        // It had ended, or the order was not heard: the stream itself tells.
+        m_phase = Phase::Sent;
+        finishMove(false);
+        if (const auto ended = std::exchange(m_endedWhileMoving, std::nullopt))
+            attemptEnded(*ended);
+    }
+}
+
+void RelayRun::resume(const HttpEndpoint &holder, const TargetId &holderId,
+                      const CopyReference &copy)
+{
+    const bool done = holderId != m_target;
+    m_endedWhileMoving.reset();
+    leaveTarget();
+    AttemptPlan plan;
+    plan.target = holderId;
+    plan.workspace = m_task.workspace;
+    plan.timeLeft = timeLeft();
+    plan.from = copy;
+    plan.lastEvent = m_lastEvent;
+    open(holderId, holder, plan);
+    finishMove(done);
+    // The destination may have been told to leave meanwhile.
+    const TargetRecord *record = m_context.targets.find(holderId);
+    if (done && record && record->isLeaving)
+        targetLeaving(holderId);
+}
+
+void RelayRun::finishMove(bool done)
+{
+    const TargetId source = std::exchange(m_moveSource, TargetId());
+    if (!std::exchange(m_moveActive, false))
+        return;
+    done ? ++m_context.counters.movesDone : ++m_context.counters.movesFailed;
+    m_context.moves.ended(source);
+}
+
+void RelayRun::streamLost(const QString &reason)
+{
+    ++m_context.counters.streamsLost;
+    logEvent(LogLevel::Warning, EventId::StreamLost,
+             {{"request", m_task.request.id.text()},
+              {"target", m_target.text()},
+              {"events", QString::number(m_lastEvent)},
+              {"reason", reason}});
+    fail(ErrorKind::GenerationLost, QStringLiteral("the generation was lost"));
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelaySettings.cpp
@@ -0,0 +1,72 @@
+#include "relay/RelaySettings.h"
+
+#include "daemon/SettingsReader.h"
+
+#include <QHostAddress>
+#include <QJsonDocument>
+
+namespace cranberry {
+
+namespace {
+
+constexpr qint64 MostMilliseconds = 3'600'000;
+constexpr double MostSlack = 1e6;
+
+HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
+{
+    const QString text = reader.requiredString(name);
+    const std::optional<HttpEndpoint> endpoint = parseEndpoint(QStringLiteral("http://") + text);
+    if (!endpoint || QHostAddress(endpoint->address).isNull())
+        reader.fault(name, QStringLiteral("\"ADDRESS:PORT\" with an IP number"));
+    return endpoint.value_or(HttpEndpoint());
+}
+
+Milliseconds readDuration(SettingsReader &reader, const QString &name, Milliseconds fallback)
+{
+    return Milliseconds(reader.number(name, 1, MostMilliseconds, fallback.count()));
+}
+
+RetryLimits readRetries(SettingsReader reader)
+{
+    RetryLimits limits;
+    limits.ratio = reader.decimal(QStringLiteral("ratio"), 0, 1, limits.ratio);
+    limits.slack = reader.decimal(QStringLiteral("slack"), 0, MostSlack, limits.slack);
+    limits.window = readDuration(reader, QStringLiteral("window_ms"), limits.window);
+    return limits;
+}
+
+} // namespace
+
+Result<RelaySettings> parseRelaySettings(const QByteArray &json)
+{
+    QJsonParseError fault;
+    const QJsonDocument document = QJsonDocument::fromJson(json, &fault);
+    if (fault.error != QJsonParseError::NoError || !document.isObject())
+        return Error{ErrorKind::BadRequest,
+                     Ran::No,
+                     QStringLiteral("settings: not a JSON object (byte %1: %2)")
+                         .arg(fault.offset)
+                         .arg(fault.errorString()),
+                     {},
+                     {}};
+    SettingsFaults faults;
+    SettingsReader reader(document.object(), QString(), faults);
+    RelaySettings settings;
+    settings.vm = VmId(reader.requiredString(QStringLiteral("vm")));
+    settings.dataCentre = DataCentreId(reader.requiredString(QStringLiteral("data_centre")));
+    settings.callers = readAddress(reader, QStringLiteral("callers"));
+    settings.readiness = readAddress(reader, QStringLiteral("readiness"));
+    settings.peer = readAddress(reader, QStringLiteral("peer"));
+    settings.store = readAddress(reader, QStringLiteral("store"));
+    settings.retries = readRetries(reader.object(QStringLiteral("retries")));
+    settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
+    settings.drain = readDuration(reader, QStringLiteral("drain_ms"), settings.drain);
+    settings.configurationApply =
+        readDuration(reader, QStringLiteral("configuration_apply_ms"), settings.configurationApply);
+    faults.noteUnread();
+    if (!faults.isEmpty())
+        return Error{ErrorKind::BadRequest, Ran::No, faults.first(), {}, {}};
+    return settings;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/RelaySettings.h
@@ -0,0 +1,31 @@
+// Defines RelaySettings, what a relaying daemon is told at its start.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Result.h"
+#include "http/HttpEndpoint.h"
+#include "relay/RetryShare.h"
+
+namespace cranberry {
+
+struct RelaySettings {
+    VmId vm;
+    DataCentreId dataCentre;
+    HttpEndpoint callers;
+    HttpEndpoint readiness;
+    HttpEndpoint peer;
+    HttpEndpoint store;
+    RetryLimits retries;
+    /// A stop by signal is followed by a kill after this time.
+    Milliseconds grace{8000};
+    /// A target that leaves gets no request after this time.
+    Milliseconds drain{2000};
+    /// A version is in force this long after it was accepted.
+    Milliseconds configurationApply{2000};
+};
+
+/// Reads the settings file; docs/OPERATIONS.md lists its fields. Error: BadRequest naming the
+/// field, its value and what is allowed. Thread-safe.
+Result<RelaySettings> parseRelaySettings(const QByteArray &json);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/StoreMirror.cpp
@@ -0,0 +1,215 @@
+#include "relay/StoreMirror.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/HttpClient.h"
+#include "relay/RelayCounters.h"
+#include "relay/StoreProtocol.h"
+
+#include <QRandomGenerator>
+
+namespace cranberry {
+
+namespace {
+
+/// Longest that the store lets a watch wait; fewer watches cost less.
+constexpr Milliseconds WatchWait{28000};
+constexpr Milliseconds WatchSlack{2000};
+/// A read takes some ms; a slow store takes 60 times as long.
+constexpr Milliseconds ReadTimeout{1500};
+constexpr Milliseconds ConnectTimeout{500};
+constexpr Milliseconds FirstBackoff{100};
+constexpr Milliseconds LongestBackoff{800};
+/// A target whose entry lapsed with the store is back within two seconds of the store's return.
+constexpr Milliseconds LapseGrace{2000};
+constexpr int StatusOk = 200;
+
+} // namespace
+
+StoreMirror::StoreMirror(TimerService &timers, HttpClient &client, const HttpEndpoint &store,
+                         const StoreProtocol &protocol, RelayCounters &counters, QString prefix)
+    : m_timers(timers)
+    , m_client(client)
+    , m_store(store)
+    , m_protocol(protocol)
+    , m_counters(counters)
+    , m_prefix(std::move(prefix))
+{
+}
+
+StoreMirror::~StoreMirror() = default;
+
+void StoreMirror::start()
+{
+    readPage({});
+}
+
+void StoreMirror::call(const HttpRequest &request, Milliseconds timeout,
+                       std::function<void(const StoreAnswer &)> callback)
+{
+    ++m_counters.storeCalls;
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.timeout = timeout;
+    options.reuseConnection = true;
+    m_call = m_client.fetch(
+        m_store, request, options,
+        [this, callback = std::move(callback)](HttpExchangeEnd end, const HttpResponse &response) {
+            StoreAnswer answer;
+            if (end == HttpExchangeEnd::Complete)
+                answer = m_protocol.readItems(response);
+            if (answer.kind != StoreAnswer::Kind::Unavailable) {
+                m_lastAnswer = m_timers.now();
+                m_backoff = Milliseconds(0);
+            }
+            callback(answer);
+        });
+}
+
+void StoreMirror::readPage(const QString &after)
+{
+    if (after.isEmpty()) {
+        m_reading.clear();
+        m_readAt = Revision();
+    }
+    call(m_protocol.range(m_prefix, after), ReadTimeout,
+         [this](const StoreAnswer &answer) { pageRead(answer); });
+}
+
+void StoreMirror::pageRead(const StoreAnswer &answer)
+{
+    if (answer.kind != StoreAnswer::Kind::Items) {
+        unavailable();
+        return;
+    }
+    // Pages are not a snapshot: the watch goes on from the first page's revision and repeats
+    // what changed while the later ones were read.
+    if (m_readAt == Revision())
+        m_readAt = answer.asOf;
+    for (const StoreItem &item : answer.items)
+        m_reading.insert(item.key, item);
+    if (answer.hasMore && !answer.items.isEmpty())
+        readPage(answer.items.last().key);
+    else
+        readDone();
+}
+
+void StoreMirror::readDone()
+{
+    if (!m_isCurrent)
+        logEvent(LogLevel::Info, EventId::PlatformBack,
+                 {{"prefix", m_prefix},
+                  {"keys", QString::number(m_reading.size())},
+                  {"revision", QString::number(m_readAt.value())}});
+    if (m_hasRead && !m_isCurrent)
+        m_doubtUntil = m_timers.now() + LapseGrace;
+    m_isCurrent = true;
+    m_hasRead = true;
+    m_needsRead = false;
+    m_revision = m_readAt;
+    const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
+    const QList<QString> known = m_items.keys();
+    for (const QString &key : known) {
+        if (!read.contains(key))
+            removeLater(key);
+    }
+    for (const StoreItem &item : read)
+        put(item);
+    watch();
+}
+
+void StoreMirror::watch()
+{
+    call(m_protocol.watch(m_prefix, m_revision, WatchWait), WatchWait + WatchSlack,
+         [this](const StoreAnswer &answer) { watched(answer); });
+}
+
+void StoreMirror::watched(const StoreAnswer &answer)
+{
+    if (answer.kind == StoreAnswer::Kind::Compacted) {
+        logEvent(LogLevel::Info, EventId::StoreCompacted,
+                 {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
+        m_needsRead = true;
+        readPage({});
+        return;
+    }
+    if (answer.kind == StoreAnswer::Kind::Unavailable) {
+        unavailable();
+        return;
+    }
+    if (!m_isCurrent) {
+        logEvent(LogLevel::Info, EventId::PlatformBack,
+                 {{"prefix", m_prefix}, {"revision", QString::number(answer.asOf.value())}});
+        m_doubtUntil = m_timers.now() + LapseGrace;
+        m_isCurrent = true;
+    }
+    for (const StoreItem &item : answer.items) {
+        if (item.isRemoved)
+            removeLater(item.key);
+        else
+            put(item);
+    }
+    m_revision = std::max(m_revision, answer.asOf);
+    watch();
+}
+
+void StoreMirror::unavailable()
+{
+    if (m_isCurrent)
+        logEvent(LogLevel::Warning, EventId::PlatformDown,
+                 {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
+    m_isCurrent = false;
+    m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, LongestBackoff);
+    // Daemons that lost the store together do not come back together.
+    const double part = 0.5 + 0.5 * QRandomGenerator::global()->generateDouble();
+    again(std::chrono::duration_cast<Milliseconds>(part * m_backoff));
+}
+
+void StoreMirror::again(Milliseconds delay)
+{
+    m_timer = m_timers.after(delay, [this] { m_needsRead ? readPage({}) : watch(); });
+}
+
+void StoreMirror::put(const StoreItem &item)
+{
+    m_missing.remove(item.key);
+    const auto known = m_items.constFind(item.key);
+    if (known != m_items.cend() && known->revision >= item.revision)
+        return;
+    m_items.insert(item.key, item);
+    m_callbacks.put(item);
+}
+
+void StoreMirror::removeLater(const QString &key)
+{
+    if (!m_items.contains(key))
+        return;
+    if (m_timers.now() >= m_doubtUntil) {
+        m_items.remove(key);
+        m_callbacks.removed(key);
+        return;
+    }
+    m_missing.insert(key, m_doubtUntil);
+    m_missingTimer = m_timers.after(
+        std::chrono::duration_cast<Milliseconds>(m_doubtUntil - m_timers.now()) + Milliseconds(1),
+        [this] { removeMissing(); });
+}
+
+void StoreMirror::removeMissing()
+{
+    const QHash<QString, MonotonicTime> missing = std::exchange(m_missing, {});
+    for (auto entry = missing.cbegin(); entry != missing.cend(); ++entry)
+        removeLater(entry.key());
+}
+
+void StoreMirror::takeFrom(const QList<StoreItem> &items, Revision revision)
+{
+    if (revision <= m_revision)
+        return;
+    for (const StoreItem &item : items)
+        put(item);
+    m_hasRead = true;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/StoreMirror.h
@@ -0,0 +1,93 @@
+// Defines StoreMirror, a daemon's copy of some keys of the platform's store.
+#pragma once
+
+#include "base/Units.h"
+#include "http/HttpEndpoint.h"
+#include "relay/StoreAnswer.h"
+
+#include <QHash>
+#include <QString>
+
+#include <functional>
+#include <memory>
+
+namespace cranberry {
+
+class HttpClient;
+class HttpExchange;
+class TimerService;
+class TimerSubscription;
+struct RelayCounters;
+struct StoreProtocol;
+
+struct StoreMirrorCallbacks {
+    std::function<void(const StoreItem &item)> put;
+    std::function<void(const QString &key)> removed;
+};
+
+/// Reads all keys under a prefix once and then follows a watch. It goes on with what it has while
+/// the store is away, and reads anew when the store has forgotten what happened meanwhile.
+/// Thread safety: only from the thread of the event loop.
+class StoreMirror
+{
+public:
+    /// Precondition: everything passed outlives the mirror.
+    StoreMirror(TimerService &timers, HttpClient &client, const HttpEndpoint &store,
+                const StoreProtocol &protocol, RelayCounters &counters, QString prefix);
+    ~StoreMirror();
+
+    /// Precondition: not started.
+    void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
+    void start();
+    /// A watch is open and nothing speaks against it: what it holds is what the store holds,
+    /// but for a connection that fell silent less than TcpStream::PeerTimeout ago.
+    bool isCurrent() const { return m_isCurrent; }
+    /// Something was read at least once.
+    bool hasRead() const { return m_hasRead; }
+    /// When the store last answered.
+    MonotonicTime lastAnswer() const { return m_lastAnswer; }
+    const QHash<QString, StoreItem> &items() const { return m_items; }
+    Revision revision() const { return m_revision; }
+    /// Takes in what another daemon has read, if it is newer.
+    void takeFrom(const QList<StoreItem> &items, Revision revision);
+
+private:
+    void readPage(const QString &after);
+    void pageRead(const StoreAnswer &answer);
+    void readDone();
+    void watch();
+    void watched(const StoreAnswer &answer);
+    void unavailable();
+    void again(Milliseconds delay);
+    void put(const StoreItem &item);
+    void removeLater(const QString &key);
+    void removeMissing();
+    void call(const struct HttpRequest &request, Milliseconds timeout,
+              std::function<void(const StoreAnswer &)> callback);
+
+    TimerService &m_timers;
+    HttpClient &m_client;
+    HttpEndpoint m_store;
+    const StoreProtocol &m_protocol;
+    RelayCounters &m_counters;
+    QString m_prefix;
+    StoreMirrorCallbacks m_callbacks;
+
+    QHash<QString, StoreItem> m_items;
+    QHash<QString, StoreItem> m_reading;
+    Revision m_revision;
+    Revision m_readAt;
+    bool m_isCurrent = false;
+    bool m_hasRead = false;
+    bool m_needsRead = true;
+    Milliseconds m_backoff{0};
+    MonotonicTime m_lastAnswer;
+    /// Removals are doubted until then, as leases may have lapsed while the store was away.
+    MonotonicTime m_doubtUntil;
+    QHash<QString, MonotonicTime> m_missing;
+    std::unique_ptr<HttpExchange> m_call;
+    std::unique_ptr<TimerSubscription> m_timer;
+    std::unique_ptr<TimerSubscription> m_missingTimer;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/TargetChoice.h
@@ -0,0 +1,45 @@
+// Defines chooseTarget, which target a request goes to.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "relay/EngineTraits.h"
+
+#include <QList>
+#include <QSet>
+
+#include <optional>
+
+namespace cranberry {
+
+struct TargetRecord;
+
+/// What a request asks of a target and who asks.
+struct TargetNeed {
+    DataCentreId dataCentre;
+    /// Memory for the prompt and the answer by the forecast; zero at plain services.
+    Tokens tokens;
+    std::optional<EngineTraits> engine;
+    QSet<TargetId> excluded;
+};
+
+/// A chosen target and the figures that decided.
+struct TargetPick {
+    const TargetRecord *target = nullptr;
+    /// Part of its capacity that is taken with the request, 1 is full.
+    double load = 0;
+};
+
+/// Part of the capacity of @p target that would be taken with @p need. Thread-safe.
+double loadWith(const TargetRecord &target, const TargetNeed &need);
+
+/// The target with the best mix of load, distance and reliability; none if all are excluded or
+/// none is there. Suspected targets are chosen only if there is no other. Thread-safe.
+TargetPick chooseTarget(const QList<const TargetRecord *> &targets, const TargetNeed &need,
+                        MonotonicTime now);
+
+/// The @p count targets that would be looked at first. Thread-safe.
+QList<TargetId> likelyTargets(const QList<const TargetRecord *> &targets, const TargetNeed &need,
+                              MonotonicTime now, int count);
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/TargetDirectory.cpp
@@ -0,0 +1,180 @@
+#include "relay/TargetDirectory.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranberry {
+
+namespace {
+
+/// Weight of the newest request in the share of failures: a target that fails four of ten is
+/// known after about five requests.
+constexpr double FailureWeight = 0.2;
+/// A target is tried again after this time, doubled with each failure in a row.
+constexpr Milliseconds FirstSuspicion{250};
+constexpr Milliseconds LongestSuspicion{4000};
+
+void logTarget(EventId event, const TargetRecord &record, const char *reason)
+{
+    logEvent(LogLevel::Info, event,
+             {{"target", record.entry.id.text()},
+              {"service", record.entry.service.text()},
+              {"running", QString::number(record.ownRunning)},
+              {"reason", QLatin1String(reason)}});
+}
+
+} // namespace
+
+TargetDirectory::TargetDirectory(TimerService &timers)
+    : m_timers(timers)
+{
+}
+
+void TargetDirectory::put(const RelayTarget &entry)
+{
+    const auto known = m_targets.find(entry.id);
+    m_removed.remove(entry.id);
+    if (known == m_targets.end()) {
+        TargetRecord record;
+        record.entry = entry;
+        record.since = m_timers.now();
+        record.isLeaving = entry.isLeaving;
+        m_targets.insert(entry.id, record);
+        logTarget(EventId::TargetJoined, record, entry.isLeaving ? "leaving" : "ready");
+        roomChanged();
+        return;
+    }
+    // A target that said it leaves does not come back under the same id.
+    known->entry = entry;
+    known->entry.isLeaving = entry.isLeaving || known->isLeaving;
+    if (entry.isLeaving)
+        markLeaving(entry.id, "entry");
+}
+
+void TargetDirectory::markLeaving(const TargetId &target, const char *source)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end() || known->isLeaving)
+        return;
+    known->isLeaving = true;
+    logTarget(EventId::TargetLeaving, *known, source);
+    if (m_leaving)
+        m_leaving(target);
+}
+
+void TargetDirectory::remove(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    m_removed.insert(target, true);
+    logTarget(EventId::TargetGone, *known, "entry removed");
+    markLeaving(target, "entry removed");
+    dropIfUnused(target);
+}
+
+void TargetDirectory::dropIfUnused(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end() || known->ownRunning > 0 || !m_removed.contains(target))
+        return;
+    m_targets.erase(known);
+    m_removed.remove(target);
+}
+
+const TargetRecord *TargetDirectory::find(const TargetId &target) const
+{
+    const auto known = m_targets.constFind(target);
+    return known == m_targets.cend() ? nullptr : &*known;
+}
+
+QList<const TargetRecord *> TargetDirectory::takingWork(const ServiceId &service) const
+{
+    QList<const TargetRecord *> targets;
+    for (const TargetRecord &record : m_targets) {
+        if (record.entry.service == service && !record.isLeaving)
+            targets.append(&record);
+    }
+    return targets;
+}
+
+int TargetDirectory::count(const ServiceId &service) const
+{
+    return int(std::count_if(m_targets.cbegin(), m_targets.cend(), [&](const TargetRecord &r) {
+        return r.entry.service == service;
+    }));
+}
+
+void TargetDirectory::requestPlaced(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    ++known->ownRunning;
+    known->ownTokens += tokens;
+    ++known->placedSince;
+    known->tokensSince += tokens;
+}
+
+void TargetDirectory::requestEnded(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    --known->ownRunning;
+    known->ownTokens -= tokens;
+    dropIfUnused(target);
+    roomChanged();
+}
+
+void TargetDirectory::succeeded(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->failureShare *= 1 - FailureWeight;
+    known->failureSeen = m_timers.now();
+    if (known->failuresInRow > 0)
+        logTarget(EventId::TargetCleared, *known, "answered");
+    known->failuresInRow = 0;
+    known->suspectUntil = {};
+}
+
+void TargetDirectory::failed(const TargetId &target, const char *how)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->failureShare += FailureWeight * (1 - known->failureShare);
+    known->failureSeen = m_timers.now();
+    const int doublings = std::min(known->failuresInRow, 6);
+    ++known->failuresInRow;
+    const Milliseconds pause = std::min(FirstSuspicion * (1 << doublings), LongestSuspicion);
+    known->suspectUntil = m_timers.now() + pause;
+    logTarget(EventId::TargetSuspected, *known, how);
+}
+
+void TargetDirectory::reported(const TargetId &target, const EngineReport &report)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->report = report;
+    known->reportedAt = m_timers.now();
+    known->placedSince = 0;
+    known->tokensSince = Tokens(0);
+    if (report.isLeaving)
+        markLeaving(target, "report");
+    roomChanged();
+}
+
+void TargetDirectory::roomChanged()
+{
+    if (m_room)
+        m_room();
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/TargetDirectory.h
@@ -0,0 +1,63 @@
+// Defines TargetDirectory, all targets that a daemon knows and what it has seen of them.
+#pragma once
+
+#include "relay/TargetRecord.h"
+
+#include <QHash>
+#include <QList>
+#include <QMap>
+
+#include <functional>
+
+namespace cranberry {
+
+class TimerService;
+
+/// Thread safety: only from the thread of the event loop.
+class TargetDirectory
+{
+public:
+    using LeavingCallback = std::function<void(const TargetId &target)>;
+    using ChangedCallback = std::function<void()>;
+
+    /// Precondition: @p timers outlives the directory.
+    explicit TargetDirectory(TimerService &timers);
+
+    /// Takes in an entry that is new or has changed.
+    void put(const RelayTarget &entry);
+    /// The target is gone; its record stays while requests are at it.
+    void remove(const TargetId &target);
+    /// The target said so itself or through another daemon.
+    void markLeaving(const TargetId &target, const char *source);
+
+    /// Null if it is not known.
+    const TargetRecord *find(const TargetId &target) const;
+    /// Targets of @p service that take new work, in the order of their ids.
+    QList<const TargetRecord *> takingWork(const ServiceId &service) const;
+    int count(const ServiceId &service) const;
+
+    /// A request begins or ends at @p target.
+    void requestPlaced(const TargetId &target, Tokens tokens);
+    void requestEnded(const TargetId &target, Tokens tokens);
+    /// What a request showed of the target.
+    void succeeded(const TargetId &target);
+    void failed(const TargetId &target, const char *how);
+    void reported(const TargetId &target, const EngineReport &report);
+
+    /// Called when a target stops to take new work.
+    void onLeaving(LeavingCallback callback) { m_leaving = std::move(callback); }
+    /// Called when a target may take more than before.
+    void onRoom(ChangedCallback callback) { m_room = std::move(callback); }
+
+private:
+    void dropIfUnused(const TargetId &target);
+    void roomChanged();
+
+    TimerService &m_timers;
+    QMap<TargetId, TargetRecord> m_targets;
+    LeavingCallback m_leaving;
+    ChangedCallback m_room;
+    QHash<TargetId, bool> m_removed;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/TargetProtocol.h
@@ -0,0 +1,33 @@
+// Defines TargetProtocol, how requests and orders are written for targets and answers read.
+#pragma once
+
+#include "base/Result.h"
+#include "http/HttpRequest.h"
+#include "http/HttpResponse.h"
+#include "relay/AnswerHead.h"
+#include "relay/EngineReport.h"
+#include "relay/MoveOutcome.h"
+
+#include <functional>
+
+namespace cranberry {
+
+struct AttemptPlan;
+struct MoveOrder;
+struct RelayRequest;
+
+/// Pure translation: no function keeps state or chooses. Every member is set.
+/// Thread safety: as its functions; those of the adapters are thread-safe.
+struct TargetProtocol {
+    std::function<HttpRequest(const RelayRequest &, const AttemptPlan &)> attempt;
+    std::function<AnswerHead(const RelayRequest &, int status, const HttpHeaders &)> answerHead;
+    /// The header by which a target says which request it answers.
+    QByteArray echoHeader;
+    std::function<HttpRequest()> report;
+    std::function<Result<EngineReport>(const HttpResponse &)> readReport;
+    std::function<HttpRequest(const MoveOrder &)> move;
+    std::function<MoveOutcome(const HttpResponse &)> readMove;
+    std::function<HttpRequest(const QByteArray &handle)> freeCopy;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/TargetRecord.h
@@ -0,0 +1,32 @@
+// Defines TargetRecord, what a daemon knows of one target.
+#pragma once
+
+#include "relay/EngineReport.h"
+#include "relay/RelayTarget.h"
+
+#include <optional>
+
+namespace cranberry {
+
+struct TargetRecord {
+    RelayTarget entry;
+    MonotonicTime since;
+    bool isLeaving = false;
+    /// Requests of this daemon that are at the target now.
+    int ownRunning = 0;
+    /// Memory that these will take at most by the forecast.
+    Tokens ownTokens;
+    /// Share of recent requests that the target failed, 0 to 1; newer ones count more.
+    double failureShare = 0;
+    MonotonicTime failureSeen;
+    int failuresInRow = 0;
+    /// Takes no work before, unless no other target can.
+    MonotonicTime suspectUntil;
+    std::optional<EngineReport> report;
+    MonotonicTime reportedAt;
+    /// Requests and memory placed there since the report.
+    int placedSince = 0;
+    Tokens tokensSince;
+};
+
+} // namespace cranberry
--- a/test/correctness/KeyValueService.cpp
+++ b/test/correctness/KeyValueService.cpp
@@ -2,7 +2,7 @@
 #define BOOST_TEST_MODULE KeyValueService
 #include <boost/test/unit_test.hpp>
 
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 #include "support/EventLoop.h"
 #include "support/StandinProcess.h"
 #include "support/StoreCalls.h"
--- a/test/failure/ClaimsThroughOutages.cpp
+++ b/test/failure/ClaimsThroughOutages.cpp
@@ -9,7 +9,7 @@
 #include "base/EventLog.h"
 #include "claims/ClaimSegment.h"
 #include "claims/ClaimStore.h"
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 #include "support/EventLoop.h"
 #include "support/FixedMembers.h"
 #include "support/QuietPeers.h"
--- a/test/failure/PausedIssuer.cpp
+++ b/test/failure/PausedIssuer.cpp
@@ -7,7 +7,7 @@
 
 #include "base/EventLog.h"
 #include "orders/IssuerLease.h"
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 #include "support/EventLoop.h"
 #include "support/StandinProcess.h"
 #include "support/StoreCalls.h"
--- a/test/performance/ClaimRate.cpp
+++ b/test/performance/ClaimRate.cpp
@@ -6,7 +6,7 @@
 #include "base/TimerSubscription.h"
 #include "claims/ClaimStore.h"
 #include "peer/PeerNetwork.h"
-#include "platform/HttpKeyValueStore.h"
+#include "platformstore/HttpKeyValueStore.h"
 #include "support/FixedMembers.h"
 
 #include <QCoreApplication>
--- a/test/standins/platform/KeyValueTable.h
+++ b/test/standins/platform/KeyValueTable.h
@@ -1,7 +1,7 @@
 // Defines KeyValueTable, the state of a small key-value service with compare-and-swap.
 #pragma once
 
-#include "platform/KeyValue.h"
+#include "platformstore/KeyValue.h"
 
 #include <QMap>
 
--- a/test/support/FakeVmList.h
+++ b/test/support/FakeVmList.h
@@ -3,7 +3,7 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <list>
 
--- a/test/support/InterleavedStore.h
+++ b/test/support/InterleavedStore.h
@@ -1,7 +1,7 @@
 // Defines InterleavedStore, one daemon's view of an InterleavedService.
 #pragma once
 
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 #include "support/InterleavedService.h"
 
 namespace cranberry::test {
--- a/test/support/MemoryKeyValueStore.h
+++ b/test/support/MemoryKeyValueStore.h
@@ -1,7 +1,7 @@
 // Defines MemoryKeyValueStore, the platform's service inside a test program, with its faults.
 #pragma once
 
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 #include <QMap>
 #include <QObject>
--- a/test/support/StoreCalls.h
+++ b/test/support/StoreCalls.h
@@ -1,7 +1,7 @@
 // Defines StoreCalls, the calls of a key-value store for tests that wait for each answer.
 #pragma once
 
-#include "platform/KeyValueStore.h"
+#include "platformstore/KeyValueStore.h"
 
 namespace cranberry::test {
 
