Relay: moves copy in rounds until one is short

Cause: every move paused its stream 210 to 780 ms (allowed 180), as the last part waited behind first copies of other generations on the source's link. Ruled out: ordering moves within one daemon, the others share the link.

--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -1,5 +1,7 @@
 #include "relay/GenerationMove.h"
 
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
 #include "http/HttpClient.h"
 #include "relay/MoveOrder.h"
 #include "relay/RelayContext.h"
@@ -11,16 +13,23 @@
 /// An engine that leaves does so within about two seconds: a copy that takes longer is lost.
 constexpr Milliseconds CopyTimeout{3000};
 constexpr Milliseconds ConnectTimeout{200};
+/// A round this short had nothing to wait for; a stream may pause for 180 ms.
+constexpr Milliseconds ShortRound{60};
+/// Time between rounds; what is generated meanwhile is a few tokens.
+constexpr Milliseconds BetweenRounds{40};
+/// The last part is copied this long before the engine goes, whatever the rounds say.
+constexpr Milliseconds LastMoment{350};
 
 } // namespace
 
 GenerationMove::GenerationMove(RelayContext &context, const RequestId &request,
                                const HttpEndpoint &source, const HttpEndpoint &destination,
-                               Callbacks callbacks)
+                               MonotonicTime leavesAt, Callbacks callbacks)
     : m_context(context)
     , m_request(request)
     , m_source(source)
     , m_destination(destination)
+    , m_leavesAt(leavesAt)
     , m_callbacks(std::move(callbacks))
 {
     order(false);
@@ -34,6 +43,7 @@
     options.connectTimeout = ConnectTimeout;
     options.timeout = CopyTimeout;
     options.keepConnection = true;
+    m_roundBegan = m_context.timers.now();
     const MoveOrder order{m_request, m_destination, isLast};
     m_exchange =
         m_context.client.fetch(m_source, m_context.protocol.move(order), options,
@@ -52,12 +62,20 @@
         end(outcome, isLast);
         return;
     }
-    if (m_callbacks.stopping())
+    if (!isTimeToStop())
+        m_next = m_context.timers.after(BetweenRounds, [this] { order(false); });
+    else if (m_callbacks.stopping())
         order(true);
     else
         end(outcome, false);
 }
 
+bool GenerationMove::isTimeToStop() const
+{
+    const MonotonicTime now = m_context.timers.now();
+    return now - m_roundBegan <= ShortRound || now + LastMoment >= m_leavesAt;
+}
+
 void GenerationMove::end(const MoveOutcome &outcome, bool stopped)
 {
     const auto callback = std::move(m_callbacks.ended);
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/Units.h"
 #include "http/HttpEndpoint.h"
 #include "relay/MoveOutcome.h"
 
@@ -11,11 +12,14 @@
 namespace cranberry {
 
 class HttpExchange;
+class TimerSubscription;
 struct HttpResponse;
 struct RelayContext;
 
-/// Copies while the generation runs, then stops it and copies the rest, so that the pause is as
-/// long as the rest is: a copy of 4,000 tokens takes about 0.2 s, the last part a few ms.
+/// Copies while the generation runs, again and again until a round is short, then stops it and
+/// copies the rest. Copies from one engine wait for each other: a last part that waits behind the
+/// first copy of another generation (0.2 to 0.4 s for 4,000 tokens) makes a pause that long, while
+/// a round that was short shows that nothing waits.
 /// Destroying it leaves an unfinished order to the engine.
 /// Thread safety: only from the thread of the event loop.
 class GenerationMove
@@ -30,11 +34,12 @@
 
     /// Precondition: @p context outlives the move.
     GenerationMove(RelayContext &context, const RequestId &request, const HttpEndpoint &source,
-                   const HttpEndpoint &destination, Callbacks callbacks);
+                   const HttpEndpoint &destination, MonotonicTime leavesAt, Callbacks callbacks);
     ~GenerationMove();
 
 private:
     void order(bool isLast);
+    bool isTimeToStop() const;
     void answered(bool isLast, const MoveOutcome &outcome);
     void end(const MoveOutcome &outcome, bool stopped);
 
@@ -42,7 +47,10 @@
     RequestId m_request;
     HttpEndpoint m_source;
     HttpEndpoint m_destination;
+    MonotonicTime m_leavesAt;
+    MonotonicTime m_roundBegan;
     Callbacks m_callbacks;
+    std::unique_ptr<TimerSubscription> m_next;
     std::unique_ptr<HttpExchange> m_exchange;
 };
 
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -11,7 +11,6 @@
 
 class EngineReports;
 class HttpClient;
-class MoveQueue;
 class TargetDirectory;
 class TimerService;
 class WaitingRequests;
@@ -23,7 +22,6 @@
     TargetDirectory &targets;
     EngineReports &reports;
     WaitingRequests &waiting;
-    MoveQueue &moves;
     RetryShare &retries;
     RelayCounters &counters;
     const CallerProtocol &callers;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -35,7 +35,7 @@
     , reports(timers, client, targets, protocols.targets, counters)
     , waiting(timers)
     , retries(given.retries)
-    , context{timers,  client,   targets,           reports,           waiting,          moves,
+    , context{timers,  client,   targets,           reports,           waiting,
               retries, counters, protocols.callers, protocols.targets, given.dataCentre}
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -6,14 +6,14 @@
 #include "relay/RelayContext.h"
 #include "relay/RelayRun.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
 
 /// Time that an engine takes for one token of one of many generations.
 constexpr double TokenMilliseconds = 10;
-/// Lengths are forecast at the median: twice that covers most.
-constexpr double LengthMargin = 2;
 /// After a refusal that another daemon would not give; the caller comes back at once.
 constexpr Milliseconds ComeBackElsewhere{20};
 constexpr Milliseconds ComeBackWhenReady{300};
@@ -49,8 +49,13 @@
 
 void RelayGateway::targetLeaving(const TargetId &target)
 {
-    const auto runs = m_runs;
-    for (const std::shared_ptr<RelayRun> &run : runs)
+    // Copies from one engine go over its link one after another, and one that is not complete when
+    // the engine goes is worth nothing: what has most still to come goes first.
+    QList<std::shared_ptr<RelayRun>> runs = m_runs.values();
+    std::stable_sort(runs.begin(), runs.end(), [](const auto &a, const auto &b) {
+        return a->expectedLeft() > b->expectedLeft();
+    });
+    for (const std::shared_ptr<RelayRun> &run : std::as_const(runs))
         run->targetLeaving(target);
 }
 
@@ -96,8 +101,9 @@
         std::chrono::duration_cast<Milliseconds>(*m_drainUntil - m_context.timers.now());
     if (route.kind != RequestKind::Stream)
         return left < route.objective;
-    const double tokens =
-        double(request.expectedOutput.value_or(request.mostOutput).value()) * LengthMargin;
+    // A stream that is cut when the process ends is lost, while a caller that is refused now is
+    // served by another daemon: the longest answer counts, not the expected one.
+    const double tokens = double(request.mostOutput.value());
     return tokens * TokenMilliseconds + double(route.objective.count()) > double(left.count());
 }
 
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -5,7 +5,6 @@
 #include "http/HttpClient.h"
 #include "http/HttpListener.h"
 #include "relay/EngineReports.h"
-#include "relay/MoveQueue.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayProtocols.h"
@@ -29,7 +28,6 @@
     TargetDirectory targets;
     EngineReports reports;
     WaitingRequests waiting;
-    MoveQueue moves;
     RetryShare retries;
     RelayContext context;
     StoreMirror configuration;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -8,7 +8,6 @@
 #include "relay/AttemptPlan.h"
 #include "relay/EngineReports.h"
 #include "relay/GenerationMove.h"
-#include "relay/MoveQueue.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
 #include "relay/TargetDirectory.h"
@@ -249,6 +248,7 @@
     }
     const bool isFirstHere = m_ran != Ran::Yes;
     m_ran = Ran::Yes;
+    notePause();
     m_lastEvent = id;
     m_reply->write(event.raw);
     if (m_reply->unsentBytes() > MostUnsentBytes) {
@@ -261,6 +261,18 @@
         targetLeaving(m_target);
 }
 
+void RelayRun::notePause()
+{
+    const MonotonicTime now = m_context.timers.now();
+    if (hasBegun()) {
+        const auto pause = std::chrono::duration_cast<Milliseconds>(now - m_lastEventAt);
+        m_longestPause = std::max(m_longestPause, pause);
+        if (std::exchange(m_isFirstSinceMove, false))
+            m_movePause = std::max(m_movePause, pause);
+    }
+    m_lastEventAt = now;
+}
+
 void RelayRun::attemptEnded(const SendResult &result)
 {
     if (m_phase == Phase::Over)
@@ -440,6 +452,13 @@
     over(errorAnswer(kind).name);
 }
 
+qint64 RelayRun::firstEventMilliseconds() const
+{
+    if (!m_streamOpen)
+        return 0;
+    return std::chrono::duration_cast<Milliseconds>(m_firstEventAt - m_task.arrived).count();
+}
+
 void RelayRun::over(const char *outcome)
 {
     if (m_phase == Phase::Over)
@@ -453,8 +472,11 @@
               {"ran", QLatin1String(ranName(m_ran))},
               {"sends", QString::number(m_sends)},
               {"events", QString::number(m_lastEvent)},
+              {"moves", QString::number(m_moves)},
+              {"first_ms", QString::number(firstEventMilliseconds())},
+              {"pause_ms", QString::number(m_longestPause.count())},
+              {"move_pause_ms", QString::number(m_movePause.count())},
               {"ms", QString::number(taken.count(), 'f', 0)}});
-    finishMove(false);
     leaveTarget();
     m_phase = Phase::Over;
     m_move.reset();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -59,8 +59,8 @@
     bool tryPlace();
     /// The target is about to go; a generation there moves on.
     void targetLeaving(const TargetId &target);
-    /// Begins to move away from @p source; false if it need not move any more.
-    bool beginMove(const TargetId &source);
+    /// Tokens that a generation is expected to make still.
+    double expectedLeft() const;
 
 private:
     enum class Phase {
@@ -85,6 +85,7 @@
     void send(const TargetPick &pick);
     void open(const TargetId &target, const HttpEndpoint &endpoint, const AttemptPlan &plan);
     void leaveTarget();
+    void notePause();
     void eventCame(const ServerSentEvent &event);
     void attemptEnded(const SendResult &result);
     void judgeTarget(const SendResult &result);
@@ -95,14 +96,15 @@
     void deadlinePassed();
     void callerGone();
 
+    void beginMove();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
     void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
-    void finishMove(bool done);
     void streamLost(const QString &reason);
 
     void succeed();
     void fail(ErrorKind kind, const QString &detail);
     void over(const char *outcome);
+    qint64 firstEventMilliseconds() const;
 
     RelayContext &m_context;
     const RelayTask m_task;
@@ -127,12 +129,15 @@
     bool m_streamOpen = false;
     qint64 m_lastEvent = 0;
     MonotonicTime m_firstEventAt;
+    MonotonicTime m_lastEventAt;
+    Milliseconds m_longestPause{0};
+    /// Made while the stream was moved.
+    Milliseconds m_movePause{0};
+    int m_moves = 0;
+    /// The next event is the first one from another engine.
+    bool m_isFirstSinceMove = false;
 
     std::unique_ptr<GenerationMove> m_move;
-    /// Set from being queued for a move away from there to its end.
-    TargetId m_moveSource;
-    /// The queue of moves counts this one as begun.
-    bool m_moveActive = false;
     TargetId m_moveDestination;
     HttpEndpoint m_moveDestinationEndpoint;
     /// The stream ended while its generation was being stopped; the move's answer says how.
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -7,7 +7,6 @@
 #include "http/CallerReply.h"
 #include "relay/AttemptPlan.h"
 #include "relay/GenerationMove.h"
-#include "relay/MoveQueue.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
 #include "relay/TargetDirectory.h"
@@ -25,24 +24,23 @@
 {
     const bool canMove = m_task.engine && m_task.engine->canMove && isStream();
     const bool isThere = m_phase == Phase::Sent && m_target == target && hasBegun();
-    if (!canMove || !isThere || !m_moveSource.isEmpty())
-        return;
-    const double made = double(m_lastEvent) * m_task.engine->tokensPerEvent;
-    const double left = std::max(double(expectedOutput().value()) - made, 1.0);
-    m_moveSource = target;
-    m_context.moves.add(target, shared_from_this(), left);
+    if (canMove && isThere && !m_move)
+        beginMove();
 }
 
-bool RelayRun::beginMove(const TargetId &source)
+double RelayRun::expectedLeft() const
 {
-    if (m_phase != Phase::Sent || m_target != source) {
-        m_moveSource = TargetId();
-        return false;
-    }
+    const double made = m_task.engine ? double(m_lastEvent) * m_task.engine->tokensPerEvent : 0;
+    return double(expectedOutput().value()) - made;
+}
+
+void RelayRun::beginMove()
+{
+    const TargetRecord *source = m_context.targets.find(m_target);
     TargetNeed wanted = need();
-    wanted.excluded.insert(source);
-    if (const TargetRecord *record = m_context.targets.find(source))
-        wanted.dataCentre = record->entry.dataCentre;
+    wanted.excluded.insert(m_target);
+    // A copy takes twice as long between data centres, and the source's link is the bottleneck.
+    wanted.dataCentre = source->entry.dataCentre;
     const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted,
                                          m_context.timers.now());
     const bool hasRetry = pick.target
@@ -50,20 +48,18 @@
     if (!hasRetry) {
         logEvent(LogLevel::Warning, EventId::MoveFailed,
                  {{"request", m_task.request.id.text()},
-                  {"source", source.text()},
+                  {"source", m_target.text()},
                   {"reason", pick.target ? QStringLiteral("retry budget")
                                          : QStringLiteral("no destination")}});
-        m_moveSource = TargetId();
-        return false;
+        return;
     }
     ++m_moveTries;
-    m_moveActive = true;
     ++m_context.counters.movesBegun;
     m_moveDestination = pick.target->entry.id;
     m_moveDestinationEndpoint = pick.target->entry.endpoint;
     logEvent(LogLevel::Info, EventId::MoveBegun,
              {{"request", m_task.request.id.text()},
-              {"source", source.text()},
+              {"source", m_target.text()},
               {"destination", m_moveDestination.text()},
               {"load", QString::number(pick.load, 'f', 2)},
               {"events", QString::number(m_lastEvent)}});
@@ -79,8 +75,8 @@
         moveEnded(outcome, stopped);
     };
     m_move = std::make_unique<GenerationMove>(m_context, m_task.request.id, m_endpoint,
-                                              m_moveDestinationEndpoint, std::move(callbacks));
-    return true;
+                                              m_moveDestinationEndpoint, source->leavesAt,
+                                              std::move(callbacks));
 }
 
 void RelayRun::moveEnded(const MoveOutcome &outcome, bool stopped)
@@ -93,13 +89,13 @@
               {"stopped", stopped ? QStringLiteral("yes") : QStringLiteral("no")},
               {"events", QString::number(m_lastEvent)}});
     if (!stopped) {
-        const TargetId source = m_moveSource;
-        finishMove(false);
+        ++m_context.counters.movesFailed;
+        m_move.reset();
         const bool tryOther = outcome.kind == MoveOutcome::Kind::NoRoom
             && m_moveTries < MostMoveTries && m_phase == Phase::Sent;
         if (tryOther) {
             m_excluded.insert(m_moveDestination);
-            targetLeaving(source);
+            targetLeaving(m_target);
         }
         return;
     }
@@ -113,7 +109,8 @@
     } else {
         // It had ended, or the order was not heard: the stream itself tells.
         m_phase = Phase::Sent;
-        finishMove(false);
+        ++m_context.counters.movesFailed;
+        m_move.reset();
         if (const auto ended = std::exchange(m_endedWhileMoving, std::nullopt))
             attemptEnded(*ended);
     }
@@ -123,6 +120,8 @@
                       const CopyReference &copy)
 {
     const bool done = holderId != m_target;
+    ++m_moves;
+    m_isFirstSinceMove = true;
     m_endedWhileMoving.reset();
     leaveTarget();
     AttemptPlan plan;
@@ -132,22 +131,14 @@
     plan.from = copy;
     plan.lastEvent = m_lastEvent;
     open(holderId, holder, plan);
-    finishMove(done);
+    done ? ++m_context.counters.movesDone : ++m_context.counters.movesFailed;
+    m_move.reset();
     // The destination may have been told to leave meanwhile.
     const TargetRecord *record = m_context.targets.find(holderId);
     if (done && record && record->isLeaving)
         targetLeaving(holderId);
 }
 
-void RelayRun::finishMove(bool done)
-{
-    const TargetId source = std::exchange(m_moveSource, TargetId());
-    if (!std::exchange(m_moveActive, false))
-        return;
-    done ? ++m_context.counters.movesDone : ++m_context.counters.movesFailed;
-    m_context.moves.ended(source);
-}
-
 void RelayRun::streamLost(const QString &reason)
 {
     ++m_context.counters.streamsLost;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -17,6 +17,10 @@
 constexpr Milliseconds FirstSuspicion{250};
 constexpr Milliseconds LongestSuspicion{4000};
 
+/// Engines that are taken away go between 1.5 and 2.1 s after they say so, and the word takes up
+/// to 0.2 s to arrive.
+constexpr Milliseconds LeastNotice{1300};
+
 void logTarget(EventId event, const TargetRecord &record, const char *reason)
 {
     logEvent(LogLevel::Info, event,
@@ -60,6 +64,7 @@
     if (known == m_targets.end() || known->isLeaving)
         return;
     known->isLeaving = true;
+    known->leavesAt = m_timers.now() + LeastNotice;
     logTarget(EventId::TargetLeaving, *known, source);
     if (m_leaving)
         m_leaving(target);
@@ -164,6 +169,8 @@
         return;
     known->report = report;
     known->reportedAt = m_timers.now();
+    if (report.leavesIn)
+        known->leavesAt = m_timers.now() + *report.leavesIn;
     known->placedSince = 0;
     known->tokensSince = Tokens(0);
     if (report.isLeaving)
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -12,6 +12,8 @@
     RelayTarget entry;
     MonotonicTime since;
     bool isLeaving = false;
+    /// When it is gone at the earliest, once it is leaving.
+    MonotonicTime leavesAt;
     /// Requests of this daemon that are at the target now.
     int ownRunning = 0;
     /// Memory that these will take at most by the forecast.
