Relay: daemons tell each other what they placed where

Cause: first events came 1.7 to 2.9 s late where several daemons placed prompts at the same engine; its report is half a second old. Ruled out: more reports (priced, and late by themselves).

--- /dev/null
+++ b/src/relay/LoadExchange.h
@@ -0,0 +1,56 @@
+// Defines LoadExchange, by which daemons tell each other what they have placed where.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+
+#include <QHash>
+#include <QSet>
+
+#include <memory>
+
+class QCborArray;
+class QUdpSocket;
+
+namespace cranberry {
+
+class PeerDirectory;
+class TargetDirectory;
+class TimerService;
+class TimerSubscription;
+struct HttpEndpoint;
+
+/// Engines report their load half a second late, and in that time many daemons would choose the
+/// same one. So each daemon tells the others what it has at each engine, in datagrams: whole
+/// figures and not changes, so that a lost one is mended by the next. They go to the daemons of
+/// the same data centre, and to all in a small fleet; nothing depends on them but how well
+/// requests are spread.
+/// Thread safety: only from the thread of the event loop.
+class LoadExchange
+{
+public:
+    /// Precondition: everything passed outlives the exchange.
+    LoadExchange(TimerService &timers, PeerDirectory &peers, TargetDirectory &targets);
+    ~LoadExchange();
+
+    /// Takes datagrams at @p endpoint; false if it cannot.
+    bool listenOn(const HttpEndpoint &endpoint);
+    /// What this daemon has at @p target has changed.
+    void changed(const TargetId &target);
+
+private:
+    void send(const QSet<TargetId> &targets);
+    void refresh();
+    void received();
+    void take(const VmId &peer, const QCborArray &entry);
+
+    TimerService &m_timers;
+    PeerDirectory &m_peers;
+    TargetDirectory &m_targets;
+    std::unique_ptr<QUdpSocket> m_socket;
+    QSet<TargetId> m_changed;
+    std::unique_ptr<TimerSubscription> m_soon;
+    std::unique_ptr<TimerSubscription> m_refresh;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/Peer.h
@@ -0,0 +1,19 @@
+// Defines Peer, another daemon of the fleet.
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/HttpEndpoint.h"
+
+namespace cranberry {
+
+struct Peer {
+    VmId vm;
+    DataCentreId dataCentre;
+    /// Where it takes datagrams and answers other daemons.
+    HttpEndpoint endpoint;
+    /// When the store last listed it or it was last heard.
+    MonotonicTime seen;
+};
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/PeerDirectory.h
@@ -0,0 +1,72 @@
+// Defines PeerDirectory, the other daemons of the fleet as the platform's store lists them.
+#pragma once
+
+#include "relay/Peer.h"
+#include "relay/StoreAnswer.h"
+
+#include <QHash>
+#include <QList>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class HttpClient;
+class HttpExchange;
+class TimerService;
+class TimerSubscription;
+struct HttpRequest;
+struct HttpResponse;
+struct RelayCounters;
+struct StoreProtocol;
+
+/// Each daemon keeps a key with a lease in the store, so that one that is gone disappears by
+/// itself; all list these keys now and then. A watch would cost a call for each daemon and each
+/// one that comes or goes.
+/// Thread safety: only from the thread of the event loop.
+class PeerDirectory
+{
+public:
+    /// Precondition: everything passed outlives the directory.
+    PeerDirectory(TimerService &timers, HttpClient &client, const HttpEndpoint &store,
+                  const StoreProtocol &protocol, RelayCounters &counters, Peer self);
+    ~PeerDirectory();
+
+    void start();
+    /// Gives the own key up, as this daemon is about to end.
+    void leave();
+    const Peer &self() const { return m_self; }
+    /// The others, without those not seen for long.
+    QList<Peer> peers() const;
+    /// A message of @p peer came.
+    void heard(const Peer &peer);
+    /// Daemons that may live, this one included.
+    int fleetSize() const;
+
+private:
+    void call(const HttpRequest &request, std::function<void(const HttpResponse &)> callback);
+    void announce();
+    void granted(const HttpResponse &response);
+    void announceAgain(Milliseconds delay);
+    void list();
+    void listed(const StoreAnswer &answer);
+
+    TimerService &m_timers;
+    HttpClient &m_client;
+    HttpEndpoint m_store;
+    const StoreProtocol &m_protocol;
+    RelayCounters &m_counters;
+    Peer m_self;
+    QHash<VmId, Peer> m_peers;
+    std::optional<LeaseId> m_lease;
+    bool m_leaving = false;
+    int m_lists = 0;
+    std::unique_ptr<HttpExchange> m_announcing;
+    std::unique_ptr<HttpExchange> m_listing;
+    std::unique_ptr<TimerSubscription> m_announceTimer;
+    std::unique_ptr<TimerSubscription> m_listTimer;
+};
+
+} // namespace cranberry
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -7,6 +7,8 @@
 #include "relay/RetryShare.h"
 #include "relay/TargetProtocol.h"
 
+#include <functional>
+
 namespace cranberry {
 
 class EngineReports;
@@ -27,6 +29,8 @@
     const CallerProtocol &callers;
     const TargetProtocol &protocol;
     DataCentreId dataCentre;
+    /// Other daemons tell what they place where, so that engines need not be asked.
+    std::function<bool()> knowsPeers;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -37,8 +37,12 @@
     , reports(timers, client, targets, protocols.targets, counters)
     , waiting(timers)
     , retries(given.retries)
+    , peers(timers, client, given.store, protocols.store, counters,
+            {given.vm, given.dataCentre, given.peer, {}})
+    , loads(timers, peers, targets)
     , context{timers,  client,   targets,           reports,           waiting,
-              retries, counters, protocols.callers, protocols.targets, given.dataCentre}
+              retries, counters, protocols.callers, protocols.targets, given.dataCentre,
+              [this] { return peers.fleetSize() > 1; }}
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters,
@@ -73,6 +77,10 @@
     parts.targets.onLeaving([this](const TargetId &target) {
         m_parts->gateway.targetLeaving(target);
     });
+    parts.targets.onOwnLoad([this](const TargetId &target) {
+        m_parts->loads.changed(target);
+        m_parts->retries.setDaemons(m_parts->peers.fleetSize());
+    });
     parts.targets.onRoom([this] { m_parts->waiting.roomChanged(); });
 }
 
@@ -82,6 +90,10 @@
 {
     BOOST_OUTCOME_TRY(callers, m_parts->callers.listenOn(m_parts->settings.callers));
     BOOST_OUTCOME_TRY(readiness, m_parts->readiness.listenOn(m_parts->settings.readiness));
+    if (!m_parts->loads.listenOn(m_parts->settings.peer))
+        logEvent(LogLevel::Error, EventId::PeerFrameInvalid,
+                 {{"detail", QStringLiteral("cannot take datagrams")}});
+    m_parts->peers.start();
     m_parts->configuration.start();
     m_parts->entries.start();
     m_askTimer = m_parts->timers.every(AskInterval, [this] { askEnginesInUse(); });
@@ -168,6 +180,7 @@
     if (busy)
         return;
     m_drainTimer.reset();
+    m_parts->peers.leave();
     logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_parts->settings.vm.text()}});
     m_drained();
 }
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -5,6 +5,8 @@
 #include "http/HttpClient.h"
 #include "http/HttpListener.h"
 #include "relay/EngineReports.h"
+#include "relay/LoadExchange.h"
+#include "relay/PeerDirectory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayProtocols.h"
@@ -29,6 +31,8 @@
     EngineReports reports;
     WaitingRequests waiting;
     RetryShare retries;
+    PeerDirectory peers;
+    LoadExchange loads;
     RelayContext context;
     StoreMirror configuration;
     StoreMirror entries;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -113,7 +113,7 @@
 void RelayRun::place()
 {
     m_phase = Phase::Placing;
-    if (!m_task.engine) {
+    if (!m_task.engine || m_context.knowsPeers()) {
         if (!tryPlace())
             waitForRoom();
         return;
@@ -197,6 +197,8 @@
     m_target = target;
     m_endpoint = endpoint;
     m_reserved = expectedTokens();
+    m_unread = m_task.engine && !plan.from ? m_task.request.promptTokens : Tokens(0);
+    m_context.targets.promptPlaced(target, m_unread);
     m_context.targets.requestPlaced(target, m_reserved);
     RelayAttemptCallbacks callbacks;
     if (isStream()) {
@@ -223,6 +225,7 @@
     if (m_target.isEmpty())
         return;
     m_attempt.reset();
+    promptWasRead();
     m_context.targets.requestEnded(m_target, m_reserved);
     m_target = TargetId();
 }
@@ -253,6 +256,7 @@
     }
     const bool isFirstHere = m_ran != Ran::Yes;
     m_ran = Ran::Yes;
+    promptWasRead();
     notePause();
     m_lastEvent = id;
     m_reply->write(event.raw);
@@ -266,6 +270,13 @@
         targetLeaving(m_target);
 }
 
+void RelayRun::promptWasRead()
+{
+    const Tokens unread = std::exchange(m_unread, Tokens(0));
+    if (unread.value() > 0)
+        m_context.targets.promptRead(m_target, unread);
+}
+
 void RelayRun::notePause()
 {
     const MonotonicTime now = m_context.timers.now();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -88,6 +88,7 @@
     void send(const TargetPick &pick);
     void open(const TargetId &target, const HttpEndpoint &endpoint, const AttemptPlan &plan);
     void leaveTarget();
+    void promptWasRead();
     void notePause();
     void eventCame(const ServerSentEvent &event);
     void attemptEnded(const SendResult &result);
@@ -126,6 +127,8 @@
     TargetId m_target;
     HttpEndpoint m_endpoint;
     Tokens m_reserved;
+    /// Of the prompt, as long as the target has not shown that it read it.
+    Tokens m_unread;
     std::unique_ptr<RelayAttempt> m_attempt;
     /// A target's failure answer, which goes to the caller if no further try succeeds.
     std::optional<SendResult> m_fallback;
--- a/src/relay/StoreProtocol.h
+++ b/src/relay/StoreProtocol.h
@@ -19,7 +19,15 @@
     /// A page of the keys that begin with @p prefix, from behind the key @p after.
     std::function<HttpRequest(const QString &prefix, const QString &after)> range;
     std::function<HttpRequest(const QString &prefix, Revision after, Milliseconds wait)> watch;
+    /// All keys that begin with @p prefix, perhaps as they were some seconds ago; costs less.
+    std::function<HttpRequest(const QString &prefix)> staleRange;
     std::function<StoreAnswer(const HttpResponse &)> readItems;
+    std::function<HttpRequest(Milliseconds duration)> grantLease;
+    std::function<Result<LeaseId>(const HttpResponse &)> readLease;
+    std::function<HttpRequest(LeaseId lease)> renewLease;
+    std::function<HttpRequest(LeaseId lease)> endLease;
+    /// Writes a key that vanishes with @p lease, whatever it held before.
+    std::function<HttpRequest(const QString &key, const QByteArray &value, LeaseId lease)> writeKey;
     /// Keys under which configuration and targets stand.
     QString configurationKey;
     QString targetPrefix;
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -17,10 +17,13 @@
 constexpr double FailureHalfLife = 4.0;
 /// Load that a target still slow after its start counts as more.
 constexpr double ColdPenalty = 0.3;
-/// Load of each request that waits inside an engine.
-constexpr double QueuedPenalty = 0.1;
-/// Memory that each running generation is expected to take still: about half of a mean answer.
-constexpr double GrowthTokens = 350;
+/// Prompt tokens before a request that count as a whole engine's memory. An engine that also
+/// generates reads about 7 tokens in a ms: 10,000 take as long as the time to the first event.
+constexpr double TokensReadAtOnce = 10000;
+/// What a peer said holds this long; it repeats it every 1.5 s.
+constexpr Milliseconds PeerLoadHolds{5000};
+/// A report older than this says nothing of now.
+constexpr Milliseconds ReportHolds{2000};
 /// Equal targets are told apart at random, so that daemons with equal knowledge spread out.
 constexpr double Jitter = 0.03;
 
@@ -30,22 +33,51 @@
     return FailurePenalty * target.failureShare * std::exp2(-age.count() / FailureHalfLife);
 }
 
-double engineLoad(const TargetRecord &target, const TargetNeed &need)
+/// What all daemons have at a target, as far as it is known.
+struct KnownLoad {
+    double tokens = 0;
+    double unread = 0;
+    int running = 0;
+};
+
+KnownLoad knownLoad(const TargetRecord &target, MonotonicTime now)
+{
+    KnownLoad load;
+    load.tokens = double(target.ownTokens.value());
+    load.unread = double(target.ownUnread.value());
+    load.running = target.ownRunning;
+    for (const PeerLoad &peer : target.peers) {
+        if (now - peer.heard > PeerLoadHolds)
+            continue;
+        load.tokens += double(peer.tokens.value());
+        load.unread += double(peer.unread.value());
+        load.running += peer.running;
+    }
+    return load;
+}
+
+double engineLoad(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
     const double capacity = std::max<double>(double(need.engine->memory.value()), 1);
-    double used = double(target.ownTokens.value());
-    int running = target.ownRunning;
-    double queued = 0;
-    if (target.report) {
-        const double reported = double(target.report->used.value())
-            + GrowthTokens * target.report->running + double(target.tokensSince.value());
-        used = std::max(used, reported);
+    const KnownLoad known = knownLoad(target, now);
+    double used = known.tokens;
+    int running = known.running;
+    const bool hasReport = target.report && now - target.reportedAt < ReportHolds;
+    if (hasReport) {
+        // What the daemons know of covers their forecasts; what only the engine knows of, such
+        // as copies, shows in its report.
+        used = std::max(used, double(target.report->used.value() + target.tokensSince.value()));
         running = std::max(running, target.report->running + target.placedSince);
-        queued = target.report->queued;
     }
     const double memory = (used + double(need.tokens.value())) / capacity;
     const double slots = double(running + 1) / std::max(need.engine->batchSlots, 1);
-    return std::max(memory, slots) + QueuedPenalty * queued;
+    return std::max(memory, slots);
+}
+
+/// Part of the time to the first event that the prompts before this one take.
+double readingDelay(const TargetRecord &target, MonotonicTime now)
+{
+    return knownLoad(target, now).unread / TokensReadAtOnce;
 }
 
 double plainLoad(const TargetRecord &target)
@@ -55,7 +87,9 @@
 
 double score(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    double value = loadWith(target, need) + failurePenalty(target, now);
+    double value = loadWith(target, need, now) + failurePenalty(target, now);
+    if (need.engine)
+        value += readingDelay(target, now);
     if (target.entry.dataCentre != need.dataCentre)
         value += need.distancePenalty;
     const bool isCold = now - target.since < target.entry.coldLeft;
@@ -86,9 +120,9 @@
 
 } // namespace
 
-double loadWith(const TargetRecord &target, const TargetNeed &need)
+double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    return need.engine ? engineLoad(target, need) : plainLoad(target);
+    return need.engine ? engineLoad(target, need, now) : plainLoad(target);
 }
 
 TargetPick chooseTarget(const QList<const TargetRecord *> &targets, const TargetNeed &need,
@@ -97,7 +131,7 @@
     const QList<Scored> all = ranked(targets, need, now);
     if (all.isEmpty())
         return {};
-    return {all.first().target, loadWith(*all.first().target, need)};
+    return {all.first().target, loadWith(*all.first().target, need, now)};
 }
 
 QList<TargetId> likelyTargets(const QList<const TargetRecord *> &targets, const TargetNeed &need,
--- a/src/relay/TargetChoice.h
+++ b/src/relay/TargetChoice.h
@@ -35,7 +35,7 @@
 };
 
 /// Part of the capacity of @p target that would be taken with @p need. Thread-safe.
-double loadWith(const TargetRecord &target, const TargetNeed &need);
+double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now);
 
 /// The target with the best mix of load, distance and reliability; none if all are excluded or
 /// none is there. Suspected targets are chosen only if there is no other. Thread-safe.
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -122,6 +122,50 @@
     known->ownTokens += tokens;
     ++known->placedSince;
     known->tokensSince += tokens;
+    ownLoadChanged(target);
+}
+
+void TargetDirectory::promptPlaced(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known != m_targets.end())
+        known->ownUnread += tokens;
+}
+
+void TargetDirectory::promptRead(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->ownUnread -= tokens;
+    ownLoadChanged(target);
+}
+
+void TargetDirectory::peerLoad(const TargetId &target, const VmId &peer, const PeerLoad &load)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    const bool isLess = load.tokens < known->peers.value(peer).tokens;
+    known->peers.insert(peer, load);
+    if (isLess)
+        roomChanged();
+}
+
+QList<TargetId> TargetDirectory::usedByThisDaemon() const
+{
+    QList<TargetId> used;
+    for (const TargetRecord &record : m_targets) {
+        if (record.ownRunning > 0)
+            used.append(record.entry.id);
+    }
+    return used;
+}
+
+void TargetDirectory::ownLoadChanged(const TargetId &target)
+{
+    if (m_ownLoad)
+        m_ownLoad(target);
 }
 
 void TargetDirectory::requestEnded(const TargetId &target, Tokens tokens)
@@ -131,6 +175,7 @@
         return;
     --known->ownRunning;
     known->ownTokens -= tokens;
+    ownLoadChanged(target);
     dropIfUnused(target);
     roomChanged();
 }
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -39,6 +39,13 @@
     /// A request begins or ends at @p target.
     void requestPlaced(const TargetId &target, Tokens tokens);
     void requestEnded(const TargetId &target, Tokens tokens);
+    /// A prompt is at @p target to be read, or has been.
+    void promptPlaced(const TargetId &target, Tokens tokens);
+    void promptRead(const TargetId &target, Tokens tokens);
+    /// Another daemon says what it has at @p target.
+    void peerLoad(const TargetId &target, const VmId &peer, const PeerLoad &load);
+    /// Targets at which this daemon has requests.
+    QList<TargetId> usedByThisDaemon() const;
     /// What a request showed of the target.
     void succeeded(const TargetId &target);
     void failed(const TargetId &target, const char *how);
@@ -48,15 +55,19 @@
     void onLeaving(LeavingCallback callback) { m_leaving = std::move(callback); }
     /// Called when a target may take more than before.
     void onRoom(ChangedCallback callback) { m_room = std::move(callback); }
+    /// Called when what this daemon has at a target changes.
+    void onOwnLoad(LeavingCallback callback) { m_ownLoad = std::move(callback); }
 
 private:
     void dropIfUnused(const TargetId &target);
     void roomChanged();
+    void ownLoadChanged(const TargetId &target);
 
     TimerService &m_timers;
     QMap<TargetId, TargetRecord> m_targets;
     LeavingCallback m_leaving;
     ChangedCallback m_room;
+    LeavingCallback m_ownLoad;
     QHash<TargetId, bool> m_removed;
 };
 
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -2,8 +2,11 @@
 #pragma once
 
 #include "relay/EngineReport.h"
+#include "relay/PeerLoad.h"
 #include "relay/RelayTarget.h"
 
+#include <QHash>
+
 #include <optional>
 
 namespace cranberry {
@@ -18,6 +21,10 @@
     int ownRunning = 0;
     /// Memory that these will take at most by the forecast.
     Tokens ownTokens;
+    /// Prompts of these that have not yielded a token yet.
+    Tokens ownUnread;
+    /// What the other daemons say that they have there.
+    QHash<VmId, PeerLoad> peers;
     /// Share of recent requests that the target failed, 0 to 1; newer ones count more.
     double failureShare = 0;
     MonotonicTime failureSeen;
