--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -1,15 +1,13 @@
 #include "relay/LoadExchange.h"
 
-#include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
 #include "relay/TargetDirectory.h"
 
 #include <QCborArray>
 #include <QCborValue>
-#include <QNetworkDatagram>
-#include <QUdpSocket>
 
 namespace cranberry {
 
@@ -26,24 +24,22 @@
 
 } // namespace
 
-LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, TargetDirectory &targets)
+LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
+                           TargetDirectory &targets)
     : m_timers(timers)
     , m_peers(peers)
+    , m_datagrams(datagrams)
     , m_targets(targets)
     , m_refresh(timers.every(RefreshInterval, [this] { refresh(); }))
 {
+    datagrams.onMessage(DatagramKind::Load, [this](const Peer &from, const QCborArray &body) {
+        for (const QCborValue &entry : body)
+            take(from.vm, entry.toArray());
+    });
 }
 
 LoadExchange::~LoadExchange() = default;
 
-bool LoadExchange::listenOn(const HttpEndpoint &endpoint)
-{
-    m_socket = std::make_unique<QUdpSocket>();
-    QObject::connect(m_socket.get(), &QUdpSocket::readyRead, m_socket.get(),
-                     [this] { received(); });
-    return m_socket->bind(QHostAddress(endpoint.address), endpoint.port);
-}
-
 void LoadExchange::changed(const TargetId &target)
 {
     m_changed.insert(target);
@@ -63,7 +59,6 @@
 
 void LoadExchange::send(const QSet<TargetId> &targets)
 {
-    const Peer &self = m_peers.self();
     QCborArray entries;
     for (const TargetId &target : targets) {
         const TargetRecord *record = m_targets.find(target);
@@ -71,37 +66,12 @@
             entries.append(QCborArray{target.text(), record->ownRunning, record->ownTokens.value(),
                                       record->ownUnread.value()});
     }
-    if (entries.isEmpty() || !m_socket)
+    if (entries.isEmpty())
         return;
-    const QByteArray datagram =
-        QCborValue(QCborArray{self.vm.text(), self.dataCentre.text(), entries}).toCbor();
-    const QList<Peer> peers = m_peers.peers();
-    const bool toAll = peers.size() <= SmallFleet;
-    for (const Peer &peer : peers) {
-        if (toAll || peer.dataCentre == self.dataCentre)
-            m_socket->writeDatagram(datagram, QHostAddress(peer.endpoint.address),
-                                    peer.endpoint.port);
-    }
-}
-
-void LoadExchange::received()
-{
-    while (m_socket->hasPendingDatagrams()) {
-        const QNetworkDatagram datagram = m_socket->receiveDatagram();
-        const QCborArray message = QCborValue::fromCbor(datagram.data()).toArray();
-        Peer peer;
-        peer.vm = VmId(message.at(0).toString());
-        peer.dataCentre = DataCentreId(message.at(1).toString());
-        peer.endpoint = {datagram.senderAddress().toString(), quint16(datagram.senderPort())};
-        if (peer.vm.isEmpty()) {
-            logEvent(LogLevel::Warning, EventId::PeerFrameInvalid,
-                     {{"from", peer.endpoint.address}});
-            continue;
-        }
-        m_peers.heard(peer);
-        for (const QCborValue &entry : message.at(2).toArray())
-            take(peer.vm, entry.toArray());
-    }
+    QList<Peer> receivers = m_peers.peers();
+    if (receivers.size() > SmallFleet)
+        receivers = m_peers.peersNearby();
+    m_datagrams.send(receivers, DatagramKind::Load, entries);
 }
 
 void LoadExchange::take(const VmId &peer, const QCborArray &entry)
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -10,15 +10,14 @@
 #include <memory>
 
 class QCborArray;
-class QUdpSocket;
 
 namespace cranberry {
 
+class PeerDatagrams;
 class PeerDirectory;
 class TargetDirectory;
 class TimerService;
 class TimerSubscription;
-struct HttpEndpoint;
 
 /// Engines report their load half a second late, and in that time many daemons would choose the
 /// same one. So each daemon tells the others what it has at each engine, in datagrams: whole
@@ -30,24 +29,22 @@
 {
 public:
     /// Precondition: everything passed outlives the exchange.
-    LoadExchange(TimerService &timers, PeerDirectory &peers, TargetDirectory &targets);
+    LoadExchange(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
+                 TargetDirectory &targets);
     ~LoadExchange();
 
-    /// Takes datagrams at @p endpoint; false if it cannot.
-    bool listenOn(const HttpEndpoint &endpoint);
     /// What this daemon has at @p target has changed.
     void changed(const TargetId &target);
 
 private:
     void send(const QSet<TargetId> &targets);
     void refresh();
-    void received();
     void take(const VmId &peer, const QCborArray &entry);
 
     TimerService &m_timers;
     PeerDirectory &m_peers;
+    PeerDatagrams &m_datagrams;
     TargetDirectory &m_targets;
-    std::unique_ptr<QUdpSocket> m_socket;
     QSet<TargetId> m_changed;
     std::unique_ptr<TimerSubscription> m_soon;
     std::unique_ptr<TimerSubscription> m_refresh;
--- /dev/null
+++ b/src/relay/PeerDatagrams.cpp
@@ -0,0 +1,65 @@
+#include "relay/PeerDatagrams.h"
+
+#include "base/EventLog.h"
+#include "relay/PeerDirectory.h"
+
+#include <QCborValue>
+#include <QNetworkDatagram>
+#include <QUdpSocket>
+
+namespace cranberry {
+
+PeerDatagrams::PeerDatagrams(PeerDirectory &peers)
+    : m_peers(peers)
+{
+}
+
+PeerDatagrams::~PeerDatagrams() = default;
+
+bool PeerDatagrams::listenOn(const HttpEndpoint &endpoint)
+{
+    m_socket = std::make_unique<QUdpSocket>();
+    QObject::connect(m_socket.get(), &QUdpSocket::readyRead, m_socket.get(),
+                     [this] { received(); });
+    return m_socket->bind(QHostAddress(endpoint.address), endpoint.port);
+}
+
+void PeerDatagrams::onMessage(DatagramKind kind, Handler handler)
+{
+    m_handlers[std::size_t(kind)] = std::move(handler);
+}
+
+void PeerDatagrams::send(const QList<Peer> &receivers, DatagramKind kind, const QCborArray &body)
+{
+    if (!m_socket)
+        return;
+    const Peer &self = m_peers.self();
+    const QCborArray message{self.vm.text(), self.dataCentre.text(), int(kind), body};
+    const QByteArray datagram = QCborValue(message).toCbor();
+    for (const Peer &peer : receivers)
+        m_socket->writeDatagram(datagram, QHostAddress(peer.endpoint.address), peer.endpoint.port);
+}
+
+void PeerDatagrams::received()
+{
+    while (m_socket->hasPendingDatagrams()) {
+        const QNetworkDatagram datagram = m_socket->receiveDatagram();
+        const QCborArray message = QCborValue::fromCbor(datagram.data()).toArray();
+        Peer peer;
+        peer.vm = VmId(message.at(0).toString());
+        peer.dataCentre = DataCentreId(message.at(1).toString());
+        peer.endpoint = {datagram.senderAddress().toString(), quint16(datagram.senderPort())};
+        const qint64 kind = message.at(2).toInteger(-1);
+        const bool isKnown = kind >= 0 && kind < qint64(m_handlers.size()) && !peer.vm.isEmpty();
+        if (!isKnown) {
+            logEvent(LogLevel::Warning, EventId::PeerFrameInvalid,
+                     {{"from", peer.endpoint.address}});
+            continue;
+        }
+        m_peers.heard(peer);
+        if (const Handler &handler = m_handlers[std::size_t(kind)])
+            handler(peer, message.at(3).toArray());
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/PeerDatagrams.h
@@ -0,0 +1,54 @@
+// Defines PeerDatagrams, short messages between daemons that may be lost.
+#pragma once
+
+#include "base/Ids.h"
+
+#include <QCborArray>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+class QUdpSocket;
+
+namespace cranberry {
+
+class PeerDirectory;
+struct HttpEndpoint;
+struct Peer;
+
+enum class DatagramKind {
+    /// What a daemon has at some targets.
+    Load,
+    /// What changed in the platform's store.
+    StoreChange,
+};
+
+/// A message is a CBOR array in one datagram. Nothing that must hold depends on one: links with
+/// connections to hundreds of daemons would cost descriptors and probes for what is stale after
+/// a second.
+/// Thread safety: only from the thread of the event loop.
+class PeerDatagrams
+{
+public:
+    using Handler = std::function<void(const Peer &from, const QCborArray &body)>;
+
+    /// Precondition: @p peers outlives the object.
+    explicit PeerDatagrams(PeerDirectory &peers);
+    ~PeerDatagrams();
+
+    /// Takes datagrams at @p endpoint; false if it cannot.
+    bool listenOn(const HttpEndpoint &endpoint);
+    /// Precondition: set before listenOn().
+    void onMessage(DatagramKind kind, Handler handler);
+    void send(const QList<Peer> &receivers, DatagramKind kind, const QCborArray &body);
+
+private:
+    void received();
+
+    PeerDirectory &m_peers;
+    std::unique_ptr<QUdpSocket> m_socket;
+    std::array<Handler, 2> m_handlers;
+};
+
+} // namespace cranberry
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -176,6 +176,13 @@
     return peers;
 }
 
+QList<Peer> PeerDirectory::peersNearby() const
+{
+    QList<Peer> nearby = peers();
+    nearby.removeIf([this](const Peer &peer) { return peer.dataCentre != m_self.dataCentre; });
+    return nearby;
+}
+
 int PeerDirectory::fleetSize() const
 {
     return int(peers().size()) + 1;
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -40,6 +40,8 @@
     const Peer &self() const { return m_self; }
     /// The others, without those not seen for long.
     QList<Peer> peers() const;
+    /// Those of the same data centre.
+    QList<Peer> peersNearby() const;
     /// A message of @p peer came.
     void heard(const Peer &peer);
     /// Daemons that may live, this one included.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -138,6 +138,7 @@
     SendResult result;
     result.kind = judge(end);
     result.head = m_head;
+    result.isStream = m_isStream;
     result.body = m_body;
     result.reason = reason;
     const auto callback = std::move(m_callbacks.ended);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -39,7 +39,8 @@
     , retries(given.retries)
     , peers(timers, client, given.store, protocols.store, counters,
             {given.vm, given.dataCentre, given.peer, {}})
-    , loads(timers, peers, targets)
+    , datagrams(peers)
+    , loads(timers, peers, datagrams, targets)
     , context{timers,  client,   targets,           reports,           waiting,
               retries, counters, protocols.callers, protocols.targets, given.dataCentre,
               [this] { return peers.fleetSize() > 1; }}
@@ -47,6 +48,7 @@
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters,
               protocols.store.targetPrefix)
+    , feed(timers, peers, datagrams, entries)
     , gateway(context, [this] { return configuration.isCurrent(); })
     , callers(
           timers,
@@ -90,7 +92,7 @@
 {
     BOOST_OUTCOME_TRY(callers, m_parts->callers.listenOn(m_parts->settings.callers));
     BOOST_OUTCOME_TRY(readiness, m_parts->readiness.listenOn(m_parts->settings.readiness));
-    if (!m_parts->loads.listenOn(m_parts->settings.peer))
+    if (!m_parts->datagrams.listenOn(m_parts->settings.peer))
         logEvent(LogLevel::Error, EventId::PeerFrameInvalid,
                  {{"detail", QStringLiteral("cannot take datagrams")}});
     m_parts->peers.start();
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -6,12 +6,14 @@
 #include "http/HttpListener.h"
 #include "relay/EngineReports.h"
 #include "relay/LoadExchange.h"
+#include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayProtocols.h"
 #include "relay/RelaySettings.h"
 #include "relay/RetryShare.h"
+#include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetDirectory.h"
 #include "relay/WaitingRequests.h"
@@ -32,10 +34,12 @@
     WaitingRequests waiting;
     RetryShare retries;
     PeerDirectory peers;
+    PeerDatagrams datagrams;
     LoadExchange loads;
     RelayContext context;
     StoreMirror configuration;
     StoreMirror entries;
+    StoreFeed feed;
     RelayGateway gateway;
     HttpListener callers;
     HttpListener readiness;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -309,7 +309,10 @@
         ++m_runs;
     judgeTarget(result);
     if (hasBegun()) {
-        if (result.kind != SendResult::Kind::Answered) {
+        // Where a generation goes on, the new target may answer with a failure; that answer is
+        // whole, the stream is not.
+        const bool isWhole = result.kind == SendResult::Kind::Answered && result.isStream;
+        if (!isWhole) {
             streamLost(result.reason);
             return;
         }
@@ -323,9 +326,7 @@
     if (tryAgain(result))
         return;
     // A stream that ends whole before its first event has nothing to pass on.
-    const bool isEmptyStream = isStream() && result.head.isSealed
-        && result.head.status < FirstServerFailure && result.body.isEmpty();
-    if (result.kind == SendResult::Kind::Answered && !isEmptyStream)
+    if (result.kind == SendResult::Kind::Answered && !result.isStream)
         answered(result);
     else if (m_fallback)
         answered(*m_fallback);
--- a/src/relay/SendResult.h
+++ b/src/relay/SendResult.h
@@ -27,7 +27,9 @@
 
     Kind kind = Kind::Broken;
     AnswerHead head;
-    /// The body, unless it was handed over event by event.
+    /// The answer was a stream, handed over event by event.
+    bool isStream = false;
+    /// The body of any other answer.
     QByteArray body;
     QString reason;
 };
--- /dev/null
+++ b/src/relay/StoreFeed.cpp
@@ -0,0 +1,111 @@
+#include "relay/StoreFeed.h"
+
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "relay/PeerDatagrams.h"
+#include "relay/PeerDirectory.h"
+#include "relay/StoreMirror.h"
+
+#include <QCborArray>
+
+namespace cranberry {
+
+namespace {
+
+/// Two, so that one that dies or is cut off leaves the other.
+constexpr int Watchers = 2;
+/// In a data centre with fewer daemons each one watches: there is little to save.
+constexpr int LeastDaemons = 6;
+constexpr Milliseconds Heartbeat{300};
+/// Three heartbeats; a target that leaves gets no request two seconds after it said so.
+constexpr Milliseconds FeedHolds{1000};
+/// Bytes of items in one datagram.
+constexpr qsizetype MostBytes = 1100;
+
+constexpr size_t RankSeed = 0x9a7c;
+
+} // namespace
+
+StoreFeed::StoreFeed(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
+                     StoreMirror &mirror)
+    : m_timers(timers)
+    , m_peers(peers)
+    , m_datagrams(datagrams)
+    , m_mirror(mirror)
+    , m_timer(timers.every(Heartbeat, [this] { check(); }))
+{
+    datagrams.onMessage(DatagramKind::StoreChange,
+                        [this](const Peer &, const QCborArray &body) { received(body); });
+    mirror.setFeed([this] { return isFed(); },
+                   [this](const StoreAnswer &answer, Revision base) { changed(answer, base); });
+}
+
+StoreFeed::~StoreFeed() = default;
+
+bool StoreFeed::isWatcher() const
+{
+    const QList<Peer> nearby = m_peers.peersNearby();
+    if (nearby.size() + 1 < LeastDaemons)
+        return false;
+    const auto rank = [](const Peer &peer) { return qHash(peer.vm, RankSeed); };
+    const size_t own = rank(m_peers.self());
+    const auto before = std::count_if(nearby.cbegin(), nearby.cend(),
+                                      [&](const Peer &peer) { return rank(peer) < own; });
+    return before < Watchers;
+}
+
+bool StoreFeed::isFed() const
+{
+    return !isWatcher() && m_timers.now() - m_lastFed < FeedHolds;
+}
+
+void StoreFeed::check()
+{
+    if (isWatcher() && m_mirror.isWatching())
+        sendItems({}, m_mirror.revision(), m_mirror.revision());
+    m_mirror.checkFeed();
+}
+
+void StoreFeed::changed(const StoreAnswer &answer, Revision base)
+{
+    if (isWatcher())
+        sendItems(answer.items, base, answer.asOf);
+}
+
+void StoreFeed::sendItems(const QList<StoreItem> &items, Revision base, Revision revision)
+{
+    QCborArray entries;
+    qsizetype bytes = 0;
+    const auto flush = [&](Revision upTo) {
+        m_datagrams.send(m_peers.peersNearby(), DatagramKind::StoreChange,
+                         QCborArray{base.value(), upTo.value(), entries});
+        entries = QCborArray();
+        bytes = 0;
+        base = upTo;
+    };
+    Revision last = base;
+    for (const StoreItem &item : items) {
+        if (bytes > 0 && bytes + item.value.size() > MostBytes)
+            flush(last);
+        entries.append(QCborArray{item.key, item.value, item.revision.value(), item.isRemoved});
+        bytes += item.key.size() + item.value.size();
+        last = std::max(last, item.revision);
+    }
+    flush(revision);
+}
+
+void StoreFeed::received(const QCborArray &body)
+{
+    m_lastFed = m_timers.now();
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::Items;
+    answer.asOf = Revision(body.at(1).toInteger());
+    for (const QCborValue &entry : body.at(2).toArray()) {
+        const QCborArray fields = entry.toArray();
+        answer.items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
+                             Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
+    }
+    m_mirror.fed(answer, Revision(body.at(0).toInteger()));
+}
+
+} // namespace cranberry
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -8,6 +8,7 @@
 #include "relay/StoreProtocol.h"
 
 #include <QRandomGenerator>
+#include <QSet>
 
 namespace cranberry {
 
@@ -19,6 +20,8 @@
 /// A read takes some ms; a slow store takes 60 times as long.
 constexpr Milliseconds ReadTimeout{1500};
 constexpr Milliseconds ConnectTimeout{500};
+/// For changes that are known to be there.
+constexpr Milliseconds CatchUpWait{100};
 constexpr Milliseconds FirstBackoff{100};
 constexpr Milliseconds LongestBackoff{800};
 /// A target whose entry lapsed with the store is back within two seconds of the store's return.
@@ -40,6 +43,13 @@
 
 StoreMirror::~StoreMirror() = default;
 
+void StoreMirror::setFeed(std::function<bool()> isFed,
+                          std::function<void(const StoreAnswer &answer, Revision base)> changed)
+{
+    m_isFed = std::move(isFed);
+    m_changed = std::move(changed);
+}
+
 void StoreMirror::start()
 {
     readPage({});
@@ -69,6 +79,7 @@
 
 void StoreMirror::readPage(const QString &after)
 {
+    m_state = State::Reading;
     if (after.isEmpty()) {
         m_reading.clear();
         m_readAt = Revision();
@@ -121,6 +132,11 @@
 
 void StoreMirror::watch()
 {
+    if (m_isFed()) {
+        m_state = State::Fed;
+        return;
+    }
+    m_state = State::Watching;
     call(m_protocol.watch(m_prefix, m_revision, WatchWait), WatchWait + WatchSlack,
          [this](const StoreAnswer &answer) { watched(answer); });
 }
@@ -144,6 +160,15 @@
         m_doubtUntil = m_timers.now() + LapseGrace;
         m_isCurrent = true;
     }
+    const Revision base = m_revision;
+    apply(answer);
+    if (m_changed)
+        m_changed(answer, base);
+    watch();
+}
+
+void StoreMirror::apply(const StoreAnswer &answer)
+{
     for (const StoreItem &item : answer.items) {
         if (item.isRemoved)
             removeLater(item.key);
@@ -151,7 +176,26 @@
             put(item);
     }
     m_revision = std::max(m_revision, answer.asOf);
-    watch();
+}
+
+void StoreMirror::fed(const StoreAnswer &answer, Revision base)
+{
+    if (m_state != State::Fed)
+        return;
+    if (base <= m_revision) {
+        apply(answer);
+        return;
+    }
+    // A message was lost: the store still has what it said.
+    m_state = State::Watching;
+    call(m_protocol.watch(m_prefix, m_revision, CatchUpWait), ReadTimeout,
+         [this](const StoreAnswer &missed) { watched(missed); });
+}
+
+void StoreMirror::checkFeed()
+{
+    if (m_state == State::Fed && !m_isFed())
+        watch();
 }
 
 void StoreMirror::unavailable()
@@ -160,6 +204,7 @@
         logEvent(LogLevel::Warning, EventId::PlatformDown,
                  {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
     m_isCurrent = false;
+    m_state = State::Pausing;
     m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, LongestBackoff);
     // Daemons that lost the store together do not come back together.
     const double part = 0.5 + 0.5 * QRandomGenerator::global()->generateDouble();
@@ -207,9 +252,20 @@
 {
     if (revision <= m_revision)
         return;
-    for (const StoreItem &item : items)
+    QSet<QString> present;
+    for (const StoreItem &item : items) {
+        present.insert(item.key);
         put(item);
+    }
+    const QList<QString> known = m_items.keys();
+    for (const QString &key : known) {
+        if (!present.contains(key))
+            removeLater(key);
+    }
+    m_revision = revision;
     m_hasRead = true;
+    // The next answer of the store itself stands for a later revision.
+    m_needsRead = false;
 }
 
 } // namespace cranberry
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -38,10 +38,20 @@
 
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
+    /// @p isFed tells whether others send what changes, so that no watch is needed;
+    /// @p changed is told what an own watch brought, and the revision before it.
+    void setFeed(std::function<bool()> isFed,
+                 std::function<void(const StoreAnswer &answer, Revision base)> changed);
     void start();
-    /// A watch is open and nothing speaks against it: what it holds is what the store holds,
-    /// but for a connection that fell silent less than TcpStream::PeerTimeout ago.
-    bool isCurrent() const { return m_isCurrent; }
+    /// What it holds is what the store holds, but for a connection that fell silent less than
+    /// TcpStream::PeerTimeout ago: a watch is open, or others send what changes.
+    bool isCurrent() const { return m_isCurrent || m_isFed(); }
+    /// An own watch is open.
+    bool isWatching() const { return m_isCurrent && m_state == State::Watching; }
+    /// Takes in what a watch of another daemon brought since @p base.
+    void fed(const StoreAnswer &answer, Revision base);
+    /// Goes back to an own watch if nothing is fed any more.
+    void checkFeed();
     /// Something was read at least once.
     bool hasRead() const { return m_hasRead; }
     /// When the store last answered.
@@ -52,6 +62,16 @@
     void takeFrom(const QList<StoreItem> &items, Revision revision);
 
 private:
+    enum class State {
+        Reading,
+        Watching,
+        /// Waits to try again.
+        Pausing,
+        /// Others watch.
+        Fed,
+    };
+
+    void apply(const StoreAnswer &answer);
     void readPage(const QString &after);
     void pageRead(const StoreAnswer &answer);
     void readDone();
@@ -73,6 +93,10 @@
     QString m_prefix;
     StoreMirrorCallbacks m_callbacks;
 
+    std::function<bool()> m_isFed = [] { return false; };
+    std::function<void(const StoreAnswer &, Revision)> m_changed;
+
+    State m_state = State::Reading;
     QHash<QString, StoreItem> m_items;
     QHash<QString, StoreItem> m_reading;
     Revision m_revision;
