--- a/src/relay/PeerDatagrams.cpp
+++ b/src/relay/PeerDatagrams.cpp
@@ -24,6 +24,13 @@
     return m_socket->bind(QHostAddress(endpoint.address), endpoint.port);
 }
 
+void PeerDatagrams::compareVersions(std::function<qint64()> version,
+                                    std::function<void(qint64 version)> newer)
+{
+    m_version = std::move(version);
+    m_newer = std::move(newer);
+}
+
 void PeerDatagrams::onMessage(DatagramKind kind, Handler handler)
 {
     m_handlers[std::size_t(kind)] = std::move(handler);
@@ -34,7 +41,7 @@
     if (!m_socket)
         return;
     const Peer &self = m_peers.self();
-    const QCborArray message{self.vm.text(), self.dataCentre.text(), int(kind), body};
+    const QCborArray message{self.vm.text(), self.dataCentre.text(), int(kind), body, m_version()};
     const QByteArray datagram = QCborValue(message).toCbor();
     for (const Peer &peer : receivers)
         m_socket->writeDatagram(datagram, QHostAddress(peer.endpoint.address), peer.endpoint.port);
@@ -57,6 +64,9 @@
             continue;
         }
         m_peers.heard(peer);
+        const qint64 version = message.at(4).toInteger();
+        if (m_newer && version > m_version())
+            m_newer(version);
         if (const Handler &handler = m_handlers[std::size_t(kind)])
             handler(peer, message.at(3).toArray());
     }
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -39,6 +39,9 @@
 
     /// Takes datagrams at @p endpoint; false if it cannot.
     bool listenOn(const HttpEndpoint &endpoint);
+    /// Every message carries the version of the configuration that @p version tells; @p newer is
+    /// called when another daemon has a newer one.
+    void compareVersions(std::function<qint64()> version, std::function<void(qint64 version)> newer);
     /// Precondition: set before listenOn().
     void onMessage(DatagramKind kind, Handler handler);
     void send(const QList<Peer> &receivers, DatagramKind kind, const QCborArray &body);
@@ -49,6 +52,8 @@
     PeerDirectory &m_peers;
     std::unique_ptr<QUdpSocket> m_socket;
     std::array<Handler, 2> m_handlers;
+    std::function<qint64()> m_version = [] { return 0; };
+    std::function<void(qint64)> m_newer;
 };
 
 } // namespace cranberry
--- /dev/null
+++ b/src/relay/PeerState.cpp
@@ -0,0 +1,122 @@
+#include "relay/PeerState.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/CallerReply.h"
+#include "http/HttpClient.h"
+#include "relay/PeerDirectory.h"
+#include "relay/StoreMirror.h"
+
+#include <QCborArray>
+#include <QCborMap>
+#include <QCborValue>
+#include <QRandomGenerator>
+
+namespace cranberry {
+
+namespace {
+
+/// A target that leaves is gone about 1.5 s after it says so, and its streams take most of that
+/// to move.
+constexpr Milliseconds AskInterval{250};
+constexpr Milliseconds AskTimeout{400};
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+constexpr char StatePath[] = "/state/";
+
+const QString ConfigurationField = QStringLiteral("configuration");
+const QString EntriesField = QStringLiteral("entries");
+
+/// The revision and, if it is newer than @p known, all items.
+QCborArray stateOf(const StoreMirror &mirror, Revision known)
+{
+    QCborArray items;
+    if (known < mirror.revision()) {
+        for (const StoreItem &item : mirror.items())
+            items.append(QCborArray{item.key, item.value, item.revision.value()});
+    }
+    return {mirror.revision().value(), items};
+}
+
+void takeInto(StoreMirror &mirror, const QCborValue &state)
+{
+    const QCborArray fields = state.toArray();
+    const Revision revision(fields.at(0).toInteger());
+    if (revision <= mirror.revision()) {
+        mirror.confirm();
+        return;
+    }
+    QList<StoreItem> items;
+    for (const QCborValue &entry : fields.at(1).toArray()) {
+        const QCborArray item = entry.toArray();
+        items.append({item.at(0).toString(), item.at(1).toByteArray(),
+                      Revision(item.at(2).toInteger()), false});
+    }
+    mirror.takeFrom(items, revision);
+}
+
+} // namespace
+
+PeerState::PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
+                     StoreMirror &configuration, StoreMirror &entries)
+    : m_timers(timers)
+    , m_client(client)
+    , m_peers(peers)
+    , m_configuration(configuration)
+    , m_entries(entries)
+    , m_timer(timers.every(AskInterval, [this] { askIfAway(); }))
+{
+}
+
+PeerState::~PeerState() = default;
+
+void PeerState::handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) const
+{
+    // "/state/CONFIGURATION/ENTRIES": the revisions that the other daemon has.
+    const QList<QByteArray> parts = request.path.split('/');
+    const bool canAnswer = parts.size() == 4 && request.path.startsWith(StatePath)
+        && m_configuration.hasSource() && m_entries.hasSource();
+    if (!canAnswer) {
+        reply->send({StatusUnavailable, {}, {}});
+        return;
+    }
+    const QCborMap state{
+        {ConfigurationField, stateOf(m_configuration, Revision(parts.at(2).toLongLong()))},
+        {EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong()))}};
+    reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, state.toCborValue().toCbor()});
+}
+
+void PeerState::askIfAway()
+{
+    const bool isAway = !m_configuration.hasSource() || !m_entries.hasSource();
+    QList<Peer> peers = m_peers.peersNearby();
+    if (peers.isEmpty() || QRandomGenerator::global()->bounded(2) == 0)
+        peers = m_peers.peers();
+    if (!isAway || peers.isEmpty())
+        return;
+    const Peer &peer = peers.at(QRandomGenerator::global()->bounded(int(peers.size())));
+    HttpRequest request;
+    request.method = "GET";
+    request.path = StatePath + QByteArray::number(m_configuration.revision().value()) + '/'
+        + QByteArray::number(m_entries.revision().value());
+    HttpExchangeOptions options;
+    options.connectTimeout = AskTimeout;
+    options.timeout = AskTimeout;
+    m_question = m_client.fetch(peer.endpoint, request, options,
+                                [this](HttpExchangeEnd end, const HttpResponse &response) {
+                                    const bool isWhole = end == HttpExchangeEnd::Complete
+                                        && response.status == StatusOk;
+                                    if (isWhole)
+                                        answered(response.body);
+                                });
+}
+
+void PeerState::answered(const QByteArray &body)
+{
+    const QCborMap state = QCborValue::fromCbor(body).toMap();
+    takeInto(m_configuration, state.value(ConfigurationField));
+    takeInto(m_entries, state.value(EntriesField));
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/PeerState.h
@@ -0,0 +1,52 @@
+// Defines PeerState, by which daemons that the store turns away learn from those that it serves.
+#pragma once
+
+#include "base/Units.h"
+
+#include <QByteArray>
+
+#include <memory>
+
+class QCborMap;
+class QCborValue;
+
+namespace cranberry {
+
+class CallerReply;
+class HttpClient;
+class HttpExchange;
+class PeerDirectory;
+class StoreMirror;
+class TimerService;
+class TimerSubscription;
+struct HttpRequest;
+
+/// Answers what this daemon holds of the store, and asks another daemon for it while the store
+/// cannot be reached. A daemon cut off from the store would else go on with routes and keys that
+/// were taken away, and lose the streams of targets that leave.
+/// Thread safety: only from the thread of the event loop.
+class PeerState
+{
+public:
+    /// Precondition: everything passed outlives the object.
+    PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
+              StoreMirror &configuration, StoreMirror &entries);
+    ~PeerState();
+
+    /// Answers another daemon.
+    void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) const;
+
+private:
+    void askIfAway();
+    void answered(const QByteArray &body);
+
+    TimerService &m_timers;
+    HttpClient &m_client;
+    PeerDirectory &m_peers;
+    StoreMirror &m_configuration;
+    StoreMirror &m_entries;
+    std::unique_ptr<HttpExchange> m_question;
+    std::unique_ptr<TimerSubscription> m_timer;
+};
+
+} // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -15,6 +15,7 @@
 constexpr Milliseconds DrainCheck{50};
 /// An engine that leaves says so about 1.5 s ahead, and copying its streams takes most of that.
 constexpr Milliseconds AskInterval{200};
+constexpr Milliseconds NewerVersionPatience{200};
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -49,6 +50,7 @@
     , entries(timers, client, given.store, protocols.store, counters,
               protocols.store.targetPrefix)
     , feed(timers, peers, datagrams, entries)
+    , peerState(timers, client, peers, configuration, entries)
     , gateway(context, [this] { return configuration.isCurrent(); })
     , callers(
           timers,
@@ -57,6 +59,12 @@
           },
           [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
     , readiness(timers, {}, [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
+    , peerListener(
+          timers,
+          [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+              peerState.handle(request, reply);
+          },
+          [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
 {
 }
 
@@ -76,6 +84,12 @@
         [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
             readiness(request, reply);
         });
+    parts.datagrams.compareVersions(
+        [this] {
+            const auto &configuration = m_parts->gateway.configuration();
+            return configuration ? configuration->version.value() : 0;
+        },
+        [this](qint64 version) { newerVersionHeard(version); });
     parts.targets.onLeaving([this](const TargetId &target) {
         m_parts->gateway.targetLeaving(target);
     });
@@ -92,6 +106,7 @@
 {
     BOOST_OUTCOME_TRY(callers, m_parts->callers.listenOn(m_parts->settings.callers));
     BOOST_OUTCOME_TRY(readiness, m_parts->readiness.listenOn(m_parts->settings.readiness));
+    BOOST_OUTCOME_TRY(peer, m_parts->peerListener.listenOn(m_parts->settings.peer));
     if (!m_parts->datagrams.listenOn(m_parts->settings.peer))
         logEvent(LogLevel::Error, EventId::PeerFrameInvalid,
                  {{"detail", QStringLiteral("cannot take datagrams")}});
@@ -103,10 +118,25 @@
              {{"vm", m_parts->settings.vm.text()},
               {"data_centre", m_parts->settings.dataCentre.text()},
               {"callers", QString::number(callers)},
-              {"readiness", QString::number(readiness)}});
+              {"readiness", QString::number(readiness)},
+              {"peer", QString::number(peer)}});
     return outcome::success();
 }
 
+void RelayDaemon::newerVersionHeard(qint64 version)
+{
+    // The own watch brings it within some ms, unless the watch hears nothing any more.
+    m_heardVersion = std::max(m_heardVersion, version);
+    if (m_readAgainTimer)
+        return;
+    m_readAgainTimer = m_parts->timers.after(NewerVersionPatience, [this] {
+        m_readAgainTimer.reset();
+        const auto &configuration = m_parts->gateway.configuration();
+        if (!configuration || configuration->version.value() < m_heardVersion)
+            m_parts->configuration.readAgain();
+    });
+}
+
 void RelayDaemon::askEnginesInUse()
 {
     // The store tells which engines leave. While it is away they tell it themselves, or their
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -37,12 +37,15 @@
     bool isReady() const;
     void finishDrainWhenIdle();
     void askEnginesInUse();
+    void newerVersionHeard(qint64 version);
 
     std::unique_ptr<RelayParts> m_parts;
     std::function<void()> m_drained;
     MonotonicTime m_drainBegan;
     std::unique_ptr<TimerSubscription> m_drainTimer;
     std::unique_ptr<TimerSubscription> m_askTimer;
+    std::unique_ptr<TimerSubscription> m_readAgainTimer;
+    qint64 m_heardVersion = 0;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -8,6 +8,7 @@
 #include "relay/LoadExchange.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
+#include "relay/PeerState.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayProtocols.h"
@@ -40,9 +41,11 @@
     StoreMirror configuration;
     StoreMirror entries;
     StoreFeed feed;
+    PeerState peerState;
     RelayGateway gateway;
     HttpListener callers;
     HttpListener readiness;
+    HttpListener peerListener;
 };
 
 } // namespace cranberry
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -22,6 +22,8 @@
 constexpr Milliseconds ConnectTimeout{500};
 /// For changes that are known to be there.
 constexpr Milliseconds CatchUpWait{100};
+/// Peers are asked each 250 ms while the store is away.
+constexpr Milliseconds ConfirmationHolds{800};
 constexpr Milliseconds FirstBackoff{100};
 constexpr Milliseconds LongestBackoff{800};
 /// A target whose entry lapsed with the store is back within two seconds of the store's return.
@@ -178,6 +180,12 @@
     m_revision = std::max(m_revision, answer.asOf);
 }
 
+void StoreMirror::readAgain()
+{
+    if (m_state == State::Watching || m_state == State::Fed)
+        readPage({});
+}
+
 void StoreMirror::fed(const StoreAnswer &answer, Revision base)
 {
     if (m_state != State::Fed)
@@ -205,6 +213,10 @@
                  {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
     m_isCurrent = false;
     m_state = State::Pausing;
+    // A watch that is cut may have heard nothing for a while, and one that goes on from there may
+    // hear nothing either: the store forgets history and says so only later (a newer version was
+    // found 5.5 s late that way). A read shows what is there.
+    m_needsRead = true;
     m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, LongestBackoff);
     // Daemons that lost the store together do not come back together.
     const double part = 0.5 + 0.5 * QRandomGenerator::global()->generateDouble();
@@ -248,8 +260,19 @@
         removeLater(entry.key());
 }
 
+bool StoreMirror::isCurrent() const
+{
+    return hasSource() || m_timers.now() - m_lastConfirmed < ConfirmationHolds;
+}
+
+void StoreMirror::confirm()
+{
+    m_lastConfirmed = m_timers.now();
+}
+
 void StoreMirror::takeFrom(const QList<StoreItem> &items, Revision revision)
 {
+    confirm();
     if (revision <= m_revision)
         return;
     QSet<QString> present;
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -44,12 +44,17 @@
                  std::function<void(const StoreAnswer &answer, Revision base)> changed);
     void start();
     /// What it holds is what the store holds, but for a connection that fell silent less than
-    /// TcpStream::PeerTimeout ago: a watch is open, or others send what changes.
-    bool isCurrent() const { return m_isCurrent || m_isFed(); }
+    /// TcpStream::PeerTimeout ago: a watch is open, others send what changes, or another daemon
+    /// was asked just now.
+    bool isCurrent() const;
+    /// It hears from the store itself or from those that watch for it.
+    bool hasSource() const { return m_isCurrent || m_isFed(); }
     /// An own watch is open.
     bool isWatching() const { return m_isCurrent && m_state == State::Watching; }
     /// Takes in what a watch of another daemon brought since @p base.
     void fed(const StoreAnswer &answer, Revision base);
+    /// Reads all anew, as another daemon knows of something newer; nothing if it reads already.
+    void readAgain();
     /// Goes back to an own watch if nothing is fed any more.
     void checkFeed();
     /// Something was read at least once.
@@ -58,8 +63,10 @@
     MonotonicTime lastAnswer() const { return m_lastAnswer; }
     const QHash<QString, StoreItem> &items() const { return m_items; }
     Revision revision() const { return m_revision; }
-    /// Takes in what another daemon has read, if it is newer.
+    /// Takes in all that another daemon holds, if it is newer.
     void takeFrom(const QList<StoreItem> &items, Revision revision);
+    /// Another daemon that is current holds nothing newer.
+    void confirm();
 
 private:
     enum class State {
@@ -106,6 +113,8 @@
     bool m_needsRead = true;
     Milliseconds m_backoff{0};
     MonotonicTime m_lastAnswer;
+    /// When another daemon last said that it is current and what it holds.
+    MonotonicTime m_lastConfirmed;
     /// Removals are doubted until then, as leases may have lapsed while the store was away.
     MonotonicTime m_doubtUntil;
     QHash<QString, MonotonicTime> m_missing;
