--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -13,6 +13,7 @@
 /// An engine that leaves does so within about two seconds: a copy that takes longer is lost.
 constexpr Milliseconds CopyTimeout{3000};
 constexpr Milliseconds ConnectTimeout{200};
+constexpr Milliseconds FreeTimeout{1000};
 /// A round this short had nothing to wait for; a stream may pause for 180 ms.
 constexpr Milliseconds ShortRound{60};
 /// Time between rounds; what is generated meanwhile is a few tokens.
@@ -35,7 +36,26 @@
     order(false);
 }
 
-GenerationMove::~GenerationMove() = default;
+GenerationMove::~GenerationMove()
+{
+    freeCopy();
+}
+
+void GenerationMove::freeCopy()
+{
+    if (m_handle.isEmpty())
+        return;
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    options.timeout = FreeTimeout;
+    options.reuseConnection = true;
+    // The exchange is kept alive by its own callback: nobody waits for the answer, and the engine
+    // frees the copy by itself after some seconds.
+    const auto exchange = std::make_shared<std::unique_ptr<HttpExchange>>();
+    *exchange = m_context.client.fetch(
+        m_source, m_context.protocol.freeCopy(std::exchange(m_handle, {})), options,
+        [exchange](HttpExchangeEnd, const HttpResponse &) { exchange->reset(); });
+}
 
 void GenerationMove::order(bool isLast)
 {
@@ -57,6 +77,8 @@
 
 void GenerationMove::answered(bool isLast, const MoveOutcome &outcome)
 {
+    if (!outcome.handle.isEmpty())
+        m_handle = outcome.handle;
     const bool goesOn = !isLast && outcome.kind == MoveOutcome::Kind::Copied;
     if (!goesOn) {
         end(outcome, isLast);
@@ -78,6 +100,9 @@
 
 void GenerationMove::end(const MoveOutcome &outcome, bool stopped)
 {
+    // Its user takes over a copy of a generation that was stopped.
+    if (stopped && !outcome.handle.isEmpty())
+        m_handle.clear();
     const auto callback = std::move(m_callbacks.ended);
     callback(outcome, stopped);
 }
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -20,7 +20,7 @@
 /// copies the rest. Copies from one engine wait for each other: a last part that waits behind the
 /// first copy of another generation (0.2 to 0.4 s for 4,000 tokens) makes a pause that long, while
 /// a round that was short shows that nothing waits.
-/// Destroying it leaves an unfinished order to the engine.
+/// A copy that is not used is freed, as it takes memory at the destination for seconds.
 /// Thread safety: only from the thread of the event loop.
 class GenerationMove
 {
@@ -41,6 +41,7 @@
     void order(bool isLast);
     bool isTimeToStop() const;
     void answered(bool isLast, const MoveOutcome &outcome);
+    void freeCopy();
     void end(const MoveOutcome &outcome, bool stopped);
 
     RelayContext &m_context;
@@ -50,6 +51,8 @@
     MonotonicTime m_leavesAt;
     MonotonicTime m_roundBegan;
     Callbacks m_callbacks;
+    /// What the source calls the copy; empty until it is begun or once it is used.
+    QByteArray m_handle;
     std::unique_ptr<TimerSubscription> m_next;
     std::unique_ptr<HttpExchange> m_exchange;
 };
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -18,6 +18,10 @@
 constexpr Milliseconds SendDelay{10};
 /// Figures are repeated this often, so that a lost datagram misleads no longer than that.
 constexpr Milliseconds RefreshInterval{1500};
+/// What a whole data centre has at each engine goes to the others this often. Without it the
+/// engines of another data centre looked empty and were chosen: in a fleet of 78, 255 of 455
+/// moves found no room.
+constexpr Milliseconds SummaryInterval{500};
 /// Up to this many peers, data centres tell each other as well: about 0.6 KB/s for each.
 constexpr int SmallFleet = 12;
 /// Bytes that one datagram carries on any path.
@@ -33,7 +37,11 @@
     , m_targets(targets)
     , m_retries(retries)
     , m_refresh(timers.every(RefreshInterval, [this] { refresh(); }))
+    , m_summary(timers.every(SummaryInterval, [this] { summarise(); }))
 {
+    datagrams.onMessage(DatagramKind::Summary, [this](const Peer &, const QCborArray &body) {
+        takeSummary(body);
+    });
     datagrams.onMessage(DatagramKind::Load, [this](const Peer &from, const QCborArray &body) {
         take(from.vm, body);
     });
@@ -81,26 +89,60 @@
 
 void LoadExchange::send(const QCborArray &loads, const QCborArray &counts)
 {
-    if (loads.isEmpty() && counts.isEmpty())
+    m_datagrams.send(isSmallFleet() ? m_peers.peers() : m_peers.peersNearby(), DatagramKind::Load,
+                     QCborArray{loads, counts});
+}
+
+bool LoadExchange::isSmallFleet() const
+{
+    return m_peers.peers().size() <= SmallFleet;
+}
+
+void LoadExchange::summarise()
+{
+    if (isSmallFleet() || m_peers.rankNearby() > 0)
         return;
-    QList<Peer> receivers = m_peers.peers();
-    if (receivers.size() > SmallFleet)
-        receivers = m_peers.peersNearby();
-    m_datagrams.send(receivers, DatagramKind::Load, QCborArray{loads, counts});
+    QList<Peer> others = m_peers.peers();
+    const DataCentreId own = m_peers.self().dataCentre;
+    others.removeIf([&own](const Peer &peer) { return peer.dataCentre == own; });
+    QCborArray rows;
+    for (const TargetId &target : m_targets.usedNearby()) {
+        const PeerLoad load = m_targets.nearbyLoad(target);
+        rows.append(QCborArray{target.text(), load.running, load.tokens.value(),
+                               load.unread.value()});
+        if (rows.size() < MostEntries)
+            continue;
+        m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
+        rows = QCborArray();
+    }
+    if (!rows.isEmpty())
+        m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
+}
+
+void LoadExchange::takeSummary(const QCborArray &body)
+{
+    // Kept under the name of the data centre, beside the loads of single daemons of the own one.
+    const VmId speaker(QStringLiteral("data centre ") + body.at(0).toString());
+    for (const QCborValue &row : body.at(1).toArray())
+        takeLoad(speaker, row.toArray(), true);
+}
+
+void LoadExchange::takeLoad(const VmId &peer, const QCborArray &entry, bool isSummary)
+{
+    PeerLoad load;
+    load.isSummary = isSummary;
+    load.running = int(entry.at(1).toInteger());
+    load.tokens = Tokens(entry.at(2).toInteger());
+    load.unread = Tokens(entry.at(3).toInteger());
+    load.heard = m_timers.now();
+    m_targets.peerLoad(TargetId(entry.at(0).toString()), peer, load);
 }
 
 void LoadExchange::take(const VmId &peer, const QCborArray &body)
 {
     const MonotonicTime now = m_timers.now();
-    for (const QCborValue &value : body.at(0).toArray()) {
-        const QCborArray entry = value.toArray();
-        PeerLoad load;
-        load.running = int(entry.at(1).toInteger());
-        load.tokens = Tokens(entry.at(2).toInteger());
-        load.unread = Tokens(entry.at(3).toInteger());
-        load.heard = now;
-        m_targets.peerLoad(TargetId(entry.at(0).toString()), peer, load);
-    }
+    for (const QCborValue &value : body.at(0).toArray())
+        takeLoad(peer, value.toArray(), false);
     for (const QCborValue &value : body.at(1).toArray()) {
         const QCborArray row = value.toArray();
         m_retries.heard(peer, ServiceId(row.at(0).toString()),
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -23,8 +23,8 @@
 /// Engines report their load half a second late, and in that time many daemons would choose the
 /// same one. So each daemon tells the others what it has at each engine, in datagrams: whole
 /// figures and not changes, so that a lost one is mended by the next. They go to the daemons of
-/// the same data centre, and to all in a small fleet; nothing depends on them but how well
-/// requests are spread.
+/// the same data centre, and to all in a small fleet; in a large one, one daemon of each data centre
+/// tells the others the sum. Nothing depends on them but how well requests are spread.
 /// Thread safety: only from the thread of the event loop.
 class LoadExchange
 {
@@ -42,6 +42,10 @@
     QCborArray retryCounts();
     void send(const QCborArray &loads, const QCborArray &counts);
     void refresh();
+    bool isSmallFleet() const;
+    void summarise();
+    void takeSummary(const QCborArray &body);
+    void takeLoad(const VmId &peer, const QCborArray &entry, bool isSummary);
     void take(const VmId &peer, const QCborArray &body);
 
     TimerService &m_timers;
@@ -52,6 +56,7 @@
     QSet<TargetId> m_changed;
     std::unique_ptr<TimerSubscription> m_soon;
     std::unique_ptr<TimerSubscription> m_refresh;
+    std::unique_ptr<TimerSubscription> m_summary;
 };
 
 } // namespace cranberry
--- a/src/relay/Peer.h
+++ b/src/relay/Peer.h
@@ -14,6 +14,8 @@
     HttpEndpoint endpoint;
     /// When the store last listed it or it was last heard.
     MonotonicTime seen;
+    /// When a message of it last came.
+    MonotonicTime heard;
 };
 
 } // namespace cranberry
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -22,6 +22,8 @@
     Load,
     /// What changed in the platform's store.
     StoreChange,
+    /// What the daemons of a data centre have at some targets.
+    Summary,
 };
 
 /// A message is a CBOR array in one datagram. Nothing that must hold depends on one: links with
@@ -51,7 +53,7 @@
 
     PeerDirectory &m_peers;
     std::unique_ptr<QUdpSocket> m_socket;
-    std::array<Handler, 2> m_handlers;
+    std::array<Handler, 3> m_handlers;
     std::function<qint64()> m_version = [] { return 0; };
     std::function<void(qint64)> m_newer;
 };
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -25,6 +25,9 @@
 constexpr Milliseconds ListEvery{12000};
 /// Kept after it was last seen: two lists that failed.
 constexpr Milliseconds KeepUnseen{30000};
+/// Daemons speak at least each 1.5 s.
+constexpr Milliseconds SilentAfter{4000};
+constexpr size_t RankSeed = 0x9a7c;
 constexpr int StatusOk = 200;
 const QString PeerPrefix = QStringLiteral("cranberry/vm/");
 
@@ -150,10 +153,29 @@
     if (answer.kind != StoreAnswer::Kind::Items)
         return;
     for (const StoreItem &item : answer.items)
-        heard(decoded(item));
+        seen(decoded(item));
 }
 
 void PeerDirectory::heard(const Peer &peer)
+{
+    seen(peer);
+    const auto known = m_peers.find(peer.vm);
+    if (known != m_peers.end())
+        known->heard = m_timers.now();
+}
+
+int PeerDirectory::rankNearby() const
+{
+    const auto rank = [](const Peer &peer) { return qHash(peer.vm, RankSeed); };
+    const size_t own = rank(m_self);
+    const MonotonicTime limit = m_timers.now() - SilentAfter;
+    const QList<Peer> nearby = peersNearby();
+    return int(std::count_if(nearby.cbegin(), nearby.cend(), [&](const Peer &peer) {
+        return peer.heard > limit && rank(peer) < own;
+    }));
+}
+
+void PeerDirectory::seen(const Peer &peer)
 {
     if (peer.vm == m_self.vm || peer.vm.isEmpty())
         return;
@@ -161,7 +183,9 @@
         logEvent(LogLevel::Info, EventId::MemberJoined,
                  {{"vm", peer.vm.text()}, {"data_centre", peer.dataCentre.text()}});
     Peer &known = m_peers[peer.vm];
+    const MonotonicTime heardBefore = known.heard;
     known = peer;
+    known.heard = heardBefore;
     known.seen = m_timers.now();
 }
 
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -44,6 +44,9 @@
     QList<Peer> peersNearby() const;
     /// A message of @p peer came.
     void heard(const Peer &peer);
+    /// How many daemons of the data centre go before this one in an order that all agree on;
+    /// those not heard for some seconds do not count.
+    int rankNearby() const;
     /// Daemons that may live, this one included.
     int fleetSize() const;
 
@@ -54,6 +57,7 @@
     void announceAgain(Milliseconds delay);
     void list();
     void listed(const StoreAnswer &answer);
+    void seen(const Peer &peer);
 
     TimerService &m_timers;
     HttpClient &m_client;
--- a/src/relay/PeerLoad.h
+++ b/src/relay/PeerLoad.h
@@ -5,6 +5,9 @@
 
 namespace cranberry {
 
+/// What a peer said holds this long; it repeats it every 1.5 s.
+constexpr Milliseconds PeerLoadHolds{5000};
+
 struct PeerLoad {
     int running = 0;
     /// Memory that its requests will take by the forecast.
@@ -12,6 +15,8 @@
     /// Prompts that the engine has not read yet.
     Tokens unread;
     MonotonicTime heard;
+    /// It stands for all daemons of another data centre.
+    bool isSummary = false;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -519,6 +519,7 @@
     m_move.reset();
     m_deadlineTimer.reset();
     m_waitTimer.reset();
+    m_moveTimer.reset();
     const auto ended = std::move(m_ended);
     ended(this);
 }
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -102,6 +102,7 @@
     void callerGone();
 
     void beginMove();
+    void moveLater(const QString &reason);
     void endReservation();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
     void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
@@ -150,7 +151,9 @@
     HttpEndpoint m_moveDestinationEndpoint;
     /// The stream ended while its generation was being stopped; the move's answer says how.
     std::optional<SendResult> m_endedWhileMoving;
-    int m_moveTries = 0;
+    /// It had no room for the last try.
+    TargetId m_avoidedDestination;
+    std::unique_ptr<TimerSubscription> m_moveTimer;
 
     std::unique_ptr<TimerSubscription> m_deadlineTimer;
     std::unique_ptr<TimerSubscription> m_waitTimer;
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -15,8 +15,10 @@
 
 namespace {
 
-/// Destinations tried for one move.
-constexpr int MostMoveTries = 3;
+/// A move that found no room is tried again after this time.
+constexpr Milliseconds MoveAgainAfter{100};
+/// An engine may go later than the least notice says.
+constexpr Milliseconds TryBeyondNotice{700};
 /// A copy takes twice as long between data centres (0.44 s instead of 0.22 s for 4,000 tokens), the
 /// link of an engine that leaves takes one after another, and it has under two seconds.
 constexpr double MoveDistancePenalty = 0.5;
@@ -42,21 +44,16 @@
     const TargetRecord *source = m_context.targets.find(m_target);
     TargetNeed wanted = need();
     wanted.excluded.insert(m_target);
+    if (!m_avoidedDestination.isEmpty())
+        wanted.excluded.insert(m_avoidedDestination);
     wanted.dataCentre = source->entry.dataCentre;
     wanted.distancePenalty = MoveDistancePenalty;
     const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted,
                                          m_context.timers.now());
-    const bool hasRetry = pick.target
-        && m_context.retries.take(m_task.service, m_context.timers.now(), 0);
-    if (!hasRetry) {
-        logEvent(LogLevel::Warning, EventId::MoveFailed,
-                 {{"request", m_task.request.id.text()},
-                  {"source", m_target.text()},
-                  {"reason", pick.target ? QStringLiteral("retry budget")
-                                         : QStringLiteral("no destination")}});
+    if (!pick.target) {
+        moveLater(QStringLiteral("no destination"));
         return;
     }
-    ++m_moveTries;
     ++m_context.counters.movesBegun;
     m_moveDestination = pick.target->entry.id;
     m_moveDestinationEndpoint = pick.target->entry.endpoint;
@@ -70,7 +67,8 @@
               {"events", QString::number(m_lastEvent)}});
     GenerationMove::Callbacks callbacks;
     callbacks.stopping = [this] {
-        if (m_phase != Phase::Sent)
+        if (m_phase != Phase::Sent
+            || !m_context.retries.take(m_task.service, m_context.timers.now(), 0))
             return false;
         m_phase = Phase::Moving;
         return true;
@@ -97,12 +95,9 @@
     if (!stopped) {
         ++m_context.counters.movesFailed;
         m_move.reset();
-        const bool tryOther = outcome.kind == MoveOutcome::Kind::NoRoom
-            && m_moveTries < MostMoveTries && m_phase == Phase::Sent;
-        if (tryOther) {
-            m_excluded.insert(m_moveDestination);
-            targetLeaving(m_target);
-        }
+        // A run that was not found has ended, or has not begun.
+        if (outcome.kind != MoveOutcome::Kind::NoSuchRun || !hasBegun())
+            moveLater(QStringLiteral("not copied"));
         return;
     }
     const CopyReference copy{m_endpoint, outcome.handle};
@@ -122,6 +117,25 @@
     }
 }
 
+void RelayRun::moveLater(const QString &reason)
+{
+    const TargetRecord *record = m_context.targets.find(m_target);
+    const bool isTime = record && m_context.timers.now() < record->leavesAt + TryBeyondNotice;
+    logEvent(isTime ? LogLevel::Info : LogLevel::Warning, EventId::MoveFailed,
+             {{"request", m_task.request.id.text()},
+              {"source", m_target.text()},
+              {"reason", reason},
+              {"again", isTime ? QStringLiteral("yes") : QStringLiteral("no")}});
+    if (!isTime)
+        return;
+    // Another destination may have room, and one that had none may have it then.
+    m_avoidedDestination = m_moveDestination;
+    m_moveTimer = m_context.timers.after(MoveAgainAfter, [this, source = m_target] {
+        const auto self = shared_from_this();
+        targetLeaving(source);
+    });
+}
+
 void RelayRun::endReservation()
 {
     if (!m_moveDestination.isEmpty() && m_move)
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -22,8 +22,6 @@
 /// Bytes of items in one datagram.
 constexpr qsizetype MostBytes = 1100;
 
-constexpr size_t RankSeed = 0x9a7c;
-
 } // namespace
 
 StoreFeed::StoreFeed(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
@@ -44,14 +42,9 @@
 
 bool StoreFeed::isWatcher() const
 {
-    const QList<Peer> nearby = m_peers.peersNearby();
-    if (nearby.size() + 1 < LeastDaemons)
+    if (m_peers.peersNearby().size() + 1 < LeastDaemons)
         return false;
-    const auto rank = [](const Peer &peer) { return qHash(peer.vm, RankSeed); };
-    const size_t own = rank(m_peers.self());
-    const auto before = std::count_if(nearby.cbegin(), nearby.cend(),
-                                      [&](const Peer &peer) { return rank(peer) < own; });
-    return before < Watchers;
+    return m_peers.rankNearby() < Watchers;
 }
 
 bool StoreFeed::isFed() const
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -20,8 +20,6 @@
 /// Prompt tokens before a request that count as a whole engine's memory. An engine that also
 /// generates reads about 7 tokens in a ms: 10,000 take as long as the time to the first event.
 constexpr double TokensReadAtOnce = 10000;
-/// What a peer said holds this long; it repeats it every 1.5 s.
-constexpr Milliseconds PeerLoadHolds{5000};
 /// A report older than this says nothing of now.
 constexpr Milliseconds ReportHolds{2000};
 /// Equal targets are told apart at random, so that daemons with equal knowledge spread out.
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -162,6 +162,33 @@
     return used;
 }
 
+QList<TargetId> TargetDirectory::usedNearby() const
+{
+    QList<TargetId> used;
+    for (const TargetRecord &record : m_targets) {
+        if (record.ownRunning > 0 || !record.peers.isEmpty())
+            used.append(record.entry.id);
+    }
+    return used;
+}
+
+PeerLoad TargetDirectory::nearbyLoad(const TargetId &target) const
+{
+    const TargetRecord record = m_targets.value(target);
+    PeerLoad sum;
+    sum.running = record.ownRunning;
+    sum.tokens = record.ownTokens;
+    sum.unread = record.ownUnread;
+    for (const PeerLoad &peer : record.peers) {
+        if (peer.isSummary || m_timers.now() - peer.heard > PeerLoadHolds)
+            continue;
+        sum.running += peer.running;
+        sum.tokens += peer.tokens;
+        sum.unread += peer.unread;
+    }
+    return sum;
+}
+
 void TargetDirectory::ownLoadChanged(const TargetId &target)
 {
     if (m_ownLoad)
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -48,6 +48,9 @@
     void peerLoad(const TargetId &target, const VmId &peer, const PeerLoad &load);
     /// Targets at which this daemon has requests.
     QList<TargetId> usedByThisDaemon() const;
+    /// Targets at which this daemon or a peer of its data centre has requests, and what.
+    QList<TargetId> usedNearby() const;
+    PeerLoad nearbyLoad(const TargetId &target) const;
     /// What a request showed of the target.
     void succeeded(const TargetId &target);
     void failed(const TargetId &target, const char *how);
