--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -17,18 +17,28 @@
 
 namespace {
 
-/// A request waits for room for this part of its objective, then it is refused: a refusal that
-/// comes later leaves the caller too little time to come back.
+/// A request for a plain service waits for a target for this part of its objective.
 constexpr double WaitPart = 0.6;
+/// A generation that can no longer begin on time waits this long for room that nobody else needs;
+/// its caller gives up after about seven seconds without an event.
+constexpr Milliseconds OverduePatience{4000};
 /// Sends of one request, so that targets that all refuse do not share it for ever.
 constexpr int MostSends = 4;
 /// Engines asked for their load before a generation is placed. Two choices spread almost as well
 /// as asking all; the third covers one that does not answer.
 constexpr int EnginesAsked = 3;
 constexpr Milliseconds ReportFreshFor{250};
-/// Load at which an engine takes nothing new. Outputs are forecast at their median, and an engine
-/// out of memory preempts a stream that runs.
-constexpr double FullLoad = 0.95;
+/// Load up to which an engine takes a generation without any output: forecasts count answers at
+/// their full length, on average half of it is there.
+constexpr double FullLoad = 1.10;
+/// Taken off that for each part of the engine's memory that the answer will take. A long answer
+/// holds memory for longer than it is worth more: under overload three of four times the mean earn
+/// a quarter of what as much memory earns with short ones.
+constexpr double LengthDiscount = 2.0;
+/// Load up to which an engine takes a generation that is late anyway.
+constexpr double OverdueLoad = 0.75;
+/// Prompt tokens that an engine reads in a ms while it also generates.
+constexpr double TokensReadPerMs = 7;
 /// An idempotent request that is silent for this many objectives is tried elsewhere.
 constexpr double SilentObjectives = 2.5;
 /// Idle connections that may be reused: an idempotent request that meets a closed one is sent
@@ -130,17 +140,39 @@
     });
 }
 
+bool RelayRun::isOverdue() const
+{
+    const double reading = double(m_task.request.promptTokens.value()) / TokensReadPerMs;
+    const std::chrono::duration<double, std::milli> waited = m_context.timers.now() - m_task.arrived;
+    return waited.count() + reading > double(m_task.route.objective.count());
+}
+
+double RelayRun::mostLoad() const
+{
+    if (isOverdue())
+        return OverdueLoad;
+    const double memory = std::max(double(m_task.engine->memory.value()), 1.0);
+    return FullLoad - LengthDiscount * double(expectedOutput().value()) / memory;
+}
+
 bool RelayRun::tryPlace()
 {
     const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), need(),
                                          m_context.timers.now());
-    const bool isFull = m_task.engine && pick.load > FullLoad;
+    const bool isFull = m_task.engine && pick.load > mostLoad();
     if (!pick.target || isFull)
         return false;
     send(pick);
     return true;
 }
 
+Milliseconds RelayRun::waitLimit() const
+{
+    if (m_task.engine)
+        return OverduePatience;
+    return std::chrono::duration_cast<Milliseconds>(WaitPart * m_task.route.objective);
+}
+
 void RelayRun::waitForRoom()
 {
     m_phase = Phase::Waiting;
@@ -148,9 +180,8 @@
              {{"request", m_task.request.id.text()},
               {"service", m_task.service.text()},
               {"targets", QString::number(m_context.targets.count(m_task.service))}});
-    m_context.waiting.add(shared_from_this(), m_task.route.priority);
-    const auto until = m_task.arrived
-        + std::chrono::duration_cast<MonotonicTime::duration>(WaitPart * m_task.route.objective);
+    m_context.waiting.add(shared_from_this());
+    const auto until = m_task.arrived + waitLimit();
     const auto left =
         std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
     m_waitTimer =
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -60,6 +60,12 @@
     const TargetId &target() const { return m_target; }
     /// Sends it if a target can take it; false if it still waits.
     bool tryPlace();
+    /// It can no longer be answered on time.
+    bool isOverdue() const;
+    int priority() const { return m_task.route.priority; }
+    MonotonicTime arrived() const { return m_task.arrived; }
+    /// The output that its caller or its route lets expect.
+    Tokens expectedOutput() const;
     /// The target is about to go; a generation there moves on.
     void targetLeaving(const TargetId &target);
     /// Tokens that a generation is expected to make still.
@@ -79,8 +85,9 @@
     bool hasBegun() const { return m_lastEvent > 0; }
     Milliseconds timeLeft() const;
     Tokens expectedTokens() const;
-    Tokens expectedOutput() const;
     TargetNeed need() const;
+    double mostLoad() const;
+    Milliseconds waitLimit() const;
 
     void place();
     void waitForRoom();
--- a/src/relay/WaitingRequests.cpp
+++ b/src/relay/WaitingRequests.cpp
@@ -13,6 +13,17 @@
 /// Several changes of room within this time are one pass over the waiting requests.
 constexpr Milliseconds PassDelay{5};
 
+bool goesBefore(const std::shared_ptr<RelayRun> &a, const std::shared_ptr<RelayRun> &b)
+{
+    if (a->isOverdue() != b->isOverdue())
+        return b->isOverdue();
+    if (a->isOverdue())
+        return a->arrived() < b->arrived();
+    if (a->priority() != b->priority())
+        return a->priority() < b->priority();
+    return a->expectedOutput() < b->expectedOutput();
+}
+
 } // namespace
 
 WaitingRequests::WaitingRequests(TimerService &timers)
@@ -22,12 +33,9 @@
 
 WaitingRequests::~WaitingRequests() = default;
 
-void WaitingRequests::add(const std::shared_ptr<RelayRun> &run, int priority)
+void WaitingRequests::add(const std::shared_ptr<RelayRun> &run)
 {
-    const auto place =
-        std::find_if(m_waiting.begin(), m_waiting.end(),
-                     [priority](const Entry &entry) { return entry.priority > priority; });
-    m_waiting.insert(place, {run, priority});
+    m_waiting.append(run);
 }
 
 void WaitingRequests::roomChanged()
@@ -42,11 +50,16 @@
 
 void WaitingRequests::tryAll()
 {
-    const QList<Entry> waiting = std::exchange(m_waiting, {});
-    for (const Entry &entry : waiting) {
-        const std::shared_ptr<RelayRun> run = entry.run.lock();
-        if (run && run->isWaiting() && !run->tryPlace())
-            m_waiting.append(entry);
+    QList<std::shared_ptr<RelayRun>> runs;
+    for (const std::weak_ptr<RelayRun> &weak : std::exchange(m_waiting, {})) {
+        const std::shared_ptr<RelayRun> run = weak.lock();
+        if (run && run->isWaiting())
+            runs.append(run);
+    }
+    std::stable_sort(runs.begin(), runs.end(), goesBefore);
+    for (const std::shared_ptr<RelayRun> &run : std::as_const(runs)) {
+        if (run->isWaiting() && !run->tryPlace())
+            m_waiting.append(run);
     }
 }
 
--- a/src/relay/WaitingRequests.h
+++ b/src/relay/WaitingRequests.h
@@ -13,7 +13,9 @@
 class TimerService;
 class TimerSubscription;
 
-/// Tries the most urgent and then the oldest first, each time that room may have come about.
+/// Each time that room may have come about, tries those first that can still be answered on time;
+/// among them the most urgent, and then those with the shortest answers, of which more are served
+/// with the same memory. The others follow in the order of their arrival.
 /// Thread safety: only from the thread of the event loop.
 class WaitingRequests
 {
@@ -22,22 +24,17 @@
     explicit WaitingRequests(TimerService &timers);
     ~WaitingRequests();
 
-    /// Adds a run, which is tried until it no longer waits. Lower @p priority goes first.
-    void add(const std::shared_ptr<RelayRun> &run, int priority);
+    /// Adds a run, which is tried until it no longer waits.
+    void add(const std::shared_ptr<RelayRun> &run);
     /// Tries all soon.
     void roomChanged();
     int size() const { return int(m_waiting.size()); }
 
 private:
-    struct Entry {
-        std::weak_ptr<RelayRun> run;
-        int priority = 0;
-    };
-
     void tryAll();
 
     TimerService &m_timers;
-    QList<Entry> m_waiting;
+    QList<std::weak_ptr<RelayRun>> m_waiting;
     std::unique_ptr<TimerSubscription> m_soon;
 };
 
