--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -34,6 +34,8 @@
                   const StoreProtocol &protocol, RelayCounters &counters, Peer self);
     ~PeerDirectory();
 
+    /// Precondition: before start(). @p port is where this daemon is reached by others.
+    void setPort(quint16 port) { m_self.endpoint.port = port; }
     void start();
     /// Gives the own key up, as this daemon is about to end.
     void leave();
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -113,7 +113,8 @@
     BOOST_OUTCOME_TRY(callers, m_parts->callers.listenOn(m_parts->settings.callers));
     BOOST_OUTCOME_TRY(readiness, m_parts->readiness.listenOn(m_parts->settings.readiness));
     BOOST_OUTCOME_TRY(peer, m_parts->peerListener.listenOn(m_parts->settings.peer));
-    if (!m_parts->datagrams.listenOn(m_parts->settings.peer))
+    m_parts->peers.setPort(peer);
+    if (!m_parts->datagrams.listenOn(m_parts->peers.self().endpoint))
         logEvent(LogLevel::Error, EventId::PeerFrameInvalid,
                  {{"detail", QStringLiteral("cannot take datagrams")}});
     m_parts->peers.start();
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -51,6 +51,7 @@
     const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted,
                                          m_context.timers.now());
     if (!pick.target) {
+        m_moveDestination = TargetId();
         moveLater(QStringLiteral("no destination"));
         return;
     }
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -14,11 +14,12 @@
 
 HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
 {
-    const QString text = reader.requiredString(name);
-    const std::optional<HttpEndpoint> endpoint = parseEndpoint(QStringLiteral("http://") + text);
-    if (!endpoint || QHostAddress(endpoint->address).isNull())
+    const QStringList parts = reader.requiredString(name).split(u':');
+    bool isPort = false;
+    const quint16 port = parts.last().toUShort(&isPort);
+    if (parts.size() != 2 || !isPort || QHostAddress(parts.first()).isNull())
         reader.fault(name, QStringLiteral("\"ADDRESS:PORT\" with an IP number"));
-    return endpoint.value_or(HttpEndpoint());
+    return {parts.first(), port};
 }
 
 Milliseconds readDuration(SettingsReader &reader, const QString &name, Milliseconds fallback)
--- /dev/null
+++ b/test/correctness/RelayChoices.cpp
@@ -0,0 +1,149 @@
+// The decisions of a relaying daemon that need no process: routes, targets, retries.
+#define BOOST_TEST_MODULE RelayChoices
+#include <boost/test/unit_test.hpp>
+
+#include "relay/RelayConfiguration.h"
+#include "relay/RetryShare.h"
+#include "relay/TargetChoice.h"
+#include "relay/TargetRecord.h"
+
+using namespace cranberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const MonotonicTime Now{1h};
+const ServiceId Service(QStringLiteral("s"));
+
+RelayRoute routeOf(const char *prefix)
+{
+    RelayRoute route;
+    route.host = "h";
+    route.prefix = prefix;
+    return route;
+}
+
+TargetRecord engine(const char *id, const char *dataCentre, qint64 tokens)
+{
+    TargetRecord record;
+    record.entry.id = TargetId(QString::fromLatin1(id));
+    record.entry.dataCentre = DataCentreId(QString::fromLatin1(dataCentre));
+    record.ownTokens = Tokens(tokens);
+    return record;
+}
+
+TargetNeed needOf(qint64 tokens)
+{
+    TargetNeed need;
+    need.dataCentre = DataCentreId(QStringLiteral("here"));
+    need.tokens = Tokens(tokens);
+    need.engine = EngineTraits();
+    need.engine->memory = Tokens(10000);
+    need.engine->batchSlots = 100;
+    need.distancePenalty = 0.15;
+    return need;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LongestPrefixWins)
+{
+    RelayConfiguration configuration;
+    configuration.routes["h"] = {routeOf("/"), routeOf("/a/b/"), routeOf("/a/")};
+    sortRoutes(configuration);
+    BOOST_TEST((findRoute(configuration, "h", "/a/b/c?x=/z/")->prefix == "/a/b/"));
+    BOOST_TEST((findRoute(configuration, "h", "/a/c")->prefix == "/a/"));
+    BOOST_TEST((findRoute(configuration, "h", "/a")->prefix == "/"));
+    BOOST_TEST((findRoute(configuration, "other", "/a/") == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(SharesFollowTheirWeights)
+{
+    RelayRoute route;
+    route.services = {{ServiceId(QStringLiteral("a")), 90}, {ServiceId(QStringLiteral("b")), 10}};
+    int toB = 0;
+    for (int i = 0; i < 10000; ++i) {
+        const RequestId id(QStringLiteral("request %1").arg(i));
+        toB += serviceFor(route, id).text() == QStringLiteral("b") ? 1 : 0;
+    }
+    BOOST_TEST(toB > 800);
+    BOOST_TEST(toB < 1200);
+}
+
+BOOST_AUTO_TEST_CASE(LeastLoadedEngineIsChosen)
+{
+    const TargetRecord full = engine("full", "here", 8000);
+    const TargetRecord free = engine("free", "here", 2000);
+    BOOST_TEST((chooseTarget({&full, &free}, needOf(1000), Now).target == &free));
+}
+
+// Peers' requests count as the own ones do: daemons that knew only their own all chose the same
+// engine, and first events came up to 2.9 s late.
+BOOST_AUTO_TEST_CASE(RequestsOfPeersCount)
+{
+    TargetRecord busy = engine("busy", "here", 0);
+    busy.peers.insert(VmId(QStringLiteral("p")), {5, Tokens(7000), Tokens(0), Now});
+    const TargetRecord own = engine("own", "here", 3000);
+    BOOST_TEST((chooseTarget({&busy, &own}, needOf(1000), Now).target == &own));
+    BOOST_TEST((chooseTarget({&busy, &own}, needOf(1000), Now + 10s).target == &busy));
+}
+
+BOOST_AUTO_TEST_CASE(PromptsThatAreNotReadCount)
+{
+    TargetRecord reading = engine("reading", "here", 2000);
+    reading.ownUnread = Tokens(6000);
+    const TargetRecord other = engine("other", "here", 4000);
+    BOOST_TEST((chooseTarget({&reading, &other}, needOf(1000), Now).target == &other));
+}
+
+BOOST_AUTO_TEST_CASE(DistanceCostsLessThanLoad)
+{
+    const TargetRecord near = engine("near", "here", 1000);
+    const TargetRecord far = engine("far", "there", 0);
+    const TargetRecord busy = engine("busy", "here", 6000);
+    BOOST_TEST((chooseTarget({&near, &far}, needOf(1000), Now).target == &near));
+    BOOST_TEST((chooseTarget({&busy, &far}, needOf(1000), Now).target == &far));
+}
+
+BOOST_AUTO_TEST_CASE(SuspectsAreTheLastChoice)
+{
+    TargetRecord suspect = engine("suspect", "here", 0);
+    suspect.suspectUntil = Now + 1s;
+    const TargetRecord busy = engine("busy", "here", 9000);
+    BOOST_TEST((chooseTarget({&suspect, &busy}, needOf(1000), Now).target == &busy));
+    BOOST_TEST((chooseTarget({&suspect}, needOf(1000), Now).target == &suspect));
+    BOOST_TEST((chooseTarget({}, needOf(1000), Now).target == nullptr));
+}
+
+// Streams of one engine that leaves belong to few daemons: a fixed part of the budget for each
+// left 98 of 355 moves without a retry, though the fleet had used a third of it.
+BOOST_AUTO_TEST_CASE(RetriesOfAFleetAreShared)
+{
+    RetryShare share({0.2, 100, 10s});
+    share.setDaemons(50);
+    const auto taken = [&] {
+        int count = 0;
+        while (share.take(Service, Now, 0))
+            ++count;
+        return count;
+    };
+    BOOST_TEST(taken() == 1);
+    for (int i = 0; i < 49; ++i)
+        share.heard(VmId(QString::number(i)), Service, {10, 0, Now});
+    BOOST_TEST(taken() > 100);
+}
+
+BOOST_AUTO_TEST_CASE(RetriesKeepTheFleetsBound)
+{
+    RetryShare share({0.2, 20, 10s});
+    share.setDaemons(2);
+    for (int i = 0; i < 100; ++i)
+        share.countRequest(Service, Now);
+    share.heard(VmId(QStringLiteral("p")), Service, {100, 30, Now});
+    int taken = 0;
+    while (share.take(Service, Now, 0))
+        ++taken;
+    BOOST_TEST(taken + 30 <= 0.2 * 200 + 20);
+    BOOST_TEST(taken > 0);
+    BOOST_TEST(share.take(Service, Now + 11s, 0));
+}
--- /dev/null
+++ b/test/failure/PlatformMoves.cpp
@@ -0,0 +1,121 @@
+// Generations that move away from runners that leave.
+#define BOOST_TEST_MODULE PlatformMoves
+#include <boost/test/unit_test.hpp>
+
+#include "http/CallerReply.h"
+#include "support/EventLoop.h"
+#include "support/PlatformSite.h"
+
+using namespace cranberry;
+using Runner = standin::RunnerEmulator;
+
+namespace {
+
+constexpr int Events = 200;
+
+struct Fixture {
+    Fixture()
+    {
+        site.configure(1);
+        daemon = site.startDaemon();
+        first.setGeneration(Events, Milliseconds(10));
+        second.setGeneration(Events, Milliseconds(10));
+        call = site.send(daemon, "POST", "/model/a", "r1", test::PlatformSite::generation());
+        BOOST_REQUIRE(test::waitFor([&] { return call->response.body.size() > 100; }));
+        isAtFirst = first.generating() == 1;
+    }
+
+    Runner &source() { return isAtFirst ? first : second; }
+    Runner &destination() { return isAtFirst ? second : first; }
+    void leave() { site.announce(source(), "model", "draining"); }
+
+    test::PlatformSite site;
+    Runner &first = site.addRunner("model-1", "model");
+    Runner &second = site.addRunner("model-2", "model");
+    int daemon = -1;
+    std::shared_ptr<test::ClientCall> call;
+    bool isAtFirst = true;
+};
+
+} // namespace
+
+// A runner is taken away while it generates. Its stream goes on at another one from where the
+// client is; every event comes once and in order.
+BOOST_FIXTURE_TEST_CASE(StreamGoesOnElsewhere, Fixture)
+{
+    leave();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+    BOOST_REQUIRE_EQUAL(destination().ran().size(), 1);
+    const HttpHeaders &headers = destination().ran().first().headers;
+    BOOST_TEST((headers.value("Kv-From") == source().address() + "/copy"));
+    BOOST_TEST((headers.value("Cranberryquay-Request-Id") == "r1"));
+}
+
+// The runner that a stream was moved to answered it with a failure. The daemon took the end of
+// that answer for the end of the stream, and the client saw half an answer as a whole one.
+BOOST_FIXTURE_TEST_CASE(FailureAfterAMoveIsNoEnd, Fixture)
+{
+    Runner &there = destination();
+    there.setOverride([&there](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isResumed = request.headers.contains("Kv-From");
+        if (isResumed)
+            reply->send({500, there.answerHeaders(request), "failed"});
+        return isResumed;
+    });
+    leave();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Broken));
+    BOOST_TEST(!call->response.body.contains("failed"));
+}
+
+// The other runner has no room at first. The move is tried again, and the stream is not lost.
+BOOST_FIXTURE_TEST_CASE(MoveWithoutRoomIsTriedAgain, Fixture)
+{
+    int refusals = 0;
+    source().setOverride([&refusals](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isRefused = request.path == "/v1/kv-move" && refusals < 3;
+        if (isRefused) {
+            ++refusals;
+            reply->send({503, {}, "{}"});
+        }
+        return isRefused;
+    });
+    leave();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(refusals == 3);
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+}
+
+// The order to move is never answered. The stream stays where it is and comes whole.
+BOOST_FIXTURE_TEST_CASE(UnansweredMoveLeavesTheStream, Fixture)
+{
+    source().setOverride([](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isMove = request.path == "/v1/kv-move";
+        if (isMove)
+            reply->abort();
+        return isMove;
+    });
+    leave();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+}
+
+// A runner that leaves gets no new request.
+BOOST_FIXTURE_TEST_CASE(LeavingRunnerTakesNothingNew, Fixture)
+{
+    leave();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    const qsizetype before = source().ran().size();
+    for (int i = 0; i < 4; ++i) {
+        const QByteArray id = "n" + QByteArray::number(i);
+        destination().setGeneration(3, Milliseconds(2));
+        const auto next =
+            site.call(daemon, "POST", "/model/a", id, test::PlatformSite::generation());
+        BOOST_TEST((next->response.body == test::PlatformSite::events(3)));
+    }
+    BOOST_TEST(source().ran().size() == before);
+}
--- /dev/null
+++ b/test/failure/PlatformStore.cpp
@@ -0,0 +1,90 @@
+// The platform's store cuts, forgets and turns daemons away.
+#define BOOST_TEST_MODULE PlatformStore
+#include <boost/test/unit_test.hpp>
+
+#include "support/EventLoop.h"
+#include "support/PlatformSite.h"
+
+using namespace cranberry;
+using Door = standin::StoreEmulator::Door;
+
+namespace {
+
+struct Fixture {
+    Fixture()
+    {
+        site.configure(1);
+        daemon = site.startDaemon();
+    }
+
+    int extraStatus(const QByteArray &id)
+    {
+        return site.call(daemon, "GET", "/extra/a", id)->response.status;
+    }
+
+    test::PlatformSite site;
+    standin::RunnerEmulator &plain = site.addRunner("plain-1", "plain");
+    int daemon = -1;
+};
+
+} // namespace
+
+// A key was taken away and still worked 5 s later: the store cut its watches after a change that
+// they had not heard of, and the watch opened again heard nothing either.
+BOOST_FIXTURE_TEST_CASE(ChangeBehindACutWatchIsRead, Fixture)
+{
+    site.store().cutWatches(true);
+    site.configure(2, true);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r1") == 200; }));
+}
+
+// The store forgot its history; the daemon reads all anew.
+BOOST_FIXTURE_TEST_CASE(ForgottenHistoryIsReadAnew, Fixture)
+{
+    site.configure(2);
+    site.store().compact();
+    site.store().cutWatches(false);
+    site.configure(3, true);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r1") == 200; }));
+}
+
+// While the store is away a route that is not known here may be in a newer version: the client is
+// told to come back, not that there is none. Known routes are served on.
+BOOST_FIXTURE_TEST_CASE(UnknownRouteIsNoVerdictWithoutTheStore, Fixture)
+{
+    BOOST_TEST(extraStatus("r1") == 404);
+    site.store().refuse(Door::First, true);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r2") == 503; }));
+    BOOST_TEST(site.call(daemon, "GET", "/safe/a", "r3")->response.status == 200);
+    site.store().refuse(Door::First, false);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r4") == 404; }));
+}
+
+// A daemon that starts while the store is down says that it is not ready, and serves once the
+// store is back.
+BOOST_AUTO_TEST_CASE(StartsWithTheStoreDown)
+{
+    test::PlatformSite site;
+    site.addRunner("plain-1", "plain");
+    site.store().refuse(Door::First, true);
+    site.configure(1);
+    BOOST_CHECK_THROW(site.startDaemon(std::chrono::seconds(2)), std::runtime_error);
+    site.store().refuse(Door::First, false);
+    BOOST_TEST(test::waitFor([&] { return site.isReady(0); }));
+    BOOST_TEST(site.call(0, "GET", "/safe/a", "r1")->response.status == 200);
+}
+
+// The store turns one daemon away and serves the other. A route added meanwhile is served by
+// both, as the one asks the other.
+BOOST_FIXTURE_TEST_CASE(DaemonTurnedAwayAsksAnother, Fixture)
+{
+    const int other = site.startDaemon(std::chrono::seconds(30), Door::Second);
+    BOOST_REQUIRE(
+        test::waitFor([&] { return site.log(daemon).contains("name=member.joined"); }));
+    site.store().refuse(Door::First, true);
+    site.configure(2, true);
+    BOOST_TEST(test::waitFor([&] {
+        return site.call(other, "GET", "/extra/a", "r1")->response.status == 200
+            && extraStatus("r2") == 200;
+    }));
+}
--- /dev/null
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -0,0 +1,149 @@
+#include "standins/users/RunnerEmulator.h"
+
+#include "base/TimerSubscription.h"
+#include "http/CallerReply.h"
+#include "http/HttpResponse.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+
+namespace cranberry::standin {
+
+namespace {
+
+const QByteArray IdHeader = "Cranberryquay-Request-Id";
+
+HttpResponse rejection(ErrorKind)
+{
+    return {400, {}, {}};
+}
+
+HttpResponse jsonAnswer(int status, const QJsonObject &body)
+{
+    return {status, {}, QJsonDocument(body).toJson(QJsonDocument::Compact)};
+}
+
+} // namespace
+
+RunnerEmulator::RunnerEmulator(QByteArray id)
+    : m_id(std::move(id))
+    , m_listener(
+          m_timers,
+          [this](const HttpRequest &request, const Reply &reply) { handle(request, reply); },
+          rejection)
+{
+    m_endpoint.address = QStringLiteral("127.0.0.1");
+    m_endpoint.port = m_listener.listenOn(m_endpoint).value();
+}
+
+RunnerEmulator::~RunnerEmulator() = default;
+
+QByteArray RunnerEmulator::address() const
+{
+    return m_endpoint.address.toLatin1() + ':' + QByteArray::number(m_endpoint.port);
+}
+
+QByteArray RunnerEmulator::entry(const QByteArray &service, const QByteArray &state) const
+{
+    const QJsonObject json{{"service", QString::fromLatin1(service)},
+                           {"address", QString::fromLatin1(address())},
+                           {"zone", "hall"},
+                           {"slots", 8},
+                           {"state", QString::fromLatin1(state)},
+                           {"coldLeftMs", 0}};
+    return QJsonDocument(json).toJson(QJsonDocument::Compact);
+}
+
+void RunnerEmulator::setGeneration(int events, Milliseconds interval)
+{
+    m_events = events;
+    m_interval = interval;
+}
+
+void RunnerEmulator::crash()
+{
+    for (const std::shared_ptr<Run> &run : std::exchange(m_runs, {}))
+        run->reply->abort();
+}
+
+HttpHeaders RunnerEmulator::answerHeaders(const HttpRequest &request) const
+{
+    return {{IdHeader, request.headers.value(IdHeader)},
+            {"Cranberryquay-Response-Seal", "seal-" + m_id}};
+}
+
+QByteArray RunnerEmulator::event(int number)
+{
+    const QByteArray text = QByteArray::number(number);
+    return "id: " + text + "\ndata: event " + text + "\n\n";
+}
+
+void RunnerEmulator::handle(const HttpRequest &request, const Reply &reply)
+{
+    if (request.path == "/v1/report") {
+        reply->send(jsonAnswer(200, {{"queued", 0}, {"running", generating()}, {"kvUsed", 0},
+                                     {"kvTotal", 100000}}));
+        return;
+    }
+    const QByteArray expected = request.headers.value("Cranberryquay-Expect-Instance");
+    if (!expected.isEmpty() && expected != m_id) {
+        reply->send({421, {{"Cranberryquay-Instance-Id", m_id}}, {}});
+        return;
+    }
+    if (m_override && m_override(request, reply))
+        return;
+    if (request.path == "/v1/kv-move") {
+        move(request, reply);
+    } else if (request.path.startsWith("/v1/")) {
+        reply->send(jsonAnswer(200, {}));
+    } else {
+        m_ran.append(request);
+        if (request.headers.contains("Cranberryquay-Token-Usage"))
+            generate(request, reply);
+        else
+            reply->send({200, answerHeaders(request), "answer to " + request.body});
+    }
+}
+
+void RunnerEmulator::generate(const HttpRequest &request, const Reply &reply)
+{
+    const QByteArray id = request.headers.value(IdHeader);
+    const auto run = std::make_shared<Run>();
+    run->request = request;
+    run->reply = reply;
+    run->made = request.headers.value("Last-Event-Id").toInt();
+    m_runs.insert(id, run);
+    HttpHeaders headers = answerHeaders(request);
+    headers.add("Content-Type", "text/event-stream");
+    reply->startStream(200, headers);
+    reply->onCallerGone([this, id] { m_runs.remove(id); });
+    run->timer = m_timers.every(m_interval, [this, id] { step(id); });
+}
+
+void RunnerEmulator::step(const QByteArray &id)
+{
+    const std::shared_ptr<Run> run = m_runs.value(id);
+    run->reply->write(event(++run->made));
+    if (run->made < m_events)
+        return;
+    m_runs.remove(id);
+    run->reply->end();
+}
+
+void RunnerEmulator::move(const HttpRequest &request, const Reply &reply)
+{
+    const QJsonObject order = QJsonDocument::fromJson(request.body).object();
+    const QByteArray id = order.value("id").toString().toLatin1();
+    const std::shared_ptr<Run> run = m_runs.value(id);
+    if (!run) {
+        reply->send(jsonAnswer(404, {}));
+        return;
+    }
+    if (order.value("last").toBool()) {
+        m_runs.remove(id);
+        run->reply->abort();
+    }
+    reply->send(jsonAnswer(200, {{"handle", "copy"}, {"created", run->made}}));
+}
+
+} // namespace cranberry::standin
--- /dev/null
+++ b/test/standins/users/RunnerEmulator.h
@@ -0,0 +1,71 @@
+// Defines RunnerEmulator, a stand-in of one of the users' runners inside a test.
+#pragma once
+
+#include "base/QtTimerService.h"
+#include "http/HttpListener.h"
+#include "http/HttpRequest.h"
+
+#include <functional>
+#include <memory>
+
+namespace cranberry::standin {
+
+/// Answers plain requests at once and generations event by event, lets generations move to
+/// another runner, and fails as a test tells it.
+/// Thread safety: only from the thread of its event loop.
+class RunnerEmulator
+{
+public:
+    using Reply = std::shared_ptr<CallerReply>;
+    /// Returns true if it answered the request or means not to.
+    using Override = std::function<bool(const HttpRequest &request, const Reply &reply)>;
+
+    explicit RunnerEmulator(QByteArray id);
+    ~RunnerEmulator();
+
+    const QByteArray &id() const { return m_id; }
+    HttpEndpoint endpoint() const { return m_endpoint; }
+    QByteArray address() const;
+    /// Its entry in the store.
+    QByteArray entry(const QByteArray &service, const QByteArray &state = "ready") const;
+
+    /// Events of a generation and the time between two.
+    void setGeneration(int events, Milliseconds interval);
+    void setOverride(Override override) { m_override = std::move(override); }
+
+    /// Requests that it began to run, in the order in which they came.
+    const QList<HttpRequest> &ran() const { return m_ran; }
+    /// Generations that are under way.
+    int generating() const { return int(m_runs.size()); }
+    /// Breaks all its connections off, as a crash does.
+    void crash();
+
+    /// The head of an answer to @p request as a runner writes it.
+    HttpHeaders answerHeaders(const HttpRequest &request) const;
+    static QByteArray event(int number);
+
+private:
+    struct Run {
+        HttpRequest request;
+        Reply reply;
+        int made = 0;
+        std::unique_ptr<TimerSubscription> timer;
+    };
+
+    void handle(const HttpRequest &request, const Reply &reply);
+    void generate(const HttpRequest &request, const Reply &reply);
+    void step(const QByteArray &id);
+    void move(const HttpRequest &request, const Reply &reply);
+
+    QByteArray m_id;
+    QtTimerService m_timers;
+    HttpEndpoint m_endpoint;
+    int m_events = 3;
+    Milliseconds m_interval{5};
+    Override m_override;
+    QList<HttpRequest> m_ran;
+    QHash<QByteArray, std::shared_ptr<Run>> m_runs;
+    HttpListener m_listener;
+};
+
+} // namespace cranberry::standin
--- /dev/null
+++ b/test/support/PlatformSite.cpp
@@ -0,0 +1,248 @@
+#include "support/PlatformSite.h"
+
+#include "support/EventLoop.h"
+
+#include <QJsonDocument>
+#include <QJsonObject>
+#include <QTemporaryFile>
+
+#include <csignal>
+#include <stdexcept>
+
+namespace cranberry::test {
+
+namespace {
+
+QJsonObject route(const QString &name, const QString &kind, const QString &service)
+{
+    return {{"name", name},          {"host", "site.example"}, {"prefix", "/" + name + "/"},
+            {"kind", kind},          {"timeoutMs", 20000},     {"aimMs", 2000},
+            {"priority", 1},         {"service", service},     {"maxAttempts", kind == "safe" ? 2 : 1},
+            {"anonymous", false},    {"gapTargetMs", 500}};
+}
+
+} // namespace
+
+PlatformSite::Application::Application()
+{
+    ensureApplication();
+}
+
+PlatformSite::PlatformSite() = default;
+
+PlatformSite::~PlatformSite()
+{
+    for (Daemon &daemon : m_daemons) {
+        daemon.process->kill();
+        daemon.process->waitForFinished();
+    }
+}
+
+standin::RunnerEmulator &PlatformSite::addRunner(const QByteArray &id, const QByteArray &service)
+{
+    m_runners.push_back(std::make_unique<standin::RunnerEmulator>(id));
+    announce(*m_runners.back(), service, "ready");
+    return *m_runners.back();
+}
+
+void PlatformSite::announce(const standin::RunnerEmulator &runner, const QByteArray &service,
+                            const QByteArray &state)
+{
+    m_store.put(QStringLiteral("servers/") + QString::fromLatin1(runner.id()),
+                runner.entry(service, state));
+}
+
+void PlatformSite::configure(int version, bool extraRoute)
+{
+    QJsonArray routes{route("model", "streaming", "model"), route("safe", "safe", "plain"),
+                      route("unsafe", "unsafe", "plain")};
+    if (extraRoute)
+        routes.append(route("extra", "safe", "plain"));
+    const QJsonObject engine{{"slots", 8},      {"kvCapacityTokens", 100000}, {"moves", true},
+                             {"backups", true}, {"stride", 1}};
+    const QJsonObject json{
+        {"version", version},
+        {"routes", routes},
+        {"services", QJsonArray{QJsonObject{{"name", "model"}, {"engine", engine}},
+                                QJsonObject{{"name", "plain"}}}},
+        {"limits", QJsonObject{{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000},
+                               {"headerTimeoutMs", 1000}, {"idleTimeoutMs", 10000}}},
+        {"tenants", QJsonArray{QJsonObject{{"name", "house"}, {"apiKeys", QJsonArray{"key"}}}}}};
+    m_store.put(QStringLiteral("op/config"), QJsonDocument(json).toJson(QJsonDocument::Compact));
+}
+
+int PlatformSite::startDaemon(std::chrono::milliseconds limit, standin::StoreEmulator::Door door)
+{
+    const int number = int(m_daemons.size());
+    const QString store =
+        QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
+    const QJsonObject settings{{"vm", QStringLiteral("vm%1").arg(number)},
+                               {"data_centre", "hall"},
+                               {"callers", "127.0.0.1:0"},
+                               {"readiness", "127.0.0.1:0"},
+                               {"peer", "127.0.0.1:0"},
+                               {"store", store}};
+    QTemporaryFile file;
+    file.setAutoRemove(false);
+    if (!file.open())
+        throw std::runtime_error("no settings file");
+    file.write(QJsonDocument(settings).toJson());
+    file.close();
+    m_daemons.push_back({std::make_unique<QProcess>(), {}, {}, {}});
+    Daemon &daemon = m_daemons.back();
+    daemon.process->setProcessChannelMode(QProcess::MergedChannels);
+    daemon.process->start(QStringLiteral(CRANBERRY_PROGRAM_DIRECTORY "/cranberryd-platform"),
+                          {QStringLiteral("--settings"), file.fileName()});
+    daemon.callers = {QStringLiteral("127.0.0.1"), portOf(daemon, "callers")};
+    daemon.readiness = {QStringLiteral("127.0.0.1"), portOf(daemon, "readiness")};
+    file.remove();
+    if (!waitFor([&] { return isReady(number); }, limit))
+        throw std::runtime_error("the daemon did not become ready: "
+                                 + log(number).toStdString());
+    return number;
+}
+
+quint16 PlatformSite::portOf(Daemon &daemon, const QByteArray &name)
+{
+    quint16 port = 0;
+    waitFor([&] {
+        daemon.log += daemon.process->readAll();
+        const qsizetype at = daemon.log.indexOf(' ' + name + '=');
+        if (at >= 0)
+            port = quint16(daemon.log.mid(at + name.size() + 2).split(' ').first().trimmed().toInt());
+        return port != 0 || daemon.process->state() == QProcess::NotRunning;
+    });
+    if (port == 0)
+        throw std::runtime_error("the daemon did not say its ports: " + daemon.log.toStdString());
+    return port;
+}
+
+bool PlatformSite::isReady(int daemon)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/v1/readiness";
+    bool isOver = false;
+    int status = 0;
+    const auto exchange = m_client.fetch(m_daemons[size_t(daemon)].readiness, request, {},
+                                         [&](HttpExchangeEnd, const HttpResponse &response) {
+                                             isOver = true;
+                                             status = response.status;
+                                         });
+    waitFor([&] { return isOver; });
+    return status == 200;
+}
+
+void PlatformSite::signal(int daemon, int number)
+{
+    ::kill(pid_t(m_daemons[size_t(daemon)].process->processId()), number);
+}
+
+bool PlatformSite::hasEnded(int daemon) const
+{
+    return m_daemons[size_t(daemon)].process->state() == QProcess::NotRunning;
+}
+
+QByteArray PlatformSite::log(int daemon)
+{
+    Daemon &read = m_daemons[size_t(daemon)];
+    read.log += read.process->readAll();
+    return read.log;
+}
+
+HttpRequest PlatformSite::requestOf(const QByteArray &method, const QByteArray &path,
+                                    const QByteArray &id, const HttpHeaders &more)
+{
+    HttpRequest request;
+    request.method = method;
+    request.path = path;
+    request.headers = {{"Host", "site.example"},
+                       {"Cranberryquay-Request-Id", id},
+                       {"Cranberryquay-Deadline-Ms", "15000"},
+                       {"Authorization", "Bearer key"}};
+    for (const HttpHeaders::Field &field : more.fields())
+        request.headers.add(field.first, field.second);
+    if (method == "POST")
+        request.body = "body of " + id;
+    return request;
+}
+
+std::shared_ptr<ClientCall> PlatformSite::sendRequest(int daemon, const HttpRequest &request)
+{
+    const auto call = std::make_shared<ClientCall>();
+    const std::weak_ptr<ClientCall> weak = call;
+    HttpExchangeCallbacks callbacks;
+    callbacks.headers = [weak](int status, const HttpHeaders &headers) {
+        weak.lock()->response.status = status;
+        weak.lock()->response.headers = headers;
+    };
+    callbacks.body = [weak](const QByteArray &data) { weak.lock()->response.body += data; };
+    callbacks.finished = [weak](HttpExchangeEnd end, const QString &) {
+        weak.lock()->end = end;
+        weak.lock()->isOver = true;
+    };
+    call->exchange =
+        m_client.send(m_daemons[size_t(daemon)].callers, request, {}, std::move(callbacks));
+    return call;
+}
+
+std::shared_ptr<ClientCall> PlatformSite::send(int daemon, const QByteArray &method,
+                                               const QByteArray &path, const QByteArray &id,
+                                               const HttpHeaders &more)
+{
+    return sendRequest(daemon, requestOf(method, path, id, more));
+}
+
+std::shared_ptr<ClientCall> PlatformSite::callWithBody(int daemon, const QByteArray &path,
+                                                       const QByteArray &id,
+                                                       const QByteArray &body)
+{
+    HttpRequest request = requestOf("POST", path, id, {});
+    request.body = body;
+    const std::shared_ptr<ClientCall> sent = sendRequest(daemon, request);
+    finish(sent);
+    return sent;
+}
+
+std::shared_ptr<ClientCall> PlatformSite::callWithKey(int daemon, const QByteArray &path,
+                                                      const QByteArray &id, const QByteArray &key)
+{
+    HttpRequest request = requestOf("GET", path, id, {});
+    request.headers = {{"Host", "site.example"},
+                       {"Cranberryquay-Request-Id", id},
+                       {"Authorization", "Bearer " + key}};
+    const std::shared_ptr<ClientCall> sent = sendRequest(daemon, request);
+    finish(sent);
+    return sent;
+}
+
+bool PlatformSite::finish(const std::shared_ptr<ClientCall> &call)
+{
+    return waitFor([&] { return call->isOver; });
+}
+
+std::shared_ptr<ClientCall> PlatformSite::call(int daemon, const QByteArray &method,
+                                               const QByteArray &path, const QByteArray &id,
+                                               const HttpHeaders &more)
+{
+    const std::shared_ptr<ClientCall> sent = send(daemon, method, path, id, more);
+    finish(sent);
+    return sent;
+}
+
+HttpHeaders PlatformSite::generation(int promptTokens, int mostOutput)
+{
+    return {{"Cranberryquay-Model", "m"},
+            {"Cranberryquay-Token-Usage",
+             QByteArray::number(promptTokens) + ',' + QByteArray::number(mostOutput)}};
+}
+
+QByteArray PlatformSite::events(int events)
+{
+    QByteArray all;
+    for (int number = 1; number <= events; ++number)
+        all += standin::RunnerEmulator::event(number);
+    return all;
+}
+
+} // namespace cranberry::test
--- /dev/null
+++ b/test/support/PlatformSite.h
@@ -0,0 +1,93 @@
+// Defines PlatformSite, daemons on the users' platform with stand-ins of its store and runners.
+#pragma once
+
+#include "base/QtTimerService.h"
+#include "http/HttpClient.h"
+#include "http/HttpResponse.h"
+#include "standins/users/RunnerEmulator.h"
+#include "standins/users/StoreEmulator.h"
+
+#include <QJsonArray>
+#include <QProcess>
+
+#include <memory>
+#include <vector>
+
+namespace cranberry::test {
+
+/// One request of a client and what came of it.
+struct ClientCall {
+    HttpExchangeEnd end = HttpExchangeEnd::NotConnected;
+    bool isOver = false;
+    HttpResponse response;
+    std::unique_ptr<HttpExchange> exchange;
+};
+
+/// Runs cranberryd-platform as processes of their own, on free ports of 127.0.0.1.
+/// Thread safety: only from its own thread.
+class PlatformSite
+{
+public:
+    PlatformSite();
+    ~PlatformSite();
+
+    standin::StoreEmulator &store() { return m_store; }
+
+    /// Adds a runner of "model" (generations) or "plain" and its entry.
+    standin::RunnerEmulator &addRunner(const QByteArray &id, const QByteArray &service);
+    void announce(const standin::RunnerEmulator &runner, const QByteArray &service,
+                  const QByteArray &state);
+    /// Writes a configuration with the routes /model/, /safe/ and /unsafe/ and the key "key".
+    /// @p extraRoute: also /extra/, to the plain service.
+    void configure(int version, bool extraRoute = false);
+    /// Starts a daemon and waits until it is ready; returns its number.
+    /// Throws std::runtime_error if that takes longer than @p limit; the daemon stays.
+    int startDaemon(std::chrono::milliseconds limit = std::chrono::seconds(30),
+                    standin::StoreEmulator::Door store = standin::StoreEmulator::Door::First);
+    bool isReady(int daemon);
+    void signal(int daemon, int number);
+    bool hasEnded(int daemon) const;
+    /// All lines that the daemon wrote so far.
+    QByteArray log(int daemon);
+
+    /// Sends a request; wait for it with finish().
+    std::shared_ptr<ClientCall> send(int daemon, const QByteArray &method, const QByteArray &path,
+                                     const QByteArray &id, const HttpHeaders &more = {});
+    /// Sends a request and waits for its end.
+    std::shared_ptr<ClientCall> call(int daemon, const QByteArray &method, const QByteArray &path,
+                                     const QByteArray &id, const HttpHeaders &more = {});
+    std::shared_ptr<ClientCall> callWithBody(int daemon, const QByteArray &path,
+                                             const QByteArray &id, const QByteArray &body);
+    std::shared_ptr<ClientCall> callWithKey(int daemon, const QByteArray &path,
+                                            const QByteArray &id, const QByteArray &key);
+    static bool finish(const std::shared_ptr<ClientCall> &call);
+    /// Headers of a generation.
+    static HttpHeaders generation(int promptTokens = 100, int mostOutput = 100);
+    /// The whole stream of a generation of @p events events.
+    static QByteArray events(int events);
+
+private:
+    struct Daemon {
+        std::unique_ptr<QProcess> process;
+        HttpEndpoint callers;
+        HttpEndpoint readiness;
+        QByteArray log;
+    };
+
+    static HttpRequest requestOf(const QByteArray &method, const QByteArray &path,
+                                 const QByteArray &id, const HttpHeaders &more);
+    std::shared_ptr<ClientCall> sendRequest(int daemon, const HttpRequest &request);
+    quint16 portOf(Daemon &daemon, const QByteArray &name);
+
+    /// Before all that needs an event loop.
+    struct Application {
+        Application();
+    } m_application;
+    standin::StoreEmulator m_store;
+    QtTimerService m_timers;
+    HttpClient m_client{m_timers};
+    std::vector<std::unique_ptr<standin::RunnerEmulator>> m_runners;
+    std::vector<Daemon> m_daemons;
+};
+
+} // namespace cranberry::test
