--- a/src/base/EventLog.cpp
+++ b/src/base/EventLog.cpp
@@ -44,6 +44,8 @@
 
 } // namespace
 
+// One case for each event: its length says nothing of its complexity.
+// NOLINTNEXTLINE(readability-function-size)
 const char *eventName(EventId event)
 {
     switch (event) {
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -24,8 +24,8 @@
         text += '?' + request.query.toString(QUrl::FullyEncoded).toUtf8();
     text += " HTTP/1.1\r\n";
     if (!request.headers.contains("Host"))
-        text += "Host: " + endpoint.address.toUtf8() + ':' + QByteArray::number(endpoint.port)
-            + "\r\n";
+        text +=
+            "Host: " + endpoint.address.toUtf8() + ':' + QByteArray::number(endpoint.port) + "\r\n";
     if (!keepAlive)
         text += "Connection: close\r\n";
     for (const HttpHeaders::Field &field : request.headers.fields())
@@ -45,8 +45,7 @@
     , m_timers(timers)
     , m_endpoint(endpoint)
     , m_options(options)
-    , m_outgoing(
-          wireText(endpoint, request, options.reuseConnection || options.keepConnection))
+    , m_outgoing(wireText(endpoint, request, options.reuseConnection || options.keepConnection))
     , m_callbacks(std::move(callbacks))
     , m_parser(std::make_unique<internal::HttpResponseParser>())
     , m_destroyed(std::make_shared<bool>(false))
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -36,8 +36,7 @@
 
 HttpListener::HttpListener(TimerService &timers, Handler handler, Rejection rejection)
     : m_timers(timers)
-    , m_context{timers,    m_limits, std::move(handler), std::move(rejection),
-                m_closing, {}}
+    , m_context{timers, m_limits, std::move(handler), std::move(rejection), m_closing, {}}
     , m_sweep(timers.every(SweepInterval, [this] {
         const auto connections = m_connections;
         for (const auto &connection : connections)
@@ -65,8 +64,7 @@
     auto *generic = reinterpret_cast<sockaddr *>(&address);
     socklen_t size = sizeof(address);
     if (!isValid || m_descriptor < 0 || ::bind(m_descriptor, generic, size) != 0
-        || ::listen(m_descriptor, Backlog) != 0
-        || ::getsockname(m_descriptor, generic, &size) != 0)
+        || ::listen(m_descriptor, Backlog) != 0 || ::getsockname(m_descriptor, generic, &size) != 0)
         return listenError(endpoint);
     m_notifier = new QSocketNotifier(m_descriptor, QSocketNotifier::Read);
     QObject::connect(m_notifier, &QSocketNotifier::activated, m_notifier, [this] { accept(); });
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -42,12 +42,10 @@
     , m_refresh(timers.every(RefreshInterval, [this] { refresh(); }))
     , m_summary(timers.every(SummaryInterval, [this] { summarise(); }))
 {
-    datagrams.onMessage(DatagramKind::Summary, [this](const Peer &, const QCborArray &body) {
-        takeSummary(body);
-    });
-    datagrams.onMessage(DatagramKind::Load, [this](const Peer &from, const QCborArray &body) {
-        take(from, body);
-    });
+    datagrams.onMessage(DatagramKind::Summary,
+                        [this](const Peer &, const QCborArray &body) { takeSummary(body); });
+    datagrams.onMessage(DatagramKind::Load,
+                        [this](const Peer &from, const QCborArray &body) { take(from, body); });
 }
 
 LoadExchange::~LoadExchange() = default;
@@ -113,9 +111,8 @@
         if (!record || record->entry.dataCentre == m_peers.self().dataCentre)
             continue;
         QList<Peer> owners = m_peers.peers();
-        owners.removeIf([record](const Peer &peer) {
-            return peer.dataCentre != record->entry.dataCentre;
-        });
+        owners.removeIf(
+            [record](const Peer &peer) { return peer.dataCentre != record->entry.dataCentre; });
         m_datagrams.send(owners, DatagramKind::Load, QCborArray{loadsOf({target}), QCborArray()});
     }
 }
@@ -135,8 +132,8 @@
     QCborArray rows;
     for (const TargetId &target : m_targets.usedNearby()) {
         const PeerLoad load = m_targets.nearbyLoad(target);
-        rows.append(QCborArray{target.text(), load.running, load.tokens.value(),
-                               load.unread.value()});
+        rows.append(
+            QCborArray{target.text(), load.running, load.tokens.value(), load.unread.value()});
         if (rows.size() < MostEntries)
             continue;
         m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
@@ -150,7 +147,7 @@
 {
     // Kept under the name of the data centre, beside the loads of single daemons of the own one.
     const VmId speaker(QStringLiteral("data centre ") + body.at(0).toString());
-    for (const QCborValue &row : body.at(1).toArray())
+    for (const QCborValue row : body.at(1).toArray())
         takeSummaryRow(speaker, row.toArray());
 }
 
@@ -177,9 +174,9 @@
 {
     const MonotonicTime now = m_timers.now();
     const bool isForeign = peer.dataCentre != m_peers.self().dataCentre;
-    for (const QCborValue &value : body.at(0).toArray())
+    for (const QCborValue value : body.at(0).toArray())
         takeLoad(peer.vm, value.toArray(), isForeign);
-    for (const QCborValue &value : body.at(1).toArray()) {
+    for (const QCborValue value : body.at(1).toArray()) {
         const QCborArray row = value.toArray();
         m_retries.heard(peer.vm, ServiceId(row.at(0).toString()),
                         {int(row.at(1).toInteger()), int(row.at(2).toInteger()), now});
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -24,8 +24,8 @@
 /// Engines report their load half a second late, and in that time many daemons would choose the
 /// same one. So each daemon tells the others what it has at each engine, in datagrams: whole
 /// figures and not changes, so that a lost one is mended by the next. They go to the daemons of
-/// the same data centre, and to all in a small fleet; in a large one, one daemon of each data centre
-/// tells the others the sum. Nothing depends on them but how well requests are spread.
+/// the same data centre, and to all in a small fleet; in a large one, one daemon of each data
+/// centre tells the others the sum. Nothing depends on them but how well requests are spread.
 /// Thread safety: only from the thread of the event loop.
 class LoadExchange
 {
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -43,7 +43,8 @@
     bool listenOn(const HttpEndpoint &endpoint);
     /// Every message carries the version of the configuration that @p version tells; @p newer is
     /// called when another daemon has a newer one.
-    void compareVersions(std::function<qint64()> version, std::function<void(qint64 version)> newer);
+    void compareVersions(std::function<qint64()> version,
+                         std::function<void(qint64 version)> newer);
     /// Precondition: set before listenOn().
     void onMessage(DatagramKind kind, Handler handler);
     void send(const QList<Peer> &receivers, DatagramKind kind, const QCborArray &body);
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -48,7 +48,7 @@
         return;
     }
     QList<StoreItem> items;
-    for (const QCborValue &entry : fields.at(1).toArray()) {
+    for (const QCborValue entry : fields.at(1).toArray()) {
         const QCborArray item = entry.toArray();
         items.append({item.at(0).toString(), item.at(1).toByteArray(),
                       Revision(item.at(2).toInteger()), false});
@@ -103,13 +103,12 @@
     HttpExchangeOptions options;
     options.connectTimeout = AskTimeout;
     options.timeout = AskTimeout;
-    m_question = m_client.fetch(peer.endpoint, request, options,
-                                [this](HttpExchangeEnd end, const HttpResponse &response) {
-                                    const bool isWhole = end == HttpExchangeEnd::Complete
-                                        && response.status == StatusOk;
-                                    if (isWhole)
-                                        answered(response.body);
-                                });
+    m_question = m_client.fetch(
+        peer.endpoint, request, options, [this](HttpExchangeEnd end, const HttpResponse &response) {
+            const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
+            if (isWhole)
+                answered(response.body);
+        });
 }
 
 void PeerState::answered(const QByteArray &body)
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -83,9 +83,7 @@
         headersCame(status, headers);
     };
     events.body = [this](const QByteArray &data) { bodyCame(data); };
-    events.finished = [this](HttpExchangeEnd end, const QString &reason) {
-        finished(end, reason);
-    };
+    events.finished = [this](HttpExchangeEnd end, const QString &reason) { finished(end, reason); };
     m_exchange = context.client.send(endpoint, context.protocol.attempt(request, plan),
                                      optionsFor(context, request, reuseIdle), std::move(events));
 }
--- a/src/relay/RelayConfiguration.cpp
+++ b/src/relay/RelayConfiguration.cpp
@@ -23,9 +23,9 @@
     if (found == configuration.routes.cend())
         return nullptr;
     const QByteArray path = target.split('?').first();
-    const auto route =
-        std::find_if(found->cbegin(), found->cend(),
-                     [&path](const RelayRoute &r) { return path.startsWith(r.prefix); });
+    const auto route = std::find_if(found->cbegin(), found->cend(), [&path](const RelayRoute &r) {
+        return path.startsWith(r.prefix);
+    });
     return route == found->cend() ? nullptr : &*route;
 }
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -47,14 +47,21 @@
             {given.vm, given.dataCentre, given.peer, {}})
     , datagrams(peers)
     , loads(timers, peers, datagrams, targets, retries)
-    , context{timers,  client,   targets,           reports,           waiting,
-              retries, counters, protocols.callers, protocols.targets, given.dataCentre,
+    , context{timers,
+              client,
+              targets,
+              reports,
+              waiting,
+              retries,
+              counters,
+              protocols.callers,
+              protocols.targets,
+              given.dataCentre,
               [this] { return peers.fleetSize() > 1; },
               [this] { return loads.isSmallFleet() ? NearPenalty : FarPenalty; }}
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
-    , entries(timers, client, given.store, protocols.store, counters,
-              protocols.store.targetPrefix)
+    , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , feed(timers, peers, datagrams, entries)
     , peerState(timers, client, peers, configuration, entries)
     , gateway(context, [this] { return configuration.isCurrent(); })
@@ -80,12 +87,11 @@
     RelayParts &parts = *m_parts;
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
-    parts.entries.setCallbacks(
-        {[this](const StoreItem &item) { targetRead(item.key, item.value); },
-         [this](const QString &key) {
-             m_parts->targets.remove(
-                 TargetId(key.mid(m_parts->protocols.store.targetPrefix.size())));
-         }});
+    parts.entries.setCallbacks({[this](const StoreItem &item) { targetRead(item.key, item.value); },
+                                [this](const QString &key) {
+                                    m_parts->targets.remove(TargetId(
+                                        key.mid(m_parts->protocols.store.targetPrefix.size())));
+                                }});
     parts.readiness.setHandler(
         [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
             readiness(request, reply);
@@ -96,9 +102,8 @@
             return configuration ? configuration->version.value() : 0;
         },
         [this](qint64 version) { newerVersionHeard(version); });
-    parts.targets.onLeaving([this](const TargetId &target) {
-        m_parts->gateway.targetLeaving(target);
-    });
+    parts.targets.onLeaving(
+        [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
     parts.targets.onOwnLoad([this](const TargetId &target, bool isMore) {
         m_parts->loads.changed(target, isMore);
         m_parts->retries.setDaemons(m_parts->peers.fleetSize());
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -128,8 +128,8 @@
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
               {"detail", error.detail}});
     const bool elsewhere = error.kind == ErrorKind::Draining;
-    reply->send(m_context.callers.failure(error, elsewhere ? ComeBackElsewhere
-                                                           : ComeBackWhenReady));
+    reply->send(
+        m_context.callers.failure(error, elsewhere ? ComeBackElsewhere : ComeBackWhenReady));
 }
 
 void RelayGateway::run(RelayRequest request, const RelayRoute &route,
@@ -143,14 +143,15 @@
     task.route = route;
     task.arrived = m_context.timers.now();
     ++m_context.counters.of(route.kind).arrived;
-    logEvent(LogLevel::Info, EventId::RelayArrived,
-             {{"request", task.request.id.text()},
-              {"route", route.name},
-              {"service", task.service.text()},
-              {"workspace", task.workspace.text()},
-              {"version", QString::number(m_configuration->version.value())},
-              {"prompt", QString::number(task.request.promptTokens.value())},
-              {"expected", QString::number(task.request.expectedOutput.value_or(Tokens(0)).value())}});
+    logEvent(
+        LogLevel::Info, EventId::RelayArrived,
+        {{"request", task.request.id.text()},
+         {"route", route.name},
+         {"service", task.service.text()},
+         {"workspace", task.workspace.text()},
+         {"version", QString::number(m_configuration->version.value())},
+         {"prompt", QString::number(task.request.promptTokens.value())},
+         {"expected", QString::number(task.request.expectedOutput.value_or(Tokens(0)).value())}});
     const auto run = std::make_shared<RelayRun>(
         m_context, std::move(task), reply, [this](const RelayRun *ended) { m_runs.remove(ended); });
     m_runs.insert(run.get(), run);
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -73,9 +73,9 @@
     , m_task(std::move(task))
     , m_reply(std::move(reply))
     , m_ended(std::move(ended))
-    , m_deadline(m_task.arrived
-                 + std::min(m_task.route.timeout,
-                            m_task.request.patience.value_or(m_task.route.timeout)))
+    , m_deadline(
+          m_task.arrived
+          + std::min(m_task.route.timeout, m_task.request.patience.value_or(m_task.route.timeout)))
 {
 }
 
@@ -143,7 +143,8 @@
 bool RelayRun::isOverdue() const
 {
     const double reading = double(m_task.request.promptTokens.value()) / TokensReadPerMs;
-    const std::chrono::duration<double, std::milli> waited = m_context.timers.now() - m_task.arrived;
+    const std::chrono::duration<double, std::milli> waited =
+        m_context.timers.now() - m_task.arrived;
     return waited.count() + reading > double(m_task.route.objective.count());
 }
 
@@ -157,8 +158,8 @@
 
 bool RelayRun::tryPlace()
 {
-    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), need(),
-                                         m_context.timers.now());
+    const TargetPick pick =
+        chooseTarget(m_context.targets.takingWork(m_task.service), need(), m_context.timers.now());
     const bool isFull = m_task.engine && pick.load > mostLoad();
     if (!pick.target || isFull)
         return false;
@@ -182,13 +183,11 @@
               {"targets", QString::number(m_context.targets.count(m_task.service))}});
     m_context.waiting.add(shared_from_this());
     const auto until = m_task.arrived + waitLimit();
-    const auto left =
-        std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
-    m_waitTimer =
-        m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
-            const auto self = shared_from_this();
-            waitedTooLong();
-        });
+    const auto left = std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
+    m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
+        const auto self = shared_from_this();
+        waitedTooLong();
+    });
 }
 
 void RelayRun::waitedTooLong()
@@ -215,8 +214,8 @@
     plan.timeLeft = timeLeft();
     open(entry.id, entry.endpoint, plan);
     if (m_task.route.kind == RequestKind::Idempotent) {
-        const auto silence = std::chrono::duration_cast<Milliseconds>(
-            SilentObjectives * m_task.route.objective);
+        const auto silence =
+            std::chrono::duration_cast<Milliseconds>(SilentObjectives * m_task.route.objective);
         m_silenceTimer = m_context.timers.after(silence, [this] {
             const auto self = shared_from_this();
             silentTooLong();
@@ -247,9 +246,9 @@
         const auto self = shared_from_this();
         attemptEnded(result);
     };
-    const Milliseconds reuse = isStream()
-        ? NoReuse
-        : m_task.route.kind == RequestKind::Idempotent ? ReuseIdempotent : ReuseAtMostOnce;
+    const Milliseconds reuse = isStream()              ? NoReuse
+        : m_task.route.kind == RequestKind::Idempotent ? ReuseIdempotent
+                                                       : ReuseAtMostOnce;
     m_attempt = std::make_unique<RelayAttempt>(m_context, m_task.request, endpoint, plan, reuse,
                                                std::move(callbacks));
 }
@@ -416,8 +415,8 @@
         return false;
     if (ranAfter(result.kind) == Ran::No)
         return m_ran == Ran::No || m_task.route.kind == RequestKind::Idempotent;
-    const bool isFailure = result.kind != SendResult::Kind::Answered
-        || result.head.status >= FirstServerFailure;
+    const bool isFailure =
+        result.kind != SendResult::Kind::Answered || result.head.status >= FirstServerFailure;
     return isFailure && m_task.route.kind == RequestKind::Idempotent
         && m_runs < m_task.route.mostTargets;
 }
@@ -449,8 +448,7 @@
         fail(ErrorKind::TargetFailed, QStringLiteral("the target failed"));
         return;
     }
-    const std::chrono::duration<double, std::milli> taken =
-        m_context.timers.now() - m_task.arrived;
+    const std::chrono::duration<double, std::milli> taken = m_context.timers.now() - m_task.arrived;
     m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
     m_reply->send({result.head.status, result.head.headers, result.body});
     ++m_context.counters.of(m_task.route.kind).answered;
@@ -531,8 +529,7 @@
 {
     if (m_phase == Phase::Over)
         return;
-    const std::chrono::duration<double, std::milli> taken =
-        m_context.timers.now() - m_task.arrived;
+    const std::chrono::duration<double, std::milli> taken = m_context.timers.now() - m_task.arrived;
     logEvent(LogLevel::Info, EventId::RelayEnded,
              {{"request", m_task.request.id.text()},
               {"route", m_task.route.name},
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -48,8 +48,8 @@
         wanted.excluded.insert(m_avoidedDestination);
     wanted.dataCentre = source->entry.dataCentre;
     wanted.distancePenalty = MoveDistancePenalty;
-    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted,
-                                         m_context.timers.now());
+    const TargetPick pick =
+        chooseTarget(m_context.targets.takingWork(m_task.service), wanted, m_context.timers.now());
     if (!pick.target) {
         m_moveDestination = TargetId();
         moveLater(QStringLiteral("no destination"));
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -93,7 +93,7 @@
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::Items;
     answer.asOf = Revision(body.at(1).toInteger());
-    for (const QCborValue &entry : body.at(2).toArray()) {
+    for (const QCborValue entry : body.at(2).toArray()) {
         const QCborArray fields = entry.toArray();
         answer.items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
                              Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -24,6 +24,10 @@
 constexpr Milliseconds CatchUpWait{100};
 /// Peers are asked each 250 ms while the store is away.
 constexpr Milliseconds ConfirmationHolds{800};
+/// All targets of a site announce themselves within a second, and each announcement would end a
+/// watch of each daemon; so at first a watch follows the last one only after a while.
+constexpr Milliseconds StartTime{3000};
+constexpr Milliseconds StartPace{400};
 constexpr Milliseconds FirstBackoff{100};
 constexpr Milliseconds LongestBackoff{800};
 /// A target whose entry lapsed with the store is back within two seconds of the store's return.
@@ -54,6 +58,7 @@
 
 void StoreMirror::start()
 {
+    m_started = m_timers.now();
     readPage({});
 }
 
@@ -138,6 +143,16 @@
         m_state = State::Fed;
         return;
     }
+    if (m_timers.now() - m_started < StartTime) {
+        m_state = State::Watching;
+        m_timer = m_timers.after(StartPace, [this] { openWatch(); });
+        return;
+    }
+    openWatch();
+}
+
+void StoreMirror::openWatch()
+{
     m_state = State::Watching;
     call(m_protocol.watch(m_prefix, m_revision, WatchWait), WatchWait + WatchSlack,
          [this](const StoreAnswer &answer) { watched(answer); });
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -83,6 +83,7 @@
     void pageRead(const StoreAnswer &answer);
     void readDone();
     void watch();
+    void openWatch();
     void watched(const StoreAnswer &answer);
     void unavailable();
     void again(Milliseconds delay);
@@ -112,6 +113,7 @@
     bool m_hasRead = false;
     bool m_needsRead = true;
     Milliseconds m_backoff{0};
+    MonotonicTime m_started;
     MonotonicTime m_lastAnswer;
     /// When another daemon last said that it is current and what it holds.
     MonotonicTime m_lastConfirmed;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -108,9 +108,8 @@
 
 int TargetDirectory::count(const ServiceId &service) const
 {
-    return int(std::count_if(m_targets.cbegin(), m_targets.cend(), [&](const TargetRecord &r) {
-        return r.entry.service == service;
-    }));
+    return int(std::count_if(m_targets.cbegin(), m_targets.cend(),
+                             [&](const TargetRecord &r) { return r.entry.service == service; }));
 }
 
 void TargetDirectory::requestPlaced(const TargetId &target, Tokens tokens)
--- a/test/error/PlatformInput.cpp
+++ b/test/error/PlatformInput.cpp
@@ -37,13 +37,13 @@
     standin::RunnerEmulator &plain = site.addRunner("plain-1", "plain");
     site.configure(1);
     const int daemon = site.startDaemon();
-    const auto headers = site.call(daemon, "GET", "/safe/a", "r1",
-                                   {{"X-Long", QByteArray(8000, 'x')}});
+    const auto headers =
+        site.call(daemon, "GET", "/safe/a", "r1", {{"X-Long", QByteArray(8000, 'x')}});
     BOOST_TEST(headers->response.status == 431);
     const auto body = site.callWithBody(daemon, "/unsafe/a", "r2", QByteArray(20000, 'x'));
     BOOST_TEST(body->response.status == 413);
-    const auto framing = site.call(daemon, "POST", "/unsafe/a", "r3",
-                                   {{"Transfer-Encoding", "chunked"}});
+    const auto framing =
+        site.call(daemon, "POST", "/unsafe/a", "r3", {{"Transfer-Encoding", "chunked"}});
     BOOST_TEST(framing->response.status == 400);
     BOOST_TEST(plain.ran().isEmpty());
 }
--- a/test/failure/PlatformStops.cpp
+++ b/test/failure/PlatformStops.cpp
@@ -63,6 +63,5 @@
     site.signal(daemon, SIGHUP);
     BOOST_TEST(test::PlatformSite::finish(stream));
     BOOST_TEST((stream->response.body == test::PlatformSite::events(40)));
-    BOOST_TEST(
-        test::waitFor([&] { return site.log(daemon).contains("name=settings.reloaded"); }));
+    BOOST_TEST(test::waitFor([&] { return site.log(daemon).contains("name=settings.reloaded"); }));
 }
--- a/test/failure/PlatformStore.cpp
+++ b/test/failure/PlatformStore.cpp
@@ -79,8 +79,7 @@
 BOOST_FIXTURE_TEST_CASE(DaemonTurnedAwayAsksAnother, Fixture)
 {
     const int other = site.startDaemon(std::chrono::seconds(30), Door::Second);
-    BOOST_REQUIRE(
-        test::waitFor([&] { return site.log(daemon).contains("name=member.joined"); }));
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("name=member.joined"); }));
     site.store().refuse(Door::First, true);
     site.configure(2, true);
     BOOST_TEST(test::waitFor([&] {
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -81,8 +81,8 @@
 void RunnerEmulator::handle(const HttpRequest &request, const Reply &reply)
 {
     if (request.path == "/v1/report") {
-        reply->send(jsonAnswer(200, {{"queued", 0}, {"running", generating()}, {"kvUsed", 0},
-                                     {"kvTotal", 100000}}));
+        reply->send(jsonAnswer(
+            200, {{"queued", 0}, {"running", generating()}, {"kvUsed", 0}, {"kvTotal", 100000}}));
         return;
     }
     const QByteArray expected = request.headers.value("Cranberryquay-Expect-Instance");
--- a/test/standins/users/StoreEmulator.cpp
+++ b/test/standins/users/StoreEmulator.cpp
@@ -125,7 +125,7 @@
 void StoreEmulator::range(const QUrlQuery &query, const std::shared_ptr<CallerReply> &reply)
 {
     QJsonArray items;
-    for (const QJsonValue &item :
+    for (const QJsonValue item :
          itemsAfter(query.queryItemValue("prefix", QUrl::FullyDecoded), 0)) {
         if (!item.toObject().contains("tombstone"))
             items.append(item);
@@ -172,7 +172,7 @@
 
 void StoreEmulator::write(const QJsonObject &body, const std::shared_ptr<CallerReply> &reply)
 {
-    for (const QJsonValue &entry : body.value("puts").toArray())
+    for (const QJsonValue entry : body.value("puts").toArray())
         put(entry["key"].toString(), QByteArray::fromBase64(entry["value"].toString().toLatin1()));
     answer(reply, 200, {{"revision", m_revision}});
 }
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -15,10 +15,10 @@
 
 QJsonObject route(const QString &name, const QString &kind, const QString &service)
 {
-    return {{"name", name},          {"host", "site.example"}, {"prefix", "/" + name + "/"},
-            {"kind", kind},          {"timeoutMs", 20000},     {"aimMs", 2000},
-            {"priority", 1},         {"service", service},     {"maxAttempts", kind == "safe" ? 2 : 1},
-            {"anonymous", false},    {"gapTargetMs", 500}};
+    return {{"name", name},       {"host", "site.example"}, {"prefix", "/" + name + "/"},
+            {"kind", kind},       {"timeoutMs", 20000},     {"aimMs", 2000},
+            {"priority", 1},      {"service", service},     {"maxAttempts", kind == "safe" ? 2 : 1},
+            {"anonymous", false}, {"gapTargetMs", 500}};
 }
 
 } // namespace
@@ -58,15 +58,22 @@
                       route("unsafe", "unsafe", "plain")};
     if (extraRoute)
         routes.append(route("extra", "safe", "plain"));
-    const QJsonObject engine{{"slots", 8},      {"kvCapacityTokens", 100000}, {"moves", true},
-                             {"backups", true}, {"stride", 1}};
+    const QJsonObject engine{{"slots", 8},
+                             {"kvCapacityTokens", 100000},
+                             {"moves", true},
+                             {"backups", true},
+                             {"stride", 1}};
     const QJsonObject json{
         {"version", version},
         {"routes", routes},
-        {"services", QJsonArray{QJsonObject{{"name", "model"}, {"engine", engine}},
-                                QJsonObject{{"name", "plain"}}}},
-        {"limits", QJsonObject{{"maxHeaderBytes", 4096}, {"maxBodyBytes", 10000},
-                               {"headerTimeoutMs", 1000}, {"idleTimeoutMs", 10000}}},
+        {"services",
+         QJsonArray{QJsonObject{{"name", "model"}, {"engine", engine}},
+                    QJsonObject{{"name", "plain"}}}},
+        {"limits",
+         QJsonObject{{"maxHeaderBytes", 4096},
+                     {"maxBodyBytes", 10000},
+                     {"headerTimeoutMs", 1000},
+                     {"idleTimeoutMs", 10000}}},
         {"tenants", QJsonArray{QJsonObject{{"name", "house"}, {"apiKeys", QJsonArray{"key"}}}}}};
     m_store.put(QStringLiteral("op/config"), QJsonDocument(json).toJson(QJsonDocument::Compact));
 }
@@ -74,8 +81,7 @@
 int PlatformSite::startDaemon(std::chrono::milliseconds limit, standin::StoreEmulator::Door door)
 {
     const int number = int(m_daemons.size());
-    const QString store =
-        QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
+    const QString store = QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
     const QJsonObject settings{{"vm", QStringLiteral("vm%1").arg(number)},
                                {"data_centre", "hall"},
                                {"callers", "127.0.0.1:0"},
@@ -97,8 +103,7 @@
     daemon.readiness = {QStringLiteral("127.0.0.1"), portOf(daemon, "readiness")};
     file.remove();
     if (!waitFor([&] { return isReady(number); }, limit))
-        throw std::runtime_error("the daemon did not become ready: "
-                                 + log(number).toStdString());
+        throw std::runtime_error("the daemon did not become ready: " + log(number).toStdString());
     return number;
 }
 
@@ -109,7 +114,8 @@
         daemon.log += daemon.process->readAll();
         const qsizetype at = daemon.log.indexOf(' ' + name + '=');
         if (at >= 0)
-            port = quint16(daemon.log.mid(at + name.size() + 2).split(' ').first().trimmed().toInt());
+            port =
+                quint16(daemon.log.mid(at + name.size() + 2).split(' ').first().trimmed().toInt());
         return port != 0 || daemon.process->state() == QProcess::NotRunning;
     });
     if (port == 0)
@@ -194,8 +200,7 @@
 }
 
 std::shared_ptr<ClientCall> PlatformSite::callWithBody(int daemon, const QByteArray &path,
-                                                       const QByteArray &id,
-                                                       const QByteArray &body)
+                                                       const QByteArray &id, const QByteArray &body)
 {
     HttpRequest request = requestOf("POST", path, id, {});
     request.body = body;
