--- a/test/failure/PlatformStore.cpp
+++ b/test/failure/PlatformStore.cpp
@@ -33,6 +33,8 @@
 // they had not heard of, and the watch opened again heard nothing either.
 BOOST_FIXTURE_TEST_CASE(ChangeBehindACutWatchIsRead, Fixture)
 {
+    // Both watches are open, that of the configuration and that of the targets.
+    BOOST_REQUIRE(test::waitFor([&] { return site.store().calls("/v1/kv-watch") >= 2; }));
     site.store().cutWatches(true);
     site.configure(2, true);
     BOOST_TEST(test::waitFor([&] { return extraStatus("r1") == 200; }));
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -98,6 +98,8 @@
         reply->send(jsonAnswer(200, {}));
     } else {
         m_ran.append(request);
+        if (m_onRan)
+            m_onRan(request);
         if (request.headers.contains("Cranberryquay-Token-Usage"))
             generate(request, reply);
         else
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -32,6 +32,8 @@
     /// Events of a generation and the time between two.
     void setGeneration(int events, Milliseconds interval);
     void setOverride(Override override) { m_override = std::move(override); }
+    /// @p callback is told of each request that it begins to run.
+    void onRan(std::function<void(const HttpRequest &)> callback) { m_onRan = std::move(callback); }
 
     /// Requests that it began to run, in the order in which they came.
     const QList<HttpRequest> &ran() const { return m_ran; }
@@ -63,6 +65,7 @@
     int m_events = 3;
     Milliseconds m_interval{5};
     Override m_override;
+    std::function<void(const HttpRequest &)> m_onRan;
     QList<HttpRequest> m_ran;
     QHash<QByteArray, std::shared_ptr<Run>> m_runs;
     HttpListener m_listener;
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -88,23 +88,33 @@
                                {"readiness", "127.0.0.1:0"},
                                {"peer", "127.0.0.1:0"},
                                {"store", store}};
+    m_daemons.push_back({nullptr, {}, {}, QJsonDocument(settings).toJson(), {}});
+    launch(m_daemons.back());
+    if (!waitFor([&] { return isReady(number); }, limit))
+        throw std::runtime_error("the daemon did not become ready: " + log(number).toStdString());
+    return number;
+}
+
+void PlatformSite::restart(int daemon)
+{
+    Daemon &ended = m_daemons[size_t(daemon)];
+    ended.log.clear();
+    launch(ended);
+}
+
+void PlatformSite::launch(Daemon &daemon)
+{
     QTemporaryFile file;
-    file.setAutoRemove(false);
     if (!file.open())
         throw std::runtime_error("no settings file");
-    file.write(QJsonDocument(settings).toJson());
+    file.write(daemon.settings);
     file.close();
-    m_daemons.push_back({std::make_unique<QProcess>(), {}, {}, {}});
-    Daemon &daemon = m_daemons.back();
+    daemon.process = std::make_unique<QProcess>();
     daemon.process->setProcessChannelMode(QProcess::MergedChannels);
     daemon.process->start(QStringLiteral(CRANBERRY_PROGRAM_DIRECTORY "/cranberryd-platform"),
                           {QStringLiteral("--settings"), file.fileName()});
     daemon.callers = {QStringLiteral("127.0.0.1"), portOf(daemon, "callers")};
     daemon.readiness = {QStringLiteral("127.0.0.1"), portOf(daemon, "readiness")};
-    file.remove();
-    if (!waitFor([&] { return isReady(number); }, limit))
-        throw std::runtime_error("the daemon did not become ready: " + log(number).toStdString());
-    return number;
 }
 
 quint16 PlatformSite::portOf(Daemon &daemon, const QByteArray &name)
@@ -173,9 +183,11 @@
     return request;
 }
 
-std::shared_ptr<ClientCall> PlatformSite::sendRequest(int daemon, const HttpRequest &request)
+std::shared_ptr<ClientCall> PlatformSite::sendRequest(const HttpEndpoint &endpoint,
+                                                      const HttpRequest &request)
 {
     const auto call = std::make_shared<ClientCall>();
+    call->response.status = 0; // no answer yet
     const std::weak_ptr<ClientCall> weak = call;
     HttpExchangeCallbacks callbacks;
     callbacks.headers = [weak](int status, const HttpHeaders &headers) {
@@ -187,8 +199,7 @@
         weak.lock()->end = end;
         weak.lock()->isOver = true;
     };
-    call->exchange =
-        m_client.send(m_daemons[size_t(daemon)].callers, request, {}, std::move(callbacks));
+    call->exchange = m_client.send(endpoint, request, {}, std::move(callbacks));
     return call;
 }
 
@@ -196,7 +207,14 @@
                                                const QByteArray &path, const QByteArray &id,
                                                const HttpHeaders &more)
 {
-    return sendRequest(daemon, requestOf(method, path, id, more));
+    return sendTo(callers(daemon), method, path, id, more);
+}
+
+std::shared_ptr<ClientCall> PlatformSite::sendTo(const HttpEndpoint &endpoint,
+                                                 const QByteArray &method, const QByteArray &path,
+                                                 const QByteArray &id, const HttpHeaders &more)
+{
+    return sendRequest(endpoint, requestOf(method, path, id, more));
 }
 
 std::shared_ptr<ClientCall> PlatformSite::callWithBody(int daemon, const QByteArray &path,
@@ -204,7 +222,7 @@
 {
     HttpRequest request = requestOf("POST", path, id, {});
     request.body = body;
-    const std::shared_ptr<ClientCall> sent = sendRequest(daemon, request);
+    const std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
     finish(sent);
     return sent;
 }
@@ -216,7 +234,7 @@
     request.headers = {{"Host", "site.example"},
                        {"Cranberryquay-Request-Id", id},
                        {"Authorization", "Bearer " + key}};
-    const std::shared_ptr<ClientCall> sent = sendRequest(daemon, request);
+    const std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
     finish(sent);
     return sent;
 }
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -44,6 +44,10 @@
     /// Throws std::runtime_error if that takes longer than @p limit; the daemon stays.
     int startDaemon(std::chrono::milliseconds limit = std::chrono::seconds(30),
                     standin::StoreEmulator::Door store = standin::StoreEmulator::Door::First);
+    /// Starts a process again in the place of @p daemon, which has ended; does not wait for it to
+    /// become ready.
+    void restart(int daemon);
+    HttpEndpoint callers(int daemon) const { return m_daemons[size_t(daemon)].callers; }
     bool isReady(int daemon);
     void signal(int daemon, int number);
     bool hasEnded(int daemon) const;
@@ -53,6 +57,10 @@
     /// Sends a request; wait for it with finish().
     std::shared_ptr<ClientCall> send(int daemon, const QByteArray &method, const QByteArray &path,
                                      const QByteArray &id, const HttpHeaders &more = {});
+    /// As send(), to any address.
+    std::shared_ptr<ClientCall> sendTo(const HttpEndpoint &endpoint, const QByteArray &method,
+                                       const QByteArray &path, const QByteArray &id,
+                                       const HttpHeaders &more);
     /// Sends a request and waits for its end.
     std::shared_ptr<ClientCall> call(int daemon, const QByteArray &method, const QByteArray &path,
                                      const QByteArray &id, const HttpHeaders &more = {});
@@ -71,12 +79,15 @@
         std::unique_ptr<QProcess> process;
         HttpEndpoint callers;
         HttpEndpoint readiness;
+        QByteArray settings;
         QByteArray log;
     };
 
     static HttpRequest requestOf(const QByteArray &method, const QByteArray &path,
                                  const QByteArray &id, const HttpHeaders &more);
-    std::shared_ptr<ClientCall> sendRequest(int daemon, const HttpRequest &request);
+    std::shared_ptr<ClientCall> sendRequest(const HttpEndpoint &endpoint,
+                                            const HttpRequest &request);
+    void launch(Daemon &daemon);
     quint16 portOf(Daemon &daemon, const QByteArray &name);
 
     /// Before all that needs an event loop.
