--- a/src/relay/AnswerHead.h
+++ b/src/relay/AnswerHead.h
@@ -15,8 +15,6 @@
     bool isNotExecuted = false;
     /// Another target has the address.
     bool isMisdirected = false;
-    /// The target closes its connections, as a leaving one does.
-    bool closes = false;
     /// It cannot be passed on: it answers another request or is encoded.
     bool isOdd = false;
 };
--- a/src/relay/AttemptPlan.h
+++ b/src/relay/AttemptPlan.h
@@ -18,8 +18,6 @@
     std::optional<CopyReference> from;
     /// Last event that the caller has; with @c from.
     qint64 lastEvent = 0;
-    /// Where the target keeps a copy while it generates.
-    std::optional<HttpEndpoint> backup;
 };
 
 } // namespace cranberry
--- a/src/relay/EngineTraits.h
+++ b/src/relay/EngineTraits.h
@@ -11,8 +11,6 @@
     Tokens memory;
     /// A running generation can be copied to another engine and go on there.
     bool canMove = false;
-    /// A running generation can keep a copy of itself at another engine.
-    bool canBackup = false;
     /// Tokens in one event of a stream.
     int tokensPerEvent = 1;
 };
--- a/src/relay/MoveOutcome.h
+++ b/src/relay/MoveOutcome.h
@@ -21,6 +21,8 @@
     Kind kind = Kind::Unknown;
     /// Set whenever the source holds memory for it, also with NoRoom.
     QByteArray handle;
+    /// Of the answer, for the log; 0 without one.
+    int status = 0;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -28,7 +28,6 @@
     qint64 movesBegun = 0;
     qint64 movesDone = 0;
     qint64 movesFailed = 0;
-    qint64 resumedFromBackup = 0;
     qint64 streamsLost = 0;
     qint64 storeCalls = 0;
     qint64 reportsAsked = 0;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -16,6 +16,9 @@
 /// An engine that leaves says so about 1.5 s ahead, and copying its streams takes most of that.
 constexpr Milliseconds AskInterval{200};
 constexpr Milliseconds NewerVersionPatience{200};
+/// A store that falls silent without closing anything is found after this time and a little more.
+/// With waits of 28 s, engines that left in 10 s of silence took 12 streams with them.
+constexpr Milliseconds EntriesWait{1500};
 /// In a small fleet all daemons know all loads at once; bytes between data centres are under 2% of
 /// what an answer is worth. In a large one the loads of other data centres are up to half a second
 /// old, and many daemons would choose the same engine there.
@@ -44,7 +47,7 @@
     , waiting(timers)
     , retries(given.retries)
     , peers(timers, client, given.store, protocols.store, counters,
-            {given.vm, given.dataCentre, given.peer, {}})
+            {given.vm, given.dataCentre, given.peer, {}, {}})
     , datagrams(peers)
     , loads(timers, peers, datagrams, targets, retries)
     , context{timers,
@@ -85,6 +88,7 @@
     : m_parts(std::make_unique<RelayParts>(settings, protocols))
 {
     RelayParts &parts = *m_parts;
+    parts.entries.setWatchWait(EntriesWait);
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
     parts.entries.setCallbacks({[this](const StoreItem &item) { targetRead(item.key, item.value); },
@@ -153,7 +157,12 @@
 {
     // The store tells which engines leave. While it is away they tell it themselves, or their
     // streams would end with them.
-    if (m_parts->entries.isCurrent())
+    const bool isCurrent = m_parts->entries.hasSource();
+    // The long watch of the configuration would notice much later.
+    if (!isCurrent && std::exchange(m_hadEntries, false))
+        m_parts->configuration.readAgain();
+    m_hadEntries = isCurrent;
+    if (isCurrent)
         return;
     m_parts->reports.refresh(m_parts->gateway.enginesWithStreams(), AskInterval / 2, [] {});
 }
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -46,6 +46,7 @@
     std::unique_ptr<TimerSubscription> m_askTimer;
     std::unique_ptr<TimerSubscription> m_readAgainTimer;
     qint64 m_heardVersion = 0;
+    bool m_hadEntries = false;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -33,7 +33,6 @@
     text += counterText("cranberry_relay_moves_begun_total", counters.movesBegun);
     text += counterText("cranberry_relay_moves_done_total", counters.movesDone);
     text += counterText("cranberry_relay_moves_failed_total", counters.movesFailed);
-    text += counterText("cranberry_relay_resumed_from_backup_total", counters.resumedFromBackup);
     text += counterText("cranberry_relay_streams_lost_total", counters.streamsLost);
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -26,8 +26,6 @@
     Tokens mostOutput;
     /// The caller's estimate: right at the median, often far off.
     std::optional<Tokens> expectedOutput;
-    /// Identifies the last part of the prompt, a session or the request itself; empty if none.
-    QByteArray session;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayRoute.h
+++ b/src/relay/RelayRoute.h
@@ -26,8 +26,6 @@
     Milliseconds timeout{0};
     /// Time to the answer, or to the first event of a stream, that is on time.
     Milliseconds objective{0};
-    /// Longest pause between events of a stream that is on time; zero without streams.
-    Milliseconds pauseLimit{0};
     /// 0 is the most urgent.
     int priority = 0;
     QList<ServiceShare> services;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -17,28 +17,8 @@
 
 namespace {
 
-/// A request for a plain service waits for a target for this part of its objective.
-constexpr double WaitPart = 0.6;
-/// A generation that can no longer begin on time waits this long for room that nobody else needs;
-/// its caller gives up after about seven seconds without an event.
-constexpr Milliseconds OverduePatience{4000};
 /// Sends of one request, so that targets that all refuse do not share it for ever.
 constexpr int MostSends = 4;
-/// Engines asked for their load before a generation is placed. Two choices spread almost as well
-/// as asking all; the third covers one that does not answer.
-constexpr int EnginesAsked = 3;
-constexpr Milliseconds ReportFreshFor{250};
-/// Load up to which an engine takes a generation without any output: forecasts count answers at
-/// their full length, on average half of it is there.
-constexpr double FullLoad = 1.10;
-/// Taken off that for each part of the engine's memory that the answer will take. A long answer
-/// holds memory for longer than it is worth more: under overload three of four times the mean earn
-/// a quarter of what as much memory earns with short ones.
-constexpr double LengthDiscount = 2.0;
-/// Load up to which an engine takes a generation that is late anyway.
-constexpr double OverdueLoad = 0.75;
-/// Prompt tokens that an engine reads in a ms while it also generates.
-constexpr double TokensReadPerMs = 7;
 /// An idempotent request that is silent for this many objectives is tried elsewhere.
 constexpr double SilentObjectives = 2.5;
 /// Idle connections that may be reused: an idempotent request that meets a closed one is sent
@@ -54,10 +34,6 @@
 /// Bytes that a caller may leave unread; a stream sends some 10 KB a second.
 constexpr qsizetype MostUnsentBytes = 1024 * 1024;
 constexpr int FirstServerFailure = 500;
-/// Added to the forecast of an answer that has outgrown it: about a third of a mean answer.
-constexpr Tokens ForecastStep{256};
-/// Output expected where the caller does not say, as part of the most that it allows.
-constexpr double UnstatedOutputPart = 0.5;
 
 /// Statuses by which a system promises that a request has not run.
 bool isPromise(int status)
@@ -87,30 +63,6 @@
     return std::max(std::chrono::duration_cast<Milliseconds>(left), Milliseconds(0));
 }
 
-Tokens RelayRun::expectedOutput() const
-{
-    const RelayRequest &request = m_task.request;
-    const Tokens unstated(qint64(UnstatedOutputPart * double(request.mostOutput.value())));
-    const Tokens expected = request.expectedOutput.value_or(unstated);
-    return std::min(expected, request.mostOutput);
-}
-
-Tokens RelayRun::expectedTokens() const
-{
-    return m_task.engine ? m_task.request.promptTokens + expectedOutput() : Tokens(0);
-}
-
-TargetNeed RelayRun::need() const
-{
-    TargetNeed need;
-    need.dataCentre = m_context.dataCentre;
-    need.tokens = expectedTokens();
-    need.engine = m_task.engine;
-    need.distancePenalty = m_context.distancePenalty();
-    need.excluded = m_excluded;
-    return need;
-}
-
 void RelayRun::start()
 {
     const auto self = shared_from_this();
@@ -123,80 +75,6 @@
     place();
 }
 
-void RelayRun::place()
-{
-    m_phase = Phase::Placing;
-    if (!m_task.engine || m_context.knowsPeers()) {
-        if (!tryPlace())
-            waitForRoom();
-        return;
-    }
-    const QList<TargetId> asked = likelyTargets(m_context.targets.takingWork(m_task.service),
-                                                need(), m_context.timers.now(), EnginesAsked);
-    m_context.reports.refresh(asked, ReportFreshFor, [weak = weak_from_this()] {
-        const auto run = weak.lock();
-        if (run && run->m_phase == Phase::Placing && !run->tryPlace())
-            run->waitForRoom();
-    });
-}
-
-bool RelayRun::isOverdue() const
-{
-    const double reading = double(m_task.request.promptTokens.value()) / TokensReadPerMs;
-    const std::chrono::duration<double, std::milli> waited =
-        m_context.timers.now() - m_task.arrived;
-    return waited.count() + reading > double(m_task.route.objective.count());
-}
-
-double RelayRun::mostLoad() const
-{
-    if (isOverdue())
-        return OverdueLoad;
-    const double memory = std::max(double(m_task.engine->memory.value()), 1.0);
-    return FullLoad - LengthDiscount * double(expectedOutput().value()) / memory;
-}
-
-bool RelayRun::tryPlace()
-{
-    const TargetPick pick =
-        chooseTarget(m_context.targets.takingWork(m_task.service), need(), m_context.timers.now());
-    const bool isFull = m_task.engine && pick.load > mostLoad();
-    if (!pick.target || isFull)
-        return false;
-    send(pick);
-    return true;
-}
-
-Milliseconds RelayRun::waitLimit() const
-{
-    if (m_task.engine)
-        return OverduePatience;
-    return std::chrono::duration_cast<Milliseconds>(WaitPart * m_task.route.objective);
-}
-
-void RelayRun::waitForRoom()
-{
-    m_phase = Phase::Waiting;
-    logEvent(LogLevel::Info, EventId::RelayWaiting,
-             {{"request", m_task.request.id.text()},
-              {"service", m_task.service.text()},
-              {"targets", QString::number(m_context.targets.count(m_task.service))}});
-    m_context.waiting.add(shared_from_this());
-    const auto until = m_task.arrived + waitLimit();
-    const auto left = std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
-    m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
-        const auto self = shared_from_this();
-        waitedTooLong();
-    });
-}
-
-void RelayRun::waitedTooLong()
-{
-    if (m_phase != Phase::Waiting)
-        return;
-    fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
-}
-
 void RelayRun::send(const TargetPick &pick)
 {
     m_waitTimer.reset();
@@ -312,21 +190,6 @@
         m_context.targets.promptRead(m_target, unread);
 }
 
-void RelayRun::extendForecast()
-{
-    // An answer that is longer than expected goes on for about as long again as it is over.
-    if (!m_task.engine || m_target.isEmpty())
-        return;
-    const Tokens made(m_lastEvent * m_task.engine->tokensPerEvent);
-    const Tokens held = m_task.request.promptTokens + made;
-    if (held <= m_reserved)
-        return;
-    const Tokens most = m_task.request.promptTokens + m_task.request.mostOutput;
-    const Tokens wanted = std::min(held + ForecastStep, std::max(most, held));
-    m_context.targets.tokensAdded(m_target, wanted - m_reserved);
-    m_reserved = wanted;
-}
-
 void RelayRun::notePause()
 {
     const MonotonicTime now = m_context.timers.now();
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -90,6 +90,7 @@
     logEvent(LogLevel::Info, EventId::MoveEnded,
              {{"request", m_task.request.id.text()},
               {"outcome", QString::number(int(outcome.kind))},
+              {"status", QString::number(outcome.status)},
               {"stopped", stopped ? QStringLiteral("yes") : QStringLiteral("no")},
               {"events", QString::number(m_lastEvent)}});
     endReservation();
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -61,9 +61,6 @@
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
-    settings.drain = readDuration(reader, QStringLiteral("drain_ms"), settings.drain);
-    settings.configurationApply =
-        readDuration(reader, QStringLiteral("configuration_apply_ms"), settings.configurationApply);
     faults.noteUnread();
     if (!faults.isEmpty())
         return Error{ErrorKind::BadRequest, Ran::No, faults.first(), {}, {}};
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -18,10 +18,6 @@
     RetryLimits retries;
     /// A stop by signal is followed by a kill after this time.
     Milliseconds grace{8000};
-    /// A target that leaves gets no request after this time.
-    Milliseconds drain{2000};
-    /// A version is in force this long after it was accepted.
-    Milliseconds configurationApply{2000};
 };
 
 /// Reads the settings file; docs/OPERATIONS.md lists its fields. Error: BadRequest naming the
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -14,9 +14,8 @@
 
 namespace {
 
-/// Longest that the store lets a watch wait; fewer watches cost less.
-constexpr Milliseconds WatchWait{28000};
-constexpr Milliseconds WatchSlack{2000};
+/// Beyond its wait a watch is answered within some ms; a slow store takes 60 times as long.
+constexpr Milliseconds WatchSlack{600};
 /// A read takes some ms; a slow store takes 60 times as long.
 constexpr Milliseconds ReadTimeout{1500};
 constexpr Milliseconds ConnectTimeout{500};
@@ -76,10 +75,8 @@
             StoreAnswer answer;
             if (end == HttpExchangeEnd::Complete)
                 answer = m_protocol.readItems(response);
-            if (answer.kind != StoreAnswer::Kind::Unavailable) {
-                m_lastAnswer = m_timers.now();
+            if (answer.kind != StoreAnswer::Kind::Unavailable)
                 m_backoff = Milliseconds(0);
-            }
             callback(answer);
         });
 }
@@ -154,7 +151,7 @@
 void StoreMirror::openWatch()
 {
     m_state = State::Watching;
-    call(m_protocol.watch(m_prefix, m_revision, WatchWait), WatchWait + WatchSlack,
+    call(m_protocol.watch(m_prefix, m_revision, m_watchWait), m_watchWait + WatchSlack,
          [this](const StoreAnswer &answer) { watched(answer); });
 }
 
@@ -217,8 +214,11 @@
 
 void StoreMirror::checkFeed()
 {
-    if (m_state == State::Fed && !m_isFed())
-        watch();
+    if (m_state != State::Fed || m_isFed())
+        return;
+    // Whoever watched for this daemon is gone, or the store is: the own watch will tell.
+    m_isCurrent = false;
+    openWatch();
 }
 
 void StoreMirror::unavailable()
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -36,6 +36,9 @@
                 const StoreProtocol &protocol, RelayCounters &counters, QString prefix);
     ~StoreMirror();
 
+    /// A watch is answered after @p wait at the latest, so that a store that has fallen silent is
+    /// found about that late. Shorter waits cost more calls. Precondition: not started.
+    void setWatchWait(Milliseconds wait) { m_watchWait = wait; }
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
     /// @p isFed tells whether others send what changes, so that no watch is needed;
@@ -59,8 +62,6 @@
     void checkFeed();
     /// Something was read at least once.
     bool hasRead() const { return m_hasRead; }
-    /// When the store last answered.
-    MonotonicTime lastAnswer() const { return m_lastAnswer; }
     const QHash<QString, StoreItem> &items() const { return m_items; }
     Revision revision() const { return m_revision; }
     /// Takes in all that another daemon holds, if it is newer.
@@ -105,6 +106,7 @@
     std::function<void(const StoreAnswer &, Revision)> m_changed;
 
     State m_state = State::Reading;
+    Milliseconds m_watchWait{28000};
     QHash<QString, StoreItem> m_items;
     QHash<QString, StoreItem> m_reading;
     Revision m_revision;
@@ -114,7 +116,6 @@
     bool m_needsRead = true;
     Milliseconds m_backoff{0};
     MonotonicTime m_started;
-    MonotonicTime m_lastAnswer;
     /// When another daemon last said that it is current and what it holds.
     MonotonicTime m_lastConfirmed;
     /// Removals are doubted until then, as leases may have lapsed while the store was away.
--- a/test/failure/PlatformStore.cpp
+++ b/test/failure/PlatformStore.cpp
@@ -62,6 +62,18 @@
     BOOST_TEST(test::waitFor([&] { return extraStatus("r4") == 404; }));
 }
 
+// Runners left while the store was silent: it closed nothing and answered nothing, and the watch
+// that waited there for up to 28 s made the daemon believe that nothing had changed.
+BOOST_FIXTURE_TEST_CASE(SilentStoreIsFound, Fixture)
+{
+    BOOST_REQUIRE(test::waitFor([&] { return site.store().calls("/v1/kv-watch") >= 2; }));
+    site.store().setSilent(true);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r1") == 503; }));
+    BOOST_TEST(site.call(daemon, "GET", "/safe/a", "r2")->response.status == 200);
+    site.store().setSilent(false);
+    BOOST_TEST(test::waitFor([&] { return extraStatus("r3") == 404; }));
+}
+
 // A daemon that starts while the store is down says that it is not ready, and serves once the
 // store is back.
 BOOST_AUTO_TEST_CASE(StartsWithTheStoreDown)
--- a/test/standins/users/StoreEmulator.cpp
+++ b/test/standins/users/StoreEmulator.cpp
@@ -92,7 +92,9 @@
     const QUrlQuery query(url);
     ++m_calls[path];
     const QJsonObject body = QJsonDocument::fromJson(request.body).object();
-    if (m_refused[std::size_t(door)])
+    if (m_silent)
+        m_unanswered.push_back(reply);
+    else if (m_refused[std::size_t(door)])
         answer(reply, 503, {});
     else if (path == "/v1/kv-range")
         range(query, reply);
@@ -158,7 +160,7 @@
 
 void StoreEmulator::wake()
 {
-    for (auto watch = m_watches.begin(); watch != m_watches.end();) {
+    for (auto watch = m_watches.begin(); watch != m_watches.end() && !m_silent;) {
         const QJsonArray events = itemsAfter(watch->prefix, watch->after);
         if (events.isEmpty() || watch->isDeaf) {
             ++watch;
--- a/test/standins/users/StoreEmulator.h
+++ b/test/standins/users/StoreEmulator.h
@@ -36,6 +36,8 @@
 
     /// All calls at that address are answered with 503.
     void refuse(Door door, bool refused);
+    /// Calls are taken and never answered.
+    void setSilent(bool silent) { m_silent = silent; }
     /// Watches that wait are cut off; those opened from now on hear nothing until the next call.
     void cutWatches(bool hearNothing);
     /// What happened up to now cannot be watched any more.
@@ -74,6 +76,9 @@
     qint64 m_leases = 0;
     std::array<bool, 2> m_refused{};
     bool m_deaf = false;
+    bool m_silent = false;
+    /// Keeps callers that are not answered waiting.
+    std::list<std::shared_ptr<CallerReply>> m_unanswered;
     QHash<QByteArray, int> m_calls;
     std::list<Watch> m_watches;
     std::array<std::unique_ptr<HttpListener>, 2> m_listeners;
