--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -186,7 +186,7 @@
 std::shared_ptr<ClientCall> PlatformSite::sendRequest(const HttpEndpoint &endpoint,
                                                       const HttpRequest &request)
 {
-    const auto call = std::make_shared<ClientCall>();
+    auto call = std::make_shared<ClientCall>();
     call->response.status = 0; // no answer yet
     const std::weak_ptr<ClientCall> weak = call;
     HttpExchangeCallbacks callbacks;
@@ -222,7 +222,7 @@
 {
     HttpRequest request = requestOf("POST", path, id, {});
     request.body = body;
-    const std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
+    std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
     finish(sent);
     return sent;
 }
@@ -234,7 +234,7 @@
     request.headers = {{"Host", "site.example"},
                        {"Cranberryquay-Request-Id", id},
                        {"Authorization", "Bearer " + key}};
-    const std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
+    std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
     finish(sent);
     return sent;
 }
@@ -248,7 +248,7 @@
                                                const QByteArray &path, const QByteArray &id,
                                                const HttpHeaders &more)
 {
-    const std::shared_ptr<ClientCall> sent = send(daemon, method, path, id, more);
+    std::shared_ptr<ClientCall> sent = send(daemon, method, path, id, more);
     finish(sent);
     return sent;
 }
