--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -70,15 +70,19 @@
     , m_task(std::move(task))
     , m_reply(std::move(reply))
     , m_ended(std::move(ended))
-    , m_deadline(
-          m_task.arrived
-          + std::min(m_task.route.timeout, m_task.request.patience.value_or(m_task.route.timeout)))
+    , m_deadline(m_task.arrived + patience())
     , m_expectedOutput(context.outputs.expected(m_task.route.name, m_task.request))
 {
 }
 
 RelayRun::~RelayRun() = default;
 
+Milliseconds RelayRun::patience() const
+{
+    const Milliseconds timeout = m_task.route.timeout;
+    return std::min(timeout, m_task.request.patience.value_or(timeout));
+}
+
 Milliseconds RelayRun::timeLeft() const
 {
     const auto left = m_deadline - m_context.timers.now();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -90,6 +90,8 @@
 
     bool isStream() const { return m_task.route.kind == RequestKind::Stream; }
     bool hasBegun() const { return m_lastEvent > 0; }
+    /// The time that the caller and the route give it, from its arrival.
+    Milliseconds patience() const;
     Milliseconds timeLeft() const;
     Tokens expectedTokens() const;
     TargetNeed need() const;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -23,7 +23,9 @@
 constexpr double WaitPart = 0.6;
 /// A generation that can no longer begin on time waits this long for room that nobody else needs;
 /// its caller gives up after about seven seconds without an event.
-constexpr Milliseconds OverduePatience{4000};
+constexpr Milliseconds OverduePatience{6000};
+/// And no longer than this part of the time that its caller gives it.
+constexpr double WaitPartOfTime = 0.5;
 /// Engines asked for their load before a generation is placed. Two choices spread almost as well
 /// as asking all; the third covers one that does not answer.
 constexpr int EnginesAsked = 3;
@@ -36,7 +38,7 @@
 /// a quarter of what as much memory earns with short ones.
 constexpr double LengthDiscount = 2.0;
 /// Load up to which an engine takes a generation that is late anyway.
-constexpr double OverdueLoad = 0.55;
+constexpr double OverdueLoad = 0.75;
 /// Prompts before a generation that is late anyway, so that it does not make others late.
 constexpr Tokens OverdueUnread{3000};
 /// Prompt tokens that an engine reads in a ms while it also generates.
@@ -192,7 +194,8 @@
 Milliseconds RelayRun::waitLimit() const
 {
     if (m_task.engine)
-        return OverduePatience;
+        return std::min(OverduePatience,
+                        std::chrono::duration_cast<Milliseconds>(WaitPartOfTime * patience()));
     return std::chrono::duration_cast<Milliseconds>(WaitPart * m_task.route.objective);
 }
 
