--- a/apps/CranberryCtl.cpp
+++ b/apps/CranberryCtl.cpp
@@ -24,7 +24,7 @@
 
 constexpr char ExitCodes[] = R"(exit codes:
   0  done
-  1  diff: the documents differ; or an unknown flag
+  1  diff: the documents differ; explain: no line has the request; or an unknown flag
   2  wrong use: command, argument, or a file that cannot be read
   3  the document has faults; all are printed with their paths
   4  the configuration has changed meanwhile; nothing was applied
--- a/apps/ctl/Commands.cpp
+++ b/apps/ctl/Commands.cpp
@@ -4,6 +4,7 @@
 #include "ctl/DocumentDifference.h"
 #include "ctl/InForceWait.h"
 #include "ctl/OperatorClient.h"
+#include "ctl/RequestStory.h"
 #include "ctl/StatusText.h"
 
 #include <QFile>
@@ -242,23 +243,72 @@
     return ExitCode::Done;
 }
 
+/// The log lines in @p path; complains and gives nothing if it cannot be read.
+std::optional<QList<LogLine>> readLog(const QString &path)
+{
+    QFile file(path);
+    if (!file.open(QIODevice::ReadOnly)) {
+        complain(QStringLiteral("%1: %2").arg(path, file.errorString()));
+        return std::nullopt;
+    }
+    QList<LogLine> lines;
+    while (!file.atEnd()) {
+        const QString text = QString::fromUtf8(file.readLine()).trimmed();
+        if (const std::optional<LogLine> line = readLogLine(text, path))
+            lines.append(*line);
+    }
+    return lines;
+}
+
+ExitCode explain(const QStringList &arguments, const CommandOptions &options)
+{
+    QList<LogLine> lines;
+    for (const QString &path : arguments.mid(1)) {
+        const std::optional<QList<LogLine>> read = readLog(path);
+        if (!read)
+            return ExitCode::WrongUse;
+        lines += *read;
+    }
+    const RequestStory story = storyOf(arguments.first(), lines);
+    if (story.verdict.isEmpty()) {
+        complain(QStringLiteral("no line of these files has request=%1").arg(arguments.first()));
+        return ExitCode::Differs;
+    }
+    if (options.json) {
+        QJsonArray texts;
+        for (const LogLine &line : story.lines)
+            texts.append(QJsonObject{{"file", line.file}, {"line", line.text}});
+        printJson({{"lines", texts}, {"verdict", QJsonArray::fromStringList(story.verdict)}});
+        return ExitCode::Done;
+    }
+    for (const LogLine &line : story.lines)
+        print(QStringLiteral("%1: %2").arg(line.file, line.text));
+    for (const QString &sentence : story.verdict)
+        print(sentence);
+    return ExitCode::Done;
+}
+
 struct Command {
     const char *name;
     const char *argument;
+    /// Words that must follow; more may if the last argument says so with dots.
+    qsizetype words;
     const char *description;
     bool asksDaemon;
     ExitCode (*run)(const QStringList &arguments, const CommandOptions &options);
 };
 
-constexpr std::array<Command, 6> Commands{{
-    {"validate", "FILE", "check a document without a daemon and print all its faults", false,
+constexpr std::array<Command, 7> Commands{{
+    {"validate", "FILE", 1, "check a document without a daemon and print all its faults", false,
      validate},
-    {"apply", "FILE", "make a document the next version; with --wait, wait for all daemons", true,
+    {"apply", "FILE", 1, "make a document the next version; with --wait, wait for all daemons", true,
      apply},
-    {"show", "", "print the document, and its version to stderr", true, show},
-    {"diff", "FILE", "print what applying a document would change", true, diff},
-    {"status", "", "print daemons with their versions, and the quarantine", true, status},
-    {"targets", "", "print targets with their memory and leaving marks", true, targets},
+    {"show", "", 0, "print the document, and its version to stderr", true, show},
+    {"diff", "FILE", 1, "print what applying a document would change", true, diff},
+    {"status", "", 0, "print daemons with their versions, and the quarantine", true, status},
+    {"targets", "", 0, "print targets with their memory and leaving marks", true, targets},
+    {"explain", "ID LOG...", 2, "print what logs of daemons say of a request, and why it ended",
+     false, explain},
 }};
 
 } // namespace
@@ -283,8 +333,9 @@
     for (const Command &command : Commands) {
         if (words.first() != QLatin1String(command.name))
             continue;
-        const qsizetype wanted = command.argument[0] == '\0' ? 0 : 1;
-        if (words.size() - 1 != wanted) {
+        const bool takesMore = QLatin1String(command.argument).endsWith(QLatin1String("..."));
+        const qsizetype given = words.size() - 1;
+        if (given < command.words || (given > command.words && !takesMore)) {
             complain(QStringLiteral("usage: cranberryctl %1 %2")
                          .arg(QLatin1String(command.name), QLatin1String(command.argument)));
             return ExitCode::WrongUse;
--- a/src/relay/CallerProtocol.h
+++ b/src/relay/CallerProtocol.h
@@ -16,6 +16,8 @@
 /// Thread safety: as its functions; those of the adapters are thread-safe.
 struct CallerProtocol {
     std::function<Result<RelayRequest>(const HttpRequest &)> readRequest;
+    /// Empty if the caller sent none.
+    std::function<RequestId(const HttpRequest &)> requestId;
     /// A failure of the system's own. @p comeBack is said with failures that promise that the
     /// request has not run.
     std::function<HttpResponse(const Error &, std::optional<Milliseconds> comeBack)> failure;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -92,6 +92,8 @@
 {
     RelayParts &parts = *m_parts;
     parts.entries.setWatchWait(EntriesWait);
+    for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
+        mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
     parts.entries.setCallbacks({[this](const StoreItem &item) { targetRead(item.key, item.value); },
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -122,7 +122,8 @@
 {
     const qint64 version = m_configuration ? m_configuration->version.value() : 0;
     logEvent(LogLevel::Info, EventId::RelayRefused,
-             {{"path", QString::fromUtf8(request.path.left(80))},
+             {{"request", m_context.callers.requestId(request).text()},
+              {"path", QString::fromUtf8(request.path.left(80))},
               {"kind", QLatin1String(errorAnswer(error.kind).name)},
               {"version", QString::number(version)},
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -21,6 +21,11 @@
 constexpr Milliseconds FirstPace{50};
 /// The second watcher's figures are needed only where the first one's do not arrive.
 constexpr Milliseconds SecondPace{400};
+/// Calls to a store that is away are priced too. With 71 daemons that each tried two prefixes each
+/// 0.8 s, eight seconds of it cost some 1,700 calls; those that others feed, or tell its state while
+/// it is away, can find out later.
+constexpr Milliseconds WatcherBackoff{800};
+constexpr Milliseconds FedBackoff{2000};
 constexpr Milliseconds Heartbeat{300};
 /// Three heartbeats; a target that leaves gets no request two seconds after it said so.
 constexpr Milliseconds FeedHolds{1000};
@@ -58,6 +63,12 @@
     return isSecond ? SecondPace : FirstPace;
 }
 
+Milliseconds StoreFeed::longestBackoff() const
+{
+    const bool isFedByOthers = m_peers.peersNearby().size() + 1 >= LeastDaemons && !isWatcher();
+    return isFedByOthers ? FedBackoff : WatcherBackoff;
+}
+
 bool StoreFeed::isFed() const
 {
     return !isWatcher() && m_timers.now() - m_lastFed < FeedHolds;
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -30,6 +30,9 @@
               StoreMirror &mirror);
     ~StoreFeed();
 
+    /// The longest pause of this daemon between calls to a store that does not answer.
+    Milliseconds longestBackoff() const;
+
 private:
     bool isWatcher() const;
     bool isFed() const;
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -28,7 +28,6 @@
 constexpr Milliseconds StartTime{3000};
 constexpr Milliseconds StartPace{1200};
 constexpr Milliseconds FirstBackoff{100};
-constexpr Milliseconds LongestBackoff{800};
 /// A target whose entry lapsed with the store is back within two seconds of the store's return.
 constexpr Milliseconds LapseGrace{2000};
 constexpr int StatusOk = 200;
@@ -232,7 +231,7 @@
     // hear nothing either: the store forgets history and says so only later (a newer version was
     // found 5.5 s late that way). A read shows what is there.
     m_needsRead = true;
-    m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, LongestBackoff);
+    m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, m_longestBackoff());
     // Daemons that lost the store together do not come back together.
     const double part = 0.5 + 0.5 * QRandomGenerator::global()->generateDouble();
     again(std::chrono::duration_cast<Milliseconds>(part * m_backoff));
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -40,6 +40,11 @@
     /// A watch is answered after @p wait at the latest, so that a store that has fallen silent is
     /// found about that late. Shorter waits cost more calls. Precondition: not started.
     void setWatchWait(Milliseconds wait) { m_watchWait = wait; }
+    /// The longest pause between calls to a store that does not answer. Precondition: not started.
+    void setLongestBackoff(std::function<Milliseconds()> longest)
+    {
+        m_longestBackoff = std::move(longest);
+    }
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
     /// @p isFed tells whether others send what changes, so that no watch is needed;
@@ -72,6 +77,8 @@
     void confirm();
 
 private:
+    static constexpr Milliseconds DefaultBackoff{800};
+
     enum class State {
         Reading,
         Watching,
@@ -105,6 +112,7 @@
     StoreMirrorCallbacks m_callbacks;
 
     std::function<bool()> m_isFed = [] { return false; };
+    std::function<Milliseconds()> m_longestBackoff = [] { return DefaultBackoff; };
     std::function<Milliseconds()> m_pace = [] { return Milliseconds(0); };
     std::function<void(const StoreAnswer &, Revision)> m_changed;
 
