--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -39,6 +39,9 @@
 constexpr double LengthDiscount = 2.0;
 /// Load up to which an engine takes a generation that is late anyway.
 constexpr double OverdueLoad = 0.75;
+/// An answer of so few tokens is made in less time than its prompt is read: it holds memory so
+/// briefly that a late one delays nobody.
+constexpr Tokens BriefOutput{64};
 /// Prompts before a generation that is late anyway, so that it does not make others late.
 constexpr Tokens OverdueUnread{3000};
 /// Prompt tokens that an engine reads in a ms while it also generates.
@@ -112,7 +115,7 @@
 
 double RelayRun::mostLoad() const
 {
-    if (isOverdue())
+    if (isOverdue() && expectedOutput() > BriefOutput)
         return OverdueLoad;
     const double memory = std::max(double(m_task.engine->memory.value()), 1.0);
     return FullLoad - LengthDiscount * double(expectedOutput().value()) / memory;
