--- a/apps/ctl/Commands.cpp
+++ b/apps/ctl/Commands.cpp
@@ -301,8 +301,8 @@
 constexpr std::array<Command, 7> Commands{{
     {"validate", "FILE", 1, "check a document without a daemon and print all its faults", false,
      validate},
-    {"apply", "FILE", 1, "make a document the next version; with --wait, wait for all daemons", true,
-     apply},
+    {"apply", "FILE", 1, "make a document the next version; with --wait, wait for all daemons",
+     true, apply},
     {"show", "", 0, "print the document, and its version to stderr", true, show},
     {"diff", "FILE", 1, "print what applying a document would change", true, diff},
     {"status", "", 0, "print daemons with their versions, and the quarantine", true, status},
--- a/apps/ctl/ExitCode.h
+++ b/apps/ctl/ExitCode.h
@@ -5,7 +5,8 @@
 
 enum class ExitCode {
     Done = 0,
-    /// `diff` found differences, `explain` no line of the request. The flag library ends with the same code on unknown flags.
+    /// `diff` found differences, `explain` no line of the request. The flag library ends with the
+    /// same code on unknown flags.
     Differs = 1,
     /// Unknown command, missing argument, unreadable file.
     WrongUse = 2,
--- a/apps/ctl/RequestStory.cpp
+++ b/apps/ctl/RequestStory.cpp
@@ -67,8 +67,9 @@
     const LogLine *lost = lastNamed(story.lines, "stream.lost");
     if (!lost)
         return QStringLiteral("The stream was broken off; the log does not say why.");
-    QString cause = QStringLiteral("The stream was lost after event %1 at target %2: %3.")
-                        .arg(field(*lost, "events"), field(*lost, "target"), field(*lost, "reason"));
+    QString cause =
+        QStringLiteral("The stream was lost after event %1 at target %2: %3.")
+            .arg(field(*lost, "events"), field(*lost, "target"), field(*lost, "reason"));
     if (const LogLine *leaving = lastNamed(story.lines, "target.leaving"))
         cause += QStringLiteral(" The target was known to leave since %1 (%2).")
                      .arg(leaving->time, field(*leaving, "reason"));
@@ -109,8 +110,7 @@
     const QString outcome = field(ended, "outcome");
     if (outcome == QLatin1String("answered"))
         return QStringLiteral("First event after %1 ms, longest pause %2 ms, by moves %3 ms.")
-            .arg(field(ended, "first_ms"), field(ended, "pause_ms"),
-                 field(ended, "move_pause_ms"));
+            .arg(field(ended, "first_ms"), field(ended, "pause_ms"), field(ended, "move_pause_ms"));
     if (outcome == QLatin1String("broken off"))
         return lostStream(story);
     if (outcome == QLatin1String("no_target"))
@@ -150,9 +150,9 @@
     std::copy_if(sorted.cbegin(), sorted.cend(), std::back_inserter(story.lines),
                  [&](const LogLine &line) { return isOwn(line) || explains(line, involved); });
     if (const LogLine *ended = lastNamed(own, "relay.ended")) {
-        story.verdict.append(QStringLiteral("Ended as %1 after %2 ms; has run: %3.")
-                                 .arg(field(*ended, "outcome"), field(*ended, "ms"),
-                                      field(*ended, "ran")));
+        story.verdict.append(
+            QStringLiteral("Ended as %1 after %2 ms; has run: %3.")
+                .arg(field(*ended, "outcome"), field(*ended, "ms"), field(*ended, "ran")));
         story.verdict.append(causeOf(story, *ended));
     } else if (const LogLine *refused = lastNamed(own, "relay.refused")) {
         story.verdict.append(refusal(story, *refused));
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -28,8 +28,8 @@
 
 /// A connection that breaks does not show a crash: targets also cut single answers short. Nor does
 /// an entry that ends, as some targets leave without a word and finish what they have. Only the two
-/// together blame a request, within some seconds and in either order. Two such crashes, at whichever
-/// daemons, put the request into quarantine; an answer before clears it everywhere.
+/// together blame a request, within some seconds and in either order. Two such crashes, at
+/// whichever daemons, put the request into quarantine; an answer before clears it everywhere.
 /// Thread safety: only from the thread of the event loop.
 class CrashGuard
 {
--- a/src/relay/OutputForecast.cpp
+++ b/src/relay/OutputForecast.cpp
@@ -36,8 +36,7 @@
 Tokens OutputForecast::expected(const QString &route, const RelayRequest &request) const
 {
     const double typical = typicalLogarithm(route, request.mostOutput);
-    const double announced =
-        request.expectedOutput ? logarithm(*request.expectedOutput) : typical;
+    const double announced = request.expectedOutput ? logarithm(*request.expectedOutput) : typical;
     const double median = std::exp(typical + AnnouncedWeight * (announced - typical));
     const Tokens mean(std::llround(MeanOverMedian * median));
     const Tokens most = std::max(request.mostOutput, Tokens(1));
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -140,12 +140,12 @@
     options.connectTimeout = CallTimeout;
     options.timeout = CallTimeout;
     options.reuseConnection = true;
-    m_listing = m_client.fetch(m_store, m_protocol.staleRange(PeerPrefix), options,
-                               [this](HttpExchangeEnd end, const HttpResponse &response) {
-                                   listed(end == HttpExchangeEnd::Complete
-                                              ? m_protocol.readItems(response)
-                                              : StoreAnswer());
-                               });
+    m_listing =
+        m_client.fetch(m_store, m_protocol.staleRange(PeerPrefix), options,
+                       [this](HttpExchangeEnd end, const HttpResponse &response) {
+                           listed(end == HttpExchangeEnd::Complete ? m_protocol.readItems(response)
+                                                                   : StoreAnswer());
+                       });
     m_listTimer = m_timers.after(m_lists == 1 ? SecondList : ListEvery, [this] { list(); });
 }
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -117,7 +117,8 @@
         m_parts->loads.changed(target, isMore);
         m_parts->retries.setDaemons(m_parts->peers.fleetSize());
     });
-    parts.targets.onCrashed([this](const TargetId &target) { m_parts->crashes.targetGone(target); });
+    parts.targets.onCrashed(
+        [this](const TargetId &target) { m_parts->crashes.targetGone(target); });
     parts.targets.onRoom([this] { m_parts->waiting.roomChanged(); });
 }
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -150,8 +150,8 @@
     };
     const Milliseconds reuse = !plan.reservation.isEmpty() ? ReuseAfterReservation
         : isStream()                                       ? NoReuse
-        : m_task.route.kind == RequestKind::Idempotent ? ReuseIdempotent
-                                                       : ReuseAtMostOnce;
+        : m_task.route.kind == RequestKind::Idempotent     ? ReuseIdempotent
+                                                           : ReuseAtMostOnce;
     m_fate = AttemptFate::Ended;
     m_attempt = std::make_unique<RelayAttempt>(m_context, m_task.request, endpoint, plan, reuse,
                                                std::move(callbacks));
--- a/src/relay/RoomReservation.cpp
+++ b/src/relay/RoomReservation.cpp
@@ -13,7 +13,8 @@
 /// has left until then, so that giving up early costs nothing.
 constexpr Milliseconds AnswerTimeout{300};
 constexpr Milliseconds GiveBackTimeout{1000};
-/// Kept connections spare most of the new ones: with 2 s, a calm grown day had 10,300, with 10 s 7,600.
+/// Kept connections spare most of the new ones: with 2 s, a calm grown day had 10,300, with 10 s
+/// 7,600.
 constexpr Milliseconds MostIdle{10000};
 
 HttpExchangeOptions optionsWith(Milliseconds timeout, bool overKeptConnection)
@@ -43,7 +44,7 @@
 RoomReservation::RoomReservation(RelayContext &context, const RelayTarget &target, Tokens tokens,
                                  Milliseconds holdsFor, Ended ended)
     : m_state(std::make_shared<State>(
-          State{context, target.endpoint, {target.id, tokens, holdsFor}, std::move(ended), {}, {}}))
+        State{context, target.endpoint, {target.id, tokens, holdsFor}, std::move(ended), {}, {}}))
 {
     ask(m_state, true);
 }
@@ -93,7 +94,8 @@
     if (state->id.isEmpty())
         return;
     // Nobody waits for the answer: the engine frees the room by itself when its time is over.
-    const HttpRequest request = state->context.protocol.freeReservation(std::exchange(state->id, {}));
+    const HttpRequest request =
+        state->context.protocol.freeReservation(std::exchange(state->id, {}));
     state->exchange = state->context.client.fetch(
         state->endpoint, request, optionsWith(GiveBackTimeout, true),
         [state](HttpExchangeEnd, const HttpResponse &) { state->exchange.reset(); });
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -22,8 +22,8 @@
 /// The second watcher's figures are needed only where the first one's do not arrive.
 constexpr Milliseconds SecondPace{400};
 /// Calls to a store that is away are priced too. With 71 daemons that each tried two prefixes each
-/// 0.8 s, eight seconds of it cost some 1,700 calls; those that others feed, or tell its state while
-/// it is away, can find out later.
+/// 0.8 s, eight seconds of it cost some 1,700 calls; those that others feed, or tell its state
+/// while it is away, can find out later.
 constexpr Milliseconds WatcherBackoff{800};
 constexpr Milliseconds FedBackoff{2000};
 constexpr Milliseconds Heartbeat{300};
--- a/test/failure/PlatformCrashes.cpp
+++ b/test/failure/PlatformCrashes.cpp
@@ -35,8 +35,7 @@
             ++harmed;
             reply->abort();
             if (crashes)
-                site.store().remove(QStringLiteral("servers/")
-                                    + QString::fromLatin1(runner.id()));
+                site.store().remove(QStringLiteral("servers/") + QString::fromLatin1(runner.id()));
             return true;
         });
     }
@@ -53,9 +52,8 @@
 
     bool isHeldBackAt(int daemon)
     {
-        return test::waitFor([&] {
-            return sendHarmful(daemon, "probe-" + QByteArray::number(++probes)) == 503;
-        });
+        return test::waitFor(
+            [&] { return sendHarmful(daemon, "probe-" + QByteArray::number(++probes)) == 503; });
     }
 
     test::PlatformSite site;
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -58,12 +58,9 @@
                       route("unsafe", "unsafe", "plain")};
     if (extraRoute)
         routes.append(route("extra", "safe", "plain"));
-    const QJsonObject engine{{"slots", 8},
-                             {"kvCapacityTokens", 100000},
-                             {"moves", true},
-                             {"backups", true},
-                             {"holdMs", 2000},
-                             {"stride", 1}};
+    const QJsonObject engine{{"slots", 8},     {"kvCapacityTokens", 100000},
+                             {"moves", true},  {"backups", true},
+                             {"holdMs", 2000}, {"stride", 1}};
     const QJsonObject json{
         {"version", version},
         {"routes", routes},
