--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -114,9 +114,6 @@
     if (target.spreadUntil > now)
         return false;
     const double before = knownLoad(target, now).unread;
-    // Where no prompt waits, there is nothing to wait for.
-    if (before <= 0)
-        return true;
     const double slowness = isCold(target, now) ? ColdSlowness : 1;
     const double unread = before + double(need.prompt.value());
     return unread * slowness <= double(need.readable->value());
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -116,7 +116,8 @@
 {
     const MonotonicTime now = m_timers.now();
     for (const TargetRecord &record : std::as_const(m_targets)) {
-        for (const MonotonicTime due : {record.fullUntil, record.spreadUntil}) {
+        const MonotonicTime isWarm = record.since + record.entry.coldLeft;
+        for (const MonotonicTime due : {record.fullUntil, record.spreadUntil, isWarm}) {
             if (due > now)
                 tellRoomAt(due);
         }
