Relay: a target that starts again under its id is another one; foreign entries name none

Cause: 'born' was not read. A runner that crashed behind a cut and came back under its id was taken for the former one: one that had said it leaves got no work any more, loads and suspicion stayed, and streams on its silent connections waited for their deadline. Entries of another writer with a wrong type were used or taken for 'leaving'. An unreadable entry withholds its target until the next heartbeat, moves nothing and blames nobody.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -59,6 +59,9 @@
     X(TargetCleared, 1211, "target.cleared")                                                       \
     X(ConfigurationUnreadable, 1506, "configuration.unreadable")                                   \
     X(TargetUnreadable, 1507, "target.unreadable")                                                 \
+    X(TargetEntryLate, 1214, "target.entry_late")                                                  \
+    X(TargetStartedAgain, 1212, "target.started_again")                                            \
+    X(TargetWithheld, 1213, "target.withheld")                                                     \
     X(StoreCompacted, 1508, "store.compacted")                                                     \
     X(RelayArrived, 1901, "relay.arrived")                                                         \
     X(RelayRefused, 1902, "relay.refused")                                                         \
--- a/src/relay/EngineReport.h
+++ b/src/relay/EngineReport.h
@@ -16,6 +16,8 @@
     /// It leaves after this time.
     std::optional<Milliseconds> leavesIn;
     bool isLeaving = false;
+    /// The start that reports; unset if engines do not say.
+    std::optional<Incarnation> born;
 };
 
 } // namespace cranberry
--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -77,6 +77,9 @@
 
 void GenerationMove::answered(bool isLast, const MoveOutcome &outcome)
 {
+    if (++m_rounds == 1)
+        m_firstRound =
+            std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_roundBegan);
     if (!outcome.handle.isEmpty())
         m_handle = outcome.handle;
     const bool goesOn = !isLast && outcome.kind == MoveOutcome::Kind::Copied;
@@ -98,8 +101,10 @@
     return now - m_roundBegan <= ShortRound || now + LastMoment >= m_leavesAt;
 }
 
-void GenerationMove::end(const MoveOutcome &outcome, bool stopped)
+void GenerationMove::end(MoveOutcome outcome, bool stopped)
 {
+    outcome.rounds = m_rounds;
+    outcome.firstRound = m_firstRound;
     // Its user takes over a copy of a generation that was stopped.
     if (stopped && !outcome.handle.isEmpty())
         m_handle.clear();
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -42,7 +42,7 @@
     bool isTimeToStop() const;
     void answered(bool isLast, const MoveOutcome &outcome);
     void freeCopy();
-    void end(const MoveOutcome &outcome, bool stopped);
+    void end(MoveOutcome outcome, bool stopped);
 
     RelayContext &m_context;
     RequestId m_request;
@@ -50,6 +50,8 @@
     HttpEndpoint m_destination;
     MonotonicTime m_leavesAt;
     MonotonicTime m_roundBegan;
+    int m_rounds = 0;
+    Milliseconds m_firstRound{0};
     Callbacks m_callbacks;
     /// What the source calls the copy; empty until it is begun or once it is used.
     QByteArray m_handle;
--- a/src/relay/MoveOutcome.h
+++ b/src/relay/MoveOutcome.h
@@ -1,6 +1,8 @@
 // Defines MoveOutcome, what became of an order to copy a running generation.
 #pragma once
 
+#include "base/Units.h"
+
 #include <QByteArray>
 
 namespace cranberry {
@@ -23,6 +25,9 @@
     QByteArray handle;
     /// Of the answer, for the log; 0 without one.
     int status = 0;
+    /// Orders answered, and how long the first of them took: it carries nearly all of the memory.
+    int rounds = 0;
+    Milliseconds firstRound{0};
 };
 
 /// The name in log lines. Thread-safe.
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -31,6 +31,8 @@
     qint64 streamsLost = 0;
     qint64 storeCalls = 0;
     qint64 reportsAsked = 0;
+    /// Entries of targets that another program wrote.
+    qint64 unreadableEntries = 0;
 
     KindCounters &of(RequestKind kind) { return kinds[std::size_t(kind)]; }
 };
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -68,6 +68,7 @@
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
+    , targetEntries(protocols.store, targets, counters)
     , feed(timers, peers, datagrams, entries)
     , peerState(timers, client, peers, configuration, entries)
     , gateway(context, [this] { return configuration.isCurrent(); })
@@ -96,11 +97,9 @@
         mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
-    parts.entries.setCallbacks({[this](const StoreItem &item) { targetRead(item.key, item.value); },
-                                [this](const QString &key) {
-                                    m_parts->targets.remove(TargetId(
-                                        key.mid(m_parts->protocols.store.targetPrefix.size())));
-                                }});
+    parts.entries.setCallbacks(
+        {[this](const StoreItem &item) { m_parts->targetEntries.put(item.key, item.value); },
+         [this](const QString &key) { m_parts->targetEntries.removed(key); }});
     parts.readiness.setHandler(
         [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
             readiness(request, reply);
@@ -113,6 +112,7 @@
         [this](qint64 version) { newerVersionHeard(version); });
     parts.targets.onLeaving(
         [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
+    parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
     parts.targets.onOwnLoad([this](const TargetId &target, bool isMore) {
         m_parts->loads.changed(target, isMore);
         m_parts->retries.setDaemons(m_parts->peers.fleetSize());
@@ -206,16 +206,6 @@
         logEvent(LogLevel::Info, EventId::DaemonReady, {{"vm", m_parts->settings.vm.text()}});
 }
 
-void RelayDaemon::targetRead(const QString &key, const QByteArray &value)
-{
-    const Result<RelayTarget> read = m_parts->protocols.store.readTarget(key, value);
-    if (read)
-        m_parts->targets.put(read.value());
-    else
-        logEvent(LogLevel::Error, EventId::TargetUnreadable,
-                 {{"key", key}, {"detail", read.error().detail}});
-}
-
 void RelayDaemon::drain(std::function<void()> done)
 {
     if (m_drained)
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -33,7 +33,6 @@
 private:
     void readiness(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
     void configurationRead(const QByteArray &value);
-    void targetRead(const QString &key, const QByteArray &value);
     bool isReady() const;
     void finishDrainWhenIdle();
     void askEnginesInUse();
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -59,6 +59,13 @@
         run->targetLeaving(target);
 }
 
+void RelayGateway::targetLost(const TargetId &target)
+{
+    const QList<std::shared_ptr<RelayRun>> runs = m_runs.values();
+    for (const std::shared_ptr<RelayRun> &run : runs)
+        run->targetLost(target);
+}
+
 QList<TargetId> RelayGateway::enginesWithStreams() const
 {
     QSet<TargetId> engines;
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -43,6 +43,8 @@
     void drainUntil(MonotonicTime until) { m_drainUntil = until; }
     /// Tells the runs at @p target that it leaves.
     void targetLeaving(const TargetId &target);
+    /// Tells the runs at @p target that it has ended with them.
+    void targetLost(const TargetId &target);
     /// Engines at which streams of this daemon run.
     QList<TargetId> enginesWithStreams() const;
     int running() const { return int(m_runs.size()); }
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -36,6 +36,7 @@
     text += counterText("cranberry_relay_streams_lost_total", counters.streamsLost);
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
+    text += counterText("cranberry_relay_unreadable_entries_total", counters.unreadableEntries);
     const auto &configuration = parts.gateway.configuration();
     text += gaugeText("cranberry_relay_configuration_version",
                       configuration ? configuration->version.value() : 0);
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -19,6 +19,7 @@
 #include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetEntries.h"
 #include "relay/WaitingRequests.h"
 
 namespace cranberry {
@@ -44,6 +45,7 @@
     RelayContext context;
     StoreMirror configuration;
     StoreMirror entries;
+    TargetEntries targetEntries;
     StoreFeed feed;
     PeerState peerState;
     RelayGateway gateway;
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -73,6 +73,8 @@
     Tokens expectedOutput() const { return m_expectedOutput; }
     /// The target is about to go; a generation there moves on.
     void targetLeaving(const TargetId &target);
+    /// The target has ended, and with it what it ran.
+    void targetLost(const TargetId &target);
     /// Tokens that a generation is expected to make still.
     double expectedLeft() const;
 
@@ -174,6 +176,8 @@
     std::unique_ptr<GenerationMove> m_move;
     TargetId m_moveDestination;
     HttpEndpoint m_moveDestinationEndpoint;
+    /// It has ended since, and a copy there with it.
+    bool m_isDestinationLost = false;
     /// The stream ended while its generation was being stopped; the move's answer says how.
     std::optional<SendResult> m_endedWhileMoving;
     /// It had no room for the last try.
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -9,6 +9,7 @@
 #include "relay/GenerationMove.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
+#include "relay/ReservationOutcome.h"
 #include "relay/TargetDirectory.h"
 
 namespace cranberry {
@@ -35,6 +36,25 @@
         beginMove();
 }
 
+void RelayRun::targetLost(const TargetId &target)
+{
+    if (m_move && m_moveDestination == target)
+        m_isDestinationLost = true;
+    if (m_target != target)
+        return;
+    if (m_phase == Phase::Reserving) {
+        reservationEnded(ReservationOutcome());
+        return;
+    }
+    // While its generation is being moved, the order's answer tells what became of it.
+    if (m_phase != Phase::Sent)
+        return;
+    // Its connection may be behind a cut and would stay silent until the deadline.
+    SendResult lost;
+    lost.reason = QStringLiteral("the target started again");
+    attemptEnded(lost);
+}
+
 double RelayRun::expectedLeft() const
 {
     const double made = m_task.engine ? double(m_lastEvent) * m_task.engine->tokensPerEvent : 0;
@@ -59,6 +79,7 @@
     }
     ++m_context.counters.movesBegun;
     m_moveDestination = pick.target->entry.id;
+    m_isDestinationLost = false;
     m_moveDestinationEndpoint = pick.target->entry.endpoint;
     // Counted at the destination from now on, so that the next move spreads to another.
     m_context.targets.requestPlaced(m_moveDestination, expectedTokens());
@@ -70,7 +91,7 @@
               {"events", QString::number(m_lastEvent)}});
     GenerationMove::Callbacks callbacks;
     callbacks.stopping = [this] {
-        if (m_phase != Phase::Sent
+        if (m_phase != Phase::Sent || m_isDestinationLost
             || !m_context.retries.take(m_task.service, m_context.timers.now(), 0))
             return false;
         m_phase = Phase::Moving;
@@ -94,6 +115,9 @@
               {"outcome", QLatin1String(moveOutcomeName(outcome.kind))},
               {"status", QString::number(outcome.status)},
               {"stopped", stopped ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"destination", m_moveDestination.text()},
+              {"rounds", QString::number(outcome.rounds)},
+              {"first_round_ms", QString::number(outcome.firstRound.count())},
               {"events", QString::number(m_lastEvent)}});
     endReservation();
     if (!stopped) {
@@ -109,10 +133,11 @@
         return;
     }
     const CopyReference copy{m_endpoint, outcome.handle};
-    const bool copied = outcome.kind == MoveOutcome::Kind::Copied && !copy.handle.isEmpty();
-    if (copied) {
+    const bool isHeld = !copy.handle.isEmpty();
+    const bool isCopied = outcome.kind == MoveOutcome::Kind::Copied;
+    if (isCopied && isHeld && !m_isDestinationLost) {
         resume(m_moveDestinationEndpoint, m_moveDestination, copy);
-    } else if (outcome.kind == MoveOutcome::Kind::NoRoom && !copy.handle.isEmpty()) {
+    } else if (isHeld && (isCopied || outcome.kind == MoveOutcome::Kind::NoRoom)) {
         // The generation is stopped and only its source has it.
         resume(m_endpoint, m_target, copy);
     } else {
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -10,6 +10,8 @@
 struct RelayTarget {
     /// New with each start of the target.
     TargetId id;
+    /// Later starts have greater ones; zero if targets do not say.
+    Incarnation born;
     ServiceId service;
     HttpEndpoint endpoint;
     DataCentreId dataCentre;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -42,6 +42,7 @@
     logEvent(LogLevel::Info, event,
              {{"target", record.entry.id.text()},
               {"service", record.entry.service.text()},
+              {"data_centre", record.entry.dataCentre.text()},
               {"running", QString::number(record.ownRunning)},
               {"reason", QLatin1String(reason)}});
 }
@@ -72,10 +73,33 @@
         return;
     }
     // A target that said it leaves does not come back under the same id.
+    const bool wasWithheld = std::exchange(known->isWithheld, false);
     known->entry = entry;
     known->entry.isLeaving = entry.isLeaving || known->isLeaving;
     if (entry.isLeaving)
         markLeaving(entry.id, "entry");
+    else if (wasWithheld)
+        roomChanged();
+}
+
+void TargetDirectory::startedAgain(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    logTarget(EventId::TargetStartedAgain, *known, "new start");
+    if (m_lost)
+        m_lost(target);
+    remove(target);
+}
+
+void TargetDirectory::withhold(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end() || known->isWithheld)
+        return;
+    known->isWithheld = true;
+    logTarget(EventId::TargetWithheld, *known, "entry unreadable");
 }
 
 void TargetDirectory::markLeaving(const TargetId &target, const char *source)
@@ -131,7 +155,8 @@
         return;
     m_removed.insert(target, true);
     logTarget(EventId::TargetGone, *known, "entry removed");
-    if (!known->isLeaving && m_crashed)
+    // An entry that could not be read and then ends does not tell what became of the target.
+    if (!known->isLeaving && !known->isWithheld && m_crashed)
         m_crashed(target);
     markLeaving(target, "entry removed");
     dropIfUnused(target);
@@ -156,7 +181,7 @@
 {
     QList<const TargetRecord *> targets;
     for (const TargetRecord &record : m_targets) {
-        if (record.entry.service == service && !record.isLeaving)
+        if (record.entry.service == service && !record.isLeaving && !record.isWithheld)
             targets.append(&record);
     }
     return targets;
@@ -305,6 +330,12 @@
     const auto known = m_targets.find(target);
     if (known == m_targets.end())
         return;
+    if (report.born && *report.born != known->entry.born) {
+        // The address answers for another start; the entry of the newer one may come late.
+        if (*report.born > known->entry.born)
+            startedAgain(target);
+        return;
+    }
     known->report = report;
     known->reportedAt = m_timers.now();
     if (report.leavesIn)
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -31,6 +31,10 @@
     void put(const RelayTarget &entry);
     /// The target is gone; its record stays while requests are at it.
     void remove(const TargetId &target);
+    /// The target has ended and started anew under another id: its requests are lost.
+    void startedAgain(const TargetId &target);
+    /// It takes no new work until its next entry.
+    void withhold(const TargetId &target);
     /// The target said so itself or through another daemon.
     void markLeaving(const TargetId &target, const char *source);
 
@@ -67,6 +71,8 @@
     void onLeaving(LeavingCallback callback) { m_leaving = std::move(callback); }
     /// Called when a target is gone that had not said that it leaves.
     void onCrashed(LeavingCallback callback) { m_crashed = std::move(callback); }
+    /// Called when a target is gone with all that it ran.
+    void onLost(LeavingCallback callback) { m_lost = std::move(callback); }
     /// Called when a target may take more than before.
     void onRoom(ChangedCallback callback) { m_room = std::move(callback); }
     /// Called when what this daemon has at a target becomes more or less.
@@ -86,6 +92,7 @@
     QMap<TargetId, TargetRecord> m_targets;
     LeavingCallback m_leaving;
     LeavingCallback m_crashed;
+    LeavingCallback m_lost;
     ChangedCallback m_room;
     OwnLoadCallback m_ownLoad;
     QHash<TargetId, bool> m_removed;
--- /dev/null
+++ b/src/relay/TargetEntries.cpp
@@ -0,0 +1,63 @@
+#include "relay/TargetEntries.h"
+
+#include "base/EventLog.h"
+#include "relay/RelayCounters.h"
+#include "relay/StoreProtocol.h"
+#include "relay/TargetDirectory.h"
+
+namespace cranberry {
+
+TargetEntries::TargetEntries(const StoreProtocol &protocol, TargetDirectory &targets,
+                             RelayCounters &counters)
+    : m_protocol(protocol)
+    , m_targets(targets)
+    , m_counters(counters)
+{
+}
+
+void TargetEntries::put(const QString &key, const QByteArray &value)
+{
+    const Result<RelayTarget> entry = m_protocol.readTarget(key, value);
+    if (entry)
+        read(key, entry.value());
+    else
+        unreadable(key, entry.error().detail);
+}
+
+void TargetEntries::read(const QString &key, const RelayTarget &entry)
+{
+    const auto known = m_starts.constFind(key);
+    const bool isSame = known != m_starts.cend() && known->target == entry.id;
+    if (known != m_starts.cend() && !isSame) {
+        if (entry.born < known->born) {
+            // The former start wrote it before it ended; it tells nothing of this one.
+            logEvent(LogLevel::Info, EventId::TargetEntryLate,
+                     {{"key", key}, {"known", known->target.text()}, {"came", entry.id.text()}});
+            return;
+        }
+        m_targets.startedAgain(known->target);
+    }
+    m_starts.insert(key, {entry.id, entry.born});
+    m_targets.put(entry);
+}
+
+void TargetEntries::unreadable(const QString &key, const QString &detail)
+{
+    ++m_counters.unreadableEntries;
+    logEvent(LogLevel::Warning, EventId::TargetUnreadable,
+             {{"key", key}, {"known", m_starts.value(key).target.text()}, {"detail", detail}});
+    // Another writer overwrote it. The target itself says nothing: it takes no new work until its
+    // next entry, and what runs there goes on.
+    m_targets.withhold(m_starts.value(key).target);
+}
+
+void TargetEntries::removed(const QString &key)
+{
+    const auto known = m_starts.constFind(key);
+    if (known == m_starts.cend())
+        return;
+    m_targets.remove(known->target);
+    m_starts.erase(known);
+}
+
+} // namespace cranberry
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -15,6 +15,8 @@
     RelayTarget entry;
     MonotonicTime since;
     bool isLeaving = false;
+    /// Its entry cannot be read; takes no new work meanwhile.
+    bool isWithheld = false;
     /// When it is gone at the earliest, once it is leaving.
     MonotonicTime leavesAt;
     /// Requests of this daemon that are at the target now.
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -45,12 +45,14 @@
 
 QByteArray RunnerEmulator::entry(const QByteArray &service, const QByteArray &state) const
 {
-    const QJsonObject json{{"service", QString::fromLatin1(service)},
-                           {"address", QString::fromLatin1(address())},
-                           {"zone", "hall"},
-                           {"slots", 8},
-                           {"state", QString::fromLatin1(state)},
-                           {"coldLeftMs", 0}};
+    QJsonObject json{{"service", QString::fromLatin1(service)},
+                     {"address", QString::fromLatin1(address())},
+                     {"zone", "hall"},
+                     {"slots", 8},
+                     {"state", QString::fromLatin1(state)},
+                     {"coldLeftMs", 0}};
+    if (m_born)
+        json.insert("born", *m_born);
     return QJsonDocument(json).toJson(QJsonDocument::Compact);
 }
 
@@ -66,6 +68,16 @@
         run->reply->abort();
 }
 
+void RunnerEmulator::startAgain(qint64 born)
+{
+    m_born = born;
+    for (const std::shared_ptr<Run> &run : std::exchange(m_runs, {})) {
+        run->timer.reset();
+        m_silent.append(run);
+    }
+    m_reservations.clear();
+}
+
 HttpHeaders RunnerEmulator::answerHeaders(const HttpRequest &request) const
 {
     return {{IdHeader, request.headers.value(IdHeader)},
@@ -81,8 +93,11 @@
 void RunnerEmulator::handle(const HttpRequest &request, const Reply &reply)
 {
     if (request.path == "/v1/report") {
-        reply->send(jsonAnswer(
-            200, {{"queued", 0}, {"running", generating()}, {"kvUsed", 0}, {"kvTotal", 100000}}));
+        QJsonObject report{
+            {"queued", 0}, {"running", generating()}, {"kvUsed", 0}, {"kvTotal", 100000}};
+        if (m_born)
+            report.insert("born", *m_born);
+        reply->send(jsonAnswer(200, report));
         return;
     }
     const QByteArray expected = request.headers.value("Cranberryquay-Expect-Instance");
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace cranberry::standin {
 
@@ -49,6 +50,11 @@
     int reserved() const { return int(m_reservations.size()); }
     /// Breaks all its connections off, as a crash does.
     void crash();
+    /// The time of its start, which its entry and its reports name; none if it is not set.
+    void setBorn(qint64 born) { m_born = born; }
+    /// Starts again under its id at @p born and knows nothing; connections of before stay open and
+    /// silent, as behind a cut.
+    void startAgain(qint64 born);
 
     /// The head of an answer to @p request as a runner writes it.
     HttpHeaders answerHeaders(const HttpRequest &request) const;
@@ -70,6 +76,7 @@
     bool takeReservation(const HttpRequest &request);
 
     QByteArray m_id;
+    std::optional<qint64> m_born;
     QtTimerService m_timers;
     HttpEndpoint m_endpoint;
     int m_events = 3;
@@ -82,6 +89,8 @@
     std::function<void(const HttpRequest &)> m_onRan;
     QList<HttpRequest> m_ran;
     QHash<QByteArray, std::shared_ptr<Run>> m_runs;
+    /// Of the start before.
+    QList<std::shared_ptr<Run>> m_silent;
     HttpListener m_listener;
 };
 
