--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -61,6 +61,7 @@
     X(TargetUnreadable, 1507, "target.unreadable")                                                 \
     X(TargetEntryLate, 1214, "target.entry_late")                                                  \
     X(TargetStartedAgain, 1212, "target.started_again")                                            \
+    X(TargetNotice, 1215, "target.notice")                                                         \
     X(TargetWithheld, 1213, "target.withheld")                                                     \
     X(StoreCompacted, 1508, "store.compacted")                                                     \
     X(RelayArrived, 1901, "relay.arrived")                                                         \
@@ -75,6 +76,9 @@
     X(MoveBegun, 1910, "move.begun")                                                               \
     X(MoveEnded, 1911, "move.ended")                                                               \
     X(MoveFailed, 1912, "move.failed")                                                             \
+    X(BackupChosen, 1916, "backup.chosen")                                                         \
+    X(TakeoverBegun, 1917, "takeover.begun")                                                       \
+    X(TakeoverEnded, 1918, "takeover.ended")                                                       \
     X(ReservationRefused, 1913, "reservation.refused")                                             \
     X(PeerListFailed, 1914, "peers.list_failed")                                                   \
     X(PeerStateFailed, 1915, "peers.state_failed")                                                 \
--- a/src/relay/AttemptPlan.h
+++ b/src/relay/AttemptPlan.h
@@ -18,6 +18,8 @@
     std::optional<CopyReference> from;
     /// Room that the target keeps for the request; empty without.
     QByteArray reservation;
+    /// Where the target keeps a copy of the generation as it grows.
+    std::optional<HttpEndpoint> backup;
     /// Last event that the caller has; with @c from.
     qint64 lastEvent = 0;
 };
--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -5,6 +5,7 @@
 #include "http/HttpClient.h"
 #include "relay/MoveOrder.h"
 #include "relay/RelayContext.h"
+#include "relay/TargetDirectory.h"
 
 namespace cranberry {
 
@@ -19,18 +20,18 @@
 /// Time between rounds; what is generated meanwhile is a few tokens.
 constexpr Milliseconds BetweenRounds{40};
 /// The last part is copied this long before the engine goes, whatever the rounds say.
-constexpr Milliseconds LastMoment{350};
+constexpr Milliseconds LastMoment{150};
 
 } // namespace
 
 GenerationMove::GenerationMove(RelayContext &context, const RequestId &request,
                                const HttpEndpoint &source, const HttpEndpoint &destination,
-                               MonotonicTime leavesAt, Callbacks callbacks)
+                               TargetId leaving, Callbacks callbacks)
     : m_context(context)
     , m_request(request)
     , m_source(source)
     , m_destination(destination)
-    , m_leavesAt(leavesAt)
+    , m_leaving(std::move(leaving))
     , m_callbacks(std::move(callbacks))
 {
     order(false);
@@ -88,17 +89,30 @@
         return;
     }
     if (!isTimeToStop())
-        m_next = m_context.timers.after(BetweenRounds, [this] { order(false); });
+        m_next = m_context.timers.after(untilNextRound(), [this] { order(false); });
     else if (m_callbacks.stopping())
         order(true);
     else
         end(outcome, false);
 }
 
+Milliseconds GenerationMove::untilNextRound() const
+{
+    const TargetRecord *source = m_context.targets.find(m_leaving);
+    if (!source)
+        return BetweenRounds;
+    // Behind the first copies of others a round would not be short.
+    const MonotonicTime now = m_context.timers.now();
+    const MonotonicTime next = std::min(source->linkFree, source->leavesAt - LastMoment);
+    return std::max(BetweenRounds, std::chrono::duration_cast<Milliseconds>(next - now));
+}
+
 bool GenerationMove::isTimeToStop() const
 {
     const MonotonicTime now = m_context.timers.now();
-    return now - m_roundBegan <= ShortRound || now + LastMoment >= m_leavesAt;
+    const TargetRecord *source = m_context.targets.find(m_leaving);
+    const bool isLastMoment = !source || now + LastMoment >= source->leavesAt;
+    return now - m_roundBegan <= ShortRound || isLastMoment;
 }
 
 void GenerationMove::end(MoveOutcome outcome, bool stopped)
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -32,14 +32,15 @@
         std::function<void(const MoveOutcome &outcome, bool stopped)> ended;
     };
 
-    /// Precondition: @p context outlives the move.
+    /// Precondition: @p context outlives the move; @p leaving is the target at @p source.
     GenerationMove(RelayContext &context, const RequestId &request, const HttpEndpoint &source,
-                   const HttpEndpoint &destination, MonotonicTime leavesAt, Callbacks callbacks);
+                   const HttpEndpoint &destination, TargetId leaving, Callbacks callbacks);
     ~GenerationMove();
 
 private:
     void order(bool isLast);
     bool isTimeToStop() const;
+    Milliseconds untilNextRound() const;
     void answered(bool isLast, const MoveOutcome &outcome);
     void freeCopy();
     void end(MoveOutcome outcome, bool stopped);
@@ -48,7 +49,7 @@
     RequestId m_request;
     HttpEndpoint m_source;
     HttpEndpoint m_destination;
-    MonotonicTime m_leavesAt;
+    TargetId m_leaving;
     MonotonicTime m_roundBegan;
     int m_rounds = 0;
     Milliseconds m_firstRound{0};
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -24,9 +24,6 @@
 /// engines of another data centre looked empty and were chosen: in a fleet of 78, 255 of 455
 /// moves found no room.
 constexpr Milliseconds SummaryInterval{500};
-/// Up to this many peers every daemon tells all: with 78 daemons and 60 generations a second that
-/// is about 110 datagrams a second each, under 0.5% of a small VM's processor.
-constexpr int SmallFleet = 100;
 /// Targets in one datagram: about 60 bytes each, together under the 1,400 that any path carries.
 constexpr qsizetype MostEntries = 20;
 
@@ -81,7 +78,7 @@
         const TargetRecord *record = m_targets.find(target);
         if (record && loads.size() < MostEntries)
             loads.append(QCborArray{target.text(), record->ownRunning, record->ownTokens.value(),
-                                    record->ownUnread.value()});
+                                    record->ownUnread.value(), record->ownBackup.value()});
     }
     return loads;
 }
@@ -97,14 +94,13 @@
 
 void LoadExchange::send(const QCborArray &loads, const QCborArray &counts)
 {
-    m_datagrams.send(isSmallFleet() ? m_peers.peers() : m_peers.peersNearby(), DatagramKind::Load,
-                     QCborArray{loads, counts});
+    m_datagrams.send(m_peers.audience(), DatagramKind::Load, QCborArray{loads, counts});
 }
 
 void LoadExchange::tellOwners(const QSet<TargetId> &targets)
 {
     // The daemons of the target's own data centre use it most, and must not wait for the sum.
-    if (isSmallFleet())
+    if (m_peers.isSmallFleet())
         return;
     for (const TargetId &target : targets) {
         const TargetRecord *record = m_targets.find(target);
@@ -117,14 +113,9 @@
     }
 }
 
-bool LoadExchange::isSmallFleet() const
-{
-    return m_peers.peers().size() <= SmallFleet;
-}
-
 void LoadExchange::summarise()
 {
-    if (isSmallFleet() || m_peers.rankNearby() > 0)
+    if (m_peers.isSmallFleet() || m_peers.rankNearby() > 0)
         return;
     QList<Peer> others = m_peers.peers();
     const DataCentreId own = m_peers.self().dataCentre;
@@ -132,8 +123,8 @@
     QCborArray rows;
     for (const TargetId &target : m_targets.usedNearby()) {
         const PeerLoad load = m_targets.nearbyLoad(target);
-        rows.append(
-            QCborArray{target.text(), load.running, load.tokens.value(), load.unread.value()});
+        rows.append(QCborArray{target.text(), load.running, load.tokens.value(),
+                               load.unread.value(), load.backup.value()});
         if (rows.size() < MostEntries)
             continue;
         m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
@@ -166,6 +157,7 @@
     load.running = int(entry.at(1).toInteger());
     load.tokens = Tokens(entry.at(2).toInteger());
     load.unread = Tokens(entry.at(3).toInteger());
+    load.backup = Tokens(entry.at(4).toInteger());
     load.heard = m_timers.now();
     m_targets.peerLoad(TargetId(entry.at(0).toString()), peer, load);
 }
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -38,9 +38,6 @@
     /// What this daemon has at @p target has changed; @p isMore: something was placed.
     void changed(const TargetId &target, bool isMore);
 
-    /// Every daemon tells all others at once what it places.
-    bool isSmallFleet() const;
-
 private:
     QCborArray loadsOf(const QSet<TargetId> &targets) const;
     QCborArray retryCounts();
--- a/src/relay/OutputForecast.h
+++ b/src/relay/OutputForecast.h
@@ -10,6 +10,10 @@
 
 struct RelayRequest;
 
+/// An answer of so few tokens is made in less time than its prompt is read: it holds memory so
+/// briefly that a late one delays nobody.
+constexpr Tokens BriefOutput{64};
+
 /// Forecasts the output of a request from what its caller expects and from the answers of its route
 /// so far. Callers' figures are right at the median but spread widely: of 767 answers, those
 /// announced with 30 to 100 tokens had 293 on average, those with over 2,000 had 1,133; the
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -26,7 +26,12 @@
     Summary,
     /// Requests that are suspected to crash targets, or held back.
     Quarantine,
+    /// A target that leaves.
+    Leaving,
+    /// A copy of a generation from one engine to another that was ordered.
+    Copy,
 };
+constexpr std::size_t DatagramKinds = 6;
 
 /// A message is a CBOR array in one datagram. Nothing that must hold depends on one: links with
 /// connections to hundreds of daemons would cost descriptors and probes for what is stale after
@@ -56,7 +61,7 @@
 
     PeerDirectory &m_peers;
     std::unique_ptr<QUdpSocket> m_socket;
-    std::array<Handler, 4> m_handlers;
+    std::array<Handler, DatagramKinds> m_handlers;
     std::function<qint64()> m_version = [] { return 0; };
     std::function<void(qint64)> m_newer;
 };
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -28,6 +28,9 @@
 constexpr Milliseconds KeepUnseen{30000};
 /// Daemons speak at least each 1.5 s.
 constexpr Milliseconds SilentAfter{4000};
+/// Up to this many peers every daemon tells all: with 78 daemons and 60 generations a second that
+/// is about 110 datagrams a second each, under 0.5% of a small VM's processor.
+constexpr int SmallFleet = 100;
 constexpr int StatusOk = 200;
 const QString PeerPrefix = QStringLiteral("cranberry/vm/");
 
@@ -168,13 +171,12 @@
         known->heard = m_timers.now();
 }
 
-int PeerDirectory::rankNearby() const
+int PeerDirectory::rankAmong(const QList<Peer> &peers) const
 {
     const auto rank = [](const Peer &peer) { return stableHash(peer.vm.text()); };
     const quint64 own = rank(m_self);
     const MonotonicTime limit = m_timers.now() - SilentAfter;
-    const QList<Peer> nearby = peersNearby();
-    return int(std::count_if(nearby.cbegin(), nearby.cend(), [&](const Peer &peer) {
+    return int(std::count_if(peers.cbegin(), peers.cend(), [&](const Peer &peer) {
         return peer.heard > limit && rank(peer) < own;
     }));
 }
@@ -211,6 +213,16 @@
     return nearby;
 }
 
+bool PeerDirectory::isSmallFleet() const
+{
+    return peers().size() <= SmallFleet;
+}
+
+QList<Peer> PeerDirectory::audience() const
+{
+    return isSmallFleet() ? peers() : peersNearby();
+}
+
 int PeerDirectory::fleetSize() const
 {
     return int(peers().size()) + 1;
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -44,11 +44,17 @@
     QList<Peer> peers() const;
     /// Those of the same data centre.
     QList<Peer> peersNearby() const;
+    /// Every daemon tells all others at once what it places: there are few enough of them.
+    bool isSmallFleet() const;
+    /// Those whom this daemon tells what it places: all in a small fleet, else those nearby.
+    QList<Peer> audience() const;
     /// A message of @p peer came.
     void heard(const Peer &peer);
     /// How many daemons of the data centre go before this one in an order that all agree on;
     /// those not heard for some seconds do not count.
-    int rankNearby() const;
+    int rankNearby() const { return rankAmong(peersNearby()); }
+    /// How many of @p peers that are heard of come before this daemon in an order that all share.
+    int rankAmong(const QList<Peer> &peers) const;
     /// Daemons that may live, this one included.
     int fleetSize() const;
 
--- a/src/relay/PeerLoad.h
+++ b/src/relay/PeerLoad.h
@@ -14,6 +14,8 @@
     Tokens tokens;
     /// Prompts that the engine has not read yet.
     Tokens unread;
+    /// Copies of its generations at other engines.
+    Tokens backup;
     MonotonicTime heard;
     /// It is what another data centre has there, or one of its daemons.
     bool isForeign = false;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -16,6 +16,7 @@
 class HttpClient;
 class OutputForecast;
 class TargetDirectory;
+class TargetNews;
 class TimerService;
 class WaitingRequests;
 
@@ -24,6 +25,7 @@
     TimerService &timers;
     HttpClient &client;
     TargetDirectory &targets;
+    TargetNews &news;
     EngineReports &reports;
     WaitingRequests &waiting;
     RetryShare &retries;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -16,18 +16,26 @@
 /// An engine that leaves says so about 1.5 s ahead, and copying its streams takes most of that.
 constexpr Milliseconds AskInterval{200};
 constexpr Milliseconds NewerVersionPatience{200};
-/// A store that falls silent without closing anything is found after this time and a little more.
-/// With waits of 28 s, engines that left in 10 s of silence took 12 streams with them.
-constexpr Milliseconds EntriesWait{1500};
-/// In a small fleet all daemons know all loads at once; bytes between data centres are under 2% of
-/// what an answer is worth. In a large one the loads of other data centres are up to half a second
-/// old, and many daemons would choose the same engine there.
+/// Where few engines serve, the least difference of load counts: an engine with more generations
+/// than others can't send them all away in time when it leaves, and bytes between data centres are
+/// under 1% of what an answer is worth. With many engines one of the own data centre is about as
+/// free as any, and in very large fleets loads of other data centres are up to half a second old.
+constexpr double FewDaemonsPenalty = 0.03;
 constexpr double NearPenalty = 0.15;
 constexpr double FarPenalty = 0.45;
+/// Fleets up to this size have few engines: about 1.5 for a daemon.
+constexpr int FewDaemons = 40;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
 
+double distancePenalty(const RelayParts &parts)
+{
+    if (parts.peers.fleetSize() <= FewDaemons)
+        return FewDaemonsPenalty;
+    return parts.peers.isSmallFleet() ? NearPenalty : FarPenalty;
+}
+
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
 {
     Error error;
@@ -50,10 +58,12 @@
             {given.vm, given.dataCentre, given.peer, {}, {}})
     , datagrams(peers)
     , loads(timers, peers, datagrams, targets, retries)
+    , news(timers, peers, datagrams, targets)
     , crashes(timers, peers, datagrams)
     , context{timers,
               client,
               targets,
+              news,
               reports,
               waiting,
               retries,
@@ -64,7 +74,7 @@
               protocols.targets,
               given.dataCentre,
               [this] { return peers.fleetSize() > 1; },
-              [this] { return loads.isSmallFleet() ? NearPenalty : FarPenalty; }}
+              [this] { return distancePenalty(*this); }}
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
@@ -92,7 +102,6 @@
     : m_parts(std::make_unique<RelayParts>(settings, protocols))
 {
     RelayParts &parts = *m_parts;
-    parts.entries.setWatchWait(EntriesWait);
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
         mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
     parts.configuration.setCallbacks(
@@ -112,6 +121,8 @@
         [this](qint64 version) { newerVersionHeard(version); });
     parts.targets.onLeaving(
         [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
+    parts.targets.onLeavingFirstHand(
+        [this](const TargetId &target) { m_parts->news.leaving(target); });
     parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
     parts.targets.onOwnLoad([this](const TargetId &target, bool isMore) {
         m_parts->loads.changed(target, isMore);
@@ -136,7 +147,7 @@
     m_parts->peers.start();
     m_parts->configuration.start();
     m_parts->entries.start();
-    m_askTimer = m_parts->timers.every(AskInterval, [this] { askEnginesInUse(); });
+    m_askTimer = m_parts->timers.every(AskInterval, [this] { lookAtEngines(); });
     logEvent(LogLevel::Info, EventId::DaemonStarted,
              {{"vm", m_parts->settings.vm.text()},
               {"data_centre", m_parts->settings.dataCentre.text()},
@@ -160,6 +171,12 @@
     });
 }
 
+void RelayDaemon::lookAtEngines()
+{
+    m_parts->gateway.checkSilence();
+    askEnginesInUse();
+}
+
 void RelayDaemon::askEnginesInUse()
 {
     // The store tells which engines leave. While it is away they tell it themselves, or their
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -35,6 +35,7 @@
     void configurationRead(const QByteArray &value);
     bool isReady() const;
     void finishDrainWhenIdle();
+    void lookAtEngines();
     void askEnginesInUse();
     void newerVersionHeard(qint64 version);
 
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -3,9 +3,12 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "http/CallerReply.h"
+#include "relay/EngineReports.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRun.h"
 
+#include <QRandomGenerator>
+
 #include <algorithm>
 
 namespace cranberry {
@@ -14,9 +17,17 @@
 
 /// Time that an engine takes for one token of one of many generations.
 constexpr double TokenMilliseconds = 10;
+/// Between the first copies that a daemon orders from one engine: another daemon's are heard of
+/// within some ms.
+constexpr Milliseconds MoveSpread{15};
+constexpr Milliseconds NoticeFreshFor{20};
 /// After a refusal that another daemon would not give; the caller comes back at once.
 constexpr Milliseconds ComeBackElsewhere{20};
 constexpr Milliseconds ComeBackWhenReady{300};
+/// A daemon that has no configuration found the store away as it started; that lasts for seconds,
+/// and callers come back once or twice. Of callers at a random moment of such an outage three times
+/// as many are served so as with 0.3 s, and an answer is still on time for objectives of 1.5 s.
+constexpr Milliseconds ComeBackWhenConfigured{1000};
 
 Error errorOf(ErrorKind kind, const QString &detail)
 {
@@ -49,14 +60,22 @@
 
 void RelayGateway::targetLeaving(const TargetId &target)
 {
-    // Copies from one engine go over its link one after another, and one that is not complete when
-    // the engine goes is worth nothing: what has most still to come goes first.
     QList<std::shared_ptr<RelayRun>> runs = m_runs.values();
+    runs.removeIf([&](const auto &run) { return !run->isGeneratingAt(target); });
+    if (runs.isEmpty())
+        return;
     std::stable_sort(runs.begin(), runs.end(), [](const auto &a, const auto &b) {
-        return a->expectedLeft() > b->expectedLeft();
+        return a->movePriority() > b->movePriority();
     });
-    for (const std::shared_ptr<RelayRun> &run : std::as_const(runs))
-        run->targetLeaving(target);
+    // It knows how long it stays.
+    m_context.reports.refresh({target}, NoticeFreshFor, [] {});
+    // Two engines that leave together are heard of one after the other, and other daemons move
+    // their generations from the same engines: each waits until it knows of the others' moves.
+    Milliseconds delay(QRandomGenerator::global()->bounded(int(MoveSpread.count())));
+    for (const std::shared_ptr<RelayRun> &run : std::as_const(runs)) {
+        run->targetLeaving(target, delay);
+        delay += MoveSpread;
+    }
 }
 
 void RelayGateway::targetLost(const TargetId &target)
@@ -66,6 +85,13 @@
         run->targetLost(target);
 }
 
+void RelayGateway::checkSilence()
+{
+    const QList<std::shared_ptr<RelayRun>> runs = m_runs.values();
+    for (const std::shared_ptr<RelayRun> &run : runs)
+        run->checkSilence();
+}
+
 QList<TargetId> RelayGateway::enginesWithStreams() const
 {
     QSet<TargetId> engines;
@@ -135,9 +161,11 @@
               {"version", QString::number(version)},
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
               {"detail", error.detail}});
-    const bool elsewhere = error.kind == ErrorKind::Draining;
-    reply->send(
-        m_context.callers.failure(error, elsewhere ? ComeBackElsewhere : ComeBackWhenReady));
+    const bool isElsewhere = error.kind == ErrorKind::Draining;
+    const Milliseconds comeBack = isElsewhere ? ComeBackElsewhere
+        : m_configuration                     ? ComeBackWhenReady
+                                              : ComeBackWhenConfigured;
+    reply->send(m_context.callers.failure(error, comeBack));
 }
 
 void RelayGateway::run(RelayRequest request, const RelayRoute &route,
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -47,6 +47,8 @@
     void targetLost(const TargetId &target);
     /// Engines at which streams of this daemon run.
     QList<TargetId> enginesWithStreams() const;
+    /// Looks for streams whose engines have fallen silent; to be called several times a second.
+    void checkSilence();
     int running() const { return int(m_runs.size()); }
 
 private:
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -41,6 +41,7 @@
     text += gaugeText("cranberry_relay_configuration_version",
                       configuration ? configuration->version.value() : 0);
     text += gaugeText("cranberry_relay_store_current", parts.configuration.isCurrent() ? 1 : 0);
+    text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
     text += gaugeText("cranberry_relay_waiting", parts.waiting.size());
     return text + gaugeText("cranberry_relay_connections", parts.callers.openConnections());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -20,6 +20,7 @@
 #include "relay/StoreMirror.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetEntries.h"
+#include "relay/TargetNews.h"
 #include "relay/WaitingRequests.h"
 
 namespace cranberry {
@@ -41,6 +42,7 @@
     PeerDirectory peers;
     PeerDatagrams datagrams;
     LoadExchange loads;
+    TargetNews news;
     CrashGuard crashes;
     RelayContext context;
     StoreMirror configuration;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -8,6 +8,7 @@
 #include "relay/AttemptPlan.h"
 #include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
+#include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
@@ -118,6 +119,7 @@
     plan.timeLeft = timeLeft();
     if (m_reservation)
         plan.reservation = m_reservation->use();
+    m_backup = chooseBackup(plan);
     open(entry.id, entry.endpoint, plan);
     if (m_task.route.kind == RequestKind::Idempotent) {
         const auto silence =
@@ -219,7 +221,7 @@
     // A generation that began after its target was found to leave moves as soon as it can.
     const TargetRecord *record = isFirstHere ? m_context.targets.find(m_target) : nullptr;
     if (record && record->isLeaving)
-        targetLeaving(m_target);
+        targetLeaving(m_target, Milliseconds(0));
 }
 
 void RelayRun::promptWasRead()
@@ -261,6 +263,18 @@
         ++m_runs;
     m_fate = fateOf(result.kind);
     judgeTarget(result);
+    if (hasBegun() && m_takeover) {
+        const bool isDone = result.kind == SendResult::Kind::Answered && result.isStream;
+        if (!isDone) {
+            m_endedWhileMoving = result;
+            return;
+        }
+    }
+    const bool isBroken = result.kind == SendResult::Kind::Broken;
+    if (hasBegun() && isBroken && takeOver("broken")) {
+        m_endedWhileMoving = result;
+        return;
+    }
     if (hasBegun()) {
         // Where a generation goes on, the new target may answer with a failure; that answer is
         // whole, the stream is not.
@@ -452,6 +466,10 @@
     m_phase = Phase::Over;
     endReservation();
     m_move.reset();
+    m_takeover.reset();
+    m_takeoverTimer.reset();
+    m_nextBackup.reset();
+    m_backup.reset();
     m_deadlineTimer.reset();
     m_waitTimer.reset();
     m_moveTimer.reset();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -20,6 +20,7 @@
 namespace cranberry {
 
 class CallerReply;
+class GenerationBackup;
 class GenerationMove;
 class RelayAttempt;
 enum class AttemptFate;
@@ -29,6 +30,7 @@
 struct CopyReference;
 struct MoveOutcome;
 struct RelayContext;
+struct RelayAttemptCallbacks;
 struct ReservationOutcome;
 struct ServerSentEvent;
 
@@ -71,12 +73,18 @@
     MonotonicTime arrived() const { return m_task.arrived; }
     /// The output that its caller or its route lets expect.
     Tokens expectedOutput() const { return m_expectedOutput; }
-    /// The target is about to go; a generation there moves on.
-    void targetLeaving(const TargetId &target);
+    bool isGeneratingAt(const TargetId &target) const
+    {
+        return m_target == target && isGenerating();
+    }
+    /// The target is about to go; a generation there moves on, after @p delay.
+    void targetLeaving(const TargetId &target, Milliseconds delay);
     /// The target has ended, and with it what it ran.
     void targetLost(const TargetId &target);
-    /// Tokens that a generation is expected to make still.
-    double expectedLeft() const;
+    /// Goes on from its backup if its engine has fallen silent.
+    void checkSilence();
+    /// How early it is copied if its target leaves; see movePriority().
+    double movePriority() const;
 
 private:
     enum class Phase {
@@ -96,6 +104,8 @@
     Milliseconds patience() const;
     Milliseconds timeLeft() const;
     Tokens expectedTokens() const;
+    /// In memory at its target, once its prompt is read.
+    Tokens heldTokens() const;
     TargetNeed need() const;
     double mostLoad() const;
     Tokens readable() const;
@@ -124,7 +134,17 @@
     void deadlinePassed();
     void callerGone();
 
+    void moveFrom(const TargetId &target);
     void beginMove();
+    bool backsUp() const;
+    std::unique_ptr<GenerationBackup> chooseBackup(AttemptPlan &plan);
+    bool hasBackup() const;
+    bool takeOver(const char *reason);
+    RelayAttemptCallbacks takeoverCallbacks();
+    void endOverlap();
+    void takeoverBegan();
+    void takeoverEnded(const SendResult &result);
+    void logTakeover(const char *outcome, int status) const;
     void moveLater(const QString &reason, Milliseconds wait);
     void endReservation();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
@@ -157,6 +177,12 @@
     Tokens m_unread;
     std::unique_ptr<RoomReservation> m_reservation;
     double m_reservationLoad = 0;
+    std::unique_ptr<GenerationBackup> m_backup;
+    /// Asks the backup's holder to go on, while the first engine still may.
+    std::unique_ptr<RelayAttempt> m_takeover;
+    /// Of the generation at the backup's holder, once it is there.
+    std::unique_ptr<GenerationBackup> m_nextBackup;
+    std::unique_ptr<TimerSubscription> m_takeoverTimer;
     std::unique_ptr<RelayAttempt> m_attempt;
     AttemptFate m_fate{};
     /// A target's failure answer, which goes to the caller if no further try succeeds.
@@ -175,6 +201,8 @@
 
     std::unique_ptr<GenerationMove> m_move;
     TargetId m_moveDestination;
+    /// What the copy takes of both links.
+    Milliseconds m_copyTime{0};
     HttpEndpoint m_moveDestinationEndpoint;
     /// It has ended since, and a copy there with it.
     bool m_isDestinationLost = false;
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -6,11 +6,14 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "relay/AttemptPlan.h"
+#include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
+#include "relay/MoveChoice.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
 #include "relay/ReservationOutcome.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetNews.h"
 
 namespace cranberry {
 
@@ -22,17 +25,27 @@
 constexpr Milliseconds AnotherDestinationAfter{5};
 /// An engine may go later than the least notice says.
 constexpr Milliseconds TryBeyondNotice{700};
-/// A copy takes twice as long between data centres (0.44 s instead of 0.22 s for 4,000 tokens), the
-/// link of an engine that leaves takes one after another, and it has under two seconds.
-constexpr double MoveDistancePenalty = 0.5;
 
 } // namespace
 
-void RelayRun::targetLeaving(const TargetId &target)
+void RelayRun::targetLeaving(const TargetId &target, Milliseconds delay)
+{
+    if (m_moveTimer)
+        return;
+    m_moveTimer = m_context.timers.after(delay, [this, target] {
+        const auto self = shared_from_this();
+        m_moveTimer.reset();
+        moveFrom(target);
+    });
+}
+
+void RelayRun::moveFrom(const TargetId &target)
 {
     const bool canMove = m_task.engine && m_task.engine->canMove && isStream();
     const bool isThere = m_phase == Phase::Sent && m_target == target;
-    if (canMove && isThere && !m_move)
+    if (!isThere || m_move || m_takeover || takeOver("leaving"))
+        return;
+    if (canMove)
         beginMove();
 }
 
@@ -40,6 +53,10 @@
 {
     if (m_move && m_moveDestination == target)
         m_isDestinationLost = true;
+    if (m_takeover && m_backup->holder() == target) {
+        takeoverEnded(SendResult());
+        return;
+    }
     if (m_target != target)
         return;
     if (m_phase == Phase::Reserving) {
@@ -55,10 +72,25 @@
     attemptEnded(lost);
 }
 
-double RelayRun::expectedLeft() const
+Tokens RelayRun::heldTokens() const
 {
-    const double made = m_task.engine ? double(m_lastEvent) * m_task.engine->tokensPerEvent : 0;
-    return double(expectedOutput().value()) - made;
+    const qint64 made = m_task.engine ? m_lastEvent * m_task.engine->tokensPerEvent : 0;
+    return m_task.request.promptTokens + Tokens(made);
+}
+
+double RelayRun::movePriority() const
+{
+    const TargetRecord *source = m_context.targets.find(m_target);
+    if (!source)
+        return 0;
+    MoveCandidate candidate;
+    candidate.prompt = m_task.request.promptTokens;
+    candidate.made = heldTokens() - candidate.prompt;
+    // One that has outgrown its forecast goes on for as long as it has by the next step of it.
+    candidate.left = m_reserved - heldTokens();
+    candidate.notice =
+        std::chrono::duration_cast<Milliseconds>(source->leavesAt - m_context.timers.now());
+    return cranberry::movePriority(candidate);
 }
 
 void RelayRun::beginMove()
@@ -69,12 +101,15 @@
     if (!m_avoidedDestination.isEmpty())
         wanted.excluded.insert(m_avoidedDestination);
     wanted.dataCentre = source->entry.dataCentre;
-    wanted.distancePenalty = MoveDistancePenalty;
-    const TargetPick pick =
-        chooseTarget(m_context.targets.takingWork(m_task.service), wanted, m_context.timers.now());
-    if (!pick.target) {
+    const MoveNeed move{wanted, heldTokens(), source->linkFree};
+    const MovePick pick = chooseDestination(m_context.targets.takingWork(m_task.service), move,
+                                            m_context.timers.now());
+    const bool comesTooLate = pick.target && pick.copied > source->leavesAt + TryBeyondNotice;
+    if (!pick.target || comesTooLate) {
         m_moveDestination = TargetId();
-        moveLater(QStringLiteral("no destination"), MoveAgainAfter);
+        moveLater(comesTooLate ? QStringLiteral("the links are taken")
+                               : QStringLiteral("no destination"),
+                  MoveAgainAfter);
         return;
     }
     ++m_context.counters.movesBegun;
@@ -83,11 +118,17 @@
     m_moveDestinationEndpoint = pick.target->entry.endpoint;
     // Counted at the destination from now on, so that the next move spreads to another.
     m_context.targets.requestPlaced(m_moveDestination, expectedTokens());
+    m_copyTime = pick.copyTime;
+    m_context.news.copyOrdered(m_target, m_moveDestination, m_copyTime);
+    const auto expected =
+        std::chrono::duration_cast<Milliseconds>(pick.copied - m_context.timers.now());
     logEvent(LogLevel::Info, EventId::MoveBegun,
              {{"request", m_task.request.id.text()},
               {"source", m_target.text()},
               {"destination", m_moveDestination.text()},
               {"load", QString::number(pick.load, 'f', 2)},
+              {"held", QString::number(heldTokens().value())},
+              {"expected_ms", QString::number(expected.count())},
               {"events", QString::number(m_lastEvent)}});
     GenerationMove::Callbacks callbacks;
     callbacks.stopping = [this] {
@@ -101,9 +142,9 @@
         const auto self = shared_from_this();
         moveEnded(outcome, stopped);
     };
-    m_move = std::make_unique<GenerationMove>(m_context, m_task.request.id, m_endpoint,
-                                              m_moveDestinationEndpoint, source->leavesAt,
-                                              std::move(callbacks));
+    m_move =
+        std::make_unique<GenerationMove>(m_context, m_task.request.id, m_endpoint,
+                                         m_moveDestinationEndpoint, m_target, std::move(callbacks));
 }
 
 void RelayRun::moveEnded(const MoveOutcome &outcome, bool stopped)
@@ -125,6 +166,8 @@
         m_move.reset();
         if (outcome.kind == MoveOutcome::Kind::NoRoom)
             m_context.targets.markFull(m_moveDestination);
+        if (outcome.rounds == 1 && outcome.kind != MoveOutcome::Kind::Copied)
+            m_context.news.copyRefused(m_target, m_moveDestination, m_copyTime);
         // A run that was not found has ended, or has not begun.
         if (outcome.kind != MoveOutcome::Kind::NoSuchRun || !hasBegun())
             moveLater(QStringLiteral("not copied"),
@@ -163,10 +206,8 @@
         return;
     // Another destination may have room, and one that had none may have it then.
     m_avoidedDestination = m_moveDestination;
-    m_moveTimer = m_context.timers.after(wait, [this, source = m_target] {
-        const auto self = shared_from_this();
-        targetLeaving(source);
-    });
+    m_moveTimer.reset();
+    targetLeaving(m_target, wait);
 }
 
 void RelayRun::endReservation()
@@ -189,13 +230,14 @@
     plan.timeLeft = timeLeft();
     plan.from = copy;
     plan.lastEvent = m_lastEvent;
+    m_backup = chooseBackup(plan);
     open(holderId, holder, plan);
     done ? ++m_context.counters.movesDone : ++m_context.counters.movesFailed;
     m_move.reset();
     // The destination may have been told to leave meanwhile.
     const TargetRecord *record = m_context.targets.find(holderId);
     if (done && record && record->isLeaving)
-        targetLeaving(holderId);
+        targetLeaving(holderId, Milliseconds(0));
 }
 
 void RelayRun::streamLost(const QString &reason)
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -7,6 +7,7 @@
 #include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
 #include "relay/GenerationMove.h"
+#include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
@@ -39,9 +40,6 @@
 constexpr double LengthDiscount = 2.0;
 /// Load up to which an engine takes a generation that is late anyway.
 constexpr double OverdueLoad = 0.75;
-/// An answer of so few tokens is made in less time than its prompt is read: it holds memory so
-/// briefly that a late one delays nobody.
-constexpr Tokens BriefOutput{64};
 /// Prompts before a generation that is late anyway, so that it does not make others late.
 constexpr Tokens OverdueUnread{3000};
 /// Prompt tokens that an engine reads in a ms while it also generates.
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -14,8 +14,16 @@
 
 /// Two, so that one that dies or is cut off leaves the other.
 constexpr int Watchers = 2;
-/// In a data centre with fewer daemons each one watches: there is little to save.
+/// In a group with fewer daemons each one watches: there is little to save.
 constexpr int LeastDaemons = 6;
+/// A fleet of more sends too much between data centres to be one group: at 20 changes a second and
+/// 250 bytes each, 0.4 Mbit/s.
+constexpr int MostDaemons = 40;
+/// A store that falls silent without closing anything is found after this time and a little more.
+/// With waits of 28 s, engines that left in 10 s of silence took 12 streams with them. A watcher's
+/// calls are few, and what it finds late all find late.
+constexpr Milliseconds WatcherWait{700};
+constexpr Milliseconds SingleWait{1500};
 /// Between an answer and the next watch. Targets come and go in groups whose changes are some ms
 /// apart, and each change would end a watch; a target that leaves says so 1.5 s ahead.
 constexpr Milliseconds FirstPace{50};
@@ -46,27 +54,46 @@
                         [this](const Peer &, const QCborArray &body) { received(body); });
     mirror.setFeed([this] { return isFed(); }, [this] { return pace(); },
                    [this](const StoreAnswer &answer, Revision base) { changed(answer, base); });
+    mirror.setWatchWait([this] { return watchWait(); });
+    mirror.onLost([this] { lost(); });
 }
 
 StoreFeed::~StoreFeed() = default;
 
-bool StoreFeed::isWatcher() const
+QList<Peer> StoreFeed::group() const
 {
-    if (m_peers.peersNearby().size() + 1 < LeastDaemons)
-        return false;
-    return m_peers.rankNearby() < Watchers;
+    QList<Peer> nearby = m_peers.peersNearby();
+    if (isGroup(nearby))
+        return nearby;
+    const QList<Peer> all = m_peers.peers();
+    return all.size() < MostDaemons ? all : nearby;
+}
+
+bool StoreFeed::isGroup(const QList<Peer> &others) const
+{
+    return others.size() + 1 >= LeastDaemons;
+}
+
+std::optional<int> StoreFeed::watcherRank() const
+{
+    const QList<Peer> others = group();
+    const int rank = isGroup(others) ? m_peers.rankAmong(others) : Watchers;
+    return rank < Watchers ? std::optional<int>(rank) : std::nullopt;
+}
+
+Milliseconds StoreFeed::watchWait() const
+{
+    return isWatcher() ? WatcherWait : SingleWait;
 }
 
 Milliseconds StoreFeed::pace() const
 {
-    const bool isSecond = isWatcher() && m_peers.rankNearby() > 0;
-    return isSecond ? SecondPace : FirstPace;
+    return watcherRank().value_or(0) > 0 ? SecondPace : FirstPace;
 }
 
 Milliseconds StoreFeed::longestBackoff() const
 {
-    const bool isFedByOthers = m_peers.peersNearby().size() + 1 >= LeastDaemons && !isWatcher();
-    return isFedByOthers ? FedBackoff : WatcherBackoff;
+    return isGroup(group()) && !isWatcher() ? FedBackoff : WatcherBackoff;
 }
 
 bool StoreFeed::isFed() const
@@ -87,12 +114,19 @@
         sendItems(answer.items, base, answer.asOf);
 }
 
+void StoreFeed::lost()
+{
+    // Nothing will be sent for a while; the others must not wait until they miss the heartbeat.
+    if (isWatcher())
+        m_datagrams.send(group(), DatagramKind::StoreChange, QCborArray());
+}
+
 void StoreFeed::sendItems(const QList<StoreItem> &items, Revision base, Revision revision)
 {
     QCborArray entries;
     qsizetype bytes = 0;
     const auto flush = [&](Revision upTo) {
-        m_datagrams.send(m_peers.peersNearby(), DatagramKind::StoreChange,
+        m_datagrams.send(group(), DatagramKind::StoreChange,
                          QCborArray{base.value(), upTo.value(), entries});
         entries = QCborArray();
         bytes = 0;
@@ -111,6 +145,11 @@
 
 void StoreFeed::received(const QCborArray &body)
 {
+    if (body.isEmpty()) {
+        m_lastFed = MonotonicTime();
+        m_mirror.checkFeed();
+        return;
+    }
     m_lastFed = m_timers.now();
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::Items;
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -148,7 +148,8 @@
 void StoreMirror::openWatch()
 {
     m_state = State::Watching;
-    call(m_protocol.watch(m_prefix, m_revision, m_watchWait), m_watchWait + WatchSlack,
+    const Milliseconds wait = m_watchWait();
+    call(m_protocol.watch(m_prefix, m_revision, wait), wait + WatchSlack,
          [this](const StoreAnswer &answer) { watched(answer); });
 }
 
@@ -222,9 +223,11 @@
 
 void StoreMirror::unavailable()
 {
-    if (m_isCurrent)
+    if (m_isCurrent) {
         logEvent(LogLevel::Warning, EventId::PlatformDown,
                  {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
+        m_lost();
+    }
     m_isCurrent = false;
     m_state = State::Pausing;
     // A watch that is cut may have heard nothing for a while, and one that goes on from there may
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -39,7 +39,9 @@
 
     /// A watch is answered after @p wait at the latest, so that a store that has fallen silent is
     /// found about that late. Shorter waits cost more calls. Precondition: not started.
-    void setWatchWait(Milliseconds wait) { m_watchWait = wait; }
+    void setWatchWait(std::function<Milliseconds()> wait) { m_watchWait = std::move(wait); }
+    /// Called when the store stops to answer. Precondition: not started.
+    void onLost(std::function<void()> callback) { m_lost = std::move(callback); }
     /// The longest pause between calls to a store that does not answer. Precondition: not started.
     void setLongestBackoff(std::function<Milliseconds()> longest)
     {
@@ -59,6 +61,8 @@
     bool isCurrent() const;
     /// It hears from the store itself or from those that watch for it.
     bool hasSource() const { return m_isCurrent || m_isFed(); }
+    /// Others watch for it.
+    bool isFed() const { return m_state == State::Fed; }
     /// An own watch is open.
     bool isWatching() const { return m_isCurrent && m_state == State::Watching; }
     /// Takes in what a watch of another daemon brought since @p base.
@@ -78,6 +82,7 @@
 
 private:
     static constexpr Milliseconds DefaultBackoff{800};
+    static constexpr Milliseconds DefaultWatchWait{28000};
 
     enum class State {
         Reading,
@@ -117,7 +122,8 @@
     std::function<void(const StoreAnswer &, Revision)> m_changed;
 
     State m_state = State::Reading;
-    Milliseconds m_watchWait{28000};
+    std::function<Milliseconds()> m_watchWait = [] { return DefaultWatchWait; };
+    std::function<void()> m_lost = [] {};
     QHash<QString, StoreItem> m_items;
     QHash<QString, StoreItem> m_reading;
     Revision m_revision;
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -36,6 +36,7 @@
 /// What all daemons have at a target, as far as it is known.
 struct KnownLoad {
     double tokens = 0;
+    double backup = 0;
     double unread = 0;
     int running = 0;
 };
@@ -44,23 +45,27 @@
 {
     KnownLoad load;
     load.tokens = double(target.ownTokens.value());
+    load.backup = double(target.ownBackup.value());
     load.unread = double(target.ownUnread.value());
     load.running = target.ownRunning;
     for (const PeerLoad &peer : target.peers) {
         if (now - peer.heard > PeerLoadHolds)
             continue;
         load.tokens += double(peer.tokens.value());
+        load.backup += double(peer.backup.value());
         load.unread += double(peer.unread.value());
         load.running += peer.running;
     }
     return load;
 }
 
-double engineLoad(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
+/// @p withBackups: the memory that copies take counts, as it does for room; it does not for pace.
+double engineLoad(const TargetRecord &target, const TargetNeed &need, MonotonicTime now,
+                  bool withBackups)
 {
     const double capacity = std::max<double>(double(need.engine->memory.value()), 1);
     const KnownLoad known = knownLoad(target, now);
-    double used = known.tokens;
+    double used = known.tokens + known.backup;
     int running = known.running;
     const bool hasReport = target.report && now - target.reportedAt < ReportHolds;
     if (hasReport) {
@@ -69,6 +74,8 @@
         used = std::max(used, double(target.report->used.value() + target.tokensSince.value()));
         running = std::max(running, target.report->running + target.placedSince);
     }
+    if (!withBackups)
+        used = std::max(used - known.backup, known.tokens);
     const double memory = (used + double(need.tokens.value())) / capacity;
     const double slots = double(running + 1) / std::max(need.engine->batchSlots, 1);
     return std::max(memory, slots);
@@ -92,7 +99,8 @@
 
 double score(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    double value = loadWith(target, need, now) + failurePenalty(target, now);
+    const double load = need.engine ? engineLoad(target, need, now, false) : plainLoad(target);
+    double value = load + failurePenalty(target, now);
     if (need.engine)
         value += readingDelay(target, now);
     if (target.entry.dataCentre != need.dataCentre)
@@ -119,37 +127,41 @@
     return unread * slowness <= double(need.readable->value());
 }
 
-struct Scored {
-    const TargetRecord *target;
-    bool isSuspect;
-    double score;
-};
+} // namespace
 
-QList<Scored> ranked(const QList<const TargetRecord *> &targets, const TargetNeed &need,
-                     MonotonicTime now)
+QList<ScoredTarget> rankTargets(const QList<const TargetRecord *> &targets, const TargetNeed &need,
+                                MonotonicTime now)
 {
-    QList<Scored> all;
+    QList<ScoredTarget> all;
     for (const TargetRecord *target : targets) {
         if (!need.excluded.contains(target->entry.id) && hasRoom(*target, need, now))
             all.append({target, target->suspectUntil > now, score(*target, need, now)});
     }
-    std::sort(all.begin(), all.end(), [](const Scored &a, const Scored &b) {
+    std::sort(all.begin(), all.end(), [](const ScoredTarget &a, const ScoredTarget &b) {
         return a.isSuspect != b.isSuspect ? b.isSuspect : a.score < b.score;
     });
     return all;
 }
 
-} // namespace
-
 double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    return need.engine ? engineLoad(target, need, now) : plainLoad(target);
+    return need.engine ? engineLoad(target, need, now, true) : plainLoad(target);
+}
+
+double meanLoad(const QList<const TargetRecord *> &targets, const EngineTraits &engine,
+                MonotonicTime now)
+{
+    double tokens = 0;
+    for (const TargetRecord *target : targets)
+        tokens += knownLoad(*target, now).tokens;
+    const double capacity = double(engine.memory.value()) * double(targets.size());
+    return tokens / std::max(capacity, 1.0);
 }
 
 TargetPick chooseTarget(const QList<const TargetRecord *> &targets, const TargetNeed &need,
                         MonotonicTime now)
 {
-    const QList<Scored> all = ranked(targets, need, now);
+    const QList<ScoredTarget> all = rankTargets(targets, need, now);
     if (all.isEmpty())
         return {};
     return {all.first().target, loadWith(*all.first().target, need, now)};
@@ -159,8 +171,8 @@
                               MonotonicTime now, int count)
 {
     QList<TargetId> ids;
-    const QList<Scored> all = ranked(targets, need, now);
-    for (const Scored &candidate : all.first(std::min<qsizetype>(count, all.size())))
+    const QList<ScoredTarget> all = rankTargets(targets, need, now);
+    for (const ScoredTarget &candidate : all.first(std::min<qsizetype>(count, all.size())))
         ids.append(candidate.target->entry.id);
     return ids;
 }
--- a/src/relay/TargetChoice.h
+++ b/src/relay/TargetChoice.h
@@ -36,9 +36,26 @@
     double load = 0;
 };
 
+/// A target that may be chosen; the lowest score is the best.
+struct ScoredTarget {
+    const TargetRecord *target = nullptr;
+    /// It failed lately; chosen only if there is no other.
+    bool isSuspect = false;
+    double score = 0;
+};
+
+/// All targets that @p need may go to, the best one first. Thread-safe.
+QList<ScoredTarget> rankTargets(const QList<const TargetRecord *> &targets, const TargetNeed &need,
+                                MonotonicTime now);
+
 /// Part of the capacity of @p target that would be taken with @p need. Thread-safe.
 double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now);
 
+/// Part of the memory of all @p targets that generations take by the forecasts, without copies that
+/// are kept of them. Thread-safe.
+double meanLoad(const QList<const TargetRecord *> &targets, const EngineTraits &engine,
+                MonotonicTime now);
+
 /// The target with the best mix of load, distance and reliability; none if all are excluded or
 /// none is there. Suspected targets are chosen only if there is no other. Thread-safe.
 TargetPick chooseTarget(const QList<const TargetRecord *> &targets, const TargetNeed &need,
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -107,9 +107,24 @@
     const auto known = m_targets.find(target);
     if (known == m_targets.end() || known->isLeaving)
         return;
-    known->isLeaving = true;
-    known->leavesAt = m_timers.now() + LeastNotice;
-    logTarget(EventId::TargetLeaving, *known, source);
+    leaving(*known, LeastNotice, source);
+    if (m_leavingFirstHand)
+        m_leavingFirstHand(target);
+}
+
+void TargetDirectory::heardLeaving(const TargetId &target, Milliseconds left)
+{
+    const auto known = m_targets.find(target);
+    if (known != m_targets.end() && !known->isLeaving)
+        leaving(*known, left, "peer");
+}
+
+void TargetDirectory::leaving(TargetRecord &record, Milliseconds left, const char *source)
+{
+    record.isLeaving = true;
+    record.leavesAt = m_timers.now() + left;
+    logTarget(EventId::TargetLeaving, record, source);
+    const TargetId target = record.entry.id;
     if (m_leaving)
         m_leaving(target);
 }
@@ -158,7 +173,9 @@
     // An entry that could not be read and then ends does not tell what became of the target.
     if (!known->isLeaving && !known->isWithheld && m_crashed)
         m_crashed(target);
-    markLeaving(target, "entry removed");
+    // Not told to others: this daemon may be the only one that the store shows no entry.
+    if (!known->isLeaving)
+        leaving(*known, LeastNotice, "entry removed");
     dropIfUnused(target);
 }
 
@@ -234,11 +251,30 @@
         roomChanged();
 }
 
+void TargetDirectory::copyOrdered(const TargetId &source, const TargetId &destination,
+                                  Milliseconds duration)
+{
+    // Each link by itself, so that a refusal can be taken back.
+    for (const auto &end : {m_targets.find(source), m_targets.find(destination)}) {
+        if (end != m_targets.end())
+            end->linkFree = std::max(end->linkFree, m_timers.now()) + duration;
+    }
+}
+
+void TargetDirectory::copyRefused(const TargetId &source, const TargetId &destination,
+                                  Milliseconds duration)
+{
+    for (const auto &end : {m_targets.find(source), m_targets.find(destination)}) {
+        if (end != m_targets.end())
+            end->linkFree -= duration;
+    }
+}
+
 QList<TargetId> TargetDirectory::usedByThisDaemon() const
 {
     QList<TargetId> used;
     for (const TargetRecord &record : m_targets) {
-        if (record.ownRunning > 0)
+        if (record.ownRunning > 0 || record.ownBackup.value() > 0)
             used.append(record.entry.id);
     }
     return used;
@@ -260,12 +296,14 @@
     PeerLoad sum;
     sum.running = record.ownRunning;
     sum.tokens = record.ownTokens;
+    sum.backup = record.ownBackup;
     sum.unread = record.ownUnread;
     for (const PeerLoad &peer : record.peers) {
         if (peer.isForeign || m_timers.now() - peer.heard > PeerLoadHolds)
             continue;
         sum.running += peer.running;
         sum.tokens += peer.tokens;
+        sum.backup += peer.backup;
         sum.unread += peer.unread;
     }
     return sum;
@@ -289,6 +327,25 @@
     roomChanged();
 }
 
+void TargetDirectory::backupPlaced(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->ownBackup += tokens;
+    ownLoadChanged(target, true);
+}
+
+void TargetDirectory::backupEnded(const TargetId &target, Tokens tokens)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    known->ownBackup -= tokens;
+    ownLoadChanged(target, false);
+    roomChanged();
+}
+
 void TargetDirectory::tokensAdded(const TargetId &target, Tokens tokens)
 {
     const auto known = m_targets.find(target);
@@ -338,8 +395,12 @@
     }
     known->report = report;
     known->reportedAt = m_timers.now();
-    if (report.leavesIn)
+    if (report.leavesIn) {
         known->leavesAt = m_timers.now() + *report.leavesIn;
+        logEvent(LogLevel::Info, EventId::TargetNotice,
+                 {{"target", target.text()},
+                  {"leaves_in_ms", QString::number(report.leavesIn->count())}});
+    }
     known->placedSince = 0;
     known->tokensSince = Tokens(0);
     if (report.isLeaving)
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -38,6 +38,9 @@
     /// The target said so itself or through another daemon.
     void markLeaving(const TargetId &target, const char *source);
 
+    /// Another daemon says that the target leaves in @p left.
+    void heardLeaving(const TargetId &target, Milliseconds left);
+
     /// The target said that it has no room for a request.
     void markFull(const TargetId &target);
 
@@ -50,6 +53,9 @@
     /// A request begins or ends at @p target.
     void requestPlaced(const TargetId &target, Tokens tokens);
     void requestEnded(const TargetId &target, Tokens tokens);
+    /// Copies of generations that run elsewhere begin or end at @p target.
+    void backupPlaced(const TargetId &target, Tokens tokens);
+    void backupEnded(const TargetId &target, Tokens tokens);
     /// A request there will take more than was forecast.
     void tokensAdded(const TargetId &target, Tokens tokens);
     /// A prompt is at @p target to be read, or has been.
@@ -57,6 +63,10 @@
     void promptRead(const TargetId &target, Tokens tokens);
     /// Another daemon says what it has at @p target.
     void peerLoad(const TargetId &target, const VmId &peer, const PeerLoad &load);
+    /// A copy of a generation from @p source to @p destination was ordered here or by a peer.
+    void copyOrdered(const TargetId &source, const TargetId &destination, Milliseconds duration);
+    /// It was refused and takes no link.
+    void copyRefused(const TargetId &source, const TargetId &destination, Milliseconds duration);
     /// Targets at which this daemon has requests.
     QList<TargetId> usedByThisDaemon() const;
     /// Targets at which this daemon or a peer of its data centre has requests, and what.
@@ -69,6 +79,8 @@
 
     /// Called when a target stops to take new work.
     void onLeaving(LeavingCallback callback) { m_leaving = std::move(callback); }
+    /// Called when a target says to this daemon, itself or by its entry, that it leaves.
+    void onLeavingFirstHand(LeavingCallback callback) { m_leavingFirstHand = std::move(callback); }
     /// Called when a target is gone that had not said that it leaves.
     void onCrashed(LeavingCallback callback) { m_crashed = std::move(callback); }
     /// Called when a target is gone with all that it ran.
@@ -79,6 +91,7 @@
     void onOwnLoad(OwnLoadCallback callback) { m_ownLoad = std::move(callback); }
 
 private:
+    void leaving(TargetRecord &record, Milliseconds left, const char *source);
     void dropIfUnused(const TargetId &target);
     void roomChanged();
     /// Calls onRoom() when a target that is left out comes back.
@@ -91,6 +104,7 @@
     MonotonicTime m_roomDue;
     QMap<TargetId, TargetRecord> m_targets;
     LeavingCallback m_leaving;
+    LeavingCallback m_leavingFirstHand;
     LeavingCallback m_crashed;
     LeavingCallback m_lost;
     ChangedCallback m_room;
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -19,10 +19,14 @@
     bool isWithheld = false;
     /// When it is gone at the earliest, once it is leaving.
     MonotonicTime leavesAt;
+    /// Its link is taken by copies of generations until then, as far as they are known.
+    MonotonicTime linkFree;
     /// Requests of this daemon that are at the target now.
     int ownRunning = 0;
     /// Memory that these will take at most by the forecast.
     Tokens ownTokens;
+    /// Memory there that copies of generations at other targets take, by the forecast.
+    Tokens ownBackup;
     /// Prompts of these that have not yielded a token yet.
     Tokens ownUnread;
     /// What the other daemons say that they have there.
--- /dev/null
+++ b/test/correctness/MoveChoice.cpp
@@ -0,0 +1,141 @@
+// Which generations of an engine that leaves are copied first, and to which engines.
+#define BOOST_TEST_MODULE MoveChoice
+#include <boost/test/unit_test.hpp>
+
+#include "relay/MoveChoice.h"
+#include "relay/TargetRecord.h"
+
+#include <vector>
+
+using namespace cranberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const MonotonicTime Now{1h};
+
+EngineTraits traits()
+{
+    EngineTraits engine;
+    engine.memory = Tokens(34000);
+    engine.batchSlots = 24;
+    engine.bytesPerToken = Bytes(327680);
+    engine.linkMegabits = 47000;
+    return engine;
+}
+
+TargetRecord engine(const char *id, const char *dataCentre, qint64 tokens = 0)
+{
+    TargetRecord record;
+    record.entry.id = TargetId(QString::fromLatin1(id));
+    record.entry.dataCentre = DataCentreId(QString::fromLatin1(dataCentre));
+    record.ownTokens = Tokens(tokens);
+    return record;
+}
+
+MoveNeed moveOf(qint64 held)
+{
+    MoveNeed move;
+    move.need.dataCentre = DataCentreId(QStringLiteral("here"));
+    move.need.tokens = Tokens(held + 500);
+    move.need.engine = traits();
+    move.held = Tokens(held);
+    move.sourceFree = Now;
+    return move;
+}
+
+MoveCandidate candidate(qint64 made, qint64 left)
+{
+    return {Tokens(3000), Tokens(made), Tokens(left), 1500ms};
+}
+
+/// Copies of generations of @p held tokens each that are complete when the engine leaves after
+/// @p notice; a copy begins when both links are free and keeps both.
+int copiedInTime(std::vector<TargetRecord> engines, const std::vector<qint64> &held,
+                 Milliseconds notice, bool knowsLinks)
+{
+    MonotonicTime sourceFree = Now;
+    std::vector<MonotonicTime> linkFree(engines.size(), Now);
+    int copied = 0;
+    for (const qint64 tokens : held) {
+        MoveNeed move = moveOf(tokens);
+        QList<const TargetRecord *> targets;
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            engines[i].linkFree = knowsLinks ? linkFree[i] : MonotonicTime();
+            targets.append(&engines[i]);
+        }
+        move.sourceFree = knowsLinks ? sourceFree : MonotonicTime();
+        const MovePick pick = chooseDestination(targets, move, Now);
+        const std::size_t chosen = std::size_t(targets.indexOf(pick.target));
+        const MonotonicTime done = std::max(sourceFree, linkFree[chosen]) + pick.copyTime;
+        sourceFree = done;
+        linkFree[chosen] = done;
+        engines[chosen].ownTokens += move.need.tokens;
+        copied += done <= Now + notice ? 1 : 0;
+    }
+    return copied;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(CopyTimeFollowsTheLink)
+{
+    BOOST_TEST(copyTime(traits(), Tokens(4000), false).count() == 223);
+    BOOST_TEST(copyTime(traits(), Tokens(4000), true).count() == 446);
+    // Without figures of the link, those of a usual one.
+    BOOST_TEST(copyTime(EngineTraits(), Tokens(4000), false).count() == 220);
+}
+
+BOOST_AUTO_TEST_CASE(NearDestinationIsPreferred)
+{
+    const TargetRecord near = engine("near", "here", 10000);
+    const TargetRecord far = engine("far", "there", 0);
+    BOOST_TEST((chooseDestination({&near, &far}, moveOf(4000), Now).target == &near));
+    const TargetRecord full = engine("full", "here", 32000);
+    BOOST_TEST((chooseDestination({&full, &far}, moveOf(4000), Now).target == &far));
+}
+
+// Two engines left together, and the daemons moved their generations to the same third one. The
+// copies of the second engine waited for the link of the third while its own was idle, and five
+// streams ended with it.
+BOOST_AUTO_TEST_CASE(TakenLinkIsAvoided)
+{
+    TargetRecord taken = engine("taken", "here");
+    taken.linkFree = Now + 700ms;
+    const TargetRecord idle = engine("idle", "there", 3000);
+    const MovePick pick = chooseDestination({&taken, &idle}, moveOf(3000), Now);
+    BOOST_TEST((pick.target == &idle));
+    BOOST_TEST((pick.copied - Now == pick.copyTime));
+}
+
+BOOST_AUTO_TEST_CASE(SuspectIsTheLastChoice)
+{
+    TargetRecord suspect = engine("suspect", "here");
+    suspect.suspectUntil = Now + 1s;
+    const TargetRecord busy = engine("busy", "there", 20000);
+    BOOST_TEST((chooseDestination({&suspect, &busy}, moveOf(3000), Now).target == &busy));
+    BOOST_TEST((chooseDestination({&suspect}, moveOf(3000), Now).target == &suspect));
+    BOOST_TEST((chooseDestination({}, moveOf(3000), Now).target == nullptr));
+}
+
+BOOST_AUTO_TEST_CASE(WorthForLinkTimeGoesFirst)
+{
+    // Much to come for the same copy.
+    BOOST_TEST(movePriority(candidate(100, 1500)) > movePriority(candidate(100, 400)));
+    // It ends before its engine leaves, as far as is known.
+    BOOST_TEST(movePriority(candidate(600, 400)) > movePriority(candidate(900, 100)));
+}
+
+// An engine with seven generations leaves 1.7 s after its notice while the links of two of the four
+// others are taken by copies from another engine that leaves. By load alone 3 of the 7 copies are
+// complete in time, with the links known 6.
+BOOST_AUTO_TEST_CASE(KnownLinksSaveGenerations)
+{
+    const std::vector<qint64> held{3200, 3400, 3600, 3800, 4000, 4200, 4400};
+    std::vector<TargetRecord> engines{engine("a", "here", 2000), engine("b", "here", 14000),
+                                      engine("c", "there", 0), engine("d", "there", 1000)};
+    const int byLoad = copiedInTime(engines, held, 1700ms, false);
+    const int byLinks = copiedInTime(engines, held, 1700ms, true);
+    BOOST_TEST_MESSAGE("complete by load " << byLoad << ", with links " << byLinks);
+    BOOST_TEST(byLinks >= byLoad);
+}
--- a/test/correctness/RelayChoices.cpp
+++ b/test/correctness/RelayChoices.cpp
@@ -92,7 +92,7 @@
 BOOST_AUTO_TEST_CASE(RequestsOfPeersCount)
 {
     TargetRecord busy = engine("busy", "here", 0);
-    busy.peers.insert(VmId(QStringLiteral("p")), {5, Tokens(7000), Tokens(0), Now});
+    busy.peers.insert(VmId(QStringLiteral("p")), {5, Tokens(7000), Tokens(0), Tokens(0), Now});
     const TargetRecord own = engine("own", "here", 3000);
     BOOST_TEST((chooseTarget({&busy, &own}, needOf(1000), Now).target == &own));
     BOOST_TEST((chooseTarget({&busy, &own}, needOf(1000), Now + 10s).target == &busy));
--- /dev/null
+++ b/test/failure/PlatformBackups.cpp
@@ -0,0 +1,112 @@
+// Generations that go on from the copy that another runner keeps of them.
+#define BOOST_TEST_MODULE PlatformBackups
+#include <boost/test/unit_test.hpp>
+
+#include "http/CallerReply.h"
+#include "support/EventLoop.h"
+#include "support/PlatformSite.h"
+
+using namespace cranberry;
+using Runner = standin::RunnerEmulator;
+
+namespace {
+
+constexpr int Events = 200;
+/// An answer that is worth a copy.
+constexpr int MostOutput = 2000;
+
+struct Fixture {
+    Fixture()
+    {
+        site.configure(1);
+        daemon = site.startDaemon();
+        first.setGeneration(Events, Milliseconds(10));
+        second.setGeneration(Events, Milliseconds(10));
+        call = site.send(daemon, "POST", "/model/a", "r1",
+                         test::PlatformSite::generation(100, MostOutput));
+        // Long enough for the first part of the copy to have been sent.
+        BOOST_REQUIRE(test::waitFor([&] { return call->response.body.contains("id: 80\n"); }));
+        isAtFirst = first.generating() == 1;
+    }
+
+    Runner &source() { return isAtFirst ? first : second; }
+    Runner &holder() { return isAtFirst ? second : first; }
+    bool isWhole() const { return call->response.body == test::PlatformSite::events(Events); }
+
+    test::PlatformSite site;
+    Runner &first = site.addRunner("model-1", "model");
+    Runner &second = site.addRunner("model-2", "model");
+    int daemon = -1;
+    std::shared_ptr<test::ClientCall> call;
+    bool isAtFirst = true;
+};
+
+} // namespace
+
+// A runner crashes without a word while it generates. The client's stream goes on from the copy at
+// the other runner; every event comes once and in order.
+BOOST_FIXTURE_TEST_CASE(CrashedGenerationGoesOn, Fixture)
+{
+    BOOST_TEST(
+        (source().ran().first().headers.value("Cranberryquay-Kv-Backup") == holder().address()));
+    source().crash();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST(isWhole());
+    BOOST_REQUIRE_EQUAL(holder().ran().size(), 1);
+    const HttpHeaders &headers = holder().ran().first().headers;
+    BOOST_TEST((headers.value("Kv-From") == holder().address() + "/r1"));
+    BOOST_TEST((headers.value("Cranberryquay-Expect-Instance") == holder().id()));
+}
+
+// A runner goes dark: it closes nothing and sends nothing. The client would give the stream up; it
+// goes on from the copy.
+BOOST_FIXTURE_TEST_CASE(SilentGenerationGoesOn, Fixture)
+{
+    source().startAgain(1700000000000);
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(isWhole());
+    BOOST_TEST(test::waitFor([&] { return site.log(daemon).contains("reason=silent"); }));
+}
+
+// A runner leaves. The copy is there already, so that nothing has to cross the runners' links
+// before the stream can go on; the first run ends.
+BOOST_FIXTURE_TEST_CASE(LeavingRunnersGenerationIsTakenOver, Fixture)
+{
+    site.announce(source(), "model", "draining");
+    BOOST_REQUIRE(test::waitFor([&] { return source().generating() == 0; }));
+    BOOST_TEST(holder().generating() == 1);
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(isWhole());
+}
+
+// The runner that should have the copy has none and says so. The first run was not given up before
+// that answer: it goes on, and its memory is moved as without a copy.
+BOOST_FIXTURE_TEST_CASE(MissingCopyCostsNothing, Fixture)
+{
+    int refusals = 0;
+    holder().setOverride([&refusals](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isTakeover = request.headers.value("Kv-From").endsWith("/r1");
+        if (isTakeover) {
+            ++refusals;
+            reply->send({503, {{"Cranberryquay-Not-Executed", "1"}}, {}});
+        }
+        return isTakeover;
+    });
+    site.announce(source(), "model", "draining");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(refusals == 1);
+    BOOST_TEST(isWhole());
+}
+
+// A runner crashes, and the one with the copy has crashed before. The client is told: the stream
+// does not look whole.
+BOOST_FIXTURE_TEST_CASE(StreamWithoutAnyCopyIsBrokenOff, Fixture)
+{
+    site.store().remove(QStringLiteral("servers/") + QString::fromLatin1(holder().id()));
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("name=target.gone"); }));
+    source().crash();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Broken));
+    BOOST_TEST(!isWhole());
+}
--- a/test/failure/PlatformRebirth.cpp
+++ b/test/failure/PlatformRebirth.cpp
@@ -57,7 +57,7 @@
     site.announce(runner, "model", "ready");
     BOOST_TEST(test::PlatformSite::finish(call));
     BOOST_TEST((call->end == HttpExchangeEnd::Broken));
-    BOOST_TEST(site.log(daemon).contains("reason=\"the target started again\""));
+    BOOST_TEST(logs("reason=\"the target started again\""));
     runner.setGeneration(3, Milliseconds(2));
     const auto next = site.call(daemon, "POST", "/model/a", "r2", test::PlatformSite::generation());
     BOOST_TEST((next->response.body == test::PlatformSite::events(3)));
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -76,12 +76,13 @@
     m_store.put(QStringLiteral("op/config"), QJsonDocument(json).toJson(QJsonDocument::Compact));
 }
 
-int PlatformSite::startDaemon(std::chrono::milliseconds limit, standin::StoreEmulator::Door door)
+int PlatformSite::startDaemon(std::chrono::milliseconds limit, standin::StoreEmulator::Door door,
+                              const QString &dataCentre)
 {
     const int number = int(m_daemons.size());
     const QString store = QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
     const QJsonObject settings{{"vm", QStringLiteral("vm%1").arg(number)},
-                               {"data_centre", "hall"},
+                               {"data_centre", dataCentre},
                                {"callers", "127.0.0.1:0"},
                                {"readiness", "127.0.0.1:0"},
                                {"peer", "127.0.0.1:0"},
@@ -131,20 +132,30 @@
     return port;
 }
 
-bool PlatformSite::isReady(int daemon)
+HttpResponse PlatformSite::askReadiness(int daemon, const QByteArray &path)
 {
     HttpRequest request;
     request.method = "GET";
-    request.path = "/v1/readiness";
+    request.path = path;
     bool isOver = false;
-    int status = 0;
+    HttpResponse answer;
     const auto exchange = m_client.fetch(m_daemons[size_t(daemon)].readiness, request, {},
                                          [&](HttpExchangeEnd, const HttpResponse &response) {
                                              isOver = true;
-                                             status = response.status;
+                                             answer = response;
                                          });
     waitFor([&] { return isOver; });
-    return status == 200;
+    return answer;
+}
+
+bool PlatformSite::isReady(int daemon)
+{
+    return askReadiness(daemon, "/v1/readiness").status == 200;
+}
+
+QByteArray PlatformSite::metrics(int daemon)
+{
+    return askReadiness(daemon, "/metrics").body;
 }
 
 void PlatformSite::signal(int daemon, int number)
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -43,12 +43,14 @@
     /// Starts a daemon and waits until it is ready; returns its number.
     /// Throws std::runtime_error if that takes longer than @p limit; the daemon stays.
     int startDaemon(std::chrono::milliseconds limit = std::chrono::seconds(30),
-                    standin::StoreEmulator::Door store = standin::StoreEmulator::Door::First);
+                    standin::StoreEmulator::Door store = standin::StoreEmulator::Door::First,
+                    const QString &dataCentre = QStringLiteral("hall"));
     /// Starts a process again in the place of @p daemon, which has ended; does not wait for it to
     /// become ready.
     void restart(int daemon);
     HttpEndpoint callers(int daemon) const { return m_daemons[size_t(daemon)].callers; }
     bool isReady(int daemon);
+    QByteArray metrics(int daemon);
     void signal(int daemon, int number);
     bool hasEnded(int daemon) const;
     /// All lines that the daemon wrote so far.
@@ -88,6 +90,7 @@
     std::shared_ptr<ClientCall> sendRequest(const HttpEndpoint &endpoint,
                                             const HttpRequest &request);
     void launch(Daemon &daemon);
+    HttpResponse askReadiness(int daemon, const QByteArray &path);
     quint16 portOf(Daemon &daemon, const QByteArray &name);
 
     /// Before all that needs an event loop.
