--- a/test/failure/PlatformRebirth.cpp
+++ b/test/failure/PlatformRebirth.cpp
@@ -31,8 +31,7 @@
 
     std::shared_ptr<test::ClientCall> begin(const QByteArray &id)
     {
-        auto call =
-            site.send(daemon, "POST", "/model/a", id, test::PlatformSite::generation());
+        auto call = site.send(daemon, "POST", "/model/a", id, test::PlatformSite::generation());
         BOOST_REQUIRE(test::waitFor([&] { return !call->response.body.isEmpty(); }));
         return call;
     }
