--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -24,6 +24,10 @@
 /// much memory again, and where engines fill up a backup delays or stops another answer: with a
 /// mean load about 1, long answers earned 0.42 of their worth with backups and 0.73 without.
 constexpr double MostMeanLoad = 0.5;
+/// Part of an engine's memory that a generation with a backup may take by the forecast. Engines
+/// with room for five answers fill up within ten seconds, and the backups of the first seconds hold
+/// a quarter of the memory then.
+constexpr double MostPartOfEngine = 0.14;
 /// The first part of a copy is sent within this time from the first event; before it the holder
 /// refuses (119 of 128 refused takeovers were of generations of under 10 events).
 constexpr Milliseconds BackupArrives{400};
@@ -38,8 +42,10 @@
 
 bool RelayRun::backsUp() const
 {
-    return m_task.engine && m_task.engine->canBackUp && isStream()
-        && expectedOutput() > BriefOutput;
+    if (!m_task.engine || !m_task.engine->canBackUp || !isStream())
+        return false;
+    const double most = MostPartOfEngine * double(m_task.engine->memory.value());
+    return expectedOutput() > BriefOutput && double(expectedTokens().value()) <= most;
 }
 
 std::unique_ptr<GenerationBackup> RelayRun::chooseBackup(AttemptPlan &plan)
