--- a/test/correctness/MoveChoice.cpp
+++ b/test/correctness/MoveChoice.cpp
@@ -56,6 +56,7 @@
 {
     MonotonicTime sourceFree = Now;
     std::vector<MonotonicTime> linkFree;
+    linkFree.reserve(engines.size());
     for (const TargetRecord &engine : engines)
         linkFree.push_back(std::max(Now, engine.linkFree));
     int copied = 0;
