--- a/src/admission/AdmissionQueue.cpp
+++ b/src/admission/AdmissionQueue.cpp
@@ -1,5 +1,6 @@
 #include "admission/AdmissionQueue.h"
 
+#include "admission/AdmissionRefusal.h"
 #include "base/EventLog.h"
 #include "base/TimerSubscription.h"
 #include "placement/TargetTable.h"
@@ -22,37 +23,11 @@
 constexpr int MostPasses = 16;
 /// Answers take longer than expected as often as shorter; this covers most.
 constexpr int AnswerTimeMargin = 2;
-constexpr int LeastRetryAfterSeconds = 1;
-constexpr int MostRetryAfterSeconds = 60;
-
-Error errorOf(ErrorKind kind, const QString &detail)
-{
-    Error error;
-    error.kind = kind;
-    error.detail = detail;
-    return error;
-}
-
-int retryAfterOf(Milliseconds wait)
-{
-    const double seconds = std::chrono::duration<double>(wait).count();
-    return std::clamp(int(std::ceil(seconds)), LeastRetryAfterSeconds, MostRetryAfterSeconds);
-}
-
 Milliseconds passedSince(MonotonicTime since, MonotonicTime now)
 {
     return std::chrono::duration_cast<Milliseconds>(now - since);
 }
 
-void logRefusal(const PlacementRequest &request, const Error &error)
-{
-    logEvent(LogLevel::Info, EventId::PlacementRefused,
-             {{"request", request.request.text()},
-              {"service", request.service.text()},
-              {"workspace", request.workspace.text()},
-              {"kind", QString::fromLatin1(errorAnswer(error.kind).name)}});
-}
-
 } // namespace
 
 struct AdmissionQueue::Lane {
@@ -128,7 +103,7 @@
     std::optional<Error> error;
     const WorkspaceId &workspace = request.placement.workspace;
     if (!service(request.placement.service)) {
-        error = errorOf(ErrorKind::UnknownService, QStringLiteral("No such service."));
+        error = admissionError(ErrorKind::UnknownService, QStringLiteral("No such service."));
     } else if (!request.retry && !request.remote) {
         const WorkspaceLimits limits = m_configuration->workspaces.value(workspace).limits;
         error = enter(m_limiter, request.placement.request, workspace, limits, m_timers.now());
@@ -202,10 +177,10 @@
 
 Error AdmissionQueue::tooShort(const AdmissionRequest &request, Milliseconds expected) const
 {
-    Error error = errorOf(
+    Error error = admissionError(
         ErrorKind::DeadlineTooShort,
         QStringLiteral("The expected wait of %1 ms passes the deadline.").arg(expected.count()));
-    error.retryAfterSeconds = retryAfterOf(expected);
+    error.retryAfterSeconds = retryAfterSeconds(expected);
     logRefusal(request.placement, error);
     return error;
 }
@@ -235,9 +210,9 @@
         return tooShort(request, expected);
     const int limit = service(placement.service)->queueLimit;
     if (waitingIn(placement.service) >= limit && !makeRoom(request, limit)) {
-        Error error = errorOf(ErrorKind::QueueFull,
-                              QStringLiteral("%1 requests wait, the limit.").arg(limit));
-        error.retryAfterSeconds = retryAfterOf(expected);
+        Error error = admissionError(ErrorKind::QueueFull,
+                                     QStringLiteral("%1 requests wait, the limit.").arg(limit));
+        error.retryAfterSeconds = retryAfterSeconds(expected);
         logRefusal(placement, error);
         return error;
     }
@@ -256,10 +231,11 @@
     if (found == lane.waiting.workspaces.end())
         return false;
     const RequestId last = found->second.requests.back().placement.request;
-    Error error = errorOf(ErrorKind::QueueFull,
-                          QStringLiteral("%1 requests wait, the limit, and the workspace has "
-                                         "more than its share of them.")
-                              .arg(queueLimit));
+    Error error =
+        admissionError(ErrorKind::QueueFull,
+                       QStringLiteral("%1 requests wait, the limit, and the workspace has "
+                                      "more than its share of them.")
+                           .arg(queueLimit));
     finish(last, error);
     return waitingIn(placement.service) < queueLimit;
 }
@@ -460,15 +436,15 @@
             targetless.append(it.key());
     }
     for (const RequestId &request : std::as_const(late)) {
-        finish(
-            request,
-            errorOf(ErrorKind::DeadlineExceeded,
-                    QStringLiteral("No target had room in time to answer before the deadline.")));
+        finish(request,
+               admissionError(
+                   ErrorKind::DeadlineExceeded,
+                   QStringLiteral("No target had room in time to answer before the deadline.")));
     }
     for (const RequestId &request : std::as_const(targetless)) {
         finish(request,
-               errorOf(ErrorKind::NoTarget,
-                       QStringLiteral("No target that serves the request is usable.")));
+               admissionError(ErrorKind::NoTarget,
+                              QStringLiteral("No target that serves the request is usable.")));
     }
 }
 
