Relay: incarnation inside, the platform's word in the adapter; failover of an ended attempt apart

Cause: reading the change: the platform's field name stood in types of src/relay, and attemptEnded() decided about backups in its middle. Names and one function moved, nothing else: the four test programs of entries, backups, moves and restarts pass.

--- a/src/relay/EngineReport.h
+++ b/src/relay/EngineReport.h
@@ -17,7 +17,7 @@
     std::optional<Milliseconds> leavesIn;
     bool isLeaving = false;
     /// The start that reports; unset if engines do not say.
-    std::optional<Incarnation> born;
+    std::optional<Incarnation> incarnation;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -263,18 +263,8 @@
         ++m_runs;
     m_fate = fateOf(result.kind);
     judgeTarget(result);
-    if (hasBegun() && m_takeover) {
-        const bool isDone = result.kind == SendResult::Kind::Answered && result.isStream;
-        if (!isDone) {
-            m_endedWhileMoving = result;
-            return;
-        }
-    }
-    const bool isBroken = result.kind == SendResult::Kind::Broken;
-    if (hasBegun() && isBroken && takeOver("broken")) {
-        m_endedWhileMoving = result;
+    if (hasBegun() && goesOnAtBackup(result))
         return;
-    }
     if (hasBegun()) {
         // Where a generation goes on, the new target may answer with a failure; that answer is
         // whole, the stream is not.
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -141,6 +141,9 @@
     bool hasBackup() const;
     bool takeOver(const char *reason);
     RelayAttemptCallbacks takeoverCallbacks();
+    /// A generation whose attempt ended goes on at its backup's holder; how it ended counts only if
+    /// that fails.
+    bool goesOnAtBackup(const SendResult &result);
     void endOverlap();
     void takeoverBegan();
     void takeoverEnded(const SendResult &result);
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -138,6 +138,18 @@
     return callbacks;
 }
 
+bool RelayRun::goesOnAtBackup(const SendResult &result)
+{
+    const bool isWhole = result.kind == SendResult::Kind::Answered && result.isStream;
+    if (isWhole)
+        return false;
+    const bool isBroken = result.kind == SendResult::Kind::Broken;
+    if (!m_takeover && !(isBroken && takeOver("broken")))
+        return false;
+    m_endedWhileMoving = result;
+    return true;
+}
+
 void RelayRun::endOverlap()
 {
     if (m_endedWhileMoving)
--- a/src/relay/RelayTarget.h
+++ b/src/relay/RelayTarget.h
@@ -11,7 +11,7 @@
     /// New with each start of the target.
     TargetId id;
     /// Later starts have greater ones; zero if targets do not say.
-    Incarnation born;
+    Incarnation incarnation;
     ServiceId service;
     HttpEndpoint endpoint;
     DataCentreId dataCentre;
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -388,10 +388,10 @@
     if (known == m_targets.end())
         return;
     // An entry that names no start says nothing of which one reports.
-    const bool namesStart = known->entry.born != Incarnation();
-    if (namesStart && report.born && *report.born != known->entry.born) {
+    const bool namesStart = known->entry.incarnation != Incarnation();
+    if (namesStart && report.incarnation && *report.incarnation != known->entry.incarnation) {
         // The address answers for another start; the entry of the newer one may come late.
-        if (*report.born > known->entry.born)
+        if (*report.incarnation > known->entry.incarnation)
             startedAgain(target);
         return;
     }
--- a/src/relay/TargetEntries.cpp
+++ b/src/relay/TargetEntries.cpp
@@ -29,7 +29,7 @@
     const auto known = m_starts.constFind(key);
     const bool isSame = known != m_starts.cend() && known->target == entry.id;
     if (known != m_starts.cend() && !isSame) {
-        if (entry.born < known->born) {
+        if (entry.incarnation < known->incarnation) {
             // The former start wrote it before it ended; it tells nothing of this one.
             logEvent(LogLevel::Info, EventId::TargetEntryLate,
                      {{"key", key}, {"known", known->target.text()}, {"came", entry.id.text()}});
@@ -37,7 +37,7 @@
         }
         m_targets.startedAgain(known->target);
     }
-    m_starts.insert(key, {entry.id, entry.born});
+    m_starts.insert(key, {entry.id, entry.incarnation});
     m_targets.put(entry);
 }
 
--- a/src/relay/TargetEntries.h
+++ b/src/relay/TargetEntries.h
@@ -31,7 +31,7 @@
 private:
     struct Start {
         TargetId target;
-        Incarnation born;
+        Incarnation incarnation;
     };
 
     void read(const QString &key, const RelayTarget &entry);
--- a/test/correctness/TargetEntries.cpp
+++ b/test/correctness/TargetEntries.cpp
@@ -23,7 +23,7 @@
         return Error();
     RelayTarget target;
     target.id = TargetId(QStringLiteral("e@%1").arg(born));
-    target.born = Incarnation(born);
+    target.incarnation = Incarnation(born);
     target.service = ServiceId(QStringLiteral("s"));
     target.isLeaving = value.endsWith("leaving");
     return target;
@@ -57,7 +57,7 @@
 EngineReport reportOf(qint64 born)
 {
     EngineReport report;
-    report.born = Incarnation(born);
+    report.incarnation = Incarnation(born);
     report.isLeaving = true;
     return report;
 }
