Relay: loads between data centres go by way of heads

Now the first head of a data centre tells the heads of the others what is at its own engines without what the receivers placed there, and heads hand it to their daemons. Engines that no word came of are taken last, so that a very large data centre may tell of its emptiest ones only.

Ruled out: requests themselves; worked out they are 20 MB.

--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/DataCentreHeads.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
 #include "relay/RetryShare.h"
@@ -20,35 +21,46 @@
 constexpr Milliseconds EndedDelay{100};
 /// Figures are repeated this often, so that a lost datagram misleads no longer than that.
 constexpr Milliseconds RefreshInterval{1500};
-/// What a whole data centre has at each engine goes to the others this often. Without it the
+/// What is at the engines of a data centre goes to the others this often. Without it the
 /// engines of another data centre looked empty and were chosen: in a fleet of 78, 255 of 455
 /// moves found no room.
 constexpr Milliseconds SummaryInterval{500};
-/// Targets in one datagram: about 60 bytes each, together under the 1,400 that any path carries.
-constexpr qsizetype MostEntries = 20;
+/// Targets in one datagram: about 35 bytes each, together under the 1,400 that any path carries.
+constexpr qsizetype MostEntries = 30;
+/// Engines of a data centre that others hear of, the emptiest ones: two datagrams. Others place
+/// there seldom, and in a fleet with 800 engines in a data centre all of them would be 28 KB twice
+/// a second for each daemon (worked out).
+constexpr qsizetype MostSummarised = 2 * MostEntries;
 
 } // namespace
 
-LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
-                           TargetDirectory &targets, RetryShare &retries)
+LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, DataCentreHeads &heads,
+                           PeerDatagrams &datagrams, TargetDirectory &targets, RetryShare &retries)
     : m_timers(timers)
     , m_peers(peers)
+    , m_heads(heads)
     , m_datagrams(datagrams)
     , m_targets(targets)
     , m_retries(retries)
     , m_refresh(timers.every(RefreshInterval, [this] { refresh(); }))
     , m_summary(timers.every(SummaryInterval, [this] { summarise(); }))
 {
-    datagrams.onMessage(DatagramKind::Summary,
-                        [this](const Peer &, const QCborArray &body) { takeSummary(body); });
+    datagrams.onMessage(DatagramKind::Summary, [this](const Peer &from, const QCborArray &body) {
+        takeSummary(from, body);
+    });
     datagrams.onMessage(DatagramKind::Load,
                         [this](const Peer &from, const QCborArray &body) { take(from, body); });
+    datagrams.onMessage(DatagramKind::ForeignLoad,
+                        [this](const Peer &, const QCborArray &body) { takeForeign(body); });
 }
 
 LoadExchange::~LoadExchange() = default;
 
 void LoadExchange::changed(const TargetId &target, bool isMore)
 {
+    const TargetRecord *record = m_targets.find(target);
+    if (!record || !m_hasEngine(record->entry.service))
+        return;
     m_changed.insert(target);
     const Milliseconds delay = isMore ? PlacedDelay : EndedDelay;
     const MonotonicTime due = m_timers.now() + delay;
@@ -57,18 +69,20 @@
     m_due = due;
     m_soon = m_timers.after(delay, [this] {
         m_soon.reset();
-        const QSet<TargetId> targets = std::exchange(m_changed, {});
-        send(loadsOf(targets), {});
-        tellOwners(targets);
+        tell(std::exchange(m_changed, {}), {});
     });
 }
 
 void LoadExchange::refresh()
 {
-    const QList<TargetId> used = m_targets.usedByThisDaemon();
-    const QSet<TargetId> targets(used.cbegin(), used.cend());
-    send(loadsOf(targets), retryCounts());
-    tellOwners(targets);
+    m_retries.setDaemons(m_peers.fleetSize());
+    QSet<TargetId> targets;
+    for (const TargetId &target : m_targets.usedByThisDaemon()) {
+        const TargetRecord *record = m_targets.find(target);
+        if (record && m_hasEngine(record->entry.service))
+            targets.insert(target);
+    }
+    tell(targets, retryCounts());
 }
 
 QCborArray LoadExchange::loadsOf(const QSet<TargetId> &targets) const
@@ -92,9 +106,11 @@
     return rows;
 }
 
-void LoadExchange::send(const QCborArray &loads, const QCborArray &counts)
+void LoadExchange::tell(const QSet<TargetId> &targets, const QCborArray &counts)
 {
-    m_datagrams.send(m_peers.audience(), DatagramKind::Load, QCborArray{loads, counts});
+    m_datagrams.send(m_peers.audience(), DatagramKind::Load,
+                     QCborArray{loadsOf(targets), counts});
+    tellOwners(targets);
 }
 
 void LoadExchange::tellOwners(const QSet<TargetId> &targets)
@@ -102,14 +118,17 @@
     // The daemons of the target's own data centre use it most, and must not wait for the sum.
     if (m_peers.isSmallFleet())
         return;
+    QHash<DataCentreId, QSet<TargetId>> foreign;
     for (const TargetId &target : targets) {
         const TargetRecord *record = m_targets.find(target);
-        if (!record || record->entry.dataCentre == m_peers.self().dataCentre)
-            continue;
-        QList<Peer> owners = m_peers.peers();
-        owners.removeIf(
-            [record](const Peer &peer) { return peer.dataCentre != record->entry.dataCentre; });
-        m_datagrams.send(owners, DatagramKind::Load, QCborArray{loadsOf({target}), QCborArray()});
+        if (record && record->entry.dataCentre != m_peers.self().dataCentre)
+            foreign[record->entry.dataCentre].insert(target);
+    }
+    for (auto entry = foreign.cbegin(); entry != foreign.cend(); ++entry) {
+        // One head is enough: a lost message is mended by the next refresh.
+        const QList<Peer> heads = m_heads.of(entry.key());
+        m_datagrams.send(heads.first(std::min<qsizetype>(1, heads.size())), DatagramKind::Load,
+                         QCborArray{loadsOf(entry.value()), QCborArray()});
     }
 }
 
@@ -117,62 +136,90 @@
 {
     if (m_peers.isSmallFleet() || m_peers.rankNearby() > 0)
         return;
-    QList<Peer> others = m_peers.peers();
-    const DataCentreId own = m_peers.self().dataCentre;
-    others.removeIf([&own](const Peer &peer) { return peer.dataCentre == own; });
+    const QList<TargetId> targets =
+        m_targets.emptiest(m_peers.self().dataCentre, m_hasEngine, MostSummarised);
+    for (const DataCentreId &receiver : m_peers.otherDataCentres())
+        sendSummary(receiver, targets);
+}
+
+void LoadExchange::sendSummary(const DataCentreId &receiver, const QList<TargetId> &targets)
+{
+    const QList<Peer> heads = m_heads.of(receiver);
+    const QList<Peer> first = heads.first(std::min<qsizetype>(1, heads.size()));
     QCborArray rows;
-    for (const TargetId &target : m_targets.usedNearby()) {
-        const PeerLoad load = m_targets.nearbyLoad(target);
+    for (const TargetId &target : targets) {
+        // The receivers know themselves what their own data centre has there.
+        const PeerLoad load = m_targets.loadWithout(target, receiver);
         rows.append(QCborArray{target.text(), load.running, load.tokens.value(),
                                load.unread.value(), load.backup.value()});
         if (rows.size() < MostEntries)
             continue;
-        m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
+        m_datagrams.send(first, DatagramKind::Summary,
+                         QCborArray{m_peers.self().dataCentre.text(), rows});
         rows = QCborArray();
     }
     if (!rows.isEmpty())
-        m_datagrams.send(others, DatagramKind::Summary, QCborArray{own.text(), rows});
+        m_datagrams.send(first, DatagramKind::Summary,
+                         QCborArray{m_peers.self().dataCentre.text(), rows});
 }
 
-void LoadExchange::takeSummary(const QCborArray &body)
+void LoadExchange::takeSummary(const Peer &from, const QCborArray &body)
 {
+    const DataCentreId own = m_peers.self().dataCentre;
+    const DataCentreId dataCentre(body.at(0).toString());
+    if (dataCentre == own)
+        return;
     // Kept under the name of the data centre, beside the loads of single daemons of the own one.
-    const VmId speaker(QStringLiteral("data centre ") + body.at(0).toString());
-    for (const QCborValue row : body.at(1).toArray())
-        takeSummaryRow(speaker, row.toArray());
-}
-
-void LoadExchange::takeSummaryRow(const VmId &speaker, const QCborArray &row)
-{
-    // Who places here tells the daemons of this data centre itself.
-    const TargetRecord *record = m_targets.find(TargetId(row.at(0).toString()));
-    if (record && record->entry.dataCentre != m_peers.self().dataCentre)
-        takeLoad(speaker, row, true);
+    const VmId speaker(QStringLiteral("data centre ") + dataCentre.text());
+    for (const QCborValue value : body.at(1).toArray()) {
+        takeLoad(speaker, dataCentre, value.toArray());
+        m_targets.toldByOwner(TargetId(value.toArray().at(0).toString()));
+    }
+    if (from.dataCentre != own)
+        m_datagrams.send(m_peers.peersNearby(), DatagramKind::Summary, body);
 }
 
-void LoadExchange::takeLoad(const VmId &peer, const QCborArray &entry, bool isForeign)
+void LoadExchange::takeLoad(const VmId &speaker, const DataCentreId &dataCentre,
+                            const QCborArray &row)
 {
     PeerLoad load;
-    load.isForeign = isForeign;
-    load.running = int(entry.at(1).toInteger());
-    load.tokens = Tokens(entry.at(2).toInteger());
-    load.unread = Tokens(entry.at(3).toInteger());
-    load.backup = Tokens(entry.at(4).toInteger());
+    load.dataCentre = dataCentre;
+    load.running = int(row.at(1).toInteger());
+    load.tokens = Tokens(row.at(2).toInteger());
+    load.unread = Tokens(row.at(3).toInteger());
+    load.backup = Tokens(row.at(4).toInteger());
     load.heard = m_timers.now();
-    m_targets.peerLoad(TargetId(entry.at(0).toString()), peer, load);
+    m_targets.peerLoad(TargetId(row.at(0).toString()), speaker, load);
 }
 
 void LoadExchange::take(const Peer &peer, const QCborArray &body)
 {
     const MonotonicTime now = m_timers.now();
-    const bool isForeign = peer.dataCentre != m_peers.self().dataCentre;
-    for (const QCborValue value : body.at(0).toArray())
-        takeLoad(peer.vm, value.toArray(), isForeign);
+    const QCborArray loads = body.at(0).toArray();
+    for (const QCborValue value : loads)
+        takeLoad(peer.vm, peer.dataCentre, value.toArray());
     for (const QCborValue value : body.at(1).toArray()) {
         const QCborArray row = value.toArray();
         m_retries.heard(peer.vm, ServiceId(row.at(0).toString()),
                         {int(row.at(1).toInteger()), int(row.at(2).toInteger()), now});
     }
+    const bool isForeign = peer.dataCentre != m_peers.self().dataCentre;
+    if (isForeign && !m_peers.isSmallFleet())
+        passOn(peer, loads);
+}
+
+void LoadExchange::passOn(const Peer &from, const QCborArray &loads)
+{
+    m_datagrams.send(m_peers.peersNearby(), DatagramKind::ForeignLoad,
+                     QCborArray{from.vm.text(), from.dataCentre.text(), loads});
+}
+
+void LoadExchange::takeForeign(const QCborArray &body)
+{
+    const VmId speaker(body.at(0).toString());
+    const DataCentreId dataCentre(body.at(1).toString());
+    for (const QCborValue value : body.at(2).toArray())
+        takeLoad(speaker, dataCentre, value.toArray());
 }
 
 } // namespace cranberry
--- a/src/relay/MoveChoice.cpp
+++ b/src/relay/MoveChoice.cpp
@@ -57,7 +57,7 @@
 {
     TargetNeed need = move.need;
     // Distance counts by the time that the copy takes.
-    need.distancePenalty = 0;
+    need.distance.away = 0;
     MovePick best;
     double bestScore = 0;
     bool isBestSuspect = false;
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -22,7 +22,7 @@
     Load,
     /// What changed in the platform's store.
     StoreChange,
-    /// What the daemons of a data centre have at some targets.
+    /// What is at the targets of a data centre.
     Summary,
     /// Requests that are suspected to crash targets, or held back.
     Quarantine,
@@ -30,8 +30,12 @@
     Leaving,
     /// A copy of a generation from one engine to another that was ordered.
     Copy,
+    /// A daemon that speaks for its data centre.
+    Head,
+    /// What a daemon of another data centre has at some targets, passed on.
+    ForeignLoad,
 };
-constexpr std::size_t DatagramKinds = 6;
+constexpr std::size_t DatagramKinds = 8;
 
 /// A message is a CBOR array in one datagram. Nothing that must hold depends on one: links with
 /// connections to hundreds of daemons would cost descriptors and probes for what is stale after
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -10,6 +10,9 @@
 
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QSet>
+
+#include <algorithm>
 
 namespace cranberry {
 
@@ -175,12 +178,27 @@
 {
     const auto rank = [](const Peer &peer) { return stableHash(peer.vm.text()); };
     const quint64 own = rank(m_self);
-    const MonotonicTime limit = m_timers.now() - SilentAfter;
     return int(std::count_if(peers.cbegin(), peers.cend(), [&](const Peer &peer) {
-        return peer.heard > limit && rank(peer) < own;
+        return isHeard(peer) && rank(peer) < own;
     }));
 }
 
+bool PeerDirectory::isHeard(const Peer &peer) const
+{
+    return peer.heard > m_timers.now() - SilentAfter;
+}
+
+QList<DataCentreId> PeerDirectory::otherDataCentres() const
+{
+    QSet<DataCentreId> found;
+    for (const Peer &peer : peers())
+        found.insert(peer.dataCentre);
+    found.remove(m_self.dataCentre);
+    QList<DataCentreId> sorted = found.values();
+    std::sort(sorted.begin(), sorted.end());
+    return sorted;
+}
+
 void PeerDirectory::seen(const Peer &peer)
 {
     if (peer.vm == m_self.vm || peer.vm.isEmpty())
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -55,6 +55,10 @@
     int rankNearby() const { return rankAmong(peersNearby()); }
     /// How many of @p peers that are heard of come before this daemon in an order that all share.
     int rankAmong(const QList<Peer> &peers) const;
+    /// A message of @p peer came within the last few seconds.
+    bool isHeard(const Peer &peer) const;
+    /// Data centres of other daemons, without the own one; sorted.
+    QList<DataCentreId> otherDataCentres() const;
     /// Daemons that may live, this one included.
     int fleetSize() const;
 
--- a/src/relay/PeerLoad.h
+++ b/src/relay/PeerLoad.h
@@ -1,6 +1,7 @@
 // Defines PeerLoad, what another daemon says that it has at a target.
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Units.h"
 
 namespace cranberry {
@@ -17,8 +18,8 @@
     /// Copies of its generations at other engines.
     Tokens backup;
     MonotonicTime heard;
-    /// It is what another data centre has there, or one of its daemons.
-    bool isForeign = false;
+    /// Whose it is: that of the daemon, or of all of it together.
+    DataCentreId dataCentre;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "relay/CallerProtocol.h"
+#include "relay/DistanceCosts.h"
 #include "relay/RelayCounters.h"
 #include "relay/RetryShare.h"
 #include "relay/TargetProtocol.h"
@@ -37,9 +38,7 @@
     DataCentreId dataCentre;
     /// Other daemons tell what they place where, so that engines need not be asked.
     std::function<bool()> knowsPeers;
-    /// Load by which a target in another data centre must be better; what is known of it may be
-    /// older there.
-    std::function<double()> distancePenalty;
+    std::function<DistanceCosts()> distance;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -24,17 +24,20 @@
 constexpr double FewDaemonsPenalty = 0.03;
 constexpr double NearPenalty = 0.15;
 constexpr double FarPenalty = 0.45;
+/// In a very large fleet a data centre tells of its emptiest engines; any other is likely full.
+constexpr double UnknownPenalty = 1;
 /// Fleets up to this size have few engines: about 1.5 for a daemon.
 constexpr int FewDaemons = 40;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
 
-double distancePenalty(const RelayParts &parts)
+DistanceCosts distanceCosts(const RelayParts &parts)
 {
     if (parts.peers.fleetSize() <= FewDaemons)
-        return FewDaemonsPenalty;
-    return parts.peers.isSmallFleet() ? NearPenalty : FarPenalty;
+        return {FewDaemonsPenalty, 0};
+    return parts.peers.isSmallFleet() ? DistanceCosts{NearPenalty, 0}
+                                      : DistanceCosts{FarPenalty, UnknownPenalty};
 }
 
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
@@ -58,7 +61,8 @@
     , peers(timers, client, given.store, protocols.store, counters,
             {given.vm, given.dataCentre, given.peer, {}, {}})
     , datagrams(peers)
-    , loads(timers, peers, datagrams, targets, retries)
+    , heads(timers, peers, datagrams)
+    , loads(timers, peers, heads, datagrams, targets, retries)
     , news(timers, peers, datagrams, targets)
     , crashes(timers, peers, datagrams)
     , context{timers,
@@ -75,7 +79,7 @@
               protocols.targets,
               given.dataCentre,
               [this] { return peers.fleetSize() > 1; },
-              [this] { return distancePenalty(*this); }}
+              [this] { return distanceCosts(*this); }}
     , configuration(timers, client, given.store, protocols.store, counters,
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
@@ -125,9 +129,12 @@
     parts.targets.onLeavingFirstHand(
         [this](const TargetId &target) { m_parts->news.leaving(target); });
     parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
+    parts.loads.setHasEngine([this](const ServiceId &service) {
+        const auto &configuration = m_parts->gateway.configuration();
+        return configuration && configuration->services.value(service).engine.has_value();
+    });
     parts.targets.onOwnLoad([this](const TargetId &target, bool isMore) {
         m_parts->loads.changed(target, isMore);
-        m_parts->retries.setDaemons(m_parts->peers.fleetSize());
     });
     parts.targets.onCrashed(
         [this](const TargetId &target) { m_parts->crashes.targetGone(target); });
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -5,6 +5,7 @@
 #include "http/HttpClient.h"
 #include "http/HttpListener.h"
 #include "relay/CrashGuard.h"
+#include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
 #include "relay/LoadExchange.h"
 #include "relay/OutputForecast.h"
@@ -41,6 +42,7 @@
     OutputForecast outputs;
     PeerDirectory peers;
     PeerDatagrams datagrams;
+    DataCentreHeads heads;
     LoadExchange loads;
     TargetNews news;
     CrashGuard crashes;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -62,10 +62,11 @@
 {
     TargetNeed need;
     need.dataCentre = m_context.dataCentre;
+    need.home = m_context.dataCentre;
     need.tokens = expectedTokens();
     need.prompt = m_task.request.promptTokens;
     need.engine = m_task.engine;
-    need.distancePenalty = m_context.distancePenalty();
+    need.distance = m_context.distance();
     need.excluded = m_excluded;
     return need;
 }
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -97,14 +97,22 @@
     return now - target.since < target.entry.coldLeft;
 }
 
+double distanceCost(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
+{
+    const DataCentreId &place = target.entry.dataCentre;
+    const bool isKnown =
+        !need.engine || place == need.home || now - target.toldByOwner < PeerLoadHolds;
+    return (place == need.dataCentre ? 0 : need.distance.away)
+        + (isKnown ? 0 : need.distance.unknown);
+}
+
 double score(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
     const double load = need.engine ? engineLoad(target, need, now, false) : plainLoad(target);
     double value = load + failurePenalty(target, now);
     if (need.engine)
         value += readingDelay(target, now);
-    if (target.entry.dataCentre != need.dataCentre)
-        value += need.distancePenalty;
+    value += distanceCost(target, need, now);
     if (isCold(target, now))
         value += ColdPenalty;
     return value + Jitter * QRandomGenerator::global()->generateDouble();
--- a/src/relay/TargetChoice.h
+++ b/src/relay/TargetChoice.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "relay/DistanceCosts.h"
 #include "relay/EngineTraits.h"
 
 #include <QList>
@@ -16,7 +17,10 @@
 
 /// What a request asks of a target and who asks.
 struct TargetNeed {
+    /// From where distance is counted.
     DataCentreId dataCentre;
+    /// That of the daemon, which knows the targets there first hand.
+    DataCentreId home;
     /// Memory for the prompt and the answer by the forecast; zero at plain services.
     Tokens tokens;
     std::optional<EngineTraits> engine;
@@ -25,8 +29,7 @@
     /// unset for a request without a prompt to read.
     std::optional<Tokens> readable;
     Tokens prompt;
-    /// Load by which a target in another data centre must be better.
-    double distancePenalty = 0;
+    DistanceCosts distance;
 };
 
 /// A chosen target and the figures that decided.
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -280,26 +280,43 @@
     return used;
 }
 
-QList<TargetId> TargetDirectory::usedNearby() const
+void TargetDirectory::toldByOwner(const TargetId &target)
 {
-    QList<TargetId> used;
+    const auto known = m_targets.find(target);
+    if (known != m_targets.end())
+        known->toldByOwner = m_timers.now();
+}
+
+QList<TargetId> TargetDirectory::emptiest(const DataCentreId &dataCentre,
+                                          const std::function<bool(const ServiceId &)> &hasEngine,
+                                          qsizetype most) const
+{
+    QList<std::pair<Tokens, TargetId>> found;
     for (const TargetRecord &record : m_targets) {
-        if (record.ownRunning > 0 || !record.peers.isEmpty())
-            used.append(record.entry.id);
+        const bool isAsked = record.entry.dataCentre == dataCentre && !record.isLeaving
+            && !record.isWithheld && hasEngine(record.entry.service);
+        if (isAsked)
+            found.append({loadWithout(record.entry.id, {}).tokens, record.entry.id});
     }
-    return used;
+    std::sort(found.begin(), found.end());
+    QList<TargetId> ids;
+    for (const auto &[tokens, id] : found.first(std::min(most, found.size())))
+        ids.append(id);
+    return ids;
 }
 
-PeerLoad TargetDirectory::nearbyLoad(const TargetId &target) const
+PeerLoad TargetDirectory::loadWithout(const TargetId &target, const DataCentreId &dataCentre) const
 {
-    const TargetRecord record = m_targets.value(target);
+    const TargetRecord *record = find(target);
     PeerLoad sum;
-    sum.running = record.ownRunning;
-    sum.tokens = record.ownTokens;
-    sum.backup = record.ownBackup;
-    sum.unread = record.ownUnread;
-    for (const PeerLoad &peer : record.peers) {
-        if (peer.isForeign || m_timers.now() - peer.heard > PeerLoadHolds)
+    if (!record)
+        return sum;
+    sum.running = record->ownRunning;
+    sum.tokens = record->ownTokens;
+    sum.backup = record->ownBackup;
+    sum.unread = record->ownUnread;
+    for (const PeerLoad &peer : record->peers) {
+        if (peer.dataCentre == dataCentre || m_timers.now() - peer.heard > PeerLoadHolds)
             continue;
         sum.running += peer.running;
         sum.tokens += peer.tokens;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -69,9 +69,15 @@
     void copyRefused(const TargetId &source, const TargetId &destination, Milliseconds duration);
     /// Targets at which this daemon has requests.
     QList<TargetId> usedByThisDaemon() const;
-    /// Targets at which this daemon or a peer of its data centre has requests, and what.
-    QList<TargetId> usedNearby() const;
-    PeerLoad nearbyLoad(const TargetId &target) const;
+    /// The data centre of @p target told what is there.
+    void toldByOwner(const TargetId &target);
+    /// At most @p most targets of @p dataCentre that take work, those with the least memory taken
+    /// first, of the services for which @p hasEngine is true.
+    QList<TargetId> emptiest(const DataCentreId &dataCentre,
+                             const std::function<bool(const ServiceId &)> &hasEngine,
+                             qsizetype most) const;
+    /// What all have there, but for the daemons of @p dataCentre.
+    PeerLoad loadWithout(const TargetId &target, const DataCentreId &dataCentre) const;
     /// What a request showed of the target.
     void succeeded(const TargetId &target);
     void failed(const TargetId &target, const char *how);
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -31,6 +31,8 @@
     Tokens ownUnread;
     /// What the other daemons say that they have there.
     QHash<VmId, PeerLoad> peers;
+    /// When its own data centre last told of it; never in a small fleet.
+    MonotonicTime toldByOwner;
     /// Share of recent requests that the target failed, 0 to 1; newer ones count more.
     double failureShare = 0;
     MonotonicTime failureSeen;
--- a/test/correctness/RelayChoices.cpp
+++ b/test/correctness/RelayChoices.cpp
@@ -42,7 +42,7 @@
     need.engine = EngineTraits();
     need.engine->memory = Tokens(10000);
     need.engine->batchSlots = 100;
-    need.distancePenalty = 0.15;
+    need.distance.away = 0.15;
     return need;
 }
 
