Relay: two daemons of a fleet watch the store for all, and the configuration comes from peers

Now FeedPlan decides who watches: two of the heads of all data centres. The others pass on what these tell. A daemon that lacks the configuration asks one that has it. Leases hold 120 s, lists are read at a start, after 4 s and each 60 s; daemons that come greet those that they find.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -80,6 +80,7 @@
     X(TakeoverBegun, 1917, "takeover.begun")                                                       \
     X(TakeoverEnded, 1918, "takeover.ended")                                                       \
     X(ReservationRefused, 1913, "reservation.refused")                                             \
+    X(PeersListed, 1927, "peers.listed")                                                           \
     X(PeerListFailed, 1914, "peers.list_failed")                                                   \
     X(PeerStateFailed, 1915, "peers.state_failed")                                                 \
     X(SettingsReloaded, 1005, "settings.reloaded")                                                 \
--- a/src/daemon/SettingsReader.cpp
+++ b/src/daemon/SettingsReader.cpp
@@ -68,6 +68,17 @@
     return value;
 }
 
+bool SettingsReader::flag(const QString &name, bool fallback)
+{
+    m_faults.noteRead(pathOf(name));
+    const QJsonValue value = m_object.value(name);
+    if (value.isUndefined())
+        return fallback;
+    if (!value.isBool())
+        fault(name, QStringLiteral("true or false"));
+    return value.toBool(fallback);
+}
+
 qint64 SettingsReader::number(const QString &name, qint64 least, qint64 most, qint64 fallback)
 {
     m_faults.noteRead(pathOf(name));
--- a/src/daemon/SettingsReader.h
+++ b/src/daemon/SettingsReader.h
@@ -25,6 +25,9 @@
     /// A number in [@p least, @p most].
     double decimal(const QString &name, double least, double most, double fallback);
 
+    /// true or false.
+    bool flag(const QString &name, bool fallback);
+
     /// Adds the fault that member @p name is not @p allowed.
     void fault(const QString &name, const QString &allowed);
 
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -56,6 +56,11 @@
 
 LoadExchange::~LoadExchange() = default;
 
+void LoadExchange::greet(const QList<Peer> &peers)
+{
+    m_datagrams.send(peers, DatagramKind::Load, QCborArray{QCborArray(), QCborArray()});
+}
+
 void LoadExchange::changed(const TargetId &target, bool isMore)
 {
     const TargetRecord *record = m_targets.find(target);
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -5,6 +5,7 @@
 #include "base/Units.h"
 
 #include <QHash>
+#include <QList>
 #include <QSet>
 
 #include <functional>
@@ -44,6 +45,8 @@
     ~LoadExchange();
 
     void setHasEngine(HasEngine hasEngine) { m_hasEngine = std::move(hasEngine); }
+    /// Says to @p peers that this daemon is there.
+    void greet(const QList<Peer> &peers);
     /// What this daemon has at @p target has changed; @p isMore: something was placed.
     void changed(const TargetId &target, bool isMore);
 
--- a/src/relay/Peer.h
+++ b/src/relay/Peer.h
@@ -12,6 +12,8 @@
     DataCentreId dataCentre;
     /// Where it takes datagrams and answers other daemons.
     HttpEndpoint endpoint;
+    /// When it was first heard of.
+    MonotonicTime since;
     /// When the store last listed it or it was last heard.
     MonotonicTime seen;
     /// When a message of it last came.
--- a/src/relay/PeerDatagrams.cpp
+++ b/src/relay/PeerDatagrams.cpp
@@ -25,7 +25,7 @@
 }
 
 void PeerDatagrams::compareVersions(std::function<qint64()> version,
-                                    std::function<void(qint64 version)> newer)
+                                    std::function<void(const Peer &from, qint64 version)> newer)
 {
     m_version = std::move(version);
     m_newer = std::move(newer);
@@ -66,7 +66,7 @@
         m_peers.heard(peer);
         const qint64 version = message.at(4).toInteger();
         if (m_newer && version > m_version())
-            m_newer(version);
+            m_newer(peer, version);
         if (const Handler &handler = m_handlers[std::size_t(kind)])
             handler(peer, message.at(3).toArray());
     }
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -55,7 +55,7 @@
     /// Every message carries the version of the configuration that @p version tells; @p newer is
     /// called when another daemon has a newer one.
     void compareVersions(std::function<qint64()> version,
-                         std::function<void(qint64 version)> newer);
+                         std::function<void(const Peer &from, qint64 version)> newer);
     /// Precondition: set before listenOn().
     void onMessage(DatagramKind kind, Handler handler);
     void send(const QList<Peer> &receivers, DatagramKind kind, const QCborArray &body);
@@ -67,7 +67,7 @@
     std::unique_ptr<QUdpSocket> m_socket;
     std::array<Handler, DatagramKinds> m_handlers;
     std::function<qint64()> m_version = [] { return 0; };
-    std::function<void(qint64)> m_newer;
+    std::function<void(const Peer &, qint64)> m_newer;
 };
 
 } // namespace cranberry
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -18,17 +18,22 @@
 
 namespace {
 
-/// A daemon that died without a word is listed for this long; messages to it are lost meanwhile.
-constexpr Milliseconds LeaseTime{20000};
-constexpr Milliseconds RenewEvery{7000};
+/// Each renewal is a call. A daemon that died without a word is listed for this long, and messages
+/// to it are lost meanwhile; whoever expects messages of it forgets it after KeepSilent.
+constexpr Milliseconds LeaseTime{120000};
+constexpr Milliseconds RenewEvery{40000};
 constexpr Milliseconds RetryAfterFailure{1000};
+constexpr Milliseconds LongestRetry{4000};
 constexpr Milliseconds CallTimeout{1500};
-/// All daemons of a fleet start within a second; after that few come and go.
+/// All daemons of a fleet start within a second, and a list may be as old as some seconds; after
+/// that few come and go, and those that come greet the daemons that they find listed.
 constexpr Milliseconds FirstList{1500};
 constexpr Milliseconds SecondList{4000};
-constexpr Milliseconds ListEvery{12000};
-/// Kept after it was last seen: two lists that failed.
-constexpr Milliseconds KeepUnseen{30000};
+constexpr Milliseconds ListEvery{60000};
+/// Kept after it was last listed or heard: two lists that failed.
+constexpr Milliseconds KeepUnseen{150000};
+/// Kept though nothing is heard, where daemons speak to each other.
+constexpr Milliseconds KeepSilent{30000};
 /// Daemons speak at least each 1.5 s.
 constexpr Milliseconds SilentAfter{4000};
 /// Up to this many peers every daemon tells all: with 78 daemons and 60 generations a second that
@@ -71,10 +76,11 @@
 
 PeerDirectory::~PeerDirectory() = default;
 
-void PeerDirectory::start()
+void PeerDirectory::start(bool isFirstStart)
 {
     announce();
-    m_listTimer = m_timers.after(FirstList, [this] { list(); });
+    const Milliseconds delay = isFirstStart ? FirstList : Milliseconds(0);
+    m_listTimer = m_timers.after(delay, [this] { list(); });
 }
 
 void PeerDirectory::call(const HttpRequest &request,
@@ -92,8 +98,10 @@
         });
 }
 
-void PeerDirectory::announceAgain(Milliseconds delay)
+void PeerDirectory::announceAgain(bool isAnnounced)
 {
+    m_retry = isAnnounced ? RetryAfterFailure : std::min(2 * m_retry, LongestRetry);
+    const Milliseconds delay = isAnnounced ? RenewEvery : m_retry;
     m_announceTimer = m_timers.after(delay, [this] { announce(); });
 }
 
@@ -111,7 +119,7 @@
         const bool isRenewed = response.status == StatusOk;
         if (!isRenewed)
             m_lease.reset();
-        announceAgain(isRenewed ? RenewEvery : RetryAfterFailure);
+        announceAgain(isRenewed);
     });
 }
 
@@ -119,7 +127,7 @@
 {
     const Result<LeaseId> lease = m_protocol.readLease(response);
     if (!lease) {
-        announceAgain(RetryAfterFailure);
+        announceAgain(false);
         return;
     }
     call(m_protocol.writeKey(PeerPrefix + m_self.vm.text(), encoded(m_self), lease.value()),
@@ -127,7 +135,7 @@
              const bool isWritten = written.status == StatusOk;
              if (isWritten)
                  m_lease = lease;
-             announceAgain(isWritten ? RenewEvery : RetryAfterFailure);
+             announceAgain(isWritten);
          });
 }
 
@@ -162,16 +170,32 @@
                  {{"known", QString::number(m_peers.size())}});
         return;
     }
-    for (const StoreItem &item : answer.items)
-        seen(decoded(item));
+    const qsizetype before = m_peers.size();
+    QList<Peer> joined;
+    for (const StoreItem &item : answer.items) {
+        const Peer peer = decoded(item);
+        if (peer.dataCentre == m_self.dataCentre && !m_peers.contains(peer.vm))
+            joined.append(peer);
+        seen(peer);
+    }
+    logEvent(LogLevel::Info, EventId::PeersListed,
+             {{"listed", QString::number(answer.items.size())},
+              {"new", QString::number(m_peers.size() - before)}});
+    if (m_joinedNearby)
+        m_joinedNearby(joined);
 }
 
 void PeerDirectory::heard(const Peer &peer)
 {
+    const bool isNewNearby =
+        peer.dataCentre == m_self.dataCentre && !m_peers.contains(peer.vm) && peer.vm != m_self.vm;
     seen(peer);
     const auto known = m_peers.find(peer.vm);
     if (known != m_peers.end())
         known->heard = m_timers.now();
+    // The greeting is answered, so that both know of each other at once.
+    if (isNewNearby && m_joinedNearby)
+        m_joinedNearby({peer});
 }
 
 int PeerDirectory::rankAmong(const QList<Peer> &peers) const
@@ -183,6 +207,11 @@
     }));
 }
 
+bool PeerDirectory::isBefore(const Peer &peer) const
+{
+    return stableHash(peer.vm.text()) < stableHash(m_self.vm.text());
+}
+
 bool PeerDirectory::isHeard(const Peer &peer) const
 {
     return peer.heard > m_timers.now() - SilentAfter;
@@ -203,22 +232,32 @@
 {
     if (peer.vm == m_self.vm || peer.vm.isEmpty())
         return;
-    if (!m_peers.contains(peer.vm))
+    const auto found = m_peers.constFind(peer.vm);
+    const bool isNew = found == m_peers.cend();
+    Peer known = peer;
+    known.since = isNew ? m_timers.now() : found->since;
+    known.heard = isNew ? MonotonicTime() : found->heard;
+    known.seen = m_timers.now();
+    m_peers.insert(peer.vm, known);
+    // A list says how many are new; one line for each would be as many as daemons times daemons.
+    if (isNew && peer.dataCentre == m_self.dataCentre)
         logEvent(LogLevel::Info, EventId::MemberJoined,
                  {{"vm", peer.vm.text()}, {"data_centre", peer.dataCentre.text()}});
-    Peer &known = m_peers[peer.vm];
-    const MonotonicTime heardBefore = known.heard;
-    known = peer;
-    known.heard = heardBefore;
-    known.seen = m_timers.now();
+}
+
+bool PeerDirectory::isGone(const Peer &peer) const
+{
+    const MonotonicTime now = m_timers.now();
+    const bool speaksToUs = peer.dataCentre == m_self.dataCentre || m_peers.size() <= SmallFleet;
+    return now - peer.seen > KeepUnseen
+        || (speaksToUs && now - std::max(peer.heard, peer.since) > KeepSilent);
 }
 
 QList<Peer> PeerDirectory::peers() const
 {
     QList<Peer> peers;
-    const MonotonicTime limit = m_timers.now() - KeepUnseen;
     for (const Peer &peer : m_peers) {
-        if (peer.seen >= limit)
+        if (!isGone(peer))
             peers.append(peer);
     }
     return peers;
@@ -226,14 +265,17 @@
 
 QList<Peer> PeerDirectory::peersNearby() const
 {
-    QList<Peer> nearby = peers();
-    nearby.removeIf([this](const Peer &peer) { return peer.dataCentre != m_self.dataCentre; });
+    QList<Peer> nearby;
+    for (const Peer &peer : m_peers) {
+        if (peer.dataCentre == m_self.dataCentre && !isGone(peer))
+            nearby.append(peer);
+    }
     return nearby;
 }
 
 bool PeerDirectory::isSmallFleet() const
 {
-    return peers().size() <= SmallFleet;
+    return fleetSize() <= SmallFleet + 1;
 }
 
 QList<Peer> PeerDirectory::audience() const
@@ -243,7 +285,8 @@
 
 int PeerDirectory::fleetSize() const
 {
-    return int(peers().size()) + 1;
+    const auto isThere = [this](const Peer &peer) { return !isGone(peer); };
+    return int(std::count_if(m_peers.cbegin(), m_peers.cend(), isThere)) + 1;
 }
 
 } // namespace cranberry
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -36,7 +36,14 @@
 
     /// Precondition: before start(). @p port is where this daemon is reached by others.
     void setPort(quint16 port) { m_self.endpoint.port = port; }
-    void start();
+    /// @p isFirstStart: the whole fleet starts, so that nobody is listed yet.
+    void start(bool isFirstStart);
+    /// Called with daemons of the data centre that were not known before.
+    /// Precondition: before start().
+    void onJoinedNearby(std::function<void(const QList<Peer> &joined)> callback)
+    {
+        m_joinedNearby = std::move(callback);
+    }
     /// Gives the own key up, as this daemon is about to end.
     void leave();
     const Peer &self() const { return m_self; }
@@ -53,6 +60,8 @@
     /// How many daemons of the data centre go before this one in an order that all agree on;
     /// those not heard for some seconds do not count.
     int rankNearby() const { return rankAmong(peersNearby()); }
+    /// @p peer comes before this daemon in that order.
+    bool isBefore(const Peer &peer) const;
     /// How many of @p peers that are heard of come before this daemon in an order that all share.
     int rankAmong(const QList<Peer> &peers) const;
     /// A message of @p peer came within the last few seconds.
@@ -66,10 +75,11 @@
     void call(const HttpRequest &request, std::function<void(const HttpResponse &)> callback);
     void announce();
     void granted(const HttpResponse &response);
-    void announceAgain(Milliseconds delay);
+    void announceAgain(bool isAnnounced);
     void list();
     void listed(const StoreAnswer &answer);
     void seen(const Peer &peer);
+    bool isGone(const Peer &peer) const;
 
     TimerService &m_timers;
     HttpClient &m_client;
@@ -79,8 +89,10 @@
     Peer m_self;
     QHash<VmId, Peer> m_peers;
     std::optional<LeaseId> m_lease;
+    Milliseconds m_retry{1000};
     bool m_leaving = false;
     int m_lists = 0;
+    std::function<void(const QList<Peer> &)> m_joinedNearby;
     std::unique_ptr<HttpExchange> m_announcing;
     std::unique_ptr<HttpExchange> m_listing;
     std::unique_ptr<TimerSubscription> m_announceTimer;
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -13,6 +13,9 @@
 #include <QCborValue>
 #include <QRandomGenerator>
 
+#include <algorithm>
+#include <limits>
+
 namespace cranberry {
 
 namespace {
@@ -21,6 +24,11 @@
 /// to move.
 constexpr Milliseconds AskInterval{250};
 constexpr Milliseconds AskTimeout{400};
+/// When the store is away for all, no other daemon has anything newer.
+constexpr Milliseconds LongestPause{1000};
+/// All daemons of a data centre hear of a new configuration in the same moment and ask its heads,
+/// whose links carry some 20 answers of 30 KB in this time.
+constexpr int MostDelayMilliseconds = 200;
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 constexpr char StatePath[] = "/state/";
@@ -76,7 +84,8 @@
     // "/state/CONFIGURATION/ENTRIES": the revisions that the other daemon has.
     const QList<QByteArray> parts = request.path.split('/');
     const bool canAnswer = parts.size() == 4 && request.path.startsWith(StatePath)
-        && m_configuration.hasSource() && m_entries.hasSource();
+        && m_configuration.hasSource() && m_configuration.hasRead() && m_entries.hasSource()
+        && m_entries.hasRead();
     if (!canAnswer) {
         reply->send({StatusUnavailable, {}, {}});
         return;
@@ -90,28 +99,56 @@
 void PeerState::askIfAway()
 {
     const bool isAway = !m_configuration.hasSource() || !m_entries.hasSource();
+    if (!isAway) {
+        m_pause = AskInterval;
+        return;
+    }
     QList<Peer> peers = m_peers.peersNearby();
     if (peers.isEmpty() || QRandomGenerator::global()->bounded(2) == 0)
         peers = m_peers.peers();
-    if (!isAway || peers.isEmpty())
+    if (peers.isEmpty() || m_timers.now() < m_nextQuestion)
+        return;
+    m_nextQuestion = m_timers.now() + m_pause;
+    ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
+}
+
+void PeerState::askSoon(const Peer &peer)
+{
+    if (m_question || m_soon)
         return;
-    const Peer &peer = peers.at(QRandomGenerator::global()->bounded(int(peers.size())));
+    const Milliseconds delay(QRandomGenerator::global()->bounded(MostDelayMilliseconds));
+    m_soon = m_timers.after(delay, [this, peer] {
+        m_soon.reset();
+        ask(peer);
+    });
+}
+
+void PeerState::ask(const Peer &peer)
+{
+    // Entries come by the feed, and all of them are a long answer.
+    const bool needsEntries = !m_entries.hasRead() || !m_entries.hasSource();
+    const qint64 entries =
+        needsEntries ? m_entries.revision().value() : std::numeric_limits<qint64>::max();
     HttpRequest request;
     request.method = "GET";
     request.path = StatePath + QByteArray::number(m_configuration.revision().value()) + '/'
-        + QByteArray::number(m_entries.revision().value());
+        + QByteArray::number(entries);
     HttpExchangeOptions options;
     options.connectTimeout = AskTimeout;
     options.timeout = AskTimeout;
     m_question = m_client.fetch(
         peer.endpoint, request, options,
         [this, vm = peer.vm](HttpExchangeEnd end, const HttpResponse &response) {
+            const auto question = std::move(m_question);
             const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
-            if (isWhole)
+            if (isWhole) {
+                m_pause = AskInterval;
                 answered(response.body);
-            else
-                logEvent(LogLevel::Info, EventId::PeerStateFailed,
-                         {{"vm", vm.text()}, {"status", QString::number(response.status)}});
+                return;
+            }
+            m_pause = std::min(2 * m_pause, LongestPause);
+            logEvent(LogLevel::Info, EventId::PeerStateFailed,
+                     {{"vm", vm.text()}, {"status", QString::number(response.status)}});
         });
 }
 
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -20,6 +20,7 @@
 class TimerService;
 class TimerSubscription;
 struct HttpRequest;
+struct Peer;
 
 /// Answers what this daemon holds of the store, and asks another daemon for it while the store
 /// cannot be reached. A daemon cut off from the store would else go on with routes and keys that
@@ -33,11 +34,15 @@
               StoreMirror &configuration, StoreMirror &entries);
     ~PeerState();
 
+    /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
+    /// if another daemon is being asked.
+    void askSoon(const Peer &peer);
     /// Answers another daemon.
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) const;
 
 private:
     void askIfAway();
+    void ask(const Peer &peer);
     void answered(const QByteArray &body);
 
     TimerService &m_timers;
@@ -46,6 +51,10 @@
     StoreMirror &m_configuration;
     StoreMirror &m_entries;
     std::unique_ptr<HttpExchange> m_question;
+    std::unique_ptr<TimerSubscription> m_soon;
+    /// Pause between questions while the store is away; longer after each one without an answer.
+    Milliseconds m_pause{0};
+    MonotonicTime m_nextQuestion;
     std::unique_ptr<TimerSubscription> m_timer;
 };
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -59,7 +59,7 @@
     , waiting(timers)
     , retries(given.retries)
     , peers(timers, client, given.store, protocols.store, counters,
-            {given.vm, given.dataCentre, given.peer, {}, {}})
+            {given.vm, given.dataCentre, given.peer, {}, {}, {}})
     , datagrams(peers)
     , heads(timers, peers, datagrams)
     , loads(timers, peers, heads, datagrams, targets, retries)
@@ -84,8 +84,9 @@
                     protocols.store.configurationKey)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , targetEntries(protocols.store, targets, counters)
-    , feed(timers, peers, datagrams, entries)
     , peerState(timers, client, peers, configuration, entries)
+    , feed({timers, peers, heads, datagrams, peerState, entries, configuration},
+           given.isFirstStart)
     , gateway(context, [this] { return configuration.isCurrent(); })
     , callers(
           timers,
@@ -123,12 +124,16 @@
             const auto &configuration = m_parts->gateway.configuration();
             return configuration ? configuration->version.value() : 0;
         },
-        [this](qint64 version) { newerVersionHeard(version); });
+        [this](const Peer &from, qint64 version) { newerVersionHeard(from, version); });
     parts.targets.onLeaving(
         [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
     parts.targets.onLeavingFirstHand(
         [this](const TargetId &target) { m_parts->news.leaving(target); });
     parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
+    parts.peers.onJoinedNearby([this](const QList<Peer> &joined) {
+        // They learn of this daemon at once, and not with their next list.
+        m_parts->loads.greet(joined);
+    });
     parts.loads.setHasEngine([this](const ServiceId &service) {
         const auto &configuration = m_parts->gateway.configuration();
         return configuration && configuration->services.value(service).engine.has_value();
@@ -152,7 +157,7 @@
     if (!m_parts->datagrams.listenOn(m_parts->peers.self().endpoint))
         logEvent(LogLevel::Error, EventId::PeerFrameInvalid,
                  {{"detail", QStringLiteral("cannot take datagrams")}});
-    m_parts->peers.start();
+    m_parts->peers.start(m_parts->settings.isFirstStart);
     m_parts->configuration.start();
     m_parts->entries.start();
     m_askTimer = m_parts->timers.every(AskInterval, [this] { lookAtEngines(); });
@@ -165,17 +170,21 @@
     return outcome::success();
 }
 
-void RelayDaemon::newerVersionHeard(qint64 version)
+void RelayDaemon::newerVersionHeard(const Peer &from, qint64 version)
 {
-    // The own watch brings it within some ms, unless the watch hears nothing any more.
+    // The feed or the own watch brings it within some ms, unless nothing is heard any more.
     m_heardVersion = std::max(m_heardVersion, version);
     if (m_readAgainTimer)
         return;
-    m_readAgainTimer = m_parts->timers.after(NewerVersionPatience, [this] {
+    m_readAgainTimer = m_parts->timers.after(NewerVersionPatience, [this, from] {
         m_readAgainTimer.reset();
         const auto &configuration = m_parts->gateway.configuration();
-        if (!configuration || configuration->version.value() < m_heardVersion)
+        if (configuration && configuration->version.value() >= m_heardVersion)
+            return;
+        if (m_parts->configuration.isWatching())
             m_parts->configuration.readAgain();
+        else
+            m_parts->peerState.askSoon(from);
     });
 }
 
@@ -191,7 +200,8 @@
     // streams would end with them.
     const bool isCurrent = m_parts->entries.hasSource();
     // The long watch of the configuration would notice much later.
-    if (!isCurrent && std::exchange(m_hadEntries, false))
+    const bool watches = m_parts->configuration.isWatching();
+    if (!isCurrent && std::exchange(m_hadEntries, false) && watches)
         m_parts->configuration.readAgain();
     m_hadEntries = isCurrent;
     if (isCurrent)
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -12,6 +12,7 @@
 class CallerReply;
 class TimerSubscription;
 struct HttpRequest;
+struct Peer;
 struct RelayParts;
 struct RelayProtocols;
 struct RelaySettings;
@@ -37,7 +38,7 @@
     void finishDrainWhenIdle();
     void lookAtEngines();
     void askEnginesInUse();
-    void newerVersionHeard(qint64 version);
+    void newerVersionHeard(const Peer &from, qint64 version);
 
     std::unique_ptr<RelayParts> m_parts;
     std::function<void()> m_drained;
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -50,8 +50,8 @@
     StoreMirror configuration;
     StoreMirror entries;
     TargetEntries targetEntries;
-    StoreFeed feed;
     PeerState peerState;
+    StoreFeed feed;
     RelayGateway gateway;
     HttpListener callers;
     HttpListener readiness;
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -60,6 +60,7 @@
     settings.peer = readAddress(reader, QStringLiteral("peer"));
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
+    settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.noteUnread();
     if (!faults.isEmpty())
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -16,6 +16,8 @@
     HttpEndpoint peer;
     HttpEndpoint store;
     RetryLimits retries;
+    /// The whole fleet starts for the first time, not this daemon alone.
+    bool isFirstStart = false;
     /// A stop by signal is followed by a kill after this time.
     Milliseconds grace{8000};
 };
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -2,18 +2,21 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/DataCentreHeads.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
+#include "relay/PeerState.h"
 #include "relay/StoreMirror.h"
 
 #include <QCborArray>
+#include <QRandomGenerator>
+
+#include <algorithm>
 
 namespace cranberry {
 
 namespace {
 
-/// Two, so that one that dies or is cut off leaves the other.
-constexpr int Watchers = 2;
 /// In a group with fewer daemons each one watches: there is little to save.
 constexpr int LeastDaemons = 6;
 /// A fleet of more sends too much between data centres to be one group: at 20 changes a second
@@ -37,97 +40,223 @@
 constexpr Milliseconds Heartbeat{300};
 /// Three heartbeats; a target that leaves gets no request two seconds after it said so.
 constexpr Milliseconds FeedHolds{1000};
+/// A head that the store turned away follows others for so long before it tries again.
+constexpr Milliseconds TurnedAwayHolds{4000};
+/// While the heads live and have lost the store, another daemon tries it itself this seldom: ten
+/// heads in five data centres find out for all.
+constexpr Milliseconds ProbeInterval{4000};
+/// What the speakers have and do not hand over within this time is read from the store: a new
+/// configuration must be in force within two seconds in the fleets with the least time.
+constexpr Milliseconds PeersMayTake{900};
 /// Bytes of items in one datagram.
 constexpr qsizetype MostBytes = 1100;
 
+/// After a start others may have all that a daemon needs: heads are known once the list is read
+/// and greetings were answered, and feed within a heartbeat.
+constexpr Milliseconds HeadStartWait{350};
+constexpr Milliseconds StartWait{2200};
+/// When all start at once the list is read after 1.5 s, and the heads read the store first.
+constexpr Milliseconds FirstHeadStartWait{1800};
+constexpr Milliseconds FirstStartWait{4000};
+
 } // namespace
 
-StoreFeed::StoreFeed(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
-                     StoreMirror &mirror)
-    : m_timers(timers)
-    , m_peers(peers)
-    , m_datagrams(datagrams)
-    , m_mirror(mirror)
-    , m_timer(timers.every(Heartbeat, [this] { check(); }))
+StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart)
+    : m_parts(parts)
+    , m_isFirstStart(isFirstStart)
+    , m_started(parts.timers.now())
+    , m_timer(parts.timers.every(Heartbeat, [this] { check(); }))
 {
-    datagrams.onMessage(DatagramKind::StoreChange,
-                        [this](const Peer &, const QCborArray &body) { received(body); });
-    mirror.setFeed([this] { return isFed(); }, [this] { return pace(); },
-                   [this](const StoreAnswer &answer, Revision base) { changed(answer, base); });
-    mirror.setWatchWait([this] { return watchWait(); });
-    mirror.onLost([this] { lost(); });
+    planProbe();
+    parts.datagrams.onMessage(
+        DatagramKind::StoreChange,
+        [this](const Peer &from, const QCborArray &body) { received(from, body); });
+    StoreMirrorFeed feed;
+    feed.isFed = [this] { return isFed(); };
+    feed.holdsBack = [this] { return holdsBack(); };
+    feed.pace = [this] { return pace(); };
+    feed.lost = [this] { lost(); };
+    feed.changed = [this](const StoreAnswer &answer, Revision base) { changed(answer, base); };
+    feed.askPeers = [this] { return askForEntries(); };
+    parts.entries.setFeed(feed);
+    parts.entries.setWatchWait([this] { return watchWait(); });
+    feed.changed = [this](const StoreAnswer &, Revision) { heartbeat(); };
+    feed.askPeers = [this] { return askSpeaker(m_configurationMissing); };
+    parts.configuration.setFeed(feed);
 }
 
 StoreFeed::~StoreFeed() = default;
 
-QList<Peer> StoreFeed::group() const
+StoreFeed::Group StoreFeed::group() const
 {
-    QList<Peer> nearby = m_peers.peersNearby();
+    const auto isGroup = [](const QList<Peer> &others) {
+        return others.size() + 1 >= LeastDaemons;
+    };
+    const QList<Peer> nearby = m_parts.peers.peersNearby();
     if (isGroup(nearby))
-        return nearby;
-    const QList<Peer> all = m_peers.peers();
-    return all.size() < MostDaemons ? all : nearby;
+        return {nearby, false};
+    const QList<Peer> all = m_parts.peers.peers();
+    return isGroup(all) && all.size() < MostDaemons ? Group{all, true} : Group();
+}
+
+void StoreFeed::lookUpGroup()
+{
+    const QList<Peer> others = group().others;
+    m_hasGroup = !others.isEmpty();
+    m_rankInGroup = m_parts.peers.rankAmong(others);
+}
+
+QList<Peer> StoreFeed::receivers() const
+{
+    const Group group = this->group();
+    const bool staysInGroup = standing() == Standing::PassesOn || group.isWholeFleet;
+    return staysInGroup ? group.others : group.others + m_parts.heads.elsewhere();
+}
+
+bool StoreFeed::hears(const Speaker &speaker) const
+{
+    return m_parts.timers.now() - speaker.heard < FeedHolds;
+}
+
+int StoreFeed::speakers(Standing standing) const
+{
+    return int(std::count_if(m_speakers.cbegin(), m_speakers.cend(), [&](const Speaker &speaker) {
+        return speaker.standing == standing && hears(speaker);
+    }));
+}
+
+FeedView StoreFeed::view() const
+{
+    FeedView view;
+    view.hasGroup = m_hasGroup;
+    view.rankInGroup = m_rankInGroup;
+    view.isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
+    for (const Speaker &speaker : m_speakers) {
+        if (speaker.standing != Standing::Watches || !hears(speaker))
+            continue;
+        ++view.watchers;
+        if (m_parts.peers.isBefore(speaker.peer))
+            ++view.watchersBefore;
+    }
+    return view;
+}
+
+StoreFeed::Standing StoreFeed::standing() const
+{
+    if (m_parts.entries.isWatching())
+        return Standing::Watches;
+    return isFed() && m_parts.entries.hasRead() ? Standing::PassesOn : Standing::Away;
 }
 
-bool StoreFeed::isGroup(const QList<Peer> &others) const
+bool StoreFeed::isFed() const
 {
-    return others.size() + 1 >= LeastDaemons;
+    const FeedView now = view();
+    if (watchesStore(now))
+        return false;
+    // A head listens to watchers only: two that pass on would take each other for a source.
+    return now.watchers > 0 || (!isGroupHead(now) && speakers(Standing::PassesOn) > 0);
 }
 
-std::optional<int> StoreFeed::watcherRank() const
+bool StoreFeed::holdsBack() const
 {
-    const QList<Peer> others = group();
-    const int rank = isGroup(others) ? m_peers.rankAmong(others) : Watchers;
-    return rank < Watchers ? std::optional<int>(rank) : std::nullopt;
+    const FeedView now = view();
+    const Milliseconds wait = isGroupHead(now)
+        ? (m_isFirstStart ? FirstHeadStartWait : HeadStartWait)
+        : (m_isFirstStart ? FirstStartWait : StartWait);
+    if (m_parts.timers.now() - m_started < wait)
+        return true;
+    const bool headsAreAway = !watchesStore(now) && speakers(Standing::Away) > 0;
+    return headsAreAway && m_parts.timers.now() < m_probeDue;
 }
 
 Milliseconds StoreFeed::watchWait() const
 {
-    return isWatcher() ? WatcherWait : SingleWait;
+    return isGroupHead(view()) ? WatcherWait : SingleWait;
 }
 
 Milliseconds StoreFeed::pace() const
 {
-    return watcherRank().value_or(0) > 0 ? SecondPace : FirstPace;
+    return view().watchersBefore > 0 ? SecondPace : FirstPace;
 }
 
 Milliseconds StoreFeed::longestBackoff() const
 {
-    return isGroup(group()) && !isWatcher() ? FedBackoff : WatcherBackoff;
+    const FeedView now = view();
+    return now.hasGroup && !isGroupHead(now) ? FedBackoff : WatcherBackoff;
 }
 
-bool StoreFeed::isFed() const
+void StoreFeed::check()
 {
-    return !isWatcher() && m_timers.now() - m_lastFed < FeedHolds;
+    lookUpGroup();
+    if (isGroupHead(view()))
+        heartbeat();
+    if (isFed())
+        planProbe();
+    for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
+        mirror->checkFeed();
 }
 
-void StoreFeed::check()
+void StoreFeed::planProbe()
 {
-    if (isWatcher() && m_mirror.isWatching())
-        sendItems({}, m_mirror.revision(), m_mirror.revision());
-    m_mirror.checkFeed();
+    const int spread = QRandomGenerator::global()->bounded(int(ProbeInterval.count()));
+    m_probeDue = m_parts.timers.now() + ProbeInterval / 2 + Milliseconds(spread);
+}
+
+void StoreFeed::heartbeat()
+{
+    const Revision revision = m_parts.entries.revision();
+    sendItems({}, revision, revision);
 }
 
 void StoreFeed::changed(const StoreAnswer &answer, Revision base)
 {
-    if (isWatcher())
-        sendItems(answer.items, base, answer.asOf);
+    sendItems(answer.items, base, answer.asOf);
 }
 
 void StoreFeed::lost()
 {
-    // Nothing will be sent for a while; the others must not wait until they miss the heartbeat.
-    if (isWatcher())
-        m_datagrams.send(group(), DatagramKind::StoreChange, QCborArray());
+    m_turnedAwayUntil = m_parts.timers.now() + TurnedAwayHolds;
+    planProbe();
+    // The others must not wait until they miss the heartbeat.
+    heartbeat();
+}
+
+bool StoreFeed::askForEntries()
+{
+    // One that lost a message asks the store, where that is a small answer.
+    const bool isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
+    return (!m_parts.entries.hasRead() || isTurnedAway) && askSpeaker(m_entriesMissing);
+}
+
+bool StoreFeed::askSpeaker(MonotonicTime &missingSince)
+{
+    const MonotonicTime now = m_parts.timers.now();
+    if (missingSince == MonotonicTime())
+        missingSince = now;
+    QList<Peer> known;
+    for (const Speaker &speaker : std::as_const(m_speakers)) {
+        if (speaker.standing != Standing::Away && hears(speaker))
+            known.append(speaker.peer);
+    }
+    if (known.isEmpty() || now - missingSince > PeersMayTake)
+        return false;
+    m_parts.state.askSoon(known.at(QRandomGenerator::global()->bounded(int(known.size()))));
+    return true;
 }
 
 void StoreFeed::sendItems(const QList<StoreItem> &items, Revision base, Revision revision)
 {
+    if (!isGroupHead(view()))
+        return;
+    const QList<Peer> receivers = this->receivers();
+    const int standing = int(this->standing());
+    const qint64 configuration = m_parts.configuration.newest().value();
     QCborArray entries;
     qsizetype bytes = 0;
     const auto flush = [&](Revision upTo) {
-        m_datagrams.send(group(), DatagramKind::StoreChange,
-                         QCborArray{base.value(), upTo.value(), entries});
+        m_parts.datagrams.send(
+            receivers, DatagramKind::StoreChange,
+            QCborArray{standing, base.value(), upTo.value(), entries, configuration});
         entries = QCborArray();
         bytes = 0;
         base = upTo;
@@ -143,23 +272,44 @@
     flush(revision);
 }
 
-void StoreFeed::received(const QCborArray &body)
+void StoreFeed::received(const Peer &from, const QCborArray &body)
 {
-    if (body.isEmpty()) {
-        m_lastFed = MonotonicTime();
-        m_mirror.checkFeed();
+    const qint64 standing = body.at(0).toInteger(-1);
+    if (standing < qint64(Standing::Away) || standing > qint64(Standing::PassesOn))
+        return;
+    m_speakers.insert(from.vm, {from, Standing(standing), m_parts.timers.now()});
+    if (Standing(standing) != Standing::Away)
+        takeItems(from, body);
+    for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
+        mirror->checkFeed();
+}
+
+void StoreFeed::takeItems(const Peer &from, const QCborArray &body)
+{
+    if (!isFed())
         return;
-    }
-    m_lastFed = m_timers.now();
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::Items;
-    answer.asOf = Revision(body.at(1).toInteger());
-    for (const QCborValue entry : body.at(2).toArray()) {
+    const Revision base(body.at(1).toInteger());
+    answer.asOf = Revision(body.at(2).toInteger());
+    for (const QCborValue entry : body.at(3).toArray()) {
         const QCborArray fields = entry.toArray();
         answer.items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
                              Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
     }
-    m_mirror.fed(answer, Revision(body.at(0).toInteger()));
+    const bool isNew = answer.asOf > m_parts.entries.revision();
+    const bool isTaken = m_parts.entries.fed(answer, base);
+    if (isTaken)
+        m_entriesMissing = MonotonicTime();
+    // The own group hears watchers of its own data centre itself.
+    const bool isElsewhere = from.dataCentre != m_parts.peers.self().dataCentre;
+    if (isTaken && isNew && isElsewhere)
+        sendItems(answer.items, base, answer.asOf);
+    StoreAnswer configuration;
+    configuration.kind = StoreAnswer::Kind::Items;
+    configuration.asOf = Revision(body.at(4).toInteger());
+    if (m_parts.configuration.fed(configuration, configuration.asOf))
+        m_configurationMissing = MonotonicTime();
 }
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -1,62 +1,113 @@
-// Defines StoreFeed, by which a few daemons of a data centre watch the store for the others.
+// Defines StoreFeed, by which a few daemons watch the store for the others.
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Units.h"
+#include "relay/FeedPlan.h"
+#include "relay/Peer.h"
 #include "relay/StoreAnswer.h"
 
+#include <QHash>
+
 #include <memory>
-#include <optional>
 
 class QCborArray;
 
 namespace cranberry {
 
+class DataCentreHeads;
 class PeerDatagrams;
 class PeerDirectory;
+class PeerState;
 class StoreMirror;
 class TimerService;
 class TimerSubscription;
-struct Peer;
 
-/// Each change of a watched key costs a call for each daemon that watches. So two daemons of a
-/// data centre, or of a whole fleet whose data centres have few, watch and send the others what
-/// changed, and a heartbeat with the revision up to which they know. A daemon that hears none
-/// goes back to its own watch, and so do all when a watcher loses the store; one that missed a
-/// change asks the store for it.
+/// Each change of a watched key costs a call for each daemon that watches. So two daemons of the
+/// fleet watch, by watchesStore(), and tell the heads of the data centres, and these tell theirs:
+/// what changed, and a heartbeat with the revision up to which they know. A daemon that hears no
+/// heartbeat goes back to its own watch; one that missed a change of an entry asks the store for
+/// it, and one that misses the configuration asks the daemon that has it.
 /// Thread safety: only from the thread of the event loop.
 class StoreFeed
 {
 public:
-    /// Precondition: everything passed outlives the feed.
-    StoreFeed(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams,
-              StoreMirror &mirror);
+    struct Parts {
+        TimerService &timers;
+        PeerDirectory &peers;
+        DataCentreHeads &heads;
+        PeerDatagrams &datagrams;
+        PeerState &state;
+        StoreMirror &entries;
+        StoreMirror &configuration;
+    };
+
+    /// Precondition: all of @p parts outlives the feed. @p isFirstStart: the whole fleet starts, so
+    /// that nobody can have anything to tell yet.
+    StoreFeed(const Parts &parts, bool isFirstStart);
     ~StoreFeed();
 
     /// The longest pause of this daemon between calls to a store that does not answer.
     Milliseconds longestBackoff() const;
 
-    /// How long a watch of this daemon waits for a change.
-    Milliseconds watchWait() const;
-
 private:
-    QList<Peer> group() const;
-    bool isGroup(const QList<Peer> &others) const;
-    /// Its place among the watchers of its group; none if it is none of them.
-    std::optional<int> watcherRank() const;
-    bool isWatcher() const { return watcherRank().has_value(); }
+    /// What a message says of its sender.
+    enum class Standing {
+        /// It has lost the store and hears of nobody who has it.
+        Away,
+        /// It watches the store itself.
+        Watches,
+        /// It passes on what another one watches.
+        PassesOn,
+    };
+    struct Speaker {
+        Peer peer;
+        Standing standing = Standing::Away;
+        MonotonicTime heard;
+    };
+
+    /// The others with whom this daemon shares watches.
+    struct Group {
+        QList<Peer> others;
+        bool isWholeFleet = false;
+    };
+
+    Group group() const;
+    QList<Peer> receivers() const;
+    FeedView view() const;
+    bool hears(const Speaker &speaker) const;
+    int speakers(Standing standing) const;
+    Standing standing() const;
     bool isFed() const;
+    bool holdsBack() const;
+    Milliseconds watchWait() const;
     Milliseconds pace() const;
     void check();
+    void lookUpGroup();
+    void planProbe();
     void changed(const StoreAnswer &answer, Revision base);
     void lost();
+    bool askForEntries();
+    bool askSpeaker(MonotonicTime &missingSince);
+    void heartbeat();
     void sendItems(const QList<StoreItem> &items, Revision base, Revision revision);
-    void received(const QCborArray &body);
+    void received(const Peer &from, const QCborArray &body);
+    void takeItems(const Peer &from, const QCborArray &body);
 
-    TimerService &m_timers;
-    PeerDirectory &m_peers;
-    PeerDatagrams &m_datagrams;
-    StoreMirror &m_mirror;
-    MonotonicTime m_lastFed;
+    Parts m_parts;
+    bool m_isFirstStart;
+    MonotonicTime m_started;
+    /// The store did not serve this daemon until then.
+    MonotonicTime m_turnedAwayUntil;
+    /// A daemon whose heads have lost the store tries it again itself then.
+    MonotonicTime m_probeDue;
+    /// Of the group; looked up with each heartbeat.
+    bool m_hasGroup = false;
+    int m_rankInGroup = 0;
+    /// Since when the speakers have something that this daemon lacks; unset if it lacks nothing.
+    MonotonicTime m_entriesMissing;
+    MonotonicTime m_configurationMissing;
+    QHash<VmId, Speaker> m_speakers;
     std::unique_ptr<TimerSubscription> m_timer;
 };
 
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -47,18 +47,11 @@
 
 StoreMirror::~StoreMirror() = default;
 
-void StoreMirror::setFeed(std::function<bool()> isFed, std::function<Milliseconds()> pace,
-                          std::function<void(const StoreAnswer &answer, Revision base)> changed)
-{
-    m_isFed = std::move(isFed);
-    m_pace = std::move(pace);
-    m_changed = std::move(changed);
-}
-
 void StoreMirror::start()
 {
     m_started = m_timers.now();
-    readPage({});
+    m_state = State::Fed;
+    checkFeed();
 }
 
 void StoreMirror::call(const HttpRequest &request, Milliseconds timeout,
@@ -136,13 +129,13 @@
 
 void StoreMirror::watch()
 {
-    if (m_isFed()) {
+    if (m_feed.isFed()) {
         m_state = State::Fed;
         return;
     }
     const bool isStarting = m_timers.now() - m_started < StartTime;
     m_state = State::Watching;
-    m_timer = m_timers.after(isStarting ? StartPace : m_pace(), [this] { openWatch(); });
+    m_timer = m_timers.after(isStarting ? StartPace : m_feed.pace(), [this] { openWatch(); });
 }
 
 void StoreMirror::openWatch()
@@ -174,8 +167,7 @@
     }
     const Revision base = m_revision;
     apply(answer);
-    if (m_changed)
-        m_changed(answer, base);
+    m_feed.changed(answer, base);
     watch();
 }
 
@@ -198,42 +190,89 @@
     readPage({});
 }
 
-void StoreMirror::fed(const StoreAnswer &answer, Revision base)
+Revision StoreMirror::newest() const
+{
+    Revision newest;
+    for (const StoreItem &item : m_items)
+        newest = std::max(newest, item.revision);
+    return newest;
+}
+
+bool StoreMirror::fed(const StoreAnswer &answer, Revision base)
 {
+    // What the store does not tell this daemon others do.
+    if (m_state == State::Pausing) {
+        m_timer.reset();
+        m_state = State::Fed;
+    }
     if (m_state != State::Fed)
-        return;
-    if (base <= m_revision) {
-        apply(answer);
-        return;
+        return false;
+    const bool follows = m_hasRead && base <= m_revision;
+    if (follows) {
+        feedBack();
+        // An older message may come late; a key that was removed since would be there again.
+        if (answer.asOf > m_revision)
+            apply(answer);
+        return true;
     }
+    if (m_feed.askPeers())
+        return false;
     // A message was lost: the store still has what it said.
     m_state = State::Watching;
     call(m_protocol.watch(m_prefix, m_revision, CatchUpWait), ReadTimeout,
          [this](const StoreAnswer &missed) { watched(missed); });
+    return false;
+}
+
+void StoreMirror::feedBack()
+{
+    if (m_isCurrent)
+        return;
+    logEvent(
+        LogLevel::Info, EventId::PlatformBack,
+        {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}, {"by", "feed"}});
+    m_doubtUntil = m_timers.now() + LapseGrace;
+    m_isCurrent = true;
+}
+
+void StoreMirror::feedLost()
+{
+    if (!std::exchange(m_isCurrent, false))
+        return;
+    logEvent(
+        LogLevel::Warning, EventId::PlatformDown,
+        {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}, {"by", "feed"}});
 }
 
 void StoreMirror::checkFeed()
 {
-    if (m_state != State::Fed || m_isFed())
+    if (m_state != State::Fed || m_feed.isFed())
         return;
     // Whoever watched for this daemon is gone, or the store is: the own watch will tell.
-    m_isCurrent = false;
-    openWatch();
+    feedLost();
+    if (m_feed.holdsBack())
+        return;
+    if (m_needsRead)
+        readPage({});
+    else
+        openWatch();
 }
 
 void StoreMirror::unavailable()
 {
-    if (m_isCurrent) {
+    if (std::exchange(m_isCurrent, false))
         logEvent(LogLevel::Warning, EventId::PlatformDown,
                  {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
-        m_lost();
-    }
-    m_isCurrent = false;
+    m_feed.lost();
     m_state = State::Pausing;
     // A watch that is cut may have heard nothing for a while, and one that goes on from there may
     // hear nothing either: the store forgets history and says so only later (a newer version was
     // found 5.5 s late that way). A read shows what is there.
     m_needsRead = true;
+    if (m_feed.isFed() || m_feed.holdsBack()) {
+        m_state = State::Fed;
+        return;
+    }
     m_backoff = m_backoff.count() == 0 ? FirstBackoff : std::min(2 * m_backoff, m_longestBackoff());
     // Daemons that lost the store together do not come back together.
     const double part = 0.5 + 0.5 * QRandomGenerator::global()->generateDouble();
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -26,6 +26,23 @@
     std::function<void(const QString &key)> removed;
 };
 
+/// By which other daemons watch for this one.
+struct StoreMirrorFeed {
+    /// Others send what changes, so that no watch is needed.
+    std::function<bool()> isFed = [] { return false; };
+    /// Nobody feeds it, and yet it is better to wait than to call the store.
+    std::function<bool()> holdsBack = [] { return false; };
+    /// How long after an answer the next watch is opened.
+    std::function<Milliseconds()> pace = [] { return Milliseconds(0); };
+    /// An own call brought @p answer beyond @p base.
+    std::function<void(const StoreAnswer &answer, Revision base)> changed =
+        [](const StoreAnswer &, Revision) {};
+    /// Something is missing here that others have; true if they were asked for it.
+    std::function<bool()> askPeers = [] { return false; };
+    /// The store did not serve a call.
+    std::function<void()> lost = [] {};
+};
+
 /// Reads all keys under a prefix once and then follows a watch. It goes on with what it has while
 /// the store is away, and reads anew when the store has forgotten what happened meanwhile.
 /// Thread safety: only from the thread of the event loop.
@@ -40,8 +57,6 @@
     /// A watch is answered after @p wait at the latest, so that a store that has fallen silent is
     /// found about that late. Shorter waits cost more calls. Precondition: not started.
     void setWatchWait(std::function<Milliseconds()> wait) { m_watchWait = std::move(wait); }
-    /// Called when the store stops to answer. Precondition: not started.
-    void onLost(std::function<void()> callback) { m_lost = std::move(callback); }
     /// The longest pause between calls to a store that does not answer. Precondition: not started.
     void setLongestBackoff(std::function<Milliseconds()> longest)
     {
@@ -49,24 +64,23 @@
     }
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
-    /// @p isFed tells whether others send what changes, so that no watch is needed;
-    /// @p pace how long after an answer the next watch is opened; @p changed is told what an own
-    /// watch brought, and the revision before it.
-    void setFeed(std::function<bool()> isFed, std::function<Milliseconds()> pace,
-                 std::function<void(const StoreAnswer &answer, Revision base)> changed);
+    /// Precondition: not started.
+    void setFeed(StoreMirrorFeed feed) { m_feed = std::move(feed); }
+    /// Reads the store, or waits for others as long as its feed holds it back.
     void start();
     /// What it holds is what the store holds, but for a connection that fell silent less than
     /// TcpStream::PeerTimeout ago: a watch is open, others send what changes, or another daemon
     /// was asked just now.
     bool isCurrent() const;
     /// It hears from the store itself or from those that watch for it.
-    bool hasSource() const { return m_isCurrent || m_isFed(); }
+    bool hasSource() const { return m_isCurrent || m_feed.isFed(); }
     /// Others watch for it.
     bool isFed() const { return m_state == State::Fed; }
     /// An own watch is open.
     bool isWatching() const { return m_isCurrent && m_state == State::Watching; }
-    /// Takes in what a watch of another daemon brought since @p base.
-    void fed(const StoreAnswer &answer, Revision base);
+    /// Takes in what a watch of another daemon brought since @p base; false if it does not follow
+    /// on what is here, or an own call is under way.
+    bool fed(const StoreAnswer &answer, Revision base);
     /// Reads all anew, as another daemon knows of something newer; nothing if it reads already.
     void readAgain();
     /// Goes back to an own watch if nothing is fed any more.
@@ -75,6 +89,8 @@
     bool hasRead() const { return m_hasRead; }
     const QHash<QString, StoreItem> &items() const { return m_items; }
     Revision revision() const { return m_revision; }
+    /// The latest change of a key that is there.
+    Revision newest() const;
     /// Takes in all that another daemon holds, if it is newer.
     void takeFrom(const QList<StoreItem> &items, Revision revision);
     /// Another daemon that is current holds nothing newer.
@@ -89,7 +105,7 @@
         Watching,
         /// Waits to try again.
         Pausing,
-        /// Others watch.
+        /// Others watch, or are expected to.
         Fed,
     };
 
@@ -101,6 +117,8 @@
     void openWatch();
     void watched(const StoreAnswer &answer);
     void unavailable();
+    void feedBack();
+    void feedLost();
     void again(Milliseconds delay);
     void put(const StoreItem &item);
     void removeLater(const QString &key);
@@ -116,14 +134,11 @@
     QString m_prefix;
     StoreMirrorCallbacks m_callbacks;
 
-    std::function<bool()> m_isFed = [] { return false; };
+    StoreMirrorFeed m_feed;
     std::function<Milliseconds()> m_longestBackoff = [] { return DefaultBackoff; };
-    std::function<Milliseconds()> m_pace = [] { return Milliseconds(0); };
-    std::function<void(const StoreAnswer &, Revision)> m_changed;
 
     State m_state = State::Reading;
     std::function<Milliseconds()> m_watchWait = [] { return DefaultWatchWait; };
-    std::function<void()> m_lost = [] {};
     QHash<QString, StoreItem> m_items;
     QHash<QString, StoreItem> m_reading;
     Revision m_revision;
