Relay: a partial answer of a peer removes no targets; draining watchers hand over

Entries that lapsed with the store were also taken away without the two seconds that they have to come back, if a peer's answer told first. Watchers that were told to stop fed on until they ended and were missed for a second.

The tests play these; also late messages, gaps, and 300 seeds of lost, repeated and reordered ones.

--- a/src/relay/PeerDatagrams.cpp
+++ b/src/relay/PeerDatagrams.cpp
@@ -46,7 +46,8 @@
     if (!m_socket)
         return;
     const Peer &self = m_peers.self();
-    const QCborArray message{self.vm.text(), self.dataCentre.text(), int(kind), body, m_version()};
+    const QCborArray message{self.vm.text(), self.dataCentre.text(), int(kind), body, m_version(),
+                             self.isDraining};
     const QByteArray datagram = QCborValue(message).toCbor();
     for (const Peer &peer : receivers)
         m_socket->writeDatagram(datagram, QHostAddress(peer.endpoint.address), peer.endpoint.port);
@@ -60,6 +61,7 @@
         Peer peer;
         peer.vm = VmId(message.at(0).toString());
         peer.dataCentre = DataCentreId(message.at(1).toString());
+        peer.isDraining = message.at(5).toBool();
         peer.endpoint = {datagram.senderAddress().toString(), quint16(datagram.senderPort())};
         const qint64 kind = message.at(2).toInteger(-1);
         if (!isKind(kind) || peer.vm.isEmpty()) {
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -139,6 +139,11 @@
          });
 }
 
+void PeerDirectory::drain()
+{
+    m_self.isDraining = true;
+}
+
 void PeerDirectory::leave()
 {
     m_leaving = true;
@@ -176,7 +181,7 @@
         const Peer peer = decoded(item);
         if (peer.dataCentre == m_self.dataCentre && !m_peers.contains(peer.vm))
             joined.append(peer);
-        seen(peer);
+        listed(peer);
     }
     logEvent(LogLevel::Info, EventId::PeersListed,
              {{"listed", QString::number(answer.items.size())},
@@ -185,6 +190,14 @@
         m_joinedNearby(joined);
 }
 
+void PeerDirectory::listed(Peer peer)
+{
+    // The store does not tell whether it is about to end.
+    const auto known = m_peers.constFind(peer.vm);
+    peer.isDraining = known != m_peers.cend() && known->isDraining;
+    seen(peer);
+}
+
 void PeerDirectory::heard(const Peer &peer)
 {
     const bool isNewNearby =
@@ -202,6 +215,8 @@
 {
     const auto rank = [](const Peer &peer) { return stableHash(peer.vm.text()); };
     const quint64 own = rank(m_self);
+    if (m_self.isDraining)
+        return int(peers.size());
     return int(std::count_if(peers.cbegin(), peers.cend(), [&](const Peer &peer) {
         return isHeard(peer) && rank(peer) < own;
     }));
@@ -214,7 +229,7 @@
 
 bool PeerDirectory::isHeard(const Peer &peer) const
 {
-    return peer.heard > m_timers.now() - SilentAfter;
+    return peer.heard > m_timers.now() - SilentAfter && !peer.isDraining;
 }
 
 QList<DataCentreId> PeerDirectory::otherDataCentres() const
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -44,6 +44,8 @@
     {
         m_joinedNearby = std::move(callback);
     }
+    /// This daemon is about to end; others speak for its data centre from now on.
+    void drain();
     /// Gives the own key up, as this daemon is about to end.
     void leave();
     const Peer &self() const { return m_self; }
@@ -62,7 +64,8 @@
     int rankNearby() const { return rankAmong(peersNearby()); }
     /// @p peer comes before this daemon in that order.
     bool isBefore(const Peer &peer) const;
-    /// How many of @p peers that are heard of come before this daemon in an order that all share.
+    /// How many of @p peers that are heard of come before this daemon in an order that all share;
+    /// all of them if this daemon is about to end.
     int rankAmong(const QList<Peer> &peers) const;
     /// A message of @p peer came within the last few seconds.
     bool isHeard(const Peer &peer) const;
@@ -78,6 +81,7 @@
     void announceAgain(bool isAnnounced);
     void list();
     void listed(const StoreAnswer &answer);
+    void listed(Peer peer);
     void seen(const Peer &peer);
     bool isGone(const Peer &peer) const;
 
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -29,6 +29,8 @@
 /// All daemons of a data centre hear of a new configuration in the same moment and ask its heads,
 /// whose links carry some 20 answers of 30 KB in this time.
 constexpr int MostDelayMilliseconds = 200;
+/// In place of a revision: the other daemon leaves this part out.
+constexpr qint64 NotNeeded = std::numeric_limits<qint64>::max();
 constexpr int StatusOk = 200;
 constexpr int StatusUnavailable = 503;
 constexpr char StatePath[] = "/state/";
@@ -127,8 +129,7 @@
 {
     // Entries come by the feed, and all of them are a long answer.
     const bool needsEntries = !m_entries.hasRead() || !m_entries.hasSource();
-    const qint64 entries =
-        needsEntries ? m_entries.revision().value() : std::numeric_limits<qint64>::max();
+    const qint64 entries = needsEntries ? m_entries.revision().value() : NotNeeded;
     HttpRequest request;
     request.method = "GET";
     request.path = StatePath + QByteArray::number(m_configuration.revision().value()) + '/'
@@ -138,12 +139,12 @@
     options.timeout = AskTimeout;
     m_question = m_client.fetch(
         peer.endpoint, request, options,
-        [this, vm = peer.vm](HttpExchangeEnd end, const HttpResponse &response) {
+        [this, needsEntries, vm = peer.vm](HttpExchangeEnd end, const HttpResponse &response) {
             const auto question = std::move(m_question);
             const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
             if (isWhole) {
                 m_pause = AskInterval;
-                answered(response.body);
+                answered(response.body, needsEntries);
                 return;
             }
             m_pause = std::min(2 * m_pause, LongestPause);
@@ -152,11 +153,14 @@
         });
 }
 
-void PeerState::answered(const QByteArray &body)
+void PeerState::answered(const QByteArray &body, bool hasEntries)
 {
     const QCborMap state = QCborValue::fromCbor(body).toMap();
     takeInto(m_configuration, state.value(ConfigurationField));
-    takeInto(m_entries, state.value(EntriesField));
+    // An answer without them names a revision all the same: taken for all that there is, it
+    // removed every target.
+    if (hasEntries)
+        takeInto(m_entries, state.value(EntriesField));
 }
 
 } // namespace cranberry
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -43,7 +43,7 @@
 private:
     void askIfAway();
     void ask(const Peer &peer);
-    void answered(const QByteArray &body);
+    void answered(const QByteArray &body, bool hasEntries);
 
     TimerService &m_timers;
     HttpClient &m_client;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -59,7 +59,7 @@
     , waiting(timers)
     , retries(given.retries)
     , peers(timers, client, given.store, protocols.store, counters,
-            {given.vm, given.dataCentre, given.peer, {}, {}, {}})
+            {given.vm, given.dataCentre, given.peer, {}, {}, {}, false})
     , datagrams(peers)
     , heads(timers, peers, datagrams)
     , loads(timers, peers, heads, datagrams, targets, retries)
@@ -253,6 +253,7 @@
               {"running", QString::number(m_parts->gateway.running())}});
     m_parts->gateway.drainUntil(m_drainBegan + m_parts->settings.grace);
     m_parts->callers.closeAfterAnswers();
+    m_parts->feed.drain();
     m_drainTimer = m_parts->timers.every(DrainCheck, [this] { finishDrainWhenIdle(); });
 }
 
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,6 +42,7 @@
                       configuration ? configuration->version.value() : 0);
     text += gaugeText("cranberry_relay_store_current", parts.configuration.isCurrent() ? 1 : 0);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
+    text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
     text += gaugeText("cranberry_relay_waiting", parts.waiting.size());
     return text + gaugeText("cranberry_relay_connections", parts.callers.openConnections());
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -196,6 +196,18 @@
         mirror->checkFeed();
 }
 
+void StoreFeed::drain()
+{
+    // Two watchers that were stopped together were missed for a second, and streams of engines
+    // that left in it were lost.
+    const bool wasHead = isGroupHead(view());
+    const QList<Peer> fed = receivers();
+    m_parts.peers.drain();
+    lookUpGroup();
+    if (wasHead)
+        m_parts.datagrams.send(fed, DatagramKind::StoreChange, QCborArray{int(Standing::Away)});
+}
+
 void StoreFeed::planProbe()
 {
     const int spread = QRandomGenerator::global()->bounded(int(ProbeInterval.count()));
@@ -277,7 +289,10 @@
     const qint64 standing = body.at(0).toInteger(-1);
     if (standing < qint64(Standing::Away) || standing > qint64(Standing::PassesOn))
         return;
-    m_speakers.insert(from.vm, {from, Standing(standing), m_parts.timers.now()});
+    if (from.isDraining)
+        m_speakers.remove(from.vm);
+    else
+        m_speakers.insert(from.vm, {from, Standing(standing), m_parts.timers.now()});
     if (Standing(standing) != Standing::Away)
         takeItems(from, body);
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -47,6 +47,9 @@
     StoreFeed(const Parts &parts, bool isFirstStart);
     ~StoreFeed();
 
+    /// This daemon is about to end: it tells those whom it feeds, so that they need not miss it.
+    void drain();
+
     /// The longest pause of this daemon between calls to a store that does not answer.
     Milliseconds longestBackoff() const;
 
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -110,8 +110,7 @@
                  {{"prefix", m_prefix},
                   {"keys", QString::number(m_reading.size())},
                   {"revision", QString::number(m_readAt.value())}});
-    if (m_hasRead && !m_isCurrent)
-        m_doubtUntil = m_timers.now() + LapseGrace;
+    doubtIfAway();
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
@@ -162,7 +161,7 @@
     if (!m_isCurrent) {
         logEvent(LogLevel::Info, EventId::PlatformBack,
                  {{"prefix", m_prefix}, {"revision", QString::number(answer.asOf.value())}});
-        m_doubtUntil = m_timers.now() + LapseGrace;
+        doubtIfAway();
         m_isCurrent = true;
     }
     const Revision base = m_revision;
@@ -231,14 +230,21 @@
     logEvent(
         LogLevel::Info, EventId::PlatformBack,
         {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}, {"by", "feed"}});
-    m_doubtUntil = m_timers.now() + LapseGrace;
+    doubtIfAway();
     m_isCurrent = true;
 }
 
+void StoreMirror::doubtIfAway()
+{
+    if (std::exchange(m_wasAway, false))
+        m_doubtUntil = m_timers.now() + LapseGrace;
+}
+
 void StoreMirror::feedLost()
 {
     if (!std::exchange(m_isCurrent, false))
         return;
+    m_wasAway = m_hasRead;
     logEvent(
         LogLevel::Warning, EventId::PlatformDown,
         {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}, {"by", "feed"}});
@@ -260,9 +266,11 @@
 
 void StoreMirror::unavailable()
 {
-    if (std::exchange(m_isCurrent, false))
+    if (std::exchange(m_isCurrent, false)) {
+        m_wasAway = m_hasRead;
         logEvent(LogLevel::Warning, EventId::PlatformDown,
                  {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}});
+    }
     m_feed.lost();
     m_state = State::Pausing;
     // A watch that is cut may have heard nothing for a while, and one that goes on from there may
@@ -331,6 +339,7 @@
     confirm();
     if (revision <= m_revision)
         return;
+    doubtIfAway();
     QSet<QString> present;
     for (const StoreItem &item : items) {
         present.insert(item.key);
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -118,6 +118,7 @@
     void watched(const StoreAnswer &answer);
     void unavailable();
     void feedBack();
+    void doubtIfAway();
     void feedLost();
     void again(Milliseconds delay);
     void put(const StoreItem &item);
@@ -144,6 +145,8 @@
     Revision m_revision;
     Revision m_readAt;
     bool m_isCurrent = false;
+    /// The store was away, and what it tells first may lack entries that lapsed.
+    bool m_wasAway = false;
     bool m_hasRead = false;
     bool m_needsRead = true;
     Milliseconds m_backoff{0};
--- /dev/null
+++ b/test/correctness/StoreMirror.cpp
@@ -0,0 +1,189 @@
+// What a daemon makes of the store's changes that other daemons tell it.
+#define BOOST_TEST_MODULE StoreMirror
+#include <boost/test/unit_test.hpp>
+
+#include "base/QtTimerService.h"
+#include "http/HttpClient.h"
+#include "http/HttpListener.h"
+#include "relay/PeerDirectory.h"
+#include "relay/PeerState.h"
+#include "relay/RelayCounters.h"
+#include "relay/StoreMirror.h"
+#include "relay/StoreProtocol.h"
+#include "support/EventLoop.h"
+#include "support/ManualTimers.h"
+
+#include <QRandomGenerator>
+
+using namespace cranberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+const QString Key = QStringLiteral("targets/x");
+const HttpEndpoint Nowhere{QStringLiteral("127.0.0.1"), 1};
+
+StoreItem item(const QString &key, qint64 revision, bool isRemoved = false)
+{
+    return {key, isRemoved ? QByteArray() : QByteArray("value"), Revision(revision), isRemoved};
+}
+
+StoreAnswer answerOf(const QList<StoreItem> &items, qint64 asOf)
+{
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::Items;
+    answer.items = items;
+    answer.asOf = Revision(asOf);
+    return answer;
+}
+
+/// A mirror that others feed; its store cannot be reached.
+struct FedMirror {
+    FedMirror(TimerService &timers, HttpClient &client)
+        : mirror(timers, client, Nowhere, protocol, counters, QStringLiteral("targets/"))
+    {
+        StoreMirrorFeed feed;
+        feed.isFed = [this] { return isFed; };
+        feed.holdsBack = [] { return true; };
+        feed.askPeers = [this] {
+            ++asked;
+            return true;
+        };
+        mirror.setFeed(feed);
+        mirror.setCallbacks({[](const StoreItem &) {}, [](const QString &) {}});
+        mirror.start();
+    }
+
+    bool has(const QString &key) const { return mirror.items().contains(key); }
+
+    StoreProtocol protocol;
+    RelayCounters counters;
+    bool isFed = true;
+    int asked = 0;
+    StoreMirror mirror;
+};
+
+struct Fixture {
+    Fixture() { test::ensureApplication(); }
+
+    test::ManualTimers timers;
+    HttpClient client{timers};
+};
+
+} // namespace
+
+// Two daemons pass on the same change, one of them late. A target that had left meanwhile came
+// back by the late message, and nothing took it away again.
+BOOST_FIXTURE_TEST_CASE(LateMessageBringsNothingBack, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.takeFrom({}, Revision(5));
+    const StoreAnswer joined = answerOf({item(Key, 6)}, 6);
+    BOOST_TEST(fed.mirror.fed(joined, Revision(5)));
+    BOOST_TEST(fed.has(Key));
+    BOOST_TEST(fed.mirror.fed(answerOf({item(Key, 7, true)}, 7), Revision(6)));
+    BOOST_TEST(!fed.has(Key));
+    BOOST_TEST(fed.mirror.fed(joined, Revision(5)));
+    BOOST_TEST(!fed.has(Key));
+}
+
+// A message was lost on the way: the next one does not follow on what is there, and is not taken
+// before the gap is closed.
+BOOST_FIXTURE_TEST_CASE(GapIsAskedFor, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.takeFrom({}, Revision(5));
+    BOOST_TEST(!fed.mirror.fed(answerOf({item(Key, 9)}, 9), Revision(8)));
+    BOOST_TEST(fed.asked == 1);
+    BOOST_TEST(!fed.has(Key));
+    fed.mirror.takeFrom({item(Key, 9)}, Revision(9));
+    BOOST_TEST(fed.has(Key));
+}
+
+// The leases of all targets lapsed while the store was down, and a daemon that had just started
+// knew none of them. One that asked it took its answer for the truth and had no target for
+// seconds; entries that lapsed are back within two.
+BOOST_FIXTURE_TEST_CASE(EntriesThatLapsedAreDoubted, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.takeFrom({item(Key, 4)}, Revision(5));
+    BOOST_TEST(fed.mirror.fed(answerOf({}, 5), Revision(5)));
+    fed.isFed = false;
+    fed.mirror.checkFeed();
+    fed.mirror.takeFrom({}, Revision(8));
+    BOOST_TEST(fed.has(Key));
+    timers.advance(1900ms);
+    BOOST_TEST(fed.has(Key));
+    timers.advance(200ms);
+    BOOST_TEST(!fed.has(Key));
+}
+
+// Messages are lost, repeated and reordered, by seeds. Whatever comes, the daemon never goes back
+// to an older revision, and after a whole answer it holds what the store holds.
+BOOST_FIXTURE_TEST_CASE(NeverGoesBackWhateverArrives, Fixture)
+{
+    for (quint32 seed = 1; seed <= 300; ++seed) {
+        QRandomGenerator random(seed);
+        FedMirror fed(timers, client);
+        fed.mirror.takeFrom({}, Revision(1));
+        QHash<QString, qint64> store;
+        QList<std::pair<StoreAnswer, Revision>> sent;
+        for (qint64 revision = 2; revision < 60; ++revision) {
+            const QString key = QStringLiteral("targets/%1").arg(random.bounded(5));
+            const bool isRemoved = store.contains(key) && random.bounded(2) == 0;
+            isRemoved ? void(store.remove(key)) : void(store.insert(key, revision));
+            sent.append({answerOf({item(key, revision, isRemoved)}, revision),
+                         Revision(revision - 1)});
+            const Revision before = fed.mirror.revision();
+            for (int copy = random.bounded(3); copy > 0; --copy) {
+                const qsizetype late = random.bounded(int(std::min<qsizetype>(4, sent.size())));
+                const auto &[answer, base] = sent.at(sent.size() - 1 - late);
+                fed.mirror.fed(answer, base);
+            }
+            BOOST_REQUIRE(!(fed.mirror.revision() < before));
+            if (random.bounded(8) > 0)
+                continue;
+            QList<StoreItem> whole;
+            for (auto entry = store.cbegin(); entry != store.cend(); ++entry)
+                whole.append(item(entry.key(), entry.value()));
+            fed.mirror.takeFrom(whole, Revision(revision));
+            BOOST_REQUIRE(fed.mirror.items().size() == store.size());
+        }
+    }
+}
+
+// A daemon that lacked the configuration asked another one for it alone. The answer named a newer
+// revision of the targets and held none of them, and all targets were removed.
+BOOST_AUTO_TEST_CASE(AnswerWithoutEntriesRemovesNone)
+{
+    test::ensureApplication();
+    QtTimerService timers;
+    HttpClient client(timers);
+    const StoreProtocol protocol;
+    RelayCounters counters;
+    Peer self;
+    self.vm = VmId(QStringLiteral("vm"));
+    PeerDirectory peers(timers, client, Nowhere, protocol, counters, self);
+    FedMirror hasAll(timers, client);
+    FedMirror hasConfiguration(timers, client);
+    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror);
+    hasAll.mirror.takeFrom({item(Key, 4)}, Revision(9));
+    hasConfiguration.mirror.takeFrom({item(QStringLiteral("c"), 8)}, Revision(8));
+    HttpListener listener(
+        timers,
+        [&](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+            answering.handle(request, reply);
+        },
+        [](ErrorKind) { return HttpResponse(); });
+    Peer peer;
+    peer.endpoint = {QStringLiteral("127.0.0.1"),
+                     listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value()};
+
+    FedMirror entries(timers, client);
+    FedMirror configuration(timers, client);
+    entries.mirror.takeFrom({item(Key, 4)}, Revision(5));
+    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror);
+    asking.askSoon(peer);
+    BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
+    BOOST_TEST(entries.has(Key));
+}
--- /dev/null
+++ b/test/failure/PlatformFeed.cpp
@@ -0,0 +1,115 @@
+// Daemons of a data centre that hear of the store's changes from two that watch it.
+#define BOOST_TEST_MODULE PlatformFeed
+#include <boost/test/unit_test.hpp>
+
+#include "support/EventLoop.h"
+#include "support/PlatformSite.h"
+
+#include <csignal>
+
+using namespace cranberry;
+using Door = standin::StoreEmulator::Door;
+
+namespace {
+
+constexpr int Daemons = 7;
+
+struct Fixture {
+    Fixture()
+    {
+        site.addRunner("plain-1", "plain");
+        site.configure(1);
+        for (int i = 0; i < Daemons; ++i)
+            site.startDaemon();
+        BOOST_REQUIRE(test::waitFor([&] { return watchers().size() == 2; }));
+    }
+
+    QList<int> watchers()
+    {
+        QList<int> found;
+        for (int i = 0; i < Daemons; ++i) {
+            if (!site.hasEnded(i) && site.metrics(i).contains("cranberry_relay_entries_fed 0"))
+                found.append(i);
+        }
+        return found;
+    }
+
+    bool allAnswer(const QByteArray &path, int status)
+    {
+        return test::waitFor([&] {
+            for (int i = 0; i < Daemons; ++i) {
+                const QByteArray id = "r" + QByteArray::number(++requests);
+                if (!site.hasEnded(i)
+                    && site.call(i, "GET", path, id)->response.status != status)
+                    return false;
+            }
+            return true;
+        });
+    }
+
+    test::PlatformSite site;
+    int requests = 0;
+};
+
+} // namespace
+
+// Each of 195 daemons watched the configuration, and each version cost 195 calls and as many
+// reads. Two watch; the others hear of a version and ask a daemon that has it.
+BOOST_FIXTURE_TEST_CASE(ConfigurationComesFromOtherDaemons, Fixture)
+{
+    for (int i = 0; i < Daemons; ++i) {
+        const bool isWatcher = watchers().contains(i);
+        BOOST_TEST(isWatcher != site.metrics(i).contains("cranberry_relay_configuration_fed 1"));
+    }
+    const int reads = site.store().calls("/v1/kv-range");
+    site.configure(2, true);
+    BOOST_TEST(allAnswer("/extra/a", 200));
+    BOOST_TEST(site.store().calls("/v1/kv-range") == reads);
+}
+
+// Both watchers were killed and a route was added in that moment: the others miss them, two of
+// them watch, and all serve the route.
+BOOST_FIXTURE_TEST_CASE(OthersWatchWhenBothWatchersDie, Fixture)
+{
+    for (const int daemon : watchers())
+        site.signal(daemon, SIGKILL);
+    site.configure(2, true);
+    BOOST_TEST(allAnswer("/extra/a", 200));
+    BOOST_TEST(test::waitFor([&] { return watchers().size() == 2; }));
+}
+
+// Watchers that were told to stop went on feeding until they ended, and the others missed them
+// for a second. They hand over at once.
+BOOST_FIXTURE_TEST_CASE(StoppingWatchersHandOver, Fixture)
+{
+    const QList<int> first = watchers();
+    for (const int daemon : first)
+        site.signal(daemon, SIGTERM);
+    BOOST_TEST(test::waitFor([&] {
+        const QList<int> now = watchers();
+        return now.size() == 2 && !now.contains(first.at(0)) && !now.contains(first.at(1));
+    }));
+}
+
+// The store fell silent and came back with a new version. Every daemon has it and has kept its
+// targets meanwhile.
+BOOST_FIXTURE_TEST_CASE(SilenceTakesNoTargetsAway, Fixture)
+{
+    site.store().setSilent(true);
+    BOOST_TEST(allAnswer("/extra/a", 503));
+    BOOST_TEST(allAnswer("/safe/a", 200));
+    site.configure(2, true);
+    site.store().setSilent(false);
+    BOOST_TEST(allAnswer("/extra/a", 200));
+    BOOST_TEST(allAnswer("/safe/a", 200));
+}
+
+// A daemon that starts among others is told all by them and reads nothing from the store.
+BOOST_FIXTURE_TEST_CASE(NewcomerLearnsFromOthers, Fixture)
+{
+    const int reads = site.store().calls("/v1/kv-range");
+    const int newcomer = site.startDaemon();
+    BOOST_TEST(site.call(newcomer, "GET", "/safe/a", "n1")->response.status == 200);
+    // Its own list of daemons, the second one of each other daemon at most, and no more.
+    BOOST_TEST(site.store().calls("/v1/kv-range") <= reads + 1 + Daemons);
+}
