Relay: few engines of other data centres are looked at for one request

Cause: all daemons see the same half-second-old loads of other data centres and choose the same engine: first events after 2.3 s at a new engine that looked empty. For that the penalty of distance was 0.45, which kept engines of a data centre full beside empty ones elsewhere.

Now four are drawn for each request and the penalty is 0.15.

--- a/src/relay/DistanceCosts.h
+++ b/src/relay/DistanceCosts.h
@@ -3,12 +3,15 @@
 
 namespace cranberry {
 
-/// Both are loads: 1 is a full target.
 struct DistanceCosts {
-    /// Of any target in another data centre.
+    /// Load by which any target in another data centre must be better; 1 is a full target.
     double away = 0;
-    /// Of one there of which its data centre has not told lately, so that it may be full.
+    /// The same for one of which its data centre has not told lately, so that it may be full.
     double unknown = 0;
+    /// Targets in other data centres that are looked at for one request, drawn at random; zero
+    /// looks at all. Where loads there are half a second old, all daemons that look at all choose
+    /// the one that was empty then: a new engine got prompts for two seconds at once.
+    int mostAway = 0;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -19,11 +19,13 @@
 /// Where few engines serve, the least difference of load counts: an engine with more generations
 /// than others can't send them all away in time when it leaves, and bytes between data centres cost
 /// 0.001 to 0.002 of a day's worth (emulated days of 9 daemons). With many engines one of the own
-/// data centre is about as free as any, and in very large fleets loads of other data centres are up
-/// to half a second old.
+/// data centre is about as free as any.
 constexpr double FewDaemonsPenalty = 0.03;
 constexpr double NearPenalty = 0.15;
-constexpr double FarPenalty = 0.45;
+constexpr double FarPenalty = 0.15;
+/// Engines of other data centres looked at for one request in a very large fleet: one with room is
+/// among them as long as a third of all have any, and of 150 daemons few draw the same one.
+constexpr int MostAway = 4;
 /// In a very large fleet a data centre tells of its emptiest engines; any other is likely full.
 constexpr double UnknownPenalty = 1;
 /// Fleets up to this size have few engines: about 1.5 for a daemon.
@@ -35,9 +37,9 @@
 DistanceCosts distanceCosts(const RelayParts &parts)
 {
     if (parts.peers.fleetSize() <= FewDaemons)
-        return {FewDaemonsPenalty, 0};
-    return parts.peers.isSmallFleet() ? DistanceCosts{NearPenalty, 0}
-                                      : DistanceCosts{FarPenalty, UnknownPenalty};
+        return {FewDaemonsPenalty, 0, 0};
+    return parts.peers.isSmallFleet() ? DistanceCosts{NearPenalty, 0, 0}
+                                      : DistanceCosts{FarPenalty, UnknownPenalty, MostAway};
 }
 
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -141,10 +141,22 @@
                                 MonotonicTime now)
 {
     QList<ScoredTarget> all;
+    QList<const TargetRecord *> away;
+    const bool drawsAway = need.engine && need.distance.mostAway > 0;
+    const auto consider = [&](const TargetRecord *target) {
+        all.append({target, target->suspectUntil > now, score(*target, need, now)});
+    };
     for (const TargetRecord *target : targets) {
-        if (!need.excluded.contains(target->entry.id) && hasRoom(*target, need, now))
-            all.append({target, target->suspectUntil > now, score(*target, need, now)});
+        if (need.excluded.contains(target->entry.id) || !hasRoom(*target, need, now))
+            continue;
+        const DataCentreId &place = target->entry.dataCentre;
+        if (drawsAway && place != need.home && place != need.dataCentre)
+            away.append(target);
+        else
+            consider(target);
     }
+    for (int drawn = 0; drawn < need.distance.mostAway && !away.isEmpty(); ++drawn)
+        consider(away.takeAt(QRandomGenerator::global()->bounded(int(away.size()))));
     std::sort(all.begin(), all.end(), [](const ScoredTarget &a, const ScoredTarget &b) {
         return a.isSuspect != b.isSuspect ? b.isSuspect : a.score < b.score;
     });
