--- a/src/relay/MoveChoice.cpp
+++ b/src/relay/MoveChoice.cpp
@@ -24,6 +24,8 @@
     return std::max({now, move.sourceFree, target.linkFree}) + duration;
 }
 
+/// An engine may go later than the least notice says.
+constexpr Milliseconds TryBeyondNotice{700};
 /// What an output token is worth to the caller beside one of the prompt.
 constexpr double OutputWorth = 10;
 /// Made in a ms by an engine that also reads prompts: 8.2 to 8.9 ms a token on emulated days.
@@ -78,4 +80,10 @@
     return best;
 }
 
+bool isBegunNow(MonotonicTime copied, MonotonicTime leavesAt, MonotonicTime now)
+{
+    const bool isNoticeOver = now >= leavesAt;
+    return copied <= leavesAt + (isNoticeOver ? TryBeyondNotice : Milliseconds(0));
+}
+
 } // namespace cranberry
--- a/src/relay/MoveChoice.h
+++ b/src/relay/MoveChoice.h
@@ -50,4 +50,11 @@
 MovePick chooseDestination(const QList<const TargetRecord *> &targets, const MoveNeed &move,
                            MonotonicTime now);
 
+/// Whether a copy that is there at @p copied is begun now. The source's least notice ends at
+/// @p leavesAt, and it may stay a while longer. Until then only copies that arrive by then are
+/// begun: any other one takes the link from the last parts of those that could go on. An engine
+/// with 12 generations lost all of them, though its link carries seven within its notice.
+/// Thread-safe.
+bool isBegunNow(MonotonicTime copied, MonotonicTime leavesAt, MonotonicTime now);
+
 } // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -48,6 +48,12 @@
     return configuration ? configuration->version.value() : 0;
 }
 
+bool hasEngine(const RelayParts &parts, const ServiceId &service)
+{
+    const auto &configuration = parts.gateway.configuration();
+    return configuration && configuration->services.value(service).engine.has_value();
+}
+
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
 {
     Error error;
@@ -140,10 +146,8 @@
         // They learn of this daemon at once, and not with their next list.
         m_parts->loads.greet(joined);
     });
-    parts.loads.setHasEngine([this](const ServiceId &service) {
-        const auto &configuration = m_parts->gateway.configuration();
-        return configuration && configuration->services.value(service).engine.has_value();
-    });
+    parts.loads.setHasEngine(
+        [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
     parts.targets.onOwnLoad(
         [this](const TargetId &target, bool isMore) { m_parts->loads.changed(target, isMore); });
     parts.targets.onCrashed(
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -26,9 +26,7 @@
 constexpr Milliseconds AnotherDestinationAfter{5};
 /// A report that is newer tells why a destination refused.
 constexpr Milliseconds RefusalReportFreshFor{250};
-/// An engine may go later than the least notice says. Copies that cannot arrive within the notice
-/// wait until it is over: begun earlier they take the link from the last parts of those that can,
-/// and an engine with 12 generations lost all of them, though its link carries seven.
+/// An engine may go later than the least notice says.
 constexpr Milliseconds TryBeyondNotice{700};
 
 } // namespace
@@ -109,10 +107,8 @@
     const MoveNeed move{wanted, heldTokens(), source->linkFree};
     const MovePick pick = chooseDestination(m_context.targets.takingWork(m_task.service), move,
                                             m_context.timers.now());
-    const bool isNoticeOver = m_context.timers.now() >= source->leavesAt;
-    const MonotonicTime latest =
-        source->leavesAt + (isNoticeOver ? TryBeyondNotice : Milliseconds(0));
-    const bool comesTooLate = pick.target && pick.copied > latest;
+    const bool comesTooLate =
+        pick.target && !isBegunNow(pick.copied, source->leavesAt, m_context.timers.now());
     if (!pick.target || comesTooLate) {
         m_moveDestination = TargetId();
         moveLater(comesTooLate ? QStringLiteral("the links are taken")
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -143,8 +143,10 @@
     if (m_roomLater && m_roomDue <= due)
         return;
     m_roomDue = due;
+    // A busy daemon may come to it after that moment; a timer that is due before now never fires,
+    // and the requests that wait for it would not be told.
     const auto delay = std::chrono::ceil<Milliseconds>(due - m_timers.now());
-    m_roomLater = m_timers.after(delay, [this] {
+    m_roomLater = m_timers.after(std::max(delay, Milliseconds(0)), [this] {
         m_roomLater.reset();
         roomChanged();
         tellNextRoom();
@@ -287,17 +289,26 @@
         known->toldByOwner = m_timers.now();
 }
 
+QList<TargetId>
+TargetDirectory::withEngine(const DataCentreId &dataCentre,
+                            const std::function<bool(const ServiceId &)> &hasEngine) const
+{
+    QList<TargetId> ids;
+    for (const TargetRecord &record : m_targets) {
+        const bool takesWork = !record.isLeaving && !record.isWithheld;
+        if (takesWork && record.entry.dataCentre == dataCentre && hasEngine(record.entry.service))
+            ids.append(record.entry.id);
+    }
+    return ids;
+}
+
 QList<TargetId> TargetDirectory::emptiest(const DataCentreId &dataCentre,
                                           const std::function<bool(const ServiceId &)> &hasEngine,
                                           qsizetype most) const
 {
     QList<std::pair<Tokens, TargetId>> found;
-    for (const TargetRecord &record : m_targets) {
-        const bool isAsked = record.entry.dataCentre == dataCentre && !record.isLeaving
-            && !record.isWithheld && hasEngine(record.entry.service);
-        if (isAsked)
-            found.append({loadWithout(record.entry.id, {}).tokens, record.entry.id});
-    }
+    for (const TargetId &id : withEngine(dataCentre, hasEngine))
+        found.append({loadWithout(id, {}).tokens, id});
     std::sort(found.begin(), found.end());
     QList<TargetId> ids;
     for (const auto &[tokens, id] : found.first(std::min(most, found.size())))
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -71,8 +71,11 @@
     QList<TargetId> usedByThisDaemon() const;
     /// The data centre of @p target told what is there.
     void toldByOwner(const TargetId &target);
-    /// At most @p most targets of @p dataCentre that take work, those with the least memory taken
-    /// first, of the services for which @p hasEngine is true.
+    /// Targets of @p dataCentre that take work, of the services for which @p hasEngine is true, in
+    /// the order of their ids.
+    QList<TargetId> withEngine(const DataCentreId &dataCentre,
+                               const std::function<bool(const ServiceId &)> &hasEngine) const;
+    /// At most @p most of these, those with the least memory taken first.
     QList<TargetId> emptiest(const DataCentreId &dataCentre,
                              const std::function<bool(const ServiceId &)> &hasEngine,
                              qsizetype most) const;
--- a/test/correctness/MoveChoice.cpp
+++ b/test/correctness/MoveChoice.cpp
@@ -144,3 +144,55 @@
     BOOST_TEST_MESSAGE("complete by load " << byLoad << ", with links " << byLinks);
     BOOST_TEST(byLinks > byLoad);
 }
+
+namespace {
+
+/// Copies of one engine's generations over its link, as they are ordered and carried.
+struct Evacuation {
+    static constexpr Milliseconds Copy{210};
+    static constexpr Milliseconds LastPart{5};
+    static constexpr Milliseconds Notice{1300};
+    static constexpr Milliseconds LastMoment{150};
+
+    /// @p begins decides whether a copy that is there at the given time is begun. Returns how many
+    /// generations are away when the engine ends @p stay after its word.
+    template <typename Begins>
+    static int saved(int generations, Milliseconds stay, Begins begins)
+    {
+        const MonotonicTime leavesAt = Now + Notice;
+        MonotonicTime linkFree = Now;
+        int copied = 0;
+        int waiting = 0;
+        for (int i = 0; i < generations; ++i) {
+            const bool isBegun = begins(linkFree + Copy, leavesAt, Now);
+            isBegun ? ++copied : ++waiting;
+            linkFree += isBegun ? Copy : Milliseconds(0);
+        }
+        // Last parts are ordered at the last moment and wait behind the copies before them.
+        linkFree = std::max(linkFree, leavesAt - LastMoment) + copied * LastPart;
+        const bool isInTime = linkFree <= Now + stay;
+        int saved = isInTime ? copied : 0;
+        MonotonicTime now = std::max(linkFree, leavesAt);
+        for (int i = 0; i < waiting && begins(now + Copy, leavesAt, now); ++i) {
+            now += Copy + LastPart;
+            saved += now <= Now + stay ? 1 : 0;
+        }
+        return saved;
+    }
+};
+
+} // namespace
+
+// An engine that left 1.66 s after its word held 12 generations. All copies were ordered at once,
+// the last parts waited behind them, and not one generation was away in time.
+BOOST_AUTO_TEST_CASE(CopiesThatComeTooLateDoNotStopTheOthers)
+{
+    const auto atOnce = [](MonotonicTime copied, MonotonicTime leavesAt, MonotonicTime) {
+        return copied <= leavesAt + 700ms;
+    };
+    BOOST_TEST(Evacuation::saved(12, 1660ms, atOnce) == 0);
+    BOOST_TEST(Evacuation::saved(12, 1660ms, isBegunNow) == 7);
+    // One that stays longer saves more.
+    BOOST_TEST(Evacuation::saved(12, 2100ms, isBegunNow) == 9);
+    BOOST_TEST(Evacuation::saved(3, 1660ms, isBegunNow) == 3);
+}
--- a/test/correctness/RelayChoices.cpp
+++ b/test/correctness/RelayChoices.cpp
@@ -232,3 +232,47 @@
     BOOST_TEST((model.expected(route, announcing(4000)) == Tokens(1768)));
     BOOST_TEST((model.expected(route, RelayRequest()) == Tokens(1)));
 }
+
+// An engine started in another data centre, and for half a second all daemons there knew that it
+// was empty and nothing else: prompts for two seconds went to it at once. With four engines drawn
+// for each request it gets its share.
+BOOST_AUTO_TEST_CASE(ManyDaemonsDoNotChooseTheSameEngineElsewhere)
+{
+    constexpr int Engines = 48;
+    constexpr int Daemons = 150;
+    QList<TargetRecord> records;
+    for (int i = 0; i < Engines; ++i)
+        records.append(engine(qPrintable(QStringLiteral("e%1").arg(i)), "there", 5000));
+    records.first().ownTokens = Tokens(0);
+    QList<const TargetRecord *> targets;
+    for (const TargetRecord &record : std::as_const(records))
+        targets.append(&record);
+    const auto chosen = [&](int mostAway) {
+        TargetNeed need = needOf(1000);
+        need.home = need.dataCentre;
+        need.distance.mostAway = mostAway;
+        int count = 0;
+        for (int daemon = 0; daemon < Daemons; ++daemon)
+            count += chooseTarget(targets, need, Now).target == targets.first() ? 1 : 0;
+        return count;
+    };
+    BOOST_TEST(chosen(0) == Daemons);
+    // 12.5 on average; 40 is eight standard deviations more.
+    BOOST_TEST(chosen(4) < 40);
+}
+
+// A very large data centre tells of its emptiest engines only. One that it does not tell of looks
+// empty, and is taken if there is no other.
+BOOST_AUTO_TEST_CASE(EngineThatNobodyTellsOfIsTakenLast)
+{
+    TargetRecord unknown = engine("unknown", "there", 0);
+    TargetRecord told = engine("told", "there", 6000);
+    told.toldByOwner = Now - 1s;
+    TargetNeed need = needOf(1000);
+    need.home = need.dataCentre;
+    need.distance.unknown = 1;
+    BOOST_TEST((chooseTarget({&unknown, &told}, need, Now).target == &told));
+    BOOST_TEST((chooseTarget({&unknown}, need, Now).target == &unknown));
+    unknown.entry.dataCentre = need.home;
+    BOOST_TEST((chooseTarget({&unknown, &told}, need, Now).target == &unknown));
+}
