--- /dev/null
+++ b/src/relay/FeedMessage.cpp
@@ -0,0 +1,87 @@
+#include "relay/FeedMessage.h"
+
+#include <QCborValue>
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+/// Bytes of items in one datagram before they are compressed, to a third or less.
+constexpr qsizetype MostBytes = 3000;
+constexpr int CompressionLevel = 1;
+
+QByteArray packed(const QList<StoreItem> &items)
+{
+    if (items.isEmpty())
+        return {};
+    QCborArray rows;
+    for (const StoreItem &item : items)
+        rows.append(QCborArray{item.key, item.value, item.revision.value(), item.isRemoved});
+    return qCompress(QCborValue(rows).toCbor(), CompressionLevel);
+}
+
+QList<StoreItem> unpacked(const QByteArray &bytes)
+{
+    if (bytes.isEmpty())
+        return {};
+    QList<StoreItem> items;
+    for (const QCborValue row : QCborValue::fromCbor(qUncompress(bytes)).toArray()) {
+        const QCborArray fields = row.toArray();
+        items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
+                      Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
+    }
+    return items;
+}
+
+} // namespace
+
+QList<FeedMessage> splitForDatagrams(const FeedMessage &message)
+{
+    QList<FeedMessage> parts;
+    FeedMessage part = message;
+    part.items.clear();
+    qsizetype bytes = 0;
+    Revision last = message.base;
+    for (const StoreItem &item : message.items) {
+        if (bytes > 0 && bytes + item.value.size() > MostBytes) {
+            part.upTo = last;
+            parts.append(part);
+            part.base = last;
+            part.items.clear();
+            bytes = 0;
+        }
+        part.items.append(item);
+        bytes += item.key.size() + item.value.size();
+        last = std::max(last, item.revision);
+    }
+    part.upTo = message.upTo;
+    parts.append(part);
+    return parts;
+}
+
+QCborArray encodeFeed(const FeedMessage &message)
+{
+    return {int(message.standing), message.base.value(),          message.upTo.value(),
+            packed(message.items), message.configuration.value(), message.targets};
+}
+
+std::optional<FeedMessage> decodeFeed(const QCborArray &body)
+{
+    const qint64 standing = body.at(0).toInteger(-1);
+    const bool isKnown =
+        standing >= qint64(FeedStanding::Away) && standing <= qint64(FeedStanding::PassesOn);
+    if (!isKnown)
+        return std::nullopt;
+    FeedMessage message;
+    message.standing = FeedStanding(standing);
+    message.base = Revision(body.at(1).toInteger());
+    message.upTo = Revision(body.at(2).toInteger());
+    message.items = unpacked(body.at(3).toByteArray());
+    message.configuration = Revision(body.at(4).toInteger());
+    message.targets = body.at(5).toInteger();
+    return message;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/FeedMessage.h
@@ -0,0 +1,48 @@
+// Defines FeedMessage, what daemons that hear of the platform's store tell the others.
+#pragma once
+
+#include "base/Units.h"
+#include "relay/StoreItem.h"
+
+#include <QCborArray>
+#include <QList>
+
+#include <optional>
+
+namespace cranberry {
+
+/// How the sender of a message hears of the store.
+enum class FeedStanding {
+    /// It has lost the store and hears of nobody who has it.
+    Away,
+    /// It watches the store itself.
+    Watches,
+    /// It passes on what another one watches.
+    PassesOn,
+};
+
+/// Without items it is a heartbeat.
+struct FeedMessage {
+    FeedStanding standing = FeedStanding::Away;
+    /// The items are the changes of targets after this revision, up to the other one.
+    Revision base;
+    Revision upTo;
+    QList<StoreItem> items;
+    /// The last change of the configuration that the sender has.
+    Revision configuration;
+    /// Targets that it knows.
+    qint64 targets = 0;
+};
+
+/// Messages that each fit a datagram and together say what @p message says; one for a heartbeat.
+/// Thread-safe.
+QList<FeedMessage> splitForDatagrams(const FeedMessage &message);
+
+/// Items are compressed: entries of targets repeat the names of their fields, and the feed of 3,000
+/// targets takes about a quarter of the bytes (worked out from entries of 250 bytes). Thread-safe.
+QCborArray encodeFeed(const FeedMessage &message);
+
+/// None if it is no such message. Thread-safe.
+std::optional<FeedMessage> decodeFeed(const QCborArray &body);
+
+} // namespace cranberry
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -1,5 +1,6 @@
 #include "relay/StoreFeed.h"
 
+#include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "relay/DataCentreHeads.h"
@@ -51,10 +52,6 @@
 /// A daemon that starts reads more targets than this from the store and not from another daemon:
 /// 500 are some 120 KB, and the heads' links carry 20 Mbit/s where the store's carries 1,000.
 constexpr qint64 MostAsked = 500;
-/// Bytes of items in one datagram before they are compressed, to a third or less.
-constexpr qsizetype MostBytes = 3000;
-constexpr int CompressionLevel = 1;
-
 /// After a start others may have all that a daemon needs: heads are known once the list is read
 /// and greetings were answered, and feed within a heartbeat. If nobody does, all were killed
 /// together, and each reads the store itself.
@@ -64,21 +61,6 @@
 constexpr Milliseconds FirstHeadStartWait{1800};
 constexpr Milliseconds FirstStartWait{4000};
 
-/// Entries of targets repeat the names of their fields: compressed, the feed of 3,000 targets takes
-/// a quarter of the bytes.
-QCborValue packed(const QCborArray &entries)
-{
-    if (entries.isEmpty())
-        return QByteArray();
-    return qCompress(QCborValue(entries).toCbor(), CompressionLevel);
-}
-
-QCborArray unpacked(const QCborValue &packed)
-{
-    const QByteArray bytes = packed.toByteArray();
-    return bytes.isEmpty() ? QCborArray() : QCborValue::fromCbor(qUncompress(bytes)).toArray();
-}
-
 } // namespace
 
 StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart, std::function<qint64()> version)
@@ -129,7 +111,7 @@
 QList<Peer> StoreFeed::receivers(bool hasItems) const
 {
     const Group group = this->group();
-    const bool staysInGroup = standing() == Standing::PassesOn || group.isWholeFleet;
+    const bool staysInGroup = standing() == FeedStanding::PassesOn || group.isWholeFleet;
     if (staysInGroup)
         return group.others;
     if (!hasItems)
@@ -149,7 +131,7 @@
     return m_parts.timers.now() - speaker.heard < FeedHolds;
 }
 
-int StoreFeed::count(Standing standing) const
+int StoreFeed::count(FeedStanding standing) const
 {
     return int(std::count_if(m_speakers.cbegin(), m_speakers.cend(), [&](const Speaker &speaker) {
         return speaker.standing == standing && hears(speaker);
@@ -163,7 +145,7 @@
     view.rankInGroup = m_rankInGroup;
     view.isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
     for (const Speaker &speaker : m_speakers) {
-        if (speaker.standing != Standing::Watches || !hears(speaker))
+        if (speaker.standing != FeedStanding::Watches || !hears(speaker))
             continue;
         ++view.watchers;
         if (m_parts.peers.isBefore(speaker.peer))
@@ -172,11 +154,11 @@
     return view;
 }
 
-StoreFeed::Standing StoreFeed::standing() const
+FeedStanding StoreFeed::standing() const
 {
     if (m_parts.entries.isWatching())
-        return Standing::Watches;
-    return isFed() && m_parts.entries.hasRead() ? Standing::PassesOn : Standing::Away;
+        return FeedStanding::Watches;
+    return isFed() && m_parts.entries.hasRead() ? FeedStanding::PassesOn : FeedStanding::Away;
 }
 
 bool StoreFeed::isFed() const
@@ -185,7 +167,7 @@
     if (watchesStore(now))
         return false;
     // A head listens to watchers only: two that pass on would take each other for a source.
-    return now.watchers > 0 || (!isGroupHead(now) && count(Standing::PassesOn) > 0);
+    return now.watchers > 0 || (!isGroupHead(now) && count(FeedStanding::PassesOn) > 0);
 }
 
 bool StoreFeed::holdsBack() const
@@ -198,7 +180,7 @@
         : (m_isFirstStart ? FirstStartWait : StartWait);
     if (!isAlone && m_parts.timers.now() - m_started < wait)
         return true;
-    const bool headsAreAway = !watchesStore(now) && count(Standing::Away) > 0;
+    const bool headsAreAway = !watchesStore(now) && count(FeedStanding::Away) > 0;
     return headsAreAway && m_parts.timers.now() < m_probeDue;
 }
 
@@ -238,7 +220,7 @@
     m_parts.peers.drain();
     lookUpGroup();
     if (wasHead)
-        m_parts.datagrams.send(fed, DatagramKind::StoreChange, QCborArray{int(Standing::Away)});
+        m_parts.datagrams.send(fed, DatagramKind::StoreChange, encodeFeed(FeedMessage()));
 }
 
 void StoreFeed::planProbe()
@@ -290,7 +272,7 @@
 {
     QList<Peer> known;
     for (const Speaker &speaker : m_speakers) {
-        if (speaker.standing != Standing::Away && hears(speaker))
+        if (speaker.standing != FeedStanding::Away && hears(speaker))
             known.append(speaker.peer);
     }
     return known;
@@ -307,89 +289,73 @@
     return true;
 }
 
-void StoreFeed::sendItems(const QList<StoreItem> &items, Revision base, Revision revision)
+void StoreFeed::sendItems(const QList<StoreItem> &items, Revision base, Revision upTo)
 {
     if (!isGroupHead(view()))
         return;
+    const FeedMessage whole{standing(),
+                            base,
+                            upTo,
+                            items,
+                            m_parts.configuration.newest(),
+                            m_parts.entries.items().size()};
     const QList<Peer> receivers = this->receivers(!items.isEmpty());
-    const int standing = int(this->standing());
-    const qint64 configuration = m_parts.configuration.newest().value();
-    const qint64 count = m_parts.entries.items().size();
-    QCborArray entries;
-    qsizetype bytes = 0;
-    const auto flush = [&](Revision upTo) {
-        m_parts.datagrams.send(receivers, DatagramKind::StoreChange,
-                               QCborArray{standing, base.value(), upTo.value(), packed(entries),
-                                          configuration, count});
-        entries = QCborArray();
-        bytes = 0;
-        base = upTo;
-    };
-    Revision last = base;
-    for (const StoreItem &item : items) {
-        if (bytes > 0 && bytes + item.value.size() > MostBytes)
-            flush(last);
-        entries.append(QCborArray{item.key, item.value, item.revision.value(), item.isRemoved});
-        bytes += item.key.size() + item.value.size();
-        last = std::max(last, item.revision);
-    }
-    flush(revision);
+    for (const FeedMessage &part : splitForDatagrams(whole))
+        m_parts.datagrams.send(receivers, DatagramKind::StoreChange, encodeFeed(part));
 }
 
 void StoreFeed::received(const Peer &from, const QCborArray &body)
 {
-    const qint64 standing = body.at(0).toInteger(-1);
-    if (standing < qint64(Standing::Away) || standing > qint64(Standing::PassesOn))
+    const std::optional<FeedMessage> message = decodeFeed(body);
+    if (!message) {
+        logEvent(LogLevel::Warning, EventId::PeerFrameInvalid, {{"from", from.vm.text()}});
         return;
+    }
     if (from.isDraining)
         m_speakers.remove(from.vm);
     else
-        m_speakers.insert(from.vm, {from, Standing(standing), m_parts.timers.now()});
-    if (Standing(standing) != Standing::Away)
-        takeItems(from, body);
+        m_speakers.insert(from.vm, {from, message->standing, m_parts.timers.now()});
+    if (message->standing != FeedStanding::Away && isFed()) {
+        m_entriesElsewhere = message->targets;
+        takeEntries(from, *message);
+        takeConfiguration(message->configuration);
+    }
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
         mirror->checkFeed();
 }
 
-void StoreFeed::takeItems(const Peer &from, const QCborArray &body)
-{
-    if (!isFed())
-        return;
-    StoreAnswer answer;
-    answer.kind = StoreAnswer::Kind::Items;
-    const Revision base(body.at(1).toInteger());
-    answer.asOf = Revision(body.at(2).toInteger());
-    for (const QCborValue entry : unpacked(body.at(3))) {
-        const QCborArray fields = entry.toArray();
-        answer.items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
-                             Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
-    }
-    m_entriesElsewhere = body.at(5).toInteger();
-    takeEntries(answer, base, from);
-    StoreAnswer configuration;
-    configuration.kind = StoreAnswer::Kind::Items;
-    configuration.asOf = Revision(body.at(4).toInteger());
-    if (m_parts.configuration.fed(configuration, configuration.asOf))
-        m_configurationMissing = MonotonicTime();
-}
-
-void StoreFeed::takeEntries(const StoreAnswer &answer, Revision base, const Peer &from)
+void StoreFeed::takeEntries(const Peer &from, const FeedMessage &message)
 {
     StoreMirror &entries = m_parts.entries;
     // A heartbeat may be faster than the change, which comes by way of another head: the next one
     // tells whether the change was lost.
-    const bool isBehind = answer.items.isEmpty() && entries.hasRead() && base > entries.revision();
+    const bool isBehind =
+        message.items.isEmpty() && entries.hasRead() && message.base > entries.revision();
     if (isBehind && !std::exchange(m_wasBehind, true))
         return;
     m_wasBehind = false;
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::Items;
+    answer.items = message.items;
+    answer.asOf = message.upTo;
     const bool isNew = answer.asOf > entries.revision();
-    if (!entries.fed(answer, base))
+    if (!entries.fed(answer, message.base))
         return;
     m_entriesMissing = MonotonicTime();
     // The own group hears watchers of its own data centre itself.
     const bool isElsewhere = from.dataCentre != m_parts.peers.self().dataCentre;
     if (isNew && isElsewhere)
-        sendItems(answer.items, base, answer.asOf);
+        sendItems(message.items, message.base, message.upTo);
+}
+
+void StoreFeed::takeConfiguration(Revision newest)
+{
+    // It is too long for a datagram; whoever lacks it asks.
+    StoreAnswer answer;
+    answer.kind = StoreAnswer::Kind::Items;
+    answer.asOf = newest;
+    if (m_parts.configuration.fed(answer, newest))
+        m_configurationMissing = MonotonicTime();
 }
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "relay/FeedMessage.h"
 #include "relay/FeedPlan.h"
 #include "relay/Peer.h"
 #include "relay/StoreAnswer.h"
@@ -56,18 +57,9 @@
     Milliseconds longestBackoff() const;
 
 private:
-    /// What a message says of its sender.
-    enum class Standing {
-        /// It has lost the store and hears of nobody who has it.
-        Away,
-        /// It watches the store itself.
-        Watches,
-        /// It passes on what another one watches.
-        PassesOn,
-    };
     struct Speaker {
         Peer peer;
-        Standing standing = Standing::Away;
+        FeedStanding standing = FeedStanding::Away;
         MonotonicTime heard;
     };
 
@@ -81,8 +73,8 @@
     QList<Peer> receivers(bool hasItems) const;
     FeedView view() const;
     bool hears(const Speaker &speaker) const;
-    int count(Standing standing) const;
-    Standing standing() const;
+    int count(FeedStanding standing) const;
+    FeedStanding standing() const;
     bool isFed() const;
     bool holdsBack() const;
     Milliseconds watchWait() const;
@@ -98,10 +90,10 @@
     QList<Peer> speakers() const;
     bool ask(const QList<Peer> &known, MonotonicTime &missingSince);
     void heartbeat();
-    void sendItems(const QList<StoreItem> &items, Revision base, Revision revision);
+    void sendItems(const QList<StoreItem> &items, Revision base, Revision upTo);
     void received(const Peer &from, const QCborArray &body);
-    void takeItems(const Peer &from, const QCborArray &body);
-    void takeEntries(const StoreAnswer &answer, Revision base, const Peer &from);
+    void takeEntries(const Peer &from, const FeedMessage &message);
+    void takeConfiguration(Revision newest);
 
     Parts m_parts;
     std::function<qint64()> m_version;
--- /dev/null
+++ b/test/correctness/FeedMessage.cpp
@@ -0,0 +1,90 @@
+// The messages by which daemons tell each other what the store says.
+#define BOOST_TEST_MODULE FeedMessage
+#include <boost/test/unit_test.hpp>
+
+#include "relay/FeedMessage.h"
+
+#include <QCborValue>
+#include <QRandomGenerator>
+
+using namespace cranberry;
+
+namespace {
+
+FeedMessage messageOf(int items)
+{
+    FeedMessage message;
+    message.standing = FeedStanding::Watches;
+    message.base = Revision(10);
+    message.upTo = Revision(10 + items);
+    message.configuration = Revision(7);
+    message.targets = 68;
+    for (int i = 0; i < items; ++i)
+        message.items.append({QStringLiteral("targets/%1").arg(i),
+                              QByteArray(250, char('a' + i % 26)), Revision(11 + i), i % 3 == 0});
+    return message;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(MessagesComeBackAsTheyWere)
+{
+    const FeedMessage sent = messageOf(5);
+    const std::optional<FeedMessage> read = decodeFeed(encodeFeed(sent));
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST((read->standing == sent.standing));
+    BOOST_TEST((read->base == sent.base && read->upTo == sent.upTo));
+    BOOST_TEST((read->configuration == sent.configuration));
+    BOOST_TEST(read->targets == sent.targets);
+    BOOST_REQUIRE(read->items.size() == sent.items.size());
+    for (qsizetype i = 0; i < sent.items.size(); ++i) {
+        BOOST_TEST((read->items.at(i).key == sent.items.at(i).key));
+        BOOST_TEST((read->items.at(i).value == sent.items.at(i).value));
+        BOOST_TEST((read->items.at(i).revision == sent.items.at(i).revision));
+        BOOST_TEST(read->items.at(i).isRemoved == sent.items.at(i).isRemoved);
+    }
+}
+
+// A group of 90 targets left at once and its changes did not fit one datagram: each part follows on
+// the one before, so that a daemon that misses one notices.
+BOOST_AUTO_TEST_CASE(PartsFollowOnEachOther)
+{
+    const FeedMessage whole = messageOf(90);
+    const QList<FeedMessage> parts = splitForDatagrams(whole);
+    BOOST_TEST(parts.size() > 1);
+    Revision reached = whole.base;
+    qsizetype items = 0;
+    for (const FeedMessage &part : parts) {
+        BOOST_TEST((part.base == reached));
+        BOOST_TEST(QCborValue(encodeFeed(part)).toCbor().size() < 1400);
+        reached = part.upTo;
+        items += part.items.size();
+    }
+    BOOST_TEST((reached == whole.upTo));
+    BOOST_TEST(items == whole.items.size());
+}
+
+BOOST_AUTO_TEST_CASE(HeartbeatIsOneMessageWithoutItems)
+{
+    const QList<FeedMessage> parts = splitForDatagrams(messageOf(0));
+    BOOST_REQUIRE(parts.size() == 1);
+    BOOST_TEST(parts.first().items.isEmpty());
+}
+
+// A damaged datagram must neither crash a daemon nor be taken for a message of a known sender's
+// standing.
+BOOST_AUTO_TEST_CASE(DamagedMessagesAreHarmless)
+{
+    const QByteArray sound = QCborValue(encodeFeed(messageOf(8))).toCbor();
+    for (quint32 seed = 1; seed <= 2000; ++seed) {
+        QRandomGenerator random(seed);
+        QByteArray damaged = sound;
+        for (int changes = 1 + random.bounded(6); changes > 0; --changes)
+            damaged[random.bounded(int(damaged.size()))] = char(random.bounded(256));
+        const std::optional<FeedMessage> read = decodeFeed(QCborValue::fromCbor(damaged).toArray());
+        if (read)
+            BOOST_TEST(int(read->standing) <= int(FeedStanding::PassesOn));
+    }
+    BOOST_TEST(!decodeFeed({}).has_value());
+    BOOST_TEST(!decodeFeed({3, 0, 0, QByteArray(), 0, 0}).has_value());
+}
