Relay: a read does not undo what another daemon told meanwhile; heads not heard are forgotten

Found by reading: pages are read for a second where there are thousands of targets, and a peer's newer answer that came between was replaced by the older read, so that targets that had just joined were gone until the next watch.

--- a/src/relay/DataCentreHeads.cpp
+++ b/src/relay/DataCentreHeads.cpp
@@ -150,6 +150,8 @@
 
 void DataCentreHeads::announce()
 {
+    const MonotonicTime limit = m_timers.now() - HeadHolds;
+    m_heads.removeIf([limit](const auto &entry) { return entry.value().heard < limit; });
     if (m_peers.isSmallFleet() || !isHead())
         return;
     const QCborArray self{rowOf(m_peers.self(), m_timers.now(), m_timers.now())};
--- a/src/relay/FeedPlan.h
+++ b/src/relay/FeedPlan.h
@@ -26,8 +26,8 @@
 /// Whether a daemon opens watches of its own while all that it hears of is well. Two of the heads
 /// of all groups do; the next in order steps in for one that dies, is cut off or is turned away by
 /// the store. The calls of watches grow with the changes only, neither with daemons nor with data
-/// centres: in a fleet of 195 each daemon watched the configuration and ten the targets, 3,300 of
-/// 4,700 priced calls of an emulated calm day. Thread-safe.
+/// centres: on an emulated calm day 195 daemons made 4,226 priced calls when each one watched the
+/// configuration and ten the targets, and 990 with this (one run each). Thread-safe.
 bool watchesStore(const FeedView &view);
 
 } // namespace cranberry
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -137,8 +137,13 @@
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
-    m_revision = m_readAt;
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
+    // Another daemon may have told something newer since the first page was read.
+    if (m_readAt < m_revision) {
+        watch();
+        return;
+    }
+    m_revision = m_readAt;
     const QList<QString> known = m_items.keys();
     for (const QString &key : known) {
         if (!read.contains(key))
--- a/test/correctness/FeedPlan.cpp
+++ b/test/correctness/FeedPlan.cpp
@@ -104,8 +104,8 @@
     BOOST_TEST(!watchesStore(view));
 }
 
-// 195 daemons in five data centres made 4,700 priced store calls on a calm emulated day, as each
-// watched the configuration and ten the targets. Two watch, whatever the size.
+// 195 daemons in five data centres made 4,226 priced store calls on an emulated calm day, as each
+// watched the configuration and ten the targets; 990 with two watchers. Two watch at any size.
 BOOST_AUTO_TEST_CASE(TwoDaemonsWatchForAFleetOfAnySize)
 {
     for (const int each : {6, 39, 128}) {
--- a/test/correctness/MoveChoice.cpp
+++ b/test/correctness/MoveChoice.cpp
@@ -183,8 +183,9 @@
 
 } // namespace
 
-// An engine that left 1.66 s after its word held 12 generations. All copies were ordered at once,
-// the last parts waited behind them, and not one generation was away in time.
+// Two engines left 1.66 s after they said so and lost all their generations: the copies were
+// ordered at once, the last parts waited behind them, and not one was away in time. One link, 12
+// copies.
 BOOST_AUTO_TEST_CASE(CopiesThatComeTooLateDoNotStopTheOthers)
 {
     const auto atOnce = [](MonotonicTime copied, MonotonicTime leavesAt, MonotonicTime) {
