Relay: heads that the store turns away do not hold the others up

Ruled out: peers that answer late; nobody had anything to answer. Now a daemon whose heads are away tries within 0.6 s, later ones after a refusal of its own each 4 s; the configuration's mirror waits for the entries' one, and peers are asked each 0.5 s at the longest.

Tests: FeedPlan (failed before: the delay was 2 to 6 s), PlatformFeed.

--- a/src/relay/FeedPlan.h
+++ b/src/relay/FeedPlan.h
@@ -1,6 +1,8 @@
 // Defines watchesStore, which daemons watch the platform's store for the others.
 #pragma once
 
+#include "base/Units.h"
+
 namespace cranberry {
 
 /// Watchers of a fleet; two, so that one that dies or is cut off leaves the other.
@@ -30,4 +32,12 @@
 /// configuration and ten the targets, and 990 with this (one run each). Thread-safe.
 bool watchesStore(const FeedView &view);
 
+/// How long a daemon waits before it tries the store itself when its heads live and say that they
+/// have lost it. The store may have turned away the heads alone: then the others must find out in
+/// time for a new configuration to be in force within two seconds, and were still waiting when a
+/// key that was taken away had to be refused (four of 40 emulated days of nine daemons). One that
+/// was refused itself waits longer, as calls to a store that is down for all are wasted.
+/// Precondition: @p draw is drawn from 0 to 1, so that daemons do not call together. Thread-safe.
+Milliseconds probeDelay(bool wasRefused, double draw);
+
 } // namespace cranberry
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -25,8 +25,9 @@
 /// to move.
 constexpr Milliseconds AskInterval{250};
 constexpr Milliseconds AskTimeout{400};
-/// When the store is away for all, no other daemon has anything newer.
-constexpr Milliseconds LongestPause{1000};
+/// When the store is away for all, no other daemon has anything newer; when it turns some away, a
+/// third of the daemons asked has nothing, and a new version must be in force within two seconds.
+constexpr Milliseconds LongestPause{500};
 /// All daemons of a data centre hear of a new configuration in the same moment and ask its heads,
 /// whose links carry some 20 answers of 30 KB in this time.
 constexpr int MostDelayMilliseconds = 200;
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -43,9 +43,6 @@
 constexpr Milliseconds FeedHolds{1000};
 /// A head that the store turned away follows others for so long before it tries again.
 constexpr Milliseconds TurnedAwayHolds{4000};
-/// While the heads live and have lost the store, another daemon tries it itself this seldom: ten
-/// heads in five data centres find out for all.
-constexpr Milliseconds ProbeInterval{4000};
 /// What the speakers have and do not hand over within this time is read from the store: a new
 /// configuration must be in force within two seconds in the fleets with the least time.
 constexpr Milliseconds PeersMayTake{900};
@@ -84,6 +81,12 @@
     parts.entries.setWatchWait([this] { return watchWait(); });
     feed.changed = [this](const StoreAnswer &, Revision) { heartbeat(); };
     feed.askPeers = [this] { return askForConfiguration(); };
+    // One of the two is enough to find out whether the store is back.
+    feed.holdsBack = [this] {
+        const bool waitsForEntries = !watchesStore(view()) && m_parts.configuration.hasRead()
+            && !m_parts.entries.hasSource();
+        return waitsForEntries || holdsBack();
+    };
     parts.configuration.setFeed(feed);
 }
 
@@ -206,7 +209,7 @@
     if (isGroupHead(view()))
         heartbeat();
     if (isFed())
-        planProbe();
+        planProbe(false);
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
         mirror->checkFeed();
 }
@@ -223,10 +226,10 @@
         m_parts.datagrams.send(fed, DatagramKind::StoreChange, encodeFeed(FeedMessage()));
 }
 
-void StoreFeed::planProbe()
+void StoreFeed::planProbe(bool wasRefused)
 {
-    const int spread = QRandomGenerator::global()->bounded(int(ProbeInterval.count()));
-    m_probeDue = m_parts.timers.now() + ProbeInterval / 2 + Milliseconds(spread);
+    m_probeDue =
+        m_parts.timers.now() + probeDelay(wasRefused, QRandomGenerator::global()->generateDouble());
 }
 
 void StoreFeed::heartbeat()
@@ -243,7 +246,7 @@
 void StoreFeed::lost()
 {
     m_turnedAwayUntil = m_parts.timers.now() + TurnedAwayHolds;
-    planProbe();
+    planProbe(true);
     // The others must not wait until they miss the heartbeat.
     heartbeat();
 }
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -81,7 +81,7 @@
     Milliseconds pace() const;
     void check();
     void lookUpGroup();
-    void planProbe();
+    void planProbe(bool wasRefused);
     void changed(const StoreAnswer &answer, Revision base);
     void lost();
     bool askForEntries();
--- a/test/correctness/FeedPlan.cpp
+++ b/test/correctness/FeedPlan.cpp
@@ -116,6 +116,21 @@
     }
 }
 
+// The store turned away the two watchers alone. They lived and said so, the seven others waited two
+// to six seconds for them, and a key that was taken away was taken for good all that time. With a
+// heartbeat of 0.3 s and a question to a peer each 0.5 s two seconds are kept.
+BOOST_AUTO_TEST_CASE(HeadsThatAreTurnedAwayDoNotHoldOthersUp)
+{
+    constexpr Milliseconds Bound{2000};
+    constexpr Milliseconds Heartbeat{300};
+    constexpr Milliseconds Question{500};
+    BOOST_TEST((probeDelay(false, 1.0) + Heartbeat + 2 * Question < Bound));
+    BOOST_TEST(probeDelay(false, 0.0).count() == 0);
+    // A daemon that was refused too learns from peers, and its own calls are few.
+    BOOST_TEST((probeDelay(true, 0.0) >= Milliseconds(2000)));
+    BOOST_TEST((probeDelay(true, 1.0) <= Milliseconds(6000)));
+}
+
 // Watchers die and the store turns daemons away, in any order: while a head that is served lives,
 // somebody watches again within two heartbeats, and no more than the heads ever do.
 BOOST_AUTO_TEST_CASE(SomebodyTakesOverWithinTwoHeartbeats)
--- a/test/failure/PlatformFeed.cpp
+++ b/test/failure/PlatformFeed.cpp
@@ -2,9 +2,11 @@
 #define BOOST_TEST_MODULE PlatformFeed
 #include <boost/test/unit_test.hpp>
 
+#include "base/StableHash.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
+#include <algorithm>
 #include <csignal>
 
 using namespace cranberry;
@@ -34,6 +36,23 @@
         return found;
     }
 
+    /// What the daemons that live said of the store and of each other.
+    QByteArray logs()
+    {
+        QByteArray text;
+        for (int i = 0; i < Daemons; ++i) {
+            if (site.hasEnded(i))
+                continue;
+            for (const QByteArray &line : site.log(i).split('\n')) {
+                if (line.contains("platform.") || line.contains("member.")
+                    || line.contains("peers.") || line.contains("daemon."))
+                    text += QByteArray::number(i) + ' ' + line + '\n';
+            }
+            text += QByteArray::number(i) + ' ' + site.metrics(i).replace('\n', ' ') + '\n';
+        }
+        return text;
+    }
+
     bool allAnswer(const QByteArray &path, int status)
     {
         return test::waitFor([&] {
@@ -77,7 +96,9 @@
         site.signal(daemon, SIGKILL);
     site.configure(2, true);
     BOOST_TEST(allAnswer("/extra/a", 200));
-    BOOST_TEST(test::waitFor([&] { return watchers().size() == 2; }));
+    const bool areTwo = test::waitFor([&] { return watchers().size() == 2; });
+    BOOST_TEST_INFO(logs().toStdString());
+    BOOST_TEST(areTwo);
 }
 
 // Watchers that were told to stop went on feeding until they ended, and the others missed them
@@ -93,6 +114,42 @@
     }));
 }
 
+// The store turned away the two watchers and nobody else, and a route was added. The others went on
+// waiting for the two. Now they try themselves, and the two learn from them.
+BOOST_AUTO_TEST_CASE(TheWatchersAloneAreTurnedAway)
+{
+    test::PlatformSite site;
+    site.addRunner("plain-1", "plain");
+    site.configure(1);
+    QList<int> order;
+    for (int i = 0; i < Daemons; ++i)
+        order.append(i);
+    std::sort(order.begin(), order.end(), [](int a, int b) {
+        return stableHash(QStringLiteral("vm%1").arg(a))
+            < stableHash(QStringLiteral("vm%1").arg(b));
+    });
+    const QList<int> watching = order.first(2);
+    for (int i = 0; i < Daemons; ++i)
+        site.startDaemon(std::chrono::seconds(30),
+                         watching.contains(i) ? Door::Second : Door::First);
+    const auto isFed = [&](int daemon) {
+        return site.metrics(daemon).contains("cranberry_relay_entries_fed 1");
+    };
+    BOOST_REQUIRE(test::waitFor([&] {
+        return std::all_of(order.cbegin(), order.cend(),
+                           [&](int daemon) { return isFed(daemon) != watching.contains(daemon); });
+    }));
+    site.store().refuse(Door::Second, true);
+    site.configure(2, true);
+    int requests = 0;
+    BOOST_TEST(test::waitFor([&] {
+        return std::all_of(order.cbegin(), order.cend(), [&](int daemon) {
+            const QByteArray id = "t" + QByteArray::number(++requests);
+            return site.call(daemon, "GET", "/extra/a", id)->response.status == 200;
+        });
+    }));
+}
+
 // The store fell silent and came back with a new version. Every daemon has it and has kept its
 // targets meanwhile.
 BOOST_FIXTURE_TEST_CASE(SilenceTakesNoTargetsAway, Fixture)
