Relay: usual names for messages between daemons

A newcomer met speakers, greetings and words passed on; they are sources of the feed, hello messages and origins of a message now, and the glossary has heads, feed and watchers.

--- a/src/relay/DataCentreHeads.cpp
+++ b/src/relay/DataCentreHeads.cpp
@@ -124,15 +124,15 @@
 
 void DataCentreHeads::passedOn(const Peer &from, const QCborArray &body)
 {
-    Peer speaker;
-    speaker.vm = VmId(body.at(0).toString());
-    speaker.dataCentre = DataCentreId(body.at(1).toString());
+    Peer origin;
+    origin.vm = VmId(body.at(0).toString());
+    origin.dataCentre = DataCentreId(body.at(1).toString());
     const qint64 kind = body.at(2).toInteger(-1);
     if (!isKind(kind) || kind == qint64(DatagramKind::PassedOn)) {
         logEvent(LogLevel::Warning, EventId::PeerFrameInvalid, {{"from", from.vm.text()}});
         return;
     }
-    m_datagrams.deliver(speaker, DatagramKind(kind), body.at(3).toArray());
+    m_datagrams.deliver(origin, DatagramKind(kind), body.at(3).toArray());
     if (from.dataCentre != m_peers.self().dataCentre)
         m_datagrams.send(m_peers.peersNearby(), DatagramKind::PassedOn, body);
 }
@@ -142,7 +142,7 @@
     QList<Peer> known = of(dataCentre);
     QList<Peer> all = m_peers.peers();
     all.removeIf([&](const Peer &peer) { return peer.dataCentre != dataCentre; });
-    // Any daemon passes the word on to its heads; a listed one may have ended.
+    // Any daemon passes the message on to its heads; a listed one may have ended.
     while (known.size() < Heads && !all.isEmpty())
         known.append(all.takeAt(QRandomGenerator::global()->bounded(int(all.size()))));
     return known;
--- a/src/relay/DataCentreHeads.h
+++ b/src/relay/DataCentreHeads.h
@@ -1,4 +1,4 @@
-// Defines DataCentreHeads, which daemons speak for their data centre to the others.
+// Defines DataCentreHeads, which daemons represent their data centre.
 #pragma once
 
 #include "base/Ids.h"
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -54,7 +54,7 @@
 
 LoadExchange::~LoadExchange() = default;
 
-void LoadExchange::greet(const QList<Peer> &peers)
+void LoadExchange::sendHello(const QList<Peer> &peers)
 {
     m_datagrams.send(peers, DatagramKind::Load, QCborArray{QCborArray(), QCborArray()});
 }
@@ -161,14 +161,14 @@
 void LoadExchange::takeSummary(const Peer &from, const QCborArray &rows)
 {
     // Kept under the name of the data centre, beside the loads of single daemons of the own one.
-    const VmId speaker(QStringLiteral("data centre ") + from.dataCentre.text());
+    const VmId origin(QStringLiteral("data centre ") + from.dataCentre.text());
     for (const QCborValue value : rows) {
-        takeLoad(speaker, from.dataCentre, value.toArray());
+        takeLoad(origin, from.dataCentre, value.toArray());
         m_targets.toldByOwner(TargetId(value.toArray().at(0).toString()));
     }
 }
 
-void LoadExchange::takeLoad(const VmId &speaker, const DataCentreId &dataCentre,
+void LoadExchange::takeLoad(const VmId &origin, const DataCentreId &dataCentre,
                             const QCborArray &row)
 {
     PeerLoad load;
@@ -178,7 +178,7 @@
     load.unread = Tokens(row.at(3).toInteger());
     load.backup = Tokens(row.at(4).toInteger());
     load.heard = m_timers.now();
-    m_targets.peerLoad(TargetId(row.at(0).toString()), speaker, load);
+    m_targets.peerLoad(TargetId(row.at(0).toString()), origin, load);
 }
 
 void LoadExchange::take(const Peer &peer, const QCborArray &body)
--- a/src/relay/LoadExchange.h
+++ b/src/relay/LoadExchange.h
@@ -46,7 +46,7 @@
 
     void setHasEngine(HasEngine hasEngine) { m_hasEngine = std::move(hasEngine); }
     /// Says to @p peers that this daemon is there.
-    void greet(const QList<Peer> &peers);
+    void sendHello(const QList<Peer> &peers);
     /// What this daemon has at @p target has changed; @p isMore: something was placed.
     void changed(const TargetId &target, bool isMore);
 
@@ -59,7 +59,7 @@
     void summarise();
     void sendSummary(const DataCentreId &receiver, const QList<TargetId> &targets);
     void takeSummary(const Peer &from, const QCborArray &rows);
-    void takeLoad(const VmId &speaker, const DataCentreId &dataCentre, const QCborArray &row);
+    void takeLoad(const VmId &origin, const DataCentreId &dataCentre, const QCborArray &row);
     void take(const Peer &peer, const QCborArray &body);
 
     TimerService &m_timers;
--- a/src/relay/Peer.h
+++ b/src/relay/Peer.h
@@ -20,7 +20,7 @@
     MonotonicTime heard;
     /// Version of the configuration that it has.
     qint64 version = 0;
-    /// It is about to end and speaks for nobody any more.
+    /// It is about to end and represents nobody any more.
     bool isDraining = false;
 };
 
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -30,7 +30,7 @@
     Leaving,
     /// A copy of a generation from one engine to another that was ordered.
     Copy,
-    /// A daemon that speaks for its data centre.
+    /// A daemon that represents its data centre.
     Head,
     /// A message of another data centre that its head hands to the rest.
     PassedOn,
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -18,21 +18,21 @@
 
 namespace {
 
-/// Each renewal is a call. A daemon that died without a word is listed for this long, and messages
-/// to it are lost meanwhile; whoever expects messages of it forgets it after KeepSilent.
+/// Each renewal is a call. A daemon that died without notice is listed for this long, and messages
+/// to it are lost meanwhile; daemons that expect messages of it forget it after KeepSilent.
 constexpr Milliseconds LeaseTime{120000};
 constexpr Milliseconds RenewEvery{40000};
 constexpr Milliseconds RetryAfterFailure{1000};
 constexpr Milliseconds LongestRetry{4000};
 constexpr Milliseconds CallTimeout{1500};
 /// All daemons of a fleet start within a second, and a list may be as old as some seconds; after
-/// that few come and go, and those that come greet the daemons that they find listed.
+/// that few come and go, and those that come send a hello to the daemons listed.
 constexpr Milliseconds FirstList{1500};
 constexpr Milliseconds SecondList{4000};
 constexpr Milliseconds ListEvery{60000};
 /// Kept after it was last listed or heard: two lists that failed.
 constexpr Milliseconds KeepUnseen{150000};
-/// Kept though nothing is heard, where daemons speak to each other.
+/// Kept though nothing is heard, where daemons exchange messages.
 constexpr Milliseconds KeepSilent{30000};
 /// Daemons speak at least each 1.5 s.
 constexpr Milliseconds SilentAfter{4000};
@@ -210,7 +210,7 @@
     const auto known = m_peers.find(peer.vm);
     if (known != m_peers.end())
         known->heard = m_timers.now();
-    // The greeting is answered, so that both know of each other at once.
+    // The hello is answered, so that both know of each other at once.
     if (isNewNearby && m_joinedNearby)
         m_joinedNearby({peer});
 }
@@ -266,9 +266,9 @@
 bool PeerDirectory::isGone(const Peer &peer) const
 {
     const MonotonicTime now = m_timers.now();
-    const bool speaksToUs = peer.dataCentre == m_self.dataCentre || m_peers.size() <= SmallFleet;
+    const bool sendsToUs = peer.dataCentre == m_self.dataCentre || m_peers.size() <= SmallFleet;
     return now - peer.seen > KeepUnseen
-        || (speaksToUs && now - std::max(peer.heard, peer.since) > KeepSilent);
+        || (sendsToUs && now - std::max(peer.heard, peer.since) > KeepSilent);
 }
 
 QList<Peer> PeerDirectory::peers() const
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -44,7 +44,7 @@
     {
         m_joinedNearby = std::move(callback);
     }
-    /// This daemon is about to end; others speak for its data centre from now on.
+    /// This daemon is about to end; others represent its data centre from now on.
     void drain();
     /// Gives the own key up, as this daemon is about to end.
     void leave();
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -144,7 +144,7 @@
     parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
     parts.peers.onJoinedNearby([this](const QList<Peer> &joined) {
         // They learn of this daemon at once, and not with their next list.
-        m_parts->loads.greet(joined);
+        m_parts->loads.sendHello(joined);
     });
     parts.loads.setHasEngine(
         [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -47,14 +47,14 @@
 constexpr Milliseconds FeedHolds{1000};
 /// A head that the store turned away follows others for so long before it tries again.
 constexpr Milliseconds TurnedAwayHolds{4000};
-/// What the speakers have and do not hand over within this time is read from the store: a new
+/// What the sources have and do not send within this time is read from the store: a new
 /// configuration must be in force within two seconds in the fleets with the least time.
 constexpr Milliseconds PeersMayTake{900};
 /// A daemon that starts reads more targets than this from the store and not from another daemon:
 /// 500 are some 120 KB, and the heads' links carry 20 Mbit/s where the store's carries 1,000.
 constexpr qint64 MostAsked = 500;
 /// After a start others may have all that a daemon needs: heads are known once the list is read
-/// and greetings were answered, and feed within a heartbeat. If nobody does, all were killed
+/// and hellos were answered, and feed within a heartbeat. If nobody does, all were killed
 /// together, and each reads the store itself.
 constexpr Milliseconds HeadStartWait{350};
 constexpr Milliseconds StartWait{600};
@@ -134,15 +134,15 @@
     return receivers;
 }
 
-bool StoreFeed::hears(const Speaker &speaker) const
+bool StoreFeed::isRecent(const Source &source) const
 {
-    return m_parts.timers.now() - speaker.heard < FeedHolds;
+    return m_parts.timers.now() - source.heard < FeedHolds;
 }
 
 int StoreFeed::count(FeedStanding standing) const
 {
-    return int(std::count_if(m_speakers.cbegin(), m_speakers.cend(), [&](const Speaker &speaker) {
-        return speaker.standing == standing && hears(speaker);
+    return int(std::count_if(m_sources.cbegin(), m_sources.cend(), [&](const Source &source) {
+        return source.standing == standing && isRecent(source);
     }));
 }
 
@@ -152,11 +152,11 @@
     view.hasGroup = m_hasGroup;
     view.rankInGroup = m_rankInGroup;
     view.isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
-    for (const Speaker &speaker : m_speakers) {
-        if (speaker.standing != FeedStanding::Watches || !hears(speaker))
+    for (const Source &source : m_sources) {
+        if (source.standing != FeedStanding::Watches || !isRecent(source))
             continue;
         ++view.watchers;
-        if (m_parts.peers.isBefore(speaker.peer))
+        if (m_parts.peers.isBefore(source.peer))
             ++view.watchersBefore;
     }
     return view;
@@ -261,14 +261,14 @@
     // One that lost a message asks the store, where that is a small answer.
     const bool isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
     const bool needsAll = !m_parts.entries.hasRead() && m_entriesElsewhere <= MostAsked;
-    return (needsAll || isTurnedAway) && ask(speakers(), m_entriesMissing);
+    return (needsAll || isTurnedAway) && ask(sources(), m_entriesMissing);
 }
 
 bool StoreFeed::askForConfiguration()
 {
     // All daemons of a data centre need it at once, and their heads alone took 1.1 s to answer 60;
     // each one that has it answers others.
-    QList<Peer> known = speakers();
+    QList<Peer> known = sources();
     for (const Peer &peer : m_parts.peers.peersNearby()) {
         if (m_parts.peers.isHeard(peer) && peer.version > m_version())
             known.append(peer);
@@ -276,12 +276,12 @@
     return ask(known, m_configurationMissing);
 }
 
-QList<Peer> StoreFeed::speakers() const
+QList<Peer> StoreFeed::sources() const
 {
     QList<Peer> known;
-    for (const Speaker &speaker : m_speakers) {
-        if (speaker.standing != FeedStanding::Away && hears(speaker))
-            known.append(speaker.peer);
+    for (const Source &source : m_sources) {
+        if (source.standing != FeedStanding::Away && isRecent(source))
+            known.append(source.peer);
     }
     return known;
 }
@@ -320,9 +320,9 @@
         return;
     }
     if (from.isDraining)
-        m_speakers.remove(from.vm);
+        m_sources.remove(from.vm);
     else
-        m_speakers.insert(from.vm, {from, message->standing, m_parts.timers.now()});
+        m_sources.insert(from.vm, {from, message->standing, m_parts.timers.now()});
     if (message->standing != FeedStanding::Away && isFed()) {
         m_entriesElsewhere = message->targets;
         takeEntries(from, *message);
@@ -358,7 +358,7 @@
 
 void StoreFeed::takeConfiguration(Revision newest)
 {
-    // It is too long for a datagram; whoever lacks it asks.
+    // It is too long for a datagram; a daemon that lacks it asks.
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::Items;
     answer.asOf = newest;
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -57,7 +57,7 @@
     Milliseconds longestBackoff() const;
 
 private:
-    struct Speaker {
+    struct Source {
         Peer peer;
         FeedStanding standing = FeedStanding::Away;
         MonotonicTime heard;
@@ -72,7 +72,7 @@
     Group group() const;
     QList<Peer> receivers(bool hasItems) const;
     FeedView view() const;
-    bool hears(const Speaker &speaker) const;
+    bool isRecent(const Source &source) const;
     int count(FeedStanding standing) const;
     FeedStanding standing() const;
     bool isFed() const;
@@ -87,7 +87,7 @@
     bool askForEntries();
     bool askForConfiguration();
     /// The daemons that feed this one.
-    QList<Peer> speakers() const;
+    QList<Peer> sources() const;
     bool ask(const QList<Peer> &known, MonotonicTime &missingSince);
     void heartbeat();
     void sendItems(const QList<StoreItem> &items, Revision base, Revision upTo);
@@ -107,13 +107,13 @@
     /// Of the group; looked up with each heartbeat.
     bool m_hasGroup = false;
     int m_rankInGroup = 0;
-    /// Since when the speakers have something that this daemon lacks; unset if it lacks nothing.
+    /// Since when the sources have something that this daemon lacks; unset if it lacks nothing.
     MonotonicTime m_entriesMissing;
     qint64 m_entriesElsewhere = 0;
     /// The last heartbeat was ahead of what is here.
     bool m_wasBehind = false;
     MonotonicTime m_configurationMissing;
-    QHash<VmId, Speaker> m_speakers;
+    QHash<VmId, Source> m_sources;
     std::unique_ptr<TimerSubscription> m_timer;
 };
 
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -305,7 +305,7 @@
     }
     if (m_state != State::Fed || isFed)
         return;
-    // Whoever watched for this daemon is gone, or the store is: the own watch will tell.
+    // The daemons that watched for this one are gone, or the store is: the own watch will tell.
     if (m_isCurrent)
         noteAway("feed");
     if (m_feed.holdsBack())
--- a/test/correctness/LoadExchange.cpp
+++ b/test/correctness/LoadExchange.cpp
@@ -64,7 +64,7 @@
     }));
 }
 
-// The head that passed messages on was killed. Another daemon speaks for the data centre after
+// The head that passed messages on was killed. Another daemon represents the data centre after
 // that, and what is placed reaches it again.
 BOOST_AUTO_TEST_CASE(AnotherHeadTakesOver)
 {
