Relay: data centres that the operator evacuates get no new work

The mirror of the configuration follows all that the operator writes, so that evacuations come by the same watches, feed and answers of peers as configurations do, without a further call. They go forward by the store's revision; the newest revision counts removals too, or fed daemons would not hear of an evacuation that was taken back. Choice of targets, moves, backups and reservations leave such targets out; streams there go on. Where all targets of a service are evacuated a request is refused at once. A generation that was stopped at an evacuated engine and found no room elsewhere is not started there again: that would be new work.

Ruled out: a mirror of its own (one more watch a watcher), an entry in each target's record (lost with targets that start in the middle).

--- a/src/relay/GenerationBackup.cpp
+++ b/src/relay/GenerationBackup.cpp
@@ -20,8 +20,7 @@
 
 bool GenerationBackup::isUsable() const
 {
-    const TargetRecord *record = m_targets.find(m_holder);
-    return record && !record->isLeaving && !record->isWithheld;
+    return m_targets.takesWork(m_holder);
 }
 
 } // namespace cranberry
--- a/src/relay/GenerationBackup.h
+++ b/src/relay/GenerationBackup.h
@@ -26,7 +26,7 @@
 
     const TargetId &holder() const { return m_holder; }
     const HttpEndpoint &endpoint() const { return m_endpoint; }
-    /// The holder is there and stays.
+    /// The holder is there, stays, and may be sent work.
     bool isUsable() const;
 
 private:
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -96,7 +96,7 @@
               [this] { return distanceCosts(*this); },
               [this] { return entries.hasSource(); }}
     , configuration(timers, client, given.store, protocols.store, counters,
-                    protocols.store.configurationKey)
+                    protocols.store.operatorPrefix)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , targetEntries(protocols.store, targets, counters)
     , peerState(timers, client, peers, configuration, entries)
@@ -126,7 +126,8 @@
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
         mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
     parts.configuration.setCallbacks(
-        {[this](const StoreItem &item) { configurationRead(item.value); }, [](const QString &) {}});
+        {[this](const StoreItem &item) { operatorWrote(item.key, item.value); },
+         [this](const QString &key) { setEvacuated(key, false); }});
     parts.entries.setCallbacks(
         {[this](const StoreItem &item) { m_parts->targetEntries.put(item.key, item.value); },
          [this](const QString &key) { m_parts->targetEntries.removed(key); }});
@@ -236,6 +237,26 @@
         reply->send({StatusNotFound, {}, {}});
 }
 
+void RelayDaemon::operatorWrote(const QString &key, const QByteArray &value)
+{
+    if (key == m_parts->protocols.store.configurationKey)
+        configurationRead(value);
+    else
+        setEvacuated(key, true);
+}
+
+void RelayDaemon::setEvacuated(const QString &key, bool isEvacuated)
+{
+    const auto dataCentre = m_parts->protocols.store.evacuatedDataCentre(key);
+    if (!dataCentre)
+        return;
+    logEvent(LogLevel::Info,
+             isEvacuated ? EventId::EvacuationInForce : EventId::EvacuationEnded,
+             {{"data_centre", dataCentre->text()},
+              {"revision", QString::number(m_parts->configuration.newest().value())}});
+    m_parts->targets.setEvacuated(*dataCentre, isEvacuated);
+}
+
 void RelayDaemon::configurationRead(const QByteArray &value)
 {
     const Result<RelayConfiguration> read = m_parts->protocols.store.readConfiguration(value);
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -33,6 +33,8 @@
 
 private:
     void readiness(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
+    void operatorWrote(const QString &key, const QByteArray &value);
+    void setEvacuated(const QString &key, bool isEvacuated);
     void configurationRead(const QByteArray &value);
     bool isReady() const;
     void finishDrainWhenIdle();
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -47,6 +47,7 @@
     TargetNews news;
     CrashGuard crashes;
     RelayContext context;
+    /// All that the operator wrote: the configuration and evacuations.
     StoreMirror configuration;
     StoreMirror entries;
     TargetEntries targetEntries;
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -152,6 +152,7 @@
     void moveLater(const QString &reason, Milliseconds wait);
     void endReservation();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
+    void resumeAtSource(const CopyReference &copy);
     void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
     void streamLost(const QString &reason);
 
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -137,6 +137,7 @@
     GenerationMove::Callbacks callbacks;
     callbacks.stopping = [this] {
         if (m_phase != Phase::Sent || m_isDestinationLost
+            || !m_context.targets.takesWork(m_moveDestination)
             || !m_context.retries.take(m_task.service, m_context.timers.now(), 0))
             return false;
         m_phase = Phase::Moving;
@@ -186,7 +187,7 @@
         resume(m_moveDestinationEndpoint, m_moveDestination, copy);
     } else if (isHeld && (isCopied || outcome.kind == MoveOutcome::Kind::NoRoom)) {
         // The generation is stopped and only its source has it.
-        resume(m_endpoint, m_target, copy);
+        resumeAtSource(copy);
     } else {
         // It had ended, or the order was not heard: the stream itself tells.
         m_phase = Phase::Sent;
@@ -197,6 +198,16 @@
     }
 }
 
+void RelayRun::resumeAtSource(const CopyReference &copy)
+{
+    const TargetRecord *source = m_context.targets.find(m_target);
+    // Going on there would be new work for a data centre that is to get none.
+    if (source && m_context.targets.isEvacuated(source->entry.dataCentre))
+        streamLost(QStringLiteral("no copy elsewhere, and the data centre is evacuated"));
+    else
+        resume(m_endpoint, m_target, copy);
+}
+
 void RelayRun::refusedBy(const TargetId &destination)
 {
     m_context.targets.markFull(destination);
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -163,7 +163,7 @@
 {
     const TargetRecord *record = m_context.targets.find(m_target);
     const bool isGranted = outcome.kind == ReservationOutcome::Kind::Granted;
-    if (isGranted && record && !record->isLeaving) {
+    if (isGranted && record && m_context.targets.takesWork(m_target)) {
         send(*record, m_reservationLoad);
         return;
     }
@@ -203,6 +203,11 @@
 
 void RelayRun::waitForRoom()
 {
+    // The operator decides when that ends; waiting out the caller's time would not help it.
+    if (m_context.targets.isEvacuated(m_task.service)) {
+        fail(ErrorKind::NoTarget, QStringLiteral("the data centres of all targets are evacuated"));
+        return;
+    }
     m_phase = Phase::Waiting;
     logEvent(LogLevel::Info, EventId::RelayWaiting,
              {{"request", m_task.request.id.text()},
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -147,7 +147,7 @@
     const QList<QString> known = m_items.keys();
     for (const QString &key : known) {
         if (!read.contains(key))
-            removeLater(key);
+            removed(key, m_readAt);
     }
     for (const StoreItem &item : read)
         put(item);
@@ -205,7 +205,7 @@
 {
     for (const StoreItem &item : answer.items) {
         if (item.isRemoved)
-            removeLater(item.key);
+            removed(item.key, item.revision);
         else
             put(item);
     }
@@ -220,14 +220,6 @@
     read();
 }
 
-Revision StoreMirror::newest() const
-{
-    Revision newest;
-    for (const StoreItem &item : m_items)
-        newest = std::max(newest, item.revision);
-    return newest;
-}
-
 bool StoreMirror::fed(const StoreAnswer &answer, Revision base)
 {
     // What the store does not tell this daemon others do.
@@ -347,9 +339,17 @@
     if (known != m_items.cend() && known->revision >= item.revision)
         return;
     m_items.insert(item.key, item);
+    m_newest = std::max(m_newest, item.revision);
     m_callbacks.put(item);
 }
 
+void StoreMirror::removed(const QString &key, Revision revision)
+{
+    if (m_items.contains(key))
+        m_newest = std::max(m_newest, revision);
+    removeLater(key);
+}
+
 void StoreMirror::removeLater(const QString &key)
 {
     if (!m_items.contains(key))
@@ -394,7 +394,7 @@
     const QList<QString> known = m_items.keys();
     for (const QString &key : known) {
         if (!keys.contains(key))
-            removeLater(key);
+            removed(key, revision);
     }
     m_revision = revision;
     m_hasRead = true;
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -92,8 +92,9 @@
     bool hasSome() const { return m_hasRead || !m_items.isEmpty(); }
     const QHash<QString, StoreItem> &items() const { return m_items; }
     Revision revision() const { return m_revision; }
-    /// The latest change of a key that is there.
-    Revision newest() const;
+    /// The latest change of a key, removals included; of a removal that no watch showed, the
+    /// revision of the read that found it.
+    Revision newest() const { return m_newest; }
     /// Takes in what another daemon holds at @p revision, if it is newer: what @p changed since
     /// revision() and the @p keys that are left.
     void takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys, Revision revision);
@@ -128,6 +129,8 @@
     void doubtIfAway();
     void again(Milliseconds delay);
     void put(const StoreItem &item);
+    /// @p revision: at which it was removed, or found to be gone.
+    void removed(const QString &key, Revision revision);
     void removeLater(const QString &key);
     void removeMissing();
     void call(const HttpRequest &request, Milliseconds timeout,
@@ -152,6 +155,7 @@
     QString m_readUpTo;
     MonotonicTime m_readBegan;
     Revision m_revision;
+    Revision m_newest;
     Revision m_readAt;
     bool m_isCurrent = false;
     /// The loss of the store was logged.
--- a/src/relay/StoreProtocol.h
+++ b/src/relay/StoreProtocol.h
@@ -10,6 +10,7 @@
 #include "relay/StoreAnswer.h"
 
 #include <functional>
+#include <optional>
 
 namespace cranberry {
 
@@ -28,10 +29,14 @@
     std::function<HttpRequest(LeaseId lease)> endLease;
     /// Writes a key that vanishes with @p lease, whatever it held before.
     std::function<HttpRequest(const QString &key, const QByteArray &value, LeaseId lease)> writeKey;
+    /// All keys that the operator writes begin with it.
+    QString operatorPrefix;
     /// Keys under which configuration and targets stand.
     QString configurationKey;
     QString targetPrefix;
     std::function<Result<RelayConfiguration>(const QByteArray &value)> readConfiguration;
+    /// The data centre that is evacuated as long as @p key is there; none for other keys.
+    std::function<std::optional<DataCentreId>(const QString &key)> evacuatedDataCentre;
     std::function<Result<RelayTarget>(const QString &key, const QByteArray &value)> readTarget;
 };
 
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -196,11 +196,46 @@
     return known == m_targets.cend() ? nullptr : &*known;
 }
 
+void TargetDirectory::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated)
+{
+    if (isEvacuated) {
+        m_evacuated.insert(dataCentre);
+        return;
+    }
+    if (m_evacuated.remove(dataCentre))
+        roomChanged();
+}
+
+bool TargetDirectory::takesWork(const TargetRecord &record) const
+{
+    return !record.isLeaving && !record.isWithheld
+        && !m_evacuated.contains(record.entry.dataCentre);
+}
+
+bool TargetDirectory::takesWork(const TargetId &target) const
+{
+    const TargetRecord *record = find(target);
+    return record && takesWork(*record);
+}
+
+bool TargetDirectory::isEvacuated(const ServiceId &service) const
+{
+    bool isAnyEvacuated = false;
+    for (const TargetRecord &record : m_targets) {
+        if (record.entry.service != service || record.isLeaving || record.isWithheld)
+            continue;
+        if (takesWork(record))
+            return false;
+        isAnyEvacuated = true;
+    }
+    return isAnyEvacuated;
+}
+
 QList<const TargetRecord *> TargetDirectory::takingWork(const ServiceId &service) const
 {
     QList<const TargetRecord *> targets;
     for (const TargetRecord &record : m_targets) {
-        if (record.entry.service == service && !record.isLeaving && !record.isWithheld)
+        if (record.entry.service == service && takesWork(record))
             targets.append(&record);
     }
     return targets;
@@ -295,8 +330,8 @@
 {
     QList<TargetId> ids;
     for (const TargetRecord &record : m_targets) {
-        const bool takesWork = !record.isLeaving && !record.isWithheld;
-        if (takesWork && record.entry.dataCentre == dataCentre && hasEngine(record.entry.service))
+        const bool isThere = record.entry.dataCentre == dataCentre;
+        if (isThere && takesWork(record) && hasEngine(record.entry.service))
             ids.append(record.entry.id);
     }
     return ids;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -6,6 +6,7 @@
 #include <QHash>
 #include <QList>
 #include <QMap>
+#include <QSet>
 
 #include <functional>
 #include <memory>
@@ -46,6 +47,18 @@
 
     /// Null if it is not known.
     const TargetRecord *find(const TargetId &target) const;
+    /// The operator wants nothing more to be sent to the targets of @p dataCentre, or takes that
+    /// back. What runs there goes on.
+    void setEvacuated(const DataCentreId &dataCentre, bool isEvacuated);
+    /// @p target is there, stays, and its data centre is not evacuated.
+    bool takesWork(const TargetId &target) const;
+    bool isEvacuated(const DataCentreId &dataCentre) const
+    {
+        return m_evacuated.contains(dataCentre);
+    }
+    qsizetype evacuatedDataCentres() const { return m_evacuated.size(); }
+    /// All targets of @p service that could take work are in evacuated data centres.
+    bool isEvacuated(const ServiceId &service) const;
     /// Targets of @p service that take new work, in the order of their ids.
     QList<const TargetRecord *> takingWork(const ServiceId &service) const;
     int count(const ServiceId &service) const;
@@ -100,6 +113,7 @@
     void onOwnLoad(OwnLoadCallback callback) { m_ownLoad = std::move(callback); }
 
 private:
+    bool takesWork(const TargetRecord &record) const;
     void leaving(TargetRecord &record, Milliseconds left, const char *source);
     void dropIfUnused(const TargetId &target);
     void roomChanged();
@@ -119,6 +133,7 @@
     ChangedCallback m_room;
     OwnLoadCallback m_ownLoad;
     QHash<TargetId, bool> m_removed;
+    QSet<DataCentreId> m_evacuated;
 };
 
 } // namespace cranberry
--- a/test/failure/PlatformFeed.cpp
+++ b/test/failure/PlatformFeed.cpp
@@ -87,12 +87,12 @@
         return found;
     };
     BOOST_TEST(test::waitFor([&] { return fed() == Daemons - 2; }));
-    const int reads = site.store().reads("op/config");
+    const int reads = site.store().reads("op/");
     site.configure(2, true);
     BOOST_TEST(allAnswer("/extra/a", 200));
     // One whose question a busy peer does not answer in 0.9 s reads the store, and may; without
     // peers all five would.
-    BOOST_TEST(site.store().reads("op/config") - reads < Daemons - 2);
+    BOOST_TEST(site.store().reads("op/") - reads < Daemons - 2);
 }
 
 // Both watchers were killed and a route was added in that moment: the others miss them, two of
@@ -176,7 +176,7 @@
 {
     constexpr int MostWait = 1000;
     BOOST_TEST(test::waitFor([&] {
-        const int wait = site.store().lastWait("op/config");
+        const int wait = site.store().lastWait("op/");
         return wait > 0 && wait <= MostWait;
     }));
     const int watches = site.store().calls("/v1/kv-watch");
@@ -190,10 +190,10 @@
 // A daemon that starts among others is told all by them and reads nothing from the store.
 BOOST_FIXTURE_TEST_CASE(NewcomerLearnsFromOthers, Fixture)
 {
-    const int configurations = site.store().reads("op/config");
+    const int configurations = site.store().reads("op/");
     const int entries = site.store().reads("servers/");
     const int newcomer = site.startDaemon();
     BOOST_TEST(site.call(newcomer, "GET", "/safe/a", "n1")->response.status == 200);
-    BOOST_TEST(site.store().reads("op/config") == configurations);
+    BOOST_TEST(site.store().reads("op/") == configurations);
     BOOST_TEST(site.store().reads("servers/") == entries);
 }
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -47,7 +47,7 @@
 {
     QJsonObject json{{"service", QString::fromLatin1(service)},
                      {"address", QString::fromLatin1(address())},
-                     {"zone", "hall"},
+                     {"zone", m_dataCentre},
                      {"slots", 8},
                      {"state", QString::fromLatin1(state)},
                      {"coldLeftMs", 0}};
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -32,6 +32,8 @@
     /// Its entry in the store.
     QByteArray entry(const QByteArray &service, const QByteArray &state = "ready") const;
 
+    /// The data centre that its entry names.
+    void setDataCentre(const QString &name) { m_dataCentre = name; }
     /// Events of a generation and the time between two.
     void setGeneration(int events, Milliseconds interval);
     /// Generations for which it grants room at a time, running ones included.
@@ -76,6 +78,7 @@
     bool takeReservation(const HttpRequest &request);
 
     QByteArray m_id;
+    QString m_dataCentre = QStringLiteral("hall");
     std::optional<qint64> m_born;
     QtTimerService m_timers;
     HttpEndpoint m_endpoint;
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -38,9 +38,11 @@
     }
 }
 
-standin::RunnerEmulator &PlatformSite::addRunner(const QByteArray &id, const QByteArray &service)
+standin::RunnerEmulator &PlatformSite::addRunner(const QByteArray &id, const QByteArray &service,
+                                                 const QString &dataCentre)
 {
     m_runners.push_back(std::make_unique<standin::RunnerEmulator>(id));
+    m_runners.back()->setDataCentre(dataCentre);
     announce(*m_runners.back(), service, "ready");
     return *m_runners.back();
 }
@@ -52,6 +54,12 @@
                 runner.entry(service, state));
 }
 
+void PlatformSite::evacuate(const QString &dataCentre, bool isEvacuated)
+{
+    const QString key = QStringLiteral("op/evacuate/") + dataCentre;
+    isEvacuated ? m_store.put(key, "{}") : m_store.remove(key);
+}
+
 void PlatformSite::configure(int version, bool extraRoute)
 {
     QJsonArray routes{route("model", "streaming", "model"), route("safe", "safe", "plain"),
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -34,12 +34,15 @@
     standin::StoreEmulator &store() { return m_store; }
 
     /// Adds a runner of "model" (generations) or "plain" and its entry.
-    standin::RunnerEmulator &addRunner(const QByteArray &id, const QByteArray &service);
+    standin::RunnerEmulator &addRunner(const QByteArray &id, const QByteArray &service,
+                                       const QString &dataCentre = QStringLiteral("hall"));
     void announce(const standin::RunnerEmulator &runner, const QByteArray &service,
                   const QByteArray &state);
     /// Writes a configuration with the routes /model/, /safe/ and /unsafe/ and the key "key".
     /// @p extraRoute: also /extra/, to the plain service.
     void configure(int version, bool extraRoute = false);
+    /// The operator evacuates a data centre, or takes that back.
+    void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Starts a daemon and waits until it is ready; returns its number.
     /// Throws std::runtime_error if that takes longer than @p limit; the daemon stays.
     int startDaemon(std::chrono::milliseconds limit = std::chrono::seconds(30),
