Relay: all daemons together keep under what a cold target bears

Each daemon sends an equal part, by the number of daemons, beginning at a moment of its own drawn from that part's pace. Targets of a data centre whose evacuation ends count as cold until they can have said so themselves.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -39,6 +39,7 @@
     X(ConfigurationInForce, 1503, "configuration.in_force")                                        \
     X(PlatformDown, 1504, "platform.down")                                                         \
     X(PlatformBack, 1505, "platform.back")                                                         \
+    X(TargetCold, 1216, "target.cold")                                                             \
     X(EvacuationInForce, 1509, "evacuation.in_force")                                              \
     X(EvacuationEnded, 1510, "evacuation.ended")                                                   \
     X(MemberJoined, 1601, "member.joined")                                                         \
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -3,6 +3,7 @@
 #include "base/EventLog.h"
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
+#include "relay/ColdPace.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelayParts.h"
 
@@ -30,6 +31,8 @@
 constexpr double UnknownPenalty = 1;
 /// Fleets up to this size have few engines: about 1.5 for a daemon.
 constexpr int FewDaemons = 40;
+/// Taken for the size of the fleet by a daemon that has not been told it: as large as fleets are.
+constexpr int UnlistedFleet = 770;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -54,6 +57,15 @@
     return configuration && configuration->services.value(service).engine.has_value();
 }
 
+Milliseconds coldPaceOf(const RelayParts &parts, const ServiceId &service)
+{
+    const auto &configuration = parts.gateway.configuration();
+    const double perSecond =
+        configuration ? configuration->services.value(service).coldPerSecond : 0;
+    return coldPace(perSecond,
+                    parts.peers.hasListed() ? parts.peers.fleetSize() : UnlistedFleet);
+}
+
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
 {
     Error error;
@@ -151,6 +163,8 @@
         [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
     parts.targets.onOwnLoad(
         [this](const TargetId &target, bool isMore) { m_parts->loads.changed(target, isMore); });
+    parts.targets.setColdPace(
+        [this](const ServiceId &service) { return coldPaceOf(*m_parts, service); });
     parts.targets.onCrashed(
         [this](const TargetId &target) { m_parts->crashes.targetGone(target); });
     parts.targets.onRoom([this] { m_parts->waiting.roomChanged(); });
--- a/src/relay/RelayService.h
+++ b/src/relay/RelayService.h
@@ -12,6 +12,8 @@
     ServiceId id;
     /// Set where its targets are engines that generate.
     std::optional<EngineTraits> engine;
+    /// Requests a second that a target bears that has just started; zero if it bears any number.
+    double coldPerSecond = 0;
 };
 
 } // namespace cranberry
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -92,11 +92,6 @@
     return double(target.ownRunning + 1) / std::max(target.entry.slots, 1);
 }
 
-bool isCold(const TargetRecord &target, MonotonicTime now)
-{
-    return now - target.since < target.entry.coldLeft;
-}
-
 double distanceCost(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
     const DataCentreId &place = target.entry.dataCentre;
@@ -113,7 +108,7 @@
     if (need.engine)
         value += readingDelay(target, now);
     value += distanceCost(target, need, now);
-    if (isCold(target, now))
+    if (target.isCold(now))
         value += ColdPenalty;
     return value + Jitter * QRandomGenerator::global()->generateDouble();
 }
@@ -121,6 +116,8 @@
 /// Whether the request may go there at all, whatever the others' scores are.
 bool hasRoom(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
+    if (target.isPaced(now) && target.coldSendAfter > now)
+        return false;
     if (!need.engine)
         return true;
     if (target.fullUntil > now)
@@ -130,7 +127,7 @@
     if (target.spreadUntil > now)
         return false;
     const double before = knownLoad(target, now).unread;
-    const double slowness = isCold(target, now) ? ColdSlowness : 1;
+    const double slowness = target.isCold(now) ? ColdSlowness : 1;
     const double unread = before + double(need.prompt.value());
     return unread * slowness <= double(need.readable->value());
 }
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -3,6 +3,7 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/ColdPace.h"
 
 #include <QRandomGenerator>
 
@@ -31,6 +32,10 @@
 /// to 0.2 s to arrive.
 constexpr Milliseconds LeastNotice{1300};
 
+/// Targets of a data centre that was evacuated may have started again just before that ends, and
+/// say so with their next heartbeat, which is up to 1.2 s and a change of the store away.
+constexpr Milliseconds ReturnsCold{2500};
+
 Milliseconds spreadDelay()
 {
     const double part = QRandomGenerator::global()->generateDouble();
@@ -63,9 +68,9 @@
     if (known == m_targets.end()) {
         TargetRecord record;
         record.entry = entry;
-        record.since = m_timers.now();
         record.isLeaving = entry.isLeaving;
-        record.spreadUntil = record.since + spreadDelay();
+        record.spreadUntil = m_timers.now() + spreadDelay();
+        noteCold(record);
         m_targets.insert(entry.id, record);
         logTarget(EventId::TargetJoined, record, entry.isLeaving ? "leaving" : "ready");
         roomChanged();
@@ -76,12 +81,42 @@
     const bool wasWithheld = std::exchange(known->isWithheld, false);
     known->entry = entry;
     known->entry.isLeaving = entry.isLeaving || known->isLeaving;
+    noteCold(*known);
     if (entry.isLeaving)
         markLeaving(entry.id, "entry");
     else if (wasWithheld)
         roomChanged();
 }
 
+void TargetDirectory::noteCold(TargetRecord &record)
+{
+    const MonotonicTime now = m_timers.now();
+    const bool wasCold = record.isCold(now);
+    const Milliseconds left = record.entry.coldLeft;
+    record.coldUntil = left.count() > 0 ? now + left : std::min(record.coldUntil, now);
+    // It may become cold at any time, not only when it joins.
+    if (record.isCold(now) && !wasCold)
+        beginPace(record, "entry");
+}
+
+void TargetDirectory::beginPace(TargetRecord &record, const char *reason)
+{
+    const Milliseconds pace = m_coldPace(record.entry.service);
+    if (pace.count() == 0)
+        return;
+    const MonotonicTime now = m_timers.now();
+    record.coldSendAfter =
+        now + firstColdDelay(pace, QRandomGenerator::global()->generateDouble());
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        std::max(record.coldUntil, record.maybeColdUntil) - now);
+    logEvent(LogLevel::Info, EventId::TargetCold,
+             {{"target", record.entry.id.text()},
+              {"reason", QLatin1String(reason)},
+              {"left_ms", QString::number(left.count())},
+              {"pace_ms", QString::number(pace.count())}});
+    tellRoomAt(record.coldSendAfter);
+}
+
 void TargetDirectory::startedAgain(const TargetId &target)
 {
     const auto known = m_targets.find(target);
@@ -157,8 +192,9 @@
 {
     const MonotonicTime now = m_timers.now();
     for (const TargetRecord &record : std::as_const(m_targets)) {
-        const MonotonicTime isWarm = record.since + record.entry.coldLeft;
-        for (const MonotonicTime due : {record.fullUntil, record.spreadUntil, isWarm}) {
+        const MonotonicTime mayBeSent = record.isPaced(now) ? record.coldSendAfter : now;
+        for (const MonotonicTime due :
+             {record.fullUntil, record.spreadUntil, record.coldUntil, mayBeSent}) {
             if (due > now)
                 tellRoomAt(due);
         }
@@ -202,8 +238,15 @@
         m_evacuated.insert(dataCentre);
         return;
     }
-    if (m_evacuated.remove(dataCentre))
-        roomChanged();
+    if (!m_evacuated.remove(dataCentre))
+        return;
+    for (TargetRecord &record : m_targets) {
+        if (record.entry.dataCentre != dataCentre)
+            continue;
+        record.maybeColdUntil = m_timers.now() + ReturnsCold;
+        beginPace(record, "evacuation ended");
+    }
+    roomChanged();
 }
 
 bool TargetDirectory::takesWork(const TargetRecord &record) const
@@ -252,6 +295,9 @@
     const auto known = m_targets.find(target);
     if (known == m_targets.end())
         return;
+    const MonotonicTime now = m_timers.now();
+    if (known->isPaced(now))
+        known->coldSendAfter = now + m_coldPace(known->entry.service);
     ++known->ownRunning;
     known->ownTokens += tokens;
     ++known->placedSince;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -99,6 +99,12 @@
     void failed(const TargetId &target, const char *how);
     void reported(const TargetId &target, const EngineReport &report);
 
+    /// @p pace tells the time between two requests of this daemon to a cold target of a service;
+    /// zero is without limit.
+    void setColdPace(std::function<Milliseconds(const ServiceId &)> pace)
+    {
+        m_coldPace = std::move(pace);
+    }
     /// Called when a target stops to take new work.
     void onLeaving(LeavingCallback callback) { m_leaving = std::move(callback); }
     /// Called when a target says to this daemon, itself or by its entry, that it leaves.
@@ -114,6 +120,8 @@
 
 private:
     bool takesWork(const TargetRecord &record) const;
+    void noteCold(TargetRecord &record);
+    void beginPace(TargetRecord &record, const char *reason);
     void leaving(TargetRecord &record, Milliseconds left, const char *source);
     void dropIfUnused(const TargetId &target);
     void roomChanged();
@@ -134,6 +142,9 @@
     OwnLoadCallback m_ownLoad;
     QHash<TargetId, bool> m_removed;
     QSet<DataCentreId> m_evacuated;
+    std::function<Milliseconds(const ServiceId &)> m_coldPace = [](const ServiceId &) {
+        return Milliseconds(0);
+    };
 };
 
 } // namespace cranberry
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -12,8 +12,17 @@
 namespace cranberry {
 
 struct TargetRecord {
+    bool isCold(MonotonicTime now) const { return now < coldUntil; }
+    /// What is sent there keeps to a pace.
+    bool isPaced(MonotonicTime now) const { return isCold(now) || now < maybeColdUntil; }
+
     RelayTarget entry;
-    MonotonicTime since;
+    /// Slow after a start until then.
+    MonotonicTime coldUntil;
+    /// It may have become cold without having said so yet, until then.
+    MonotonicTime maybeColdUntil;
+    /// While it is or may be cold, this daemon sends it no request before; see coldPace().
+    MonotonicTime coldSendAfter;
     bool isLeaving = false;
     /// Its entry cannot be read; takes no new work meanwhile.
     bool isWithheld = false;
--- a/test/correctness/RelayChoices.cpp
+++ b/test/correctness/RelayChoices.cpp
@@ -182,8 +182,7 @@
     reading.ownUnread = Tokens(3000);
     BOOST_TEST((chooseTarget({&reading}, need, Now).target == &reading));
     // One that has just started reads half as fast.
-    reading.since = Now;
-    reading.entry.coldLeft = 1000ms;
+    reading.coldUntil = Now + 1000ms;
     BOOST_TEST((chooseTarget({&reading}, need, Now).target == nullptr));
 }
 
