Relay: each daemon knows up to when it is certain of the operator's word

Cause: a daemon that others feed can believe itself fed and be stale in many ways; of the last findings each was another one (watchers turned away, deaf watches, a head that lost messages; a daemon that the store turns away asked peers for 0.9 s and then only the store).

A call to the store vouches for the moment at which it was made, the feed and peers pass that on as an age. A daemon whose certainty is older than 0.45 of the bound asks peers each 0.1 s, several at a time; past half of it, at a moment drawn, it reads the store unless it was turned away. Unknown routes and keys are refused for good only by a daemon that is certain. The first watcher's waits are an eighth of the bound; the bound comes from the deployment's settings.

--- /dev/null
+++ b/src/relay/CertaintyPlan.cpp
@@ -0,0 +1,38 @@
+#include "relay/CertaintyPlan.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Parts of the bound. Several questions to peers may get no answer before the store is read.
+constexpr double AskPeersAfter = 0.45;
+constexpr double FirstReadAfter = 0.5;
+constexpr double LastReadAfter = 0.8;
+constexpr double CertainFor = 0.9;
+/// Two waits, a pace and two heartbeats of the feed are to be under AskPeersAfter.
+constexpr double WatchWaitPart = 0.125;
+
+} // namespace
+
+CertaintyStep certaintyStep(const CertaintyView &view)
+{
+    const double age = double(view.age.count());
+    const double bound = double(view.bound.count());
+    if (age < AskPeersAfter * bound)
+        return CertaintyStep::Wait;
+    const double readAfter = FirstReadAfter + (LastReadAfter - FirstReadAfter) * view.draw;
+    const bool readsStore = age >= readAfter * bound && !view.isTurnedAway;
+    return readsStore ? CertaintyStep::ReadStore : CertaintyStep::AskPeer;
+}
+
+bool isCertain(const CertaintyView &view)
+{
+    return double(view.age.count()) < CertainFor * double(view.bound.count());
+}
+
+Milliseconds certaintyWatchWait(Milliseconds bound)
+{
+    return std::chrono::duration_cast<Milliseconds>(WatchWaitPart * bound);
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/CertaintyPlan.h
@@ -0,0 +1,47 @@
+// Defines certaintyStep, what a daemon does to be sure of the operator's newest word in time.
+#pragma once
+
+#include "base/Units.h"
+
+namespace cranberry {
+
+/// The age of what was never certain; longer than any bound.
+constexpr Milliseconds NeverCertain{3'600'000};
+
+/// What a daemon knows of how old its knowledge may be.
+struct CertaintyView {
+    /// Until so long ago all that the operator wrote is here.
+    Milliseconds age = NeverCertain;
+    /// Within this time after its acknowledgement a change is to be in force everywhere.
+    Milliseconds bound{0};
+    /// The store did not serve this daemon a moment ago.
+    bool isTurnedAway = false;
+    /// From 0 to 1, drawn by each daemon anew after each read, so that one of them reads first and
+    /// the others learn from it.
+    double draw = 1;
+};
+
+enum class CertaintyStep {
+    Wait,
+    /// Another daemon may be sure of something newer.
+    AskPeer,
+    ReadStore,
+};
+
+/// A daemon that others feed can believe itself fed and be stale in many ways: the daemons that
+/// watch are turned away or deaf, a link drops one way, the one that passes changes on has itself
+/// missed them. Then a key that was taken away goes on working. Whatever the cause, the daemon sees
+/// by its own clock that nobody vouches for what it has, and asks while there is time left.
+/// Peers go first, as calls to a store that is down for all are wasted. Thread-safe.
+CertaintyStep certaintyStep(const CertaintyView &view);
+
+/// Whether routes and keys that are not known here do not exist: a newer version that has them
+/// need not be in force yet. Thread-safe.
+bool isCertain(const CertaintyView &view);
+
+/// How long a watch waits for a change, so that those who rely on it are sure of what was there
+/// less than half of @p bound ago: a watch vouches for the moment at which it was opened, and the
+/// next one is answered a wait later. Thread-safe.
+Milliseconds certaintyWatchWait(Milliseconds bound);
+
+} // namespace cranberry
--- a/src/relay/FeedMessage.cpp
+++ b/src/relay/FeedMessage.cpp
@@ -68,8 +68,10 @@
 
 QCborArray encodeFeed(const FeedMessage &message)
 {
-    return {int(message.standing), message.base.value(),          message.upTo.value(),
-            packed(message.items), message.configuration.value(), message.targets};
+    return {int(message.standing),         message.base.value(),
+            message.upTo.value(),          packed(message.items),
+            message.configuration.value(), message.targets,
+            qint64(message.configurationAge.count())};
 }
 
 std::optional<FeedMessage> decodeFeed(const QCborArray &body)
@@ -87,6 +89,8 @@
     message.items = *items;
     message.configuration = Revision(body.at(4).toInteger());
     message.targets = body.at(5).toInteger();
+    message.configurationAge = Milliseconds(
+        std::clamp<qint64>(body.at(6).toInteger(NeverCertain.count()), 0, NeverCertain.count()));
     return message;
 }
 
--- a/src/relay/FeedMessage.h
+++ b/src/relay/FeedMessage.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "relay/CertaintyPlan.h"
 #include "relay/StoreItem.h"
 
 #include <QCborArray>
@@ -30,6 +31,8 @@
     QList<StoreItem> items;
     /// The last change of the configuration that the sender has.
     Revision configuration;
+    /// The sender was certain of the configuration up to so long ago.
+    Milliseconds configurationAge = NeverCertain;
     /// Targets that it knows.
     qint64 targets = 0;
 };
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -21,9 +21,9 @@
 
 namespace {
 
-/// A target that leaves is gone about 1.5 s after it says so, and its streams take most of that
-/// to move.
-constexpr Milliseconds AskInterval{250};
+/// A third of those asked may be turned away as well, and links may be cut: of a bound of two
+/// seconds a half is left for questions.
+constexpr Milliseconds AskInterval{100};
 constexpr Milliseconds AskTimeout{400};
 /// When the store is away for all, no other daemon has anything newer; when it turns some away, a
 /// third of the daemons asked has nothing, and a new version must be in force within two seconds.
@@ -44,6 +44,8 @@
 
 const QString ConfigurationField = QStringLiteral("configuration");
 const QString EntriesField = QStringLiteral("entries");
+/// The ms up to which the answering daemon was certain of the configuration.
+const QString AgeField = QStringLiteral("age");
 
 /// The revision; what changed after @p known; the keys that there are. Empty if there is too much
 /// of it for a daemon that has nothing yet: the store tells that faster.
@@ -64,16 +66,15 @@
     return {mirror.revision().value(), changed, keys};
 }
 
-void takeInto(StoreMirror &mirror, const QCborValue &state)
+/// Whether all that the other daemon has is here now.
+bool takeInto(StoreMirror &mirror, const QCborValue &state)
 {
     const QCborArray fields = state.toArray();
     if (fields.isEmpty())
-        return;
+        return false;
     const Revision revision(fields.at(0).toInteger());
-    if (revision <= mirror.revision()) {
-        mirror.confirm();
-        return;
-    }
+    if (revision <= mirror.revision())
+        return mirror.hasRead();
     QList<StoreItem> changed;
     for (const QCborValue entry : fields.at(1).toArray()) {
         const QCborArray item = entry.toArray();
@@ -84,17 +85,20 @@
     for (const QCborValue key : fields.at(2).toArray())
         keys.insert(key.toString());
     mirror.takeFrom(changed, keys, revision);
+    return true;
 }
 
 } // namespace
 
 PeerState::PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-                     StoreMirror &configuration, StoreMirror &entries)
+                     StoreMirror &configuration, StoreMirror &entries,
+                     std::function<CertaintyView()> certainty)
     : m_timers(timers)
     , m_client(client)
     , m_peers(peers)
     , m_configuration(configuration)
     , m_entries(entries)
+    , m_certainty(std::move(certainty))
     , m_timer(timers.every(AskInterval, [this] { askIfAway(); }))
 {
 }
@@ -106,21 +110,24 @@
     // "/state/CONFIGURATION/ENTRIES": the revisions that the other daemon has.
     const QList<QByteArray> parts = request.path.split('/');
     const bool canAnswer = parts.size() == 4 && request.path.startsWith(StatePath)
-        && m_configuration.hasSource() && m_configuration.hasRead() && m_entries.hasSource()
-        && m_entries.hasRead();
+        && m_configuration.hasRead() && m_entries.hasRead();
     if (!canAnswer) {
         reply->send({StatusUnavailable, {}, {}});
         return;
     }
-    const QCborMap state{
+    // What the operator wrote is worth telling however old it is, as its age goes with it.
+    QCborMap state{
         {ConfigurationField, stateOf(m_configuration, Revision(parts.at(2).toLongLong()))},
-        {EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong()))}};
+        {AgeField, qint64(m_certainty().age.count())}};
+    if (m_entries.hasSource())
+        state.insert(EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong())));
     reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, state.toCborValue().toCbor()});
 }
 
 void PeerState::askIfAway()
 {
-    const bool isAway = !m_configuration.hasSource() || !m_entries.hasSource();
+    const bool isUncertain = certaintyStep(m_certainty()) != CertaintyStep::Wait;
+    const bool isAway = isUncertain || !m_configuration.hasSource() || !m_entries.hasSource();
     if (!isAway) {
         m_pause = AskInterval;
         return;
@@ -130,13 +137,21 @@
         peers = m_peers.peers();
     if (peers.isEmpty() || m_timers.now() < m_nextQuestion)
         return;
+    // Those that lately spoke are likelier to answer; a list may name some that have ended.
+    QList<Peer> heard = peers;
+    heard.removeIf([this](const Peer &peer) { return !m_peers.isHeard(peer); });
+    if (!heard.isEmpty())
+        peers = heard;
+    // Nobody is certain any more: the store is away for all, and haste is no use.
+    m_pause = isCertain(m_certainty()) ? AskInterval
+                                       : std::clamp(2 * m_pause, AskInterval, LongestPause);
     m_nextQuestion = m_timers.now() + m_pause;
     ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
 
 void PeerState::askSoon(const Peer &peer)
 {
-    if (m_question || m_soon)
+    if (!m_questions.empty() || m_soon)
         return;
     const Milliseconds delay(QRandomGenerator::global()->bounded(MostDelayMilliseconds));
     m_soon = m_timers.after(delay, [this, peer] {
@@ -157,23 +172,24 @@
     HttpExchangeOptions options;
     options.connectTimeout = AskTimeout;
     options.timeout = AskTimeout;
-    m_question = m_client.fetch(
+    const int number = ++m_asked;
+    m_questions[number] = m_client.fetch(
         peer.endpoint, request, options,
-        [this, needsEntries, vm = peer.vm](HttpExchangeEnd end, const HttpResponse &response) {
-            const auto question = std::move(m_question);
+        [this, number, needsEntries, vm = peer.vm,
+         asked = m_timers.now()](HttpExchangeEnd end, const HttpResponse &response) {
+            const auto question = m_questions.extract(number);
             const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
             if (isWhole) {
-                m_pause = AskInterval;
-                answered(vm, response.body, needsEntries);
+                answered(vm, response.body, needsEntries, asked);
                 return;
             }
-            m_pause = std::min(2 * m_pause, LongestPause);
             logEvent(LogLevel::Info, EventId::PeerStateFailed,
                      {{"vm", vm.text()}, {"status", QString::number(response.status)}});
         });
 }
 
-void PeerState::answered(const VmId &vm, const QByteArray &body, bool hasEntries)
+void PeerState::answered(const VmId &vm, const QByteArray &body, bool hasEntries,
+                         MonotonicTime asked)
 {
     const QCborMap state = QCborValue::fromCbor(body).toMap();
     if (!state.contains(ConfigurationField)) {
@@ -181,7 +197,9 @@
                  {{"vm", vm.text()}, {"detail", QStringLiteral("the answer cannot be read")}});
         return;
     }
-    takeInto(m_configuration, state.value(ConfigurationField));
+    const Milliseconds age(state.value(AgeField).toInteger(NeverCertain.count()));
+    if (takeInto(m_configuration, state.value(ConfigurationField)))
+        m_configuration.vouch(asked - std::clamp(age, Milliseconds(0), NeverCertain));
     // An answer without them names a revision all the same: taken for all that there is, it
     // removed every target.
     if (hasEntries)
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -3,9 +3,12 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "relay/CertaintyPlan.h"
 
 #include <QByteArray>
 
+#include <functional>
+#include <map>
 #include <memory>
 
 class QCborMap;
@@ -30,9 +33,11 @@
 class PeerState
 {
 public:
-    /// Precondition: everything passed outlives the object.
+    /// Precondition: everything passed outlives the object; @p certainty tells how old the
+    /// configuration may be here.
     PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-              StoreMirror &configuration, StoreMirror &entries);
+              StoreMirror &configuration, StoreMirror &entries,
+              std::function<CertaintyView()> certainty);
     ~PeerState();
 
     /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
@@ -44,16 +49,19 @@
 private:
     void askIfAway();
     void ask(const Peer &peer);
-    void answered(const VmId &vm, const QByteArray &body, bool hasEntries);
+    void answered(const VmId &vm, const QByteArray &body, bool hasEntries, MonotonicTime asked);
 
     TimerService &m_timers;
     HttpClient &m_client;
     PeerDirectory &m_peers;
     StoreMirror &m_configuration;
     StoreMirror &m_entries;
-    std::unique_ptr<HttpExchange> m_question;
+    std::function<CertaintyView()> m_certainty;
+    /// Those not answered yet, by their numbers.
+    std::map<int, std::unique_ptr<HttpExchange>> m_questions;
+    int m_asked = 0;
     std::unique_ptr<TimerSubscription> m_soon;
-    /// Pause between questions while the store is away; longer after each one without an answer.
+    /// Pause between questions while the store is away.
     Milliseconds m_pause{0};
     MonotonicTime m_nextQuestion;
     std::unique_ptr<TimerSubscription> m_timer;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -111,10 +111,10 @@
                     protocols.store.operatorPrefix)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , targetEntries(protocols.store, targets, counters)
-    , peerState(timers, client, peers, configuration, entries)
+    , peerState(timers, client, peers, configuration, entries, [this] { return feed.certainty(); })
     , feed({timers, peers, heads, datagrams, peerState, entries, configuration}, given.isFirstStart,
-           [this] { return configurationVersion(*this); })
-    , gateway(context, [this] { return configuration.isCurrent(); })
+           given.operatorBound, [this] { return configurationVersion(*this); })
+    , gateway(context, [this] { return isCertain(feed.certainty()); })
     , callers(
           timers,
           [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,7 +42,10 @@
                       configuration ? configuration->version.value() : 0);
     text += gaugeText("cranberry_relay_evacuated_data_centres",
                       parts.targets.evacuatedDataCentres());
-    text += gaugeText("cranberry_relay_store_current", parts.configuration.isCurrent() ? 1 : 0);
+    const CertaintyView certainty = parts.feed.certainty();
+    text += gaugeText("cranberry_relay_configuration_certain", isCertain(certainty) ? 1 : 0);
+    text += gaugeText("cranberry_relay_configuration_age_ms",
+                      certainty.age.count());
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -5,6 +5,8 @@
 #include <QHostAddress>
 #include <QJsonDocument>
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -60,6 +62,9 @@
     settings.peer = readAddress(reader, QStringLiteral("peer"));
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
+    settings.operatorBound = std::min(
+        readDuration(reader, QStringLiteral("configuration_apply_ms"), settings.operatorBound),
+        readDuration(reader, QStringLiteral("evacuation_ms"), Milliseconds(MostMilliseconds)));
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.noteUnread();
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -28,10 +28,6 @@
 /// calls are few, and what it finds late all find late.
 constexpr Milliseconds WatcherWait{700};
 constexpr Milliseconds SingleWait{1500};
-/// Of the configuration where each daemon watches it. Where two watch for all their waits are as
-/// short as those for entries: one opened to a store that had fallen silent heard nothing for 28 s
-/// after its return, and no daemon had a version that was 4.5 s old.
-constexpr Milliseconds LongWait{28000};
 /// Between an answer and the next watch. Targets come and go in groups whose changes are some ms
 /// apart, and each change would end a watch; a target that leaves says so 1.5 s ahead.
 constexpr Milliseconds FirstPace{50};
@@ -64,10 +60,13 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart, std::function<qint64()> version)
+StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart, Milliseconds operatorBound,
+                     std::function<qint64()> version)
     : m_parts(parts)
     , m_version(std::move(version))
     , m_isFirstStart(isFirstStart)
+    , m_operatorBound(operatorBound)
+    , m_readDraw(QRandomGenerator::global()->generateDouble())
     , m_started(parts.timers.now())
     , m_timer(parts.timers.every(Heartbeat, [this] { check(); }))
 {
@@ -92,7 +91,7 @@
         return waitsForEntries || holdsBack();
     };
     parts.configuration.setFeed(feed);
-    parts.configuration.setWatchWait([this] { return m_hasGroup ? WatcherWait : LongWait; });
+    parts.configuration.setWatchWait([this] { return configurationWait(); });
 }
 
 StoreFeed::~StoreFeed() = default;
@@ -197,6 +196,29 @@
     return isGroupHead(view()) ? WatcherWait : SingleWait;
 }
 
+Milliseconds StoreFeed::configurationWait() const
+{
+    const Milliseconds wait = certaintyWatchWait(m_operatorBound);
+    // A daemon that watches for itself alone adds no heartbeats to that, and where another one
+    // watches as well that one vouches for the fleet.
+    if (!m_hasGroup)
+        return 2 * wait;
+    return view().watchersBefore > 0 ? std::max(wait, WatcherWait) : wait;
+}
+
+CertaintyView StoreFeed::certainty() const
+{
+    const MonotonicTime now = m_parts.timers.now();
+    const MonotonicTime certainAt = m_parts.configuration.certainAt();
+    CertaintyView view;
+    if (certainAt != MonotonicTime())
+        view.age = std::chrono::duration_cast<Milliseconds>(now - certainAt);
+    view.bound = m_operatorBound;
+    view.isTurnedAway = now < m_turnedAwayUntil;
+    view.draw = m_readDraw;
+    return view;
+}
+
 Milliseconds StoreFeed::pace() const
 {
     return view().watchersBefore > 0 ? SecondPace : FirstPace;
@@ -217,6 +239,17 @@
         planProbe(false);
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
         mirror->checkFeed();
+    readIfUncertain();
+}
+
+void StoreFeed::readIfUncertain()
+{
+    const bool isDue = certaintyStep(certainty()) == CertaintyStep::ReadStore;
+    // One that has not read at all does so by itself.
+    if (!isDue || !m_parts.configuration.hasRead())
+        return;
+    m_readDraw = QRandomGenerator::global()->generateDouble();
+    m_parts.configuration.readAgain();
 }
 
 void StoreFeed::drain()
@@ -306,6 +339,7 @@
                             upTo,
                             items,
                             m_parts.configuration.newest(),
+                            certainty().age,
                             m_parts.entries.items().size()};
     const QList<Peer> receivers = this->receivers(!items.isEmpty());
     for (const FeedMessage &part : splitForDatagrams(whole))
@@ -326,7 +360,7 @@
     if (message->standing != FeedStanding::Away && isFed()) {
         m_entriesElsewhere = message->targets;
         takeEntries(from, *message);
-        takeConfiguration(message->configuration);
+        takeConfiguration(*message);
     }
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
         mirror->checkFeed();
@@ -356,14 +390,17 @@
         sendItems(message.items, message.base, message.upTo);
 }
 
-void StoreFeed::takeConfiguration(Revision newest)
+void StoreFeed::takeConfiguration(const FeedMessage &message)
 {
     // It is too long for a datagram; a daemon that lacks it asks.
+    StoreMirror &configuration = m_parts.configuration;
     StoreAnswer answer;
     answer.kind = StoreAnswer::Kind::Items;
-    answer.asOf = newest;
-    if (m_parts.configuration.fed(answer, newest))
+    answer.asOf = message.configuration;
+    if (configuration.fed(answer, message.configuration))
         m_configurationMissing = MonotonicTime();
+    if (configuration.hasRead() && message.configuration <= configuration.revision())
+        configuration.vouch(m_parts.timers.now() - message.configurationAge);
 }
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -3,6 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
+#include "relay/CertaintyPlan.h"
 #include "relay/FeedMessage.h"
 #include "relay/FeedPlan.h"
 #include "relay/Peer.h"
@@ -47,12 +48,18 @@
     /// Precondition: all of @p parts outlives the feed. @p isFirstStart: the whole fleet starts, so
     /// that nobody can have anything to tell yet.
     /// @p version tells which version of the configuration is in force here.
-    StoreFeed(const Parts &parts, bool isFirstStart, std::function<qint64()> version);
+    /// @p operatorBound: within it after its acknowledgement a change that the operator makes is to
+    /// be in force here.
+    StoreFeed(const Parts &parts, bool isFirstStart, Milliseconds operatorBound,
+              std::function<qint64()> version);
     ~StoreFeed();
 
     /// This daemon is about to end: it tells those whom it feeds, so that they need not miss it.
     void drain();
 
+    /// How old what the operator wrote may be here.
+    CertaintyView certainty() const;
+
     /// The longest pause of this daemon between calls to a store that does not answer.
     Milliseconds longestBackoff() const;
 
@@ -78,6 +85,7 @@
     bool isFed() const;
     bool holdsBack() const;
     Milliseconds watchWait() const;
+    Milliseconds configurationWait() const;
     Milliseconds pace() const;
     void check();
     void lookUpGroup();
@@ -93,11 +101,15 @@
     void sendItems(const QList<StoreItem> &items, Revision base, Revision upTo);
     void received(const Peer &from, const QCborArray &body);
     void takeEntries(const Peer &from, const FeedMessage &message);
-    void takeConfiguration(Revision newest);
+    void takeConfiguration(const FeedMessage &message);
+    void readIfUncertain();
 
     Parts m_parts;
     std::function<qint64()> m_version;
     bool m_isFirstStart;
+    Milliseconds m_operatorBound;
+    /// See CertaintyView::draw.
+    double m_readDraw;
     MonotonicTime m_started;
     /// The store did not serve this daemon until then.
     MonotonicTime m_turnedAwayUntil;
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -24,8 +24,6 @@
 constexpr Milliseconds ReadHolds{3000};
 /// For changes that are known to be there.
 constexpr Milliseconds CatchUpWait{100};
-/// Peers are asked each 250 ms while the store is away.
-constexpr Milliseconds ConfirmationHolds{800};
 /// All targets of a site announce themselves within a second, and each announcement would end a
 /// watch; so at first a watch follows the last one only after a while. Two or three answers then
 /// carry what comes while a daemon that starts waits for others.
@@ -62,6 +60,7 @@
                        std::function<void(const StoreAnswer &)> callback)
 {
     ++m_counters.storeCalls;
+    m_callBegan = m_timers.now();
     HttpExchangeOptions options;
     options.connectTimeout = ConnectTimeout;
     options.timeout = timeout;
@@ -137,6 +136,7 @@
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
+    vouch(m_readBegan);
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
     // Another daemon may have told something newer since the first page was read.
     if (m_readAt < m_revision) {
@@ -197,6 +197,7 @@
     }
     const Revision base = m_revision;
     apply(answer);
+    vouch(m_callBegan);
     m_feed.changed(answer, base);
     watch();
 }
@@ -372,20 +373,14 @@
         removeLater(entry.key());
 }
 
-bool StoreMirror::isCurrent() const
+void StoreMirror::vouch(MonotonicTime certainAt)
 {
-    return hasSource() || m_timers.now() - m_lastConfirmed < ConfirmationHolds;
-}
-
-void StoreMirror::confirm()
-{
-    m_lastConfirmed = m_timers.now();
+    m_certainAt = std::max(m_certainAt, certainAt);
 }
 
 void StoreMirror::takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys,
                            Revision revision)
 {
-    confirm();
     if (revision <= m_revision)
         return;
     doubtIfAway();
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -69,10 +69,10 @@
     void setFeed(StoreMirrorFeed feed) { m_feed = std::move(feed); }
     /// Reads the store, or waits for others as long as its feed holds it back.
     void start();
-    /// What it holds is what the store holds, but for a connection that fell silent less than
-    /// TcpStream::PeerTimeout ago: a watch is open, others send what changes, or another daemon
-    /// was asked just now.
-    bool isCurrent() const;
+    /// All that the store held at this moment is here, or was replaced by something newer.
+    MonotonicTime certainAt() const { return m_certainAt; }
+    /// Another daemon that holds nothing newer was certain of that moment.
+    void vouch(MonotonicTime certainAt);
     /// It hears from the store itself or from those that watch for it.
     bool hasSource() const { return m_isCurrent || m_feed.isFed(); }
     /// Others watch for it.
@@ -98,8 +98,6 @@
     /// Takes in what another daemon holds at @p revision, if it is newer: what @p changed since
     /// revision() and the @p keys that are left.
     void takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys, Revision revision);
-    /// Another daemon that is current holds nothing newer.
-    void confirm();
 
 private:
     static constexpr Milliseconds DefaultBackoff{800};
@@ -168,8 +166,8 @@
     bool m_needsRead = true;
     Milliseconds m_backoff{0};
     MonotonicTime m_started;
-    /// When another daemon last said that it is current and what it holds.
-    MonotonicTime m_lastConfirmed;
+    MonotonicTime m_callBegan;
+    MonotonicTime m_certainAt;
     /// Removals are doubted until then, as leases may have lapsed while the store was away.
     MonotonicTime m_doubtUntil;
     QHash<QString, MonotonicTime> m_missing;
--- /dev/null
+++ b/test/correctness/CertaintyPlan.cpp
@@ -0,0 +1,200 @@
+// How daemons stay certain of the operator's newest word, without a network.
+#define BOOST_TEST_MODULE CertaintyPlan
+#include <boost/test/unit_test.hpp>
+
+#include "relay/CertaintyPlan.h"
+
+#include <QList>
+#include <QRandomGenerator>
+
+#include <algorithm>
+#include <functional>
+
+using namespace cranberry;
+
+namespace {
+
+constexpr Milliseconds Bound{2000};
+constexpr Milliseconds Step{10};
+/// Another peer is asked after that time; a call that is answered.
+constexpr Milliseconds NextQuestion{100};
+constexpr Milliseconds Call{20};
+/// A daemon whose call the store refused does not try again before.
+constexpr Milliseconds TurnedAway{4000};
+constexpr Milliseconds Heartbeat{300};
+
+using Plan = std::function<CertaintyStep(const CertaintyView &)>;
+
+/// A daemon that two others feed; its knowledge is a moment of the store's history.
+struct Daemon {
+    Milliseconds certainAt{0};
+    Milliseconds busyUntil{0};
+    Milliseconds turnedAwayUntil{0};
+    bool isServed = true;
+    double draw = 0.5;
+    /// It takes the heartbeats of the two for its source.
+    bool isFed = true;
+};
+
+struct Fleet {
+    Fleet(quint32 seed, Plan chosen)
+        : random(seed)
+        , plan(std::move(chosen))
+        , daemons(12)
+    {
+    }
+
+    /// A third is turned away; the feed fails in one of several ways, anew each second.
+    void breakSomething()
+    {
+        for (Daemon &daemon : daemons) {
+            daemon.isServed = random.bounded(3) > 0;
+            daemon.isFed = random.bounded(2) > 0;
+        }
+        // Somebody is served, or nobody can be certain.
+        daemons[random.bounded(int(daemons.size()))].isServed = true;
+        isFeederDeaf = random.bounded(2) > 0;
+    }
+
+    void beat()
+    {
+        if (!isFeederDeaf)
+            fedAt = now;
+        for (Daemon &daemon : daemons) {
+            if (daemon.isFed)
+                daemon.certainAt = std::max(daemon.certainAt, fedAt);
+        }
+    }
+
+    void act(Daemon &daemon)
+    {
+        if (daemon.busyUntil > now)
+            return;
+        const CertaintyView view{now - daemon.certainAt, Bound, daemon.turnedAwayUntil > now,
+                                 daemon.draw};
+        switch (plan(view)) {
+        case CertaintyStep::Wait:
+            return;
+        case CertaintyStep::ReadStore:
+            readStore(daemon);
+            return;
+        case CertaintyStep::AskPeer:
+            askPeer(daemon);
+            return;
+        }
+    }
+
+    void readStore(Daemon &daemon)
+    {
+        daemon.busyUntil = now + Call;
+        daemon.draw = random.generateDouble();
+        if (daemon.isServed)
+            daemon.certainAt = now;
+        else
+            daemon.turnedAwayUntil = now + TurnedAway;
+    }
+
+    void askPeer(Daemon &daemon)
+    {
+        const Daemon &peer = daemons[random.bounded(int(daemons.size()))];
+        const bool isLost = random.bounded(8) == 0;
+        daemon.busyUntil = now + (isLost ? NextQuestion : Call);
+        if (!isLost)
+            daemon.certainAt = std::max(daemon.certainAt, peer.certainAt);
+    }
+
+    Milliseconds oldest() const
+    {
+        Milliseconds oldest = now;
+        for (const Daemon &daemon : daemons)
+            oldest = std::min(oldest, daemon.certainAt);
+        return now - oldest;
+    }
+
+    /// The greatest age of any daemon's knowledge in a minute.
+    Milliseconds play()
+    {
+        Milliseconds worst{0};
+        for (now = Step; now < std::chrono::minutes(1); now += Step) {
+            if (now.count() % 1000 == 0)
+                breakSomething();
+            if (now.count() % Heartbeat.count() == 0)
+                beat();
+            for (Daemon &daemon : daemons)
+                act(daemon);
+            worst = std::max(worst, oldest());
+        }
+        return worst;
+    }
+
+    QRandomGenerator random;
+    Plan plan;
+    QList<Daemon> daemons;
+    Milliseconds now{0};
+    Milliseconds fedAt{0};
+    bool isFeederDeaf = false;
+};
+
+/// Days on which some daemon's knowledge became older than the bound.
+int brokenDays(const Plan &plan)
+{
+    int broken = 0;
+    for (quint32 seed = 1; seed <= 100; ++seed)
+        broken += Fleet(seed, plan).play() > Bound ? 1 : 0;
+    return broken;
+}
+
+CertaintyView viewOf(qint64 age, bool isTurnedAway = false)
+{
+    return {Milliseconds(age), Bound, isTurnedAway, 1};
+}
+
+} // namespace
+
+// A key that was taken away went on working for five seconds at one daemon. Those that watch for
+// it were deaf, or a link to them dropped one way, or they were turned away by the store, while
+// their heartbeats made it believe that it was fed. Whatever fails, nobody's knowledge is older
+// than the bound as long as the store serves anybody.
+BOOST_AUTO_TEST_CASE(WhateverFailsTheBoundHolds)
+{
+    BOOST_TEST(brokenDays(certaintyStep) == 0);
+}
+
+// The same days break plans that lack a part.
+BOOST_AUTO_TEST_CASE(PlansThatLackAPartFail)
+{
+    const Plan trustsTheFeed = [](const CertaintyView &) { return CertaintyStep::Wait; };
+    const Plan asksNobody = [](const CertaintyView &view) {
+        const CertaintyStep step = certaintyStep(view);
+        return step == CertaintyStep::AskPeer ? CertaintyStep::Wait : step;
+    };
+    const Plan neverReads = [](const CertaintyView &view) {
+        const CertaintyStep step = certaintyStep(view);
+        return step == CertaintyStep::ReadStore ? CertaintyStep::AskPeer : step;
+    };
+    const Plan asksTooLate = [](const CertaintyView &view) {
+        return view.age < Bound ? CertaintyStep::Wait : certaintyStep(view);
+    };
+    BOOST_TEST(brokenDays(trustsTheFeed) > 0);
+    BOOST_TEST(brokenDays(asksNobody) > 0);
+    BOOST_TEST(brokenDays(neverReads) > 0);
+    BOOST_TEST(brokenDays(asksTooLate) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(PeersGoBeforeTheStore)
+{
+    BOOST_TEST((certaintyStep(viewOf(800)) == CertaintyStep::Wait));
+    BOOST_TEST((certaintyStep(viewOf(1000)) == CertaintyStep::AskPeer));
+    BOOST_TEST((certaintyStep(viewOf(1700)) == CertaintyStep::ReadStore));
+    BOOST_TEST((certaintyStep(viewOf(1700, true)) == CertaintyStep::AskPeer));
+}
+
+// A daemon that had never read anything must not tell a caller that its key does not exist.
+BOOST_AUTO_TEST_CASE(NeverCertainIsNotCertain)
+{
+    CertaintyView view;
+    view.bound = Bound;
+    BOOST_TEST(!isCertain(view));
+    BOOST_TEST(isCertain(viewOf(1700)));
+    BOOST_TEST(!isCertain(viewOf(1900)));
+}
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -37,6 +37,11 @@
     return answer;
 }
 
+CertaintyView neverCertain()
+{
+    return {};
+}
+
 /// A mirror that others feed; its store cannot be reached.
 struct FedMirror {
     FedMirror(TimerService &timers, HttpClient &client)
@@ -167,7 +172,8 @@
     PeerDirectory peers(timers, client, Nowhere, protocol, counters, self);
     FedMirror hasAll(timers, client);
     FedMirror hasConfiguration(timers, client);
-    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror);
+    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror,
+                        neverCertain);
     hasAll.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
     hasConfiguration.mirror.takeFrom({item(QStringLiteral("c"), 8)}, {QStringLiteral("c")},
                                      Revision(8));
@@ -184,7 +190,7 @@
     FedMirror entries(timers, client);
     FedMirror configuration(timers, client);
     entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
-    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror);
+    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, neverCertain);
     asking.askSoon(peer);
     BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
     BOOST_TEST(entries.has(Key));
