--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -39,7 +39,7 @@
 }
 
 std::unique_ptr<TcpStream> HttpConnectionPool::take(const HttpEndpoint &endpoint,
-                                                    Milliseconds mostIdle)
+                                                    std::optional<Milliseconds> mostIdle)
 {
     const auto found = m_idle.find(endpointKey(endpoint));
     if (found == m_idle.end())
@@ -48,7 +48,10 @@
     dropUnusable(*found, now);
     std::unique_ptr<TcpStream> stream;
     // The last one given is the one that has been idle for the shortest time.
-    if (!found->empty() && now - found->back()->since <= mostIdle) {
+    const auto isFresh = [&](const IdleConnection &idle) {
+        return !mostIdle || now - idle.since <= *mostIdle;
+    };
+    if (!found->empty() && isFresh(*found->back())) {
         stream = std::move(found->back()->stream);
         stream->setCallbacks({});
         found->pop_back();
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -27,7 +27,8 @@
 
     /// An open connection to @p endpoint that has been idle for at most @p mostIdle; null if
     /// there is none.
-    std::unique_ptr<TcpStream> take(const HttpEndpoint &endpoint, Milliseconds mostIdle);
+    std::unique_ptr<TcpStream> take(const HttpEndpoint &endpoint,
+                                    std::optional<Milliseconds> mostIdle);
 
     /// Takes over @p stream and keeps it for at most @p keepFor.
     /// Precondition: its last answer was read whole.
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -5,6 +5,8 @@
 
 #include <QByteArray>
 
+#include <optional>
+
 namespace cranberry {
 
 struct HttpExchangeOptions {
@@ -18,8 +20,8 @@
     bool reuseConnection = false;
     /// Leave the connection for another exchange when done, whether or not it was a reused one.
     bool keepConnection = false;
-    /// A connection that has been idle for longer is not reused.
-    Milliseconds mostIdle{Milliseconds::max()};
+    /// A connection that has been idle for longer is not reused; unset: any may be.
+    std::optional<Milliseconds> mostIdle;
     /// A target repeats this header's value in its answer. An answer with another value belongs
     /// to an earlier request of the connection and is skipped. Empty: not checked.
     QByteArray echoHeader;
--- a/src/relay/FeedMessage.cpp
+++ b/src/relay/FeedMessage.cpp
@@ -68,9 +68,12 @@
 
 QCborArray encodeFeed(const FeedMessage &message)
 {
-    return {int(message.standing),         message.base.value(),
-            message.upTo.value(),          packed(message.items),
-            message.configuration.value(), message.targets,
+    return {int(message.standing),
+            message.base.value(),
+            message.upTo.value(),
+            packed(message.items),
+            message.configuration.value(),
+            message.targets,
             qint64(message.configurationAge.count())};
 }
 
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -90,7 +90,6 @@
     HttpExchangeOptions options;
     options.connectTimeout = CallTimeout;
     options.timeout = CallTimeout;
-    options.reuseConnection = true;
     m_announcing = m_client.fetch(
         m_store, request, options,
         [callback = std::move(callback)](HttpExchangeEnd end, const HttpResponse &response) {
@@ -158,7 +157,6 @@
     HttpExchangeOptions options;
     options.connectTimeout = CallTimeout;
     options.timeout = CallTimeout;
-    options.reuseConnection = true;
     m_listing =
         m_client.fetch(m_store, m_protocol.staleRange(PeerPrefix), options,
                        [this](HttpExchangeEnd end, const HttpResponse &response) {
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -143,8 +143,8 @@
     if (!heard.isEmpty())
         peers = heard;
     // Nobody is certain any more: the store is away for all, and haste is no use.
-    m_pause = isCertain(m_certainty()) ? AskInterval
-                                       : std::clamp(2 * m_pause, AskInterval, LongestPause);
+    m_pause =
+        isCertain(m_certainty()) ? AskInterval : std::clamp(2 * m_pause, AskInterval, LongestPause);
     m_nextQuestion = m_timers.now() + m_pause;
     ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -62,8 +62,7 @@
     const auto &configuration = parts.gateway.configuration();
     const double perSecond =
         configuration ? configuration->services.value(service).coldPerSecond : 0;
-    return coldPace(perSecond,
-                    parts.peers.hasListed() ? parts.peers.fleetSize() : UnlistedFleet);
+    return coldPace(perSecond, parts.peers.hasListed() ? parts.peers.fleetSize() : UnlistedFleet);
 }
 
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
@@ -264,8 +263,7 @@
     const auto dataCentre = m_parts->protocols.store.evacuatedDataCentre(key);
     if (!dataCentre)
         return;
-    logEvent(LogLevel::Info,
-             isEvacuated ? EventId::EvacuationInForce : EventId::EvacuationEnded,
+    logEvent(LogLevel::Info, isEvacuated ? EventId::EvacuationInForce : EventId::EvacuationEnded,
              {{"data_centre", dataCentre->text()},
               {"revision", QString::number(m_parts->configuration.newest().value())}});
     m_parts->targets.setEvacuated(*dataCentre, isEvacuated);
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -40,12 +40,11 @@
     const auto &configuration = parts.gateway.configuration();
     text += gaugeText("cranberry_relay_configuration_version",
                       configuration ? configuration->version.value() : 0);
-    text += gaugeText("cranberry_relay_evacuated_data_centres",
-                      parts.targets.evacuatedDataCentres());
+    text +=
+        gaugeText("cranberry_relay_evacuated_data_centres", parts.targets.evacuatedDataCentres());
     const CertaintyView certainty = parts.feed.certainty();
     text += gaugeText("cranberry_relay_configuration_certain", isCertain(certainty) ? 1 : 0);
-    text += gaugeText("cranberry_relay_configuration_age_ms",
-                      certainty.age.count());
+    text += gaugeText("cranberry_relay_configuration_age_ms", certainty.age.count());
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -63,8 +63,9 @@
     m_callBegan = m_timers.now();
     HttpExchangeOptions options;
     options.connectTimeout = ConnectTimeout;
+    // An idle connection may have fallen silent: that would be found only after the timeout, and a
+    // new one costs a millisecond.
     options.timeout = timeout;
-    options.reuseConnection = true;
     m_call = m_client.fetch(
         m_store, request, options,
         [this, callback = std::move(callback)](HttpExchangeEnd end, const HttpResponse &response) {
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -105,8 +105,7 @@
     if (pace.count() == 0)
         return;
     const MonotonicTime now = m_timers.now();
-    record.coldSendAfter =
-        now + firstColdDelay(pace, QRandomGenerator::global()->generateDouble());
+    record.coldSendAfter = now + firstColdDelay(pace, QRandomGenerator::global()->generateDouble());
     const auto left = std::chrono::duration_cast<Milliseconds>(
         std::max(record.coldUntil, record.maybeColdUntil) - now);
     logEvent(LogLevel::Info, EventId::TargetCold,
--- a/test/failure/PlatformEvacuations.cpp
+++ b/test/failure/PlatformEvacuations.cpp
@@ -26,8 +26,8 @@
 
     bool generates(int daemon)
     {
-        const auto call = site.send(daemon, "POST", "/model/a", nextId(),
-                                    test::PlatformSite::generation());
+        const auto call =
+            site.send(daemon, "POST", "/model/a", nextId(), test::PlatformSite::generation());
         return test::PlatformSite::finish(call)
             && call->response.body == test::PlatformSite::events(3);
     }
@@ -83,8 +83,8 @@
     site.evacuate(Hall, true);
     site.evacuate(Yard, true);
     BOOST_REQUIRE(test::waitFor([&] { return plainStatus(daemon) == 503; }));
-    const auto refused = site.call(daemon, "POST", "/model/a", nextId(),
-                                   test::PlatformSite::generation());
+    const auto refused =
+        site.call(daemon, "POST", "/model/a", nextId(), test::PlatformSite::generation());
     BOOST_TEST(refused->response.status == 503);
     BOOST_TEST(refused->response.headers.contains("Retry-After"));
     BOOST_TEST(!site.log(daemon).contains("relay.waiting"));
