Relay: a lone target is asked again, and its failure is passed on

Cause: with one target of a service left (an evacuated data centre, another target gone) a failed idempotent request found every target excluded, waited for 0.6 of its objective and was told that none has room, though the target had answered.

The tests fail on the code before: they get a 503 of the daemon's own.

--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -340,6 +340,11 @@
         return false;
     if (result.kind == SendResult::Kind::Answered)
         m_fallback = result;
+    // A service's failures are often of the moment: without another target the same one is asked
+    // again. One that says that it is full is not.
+    const bool isAlone = m_context.targets.takingWork(m_task.service).size() == 1;
+    if (isAlone && ranAfter(result.kind) != Ran::No)
+        m_excluded.clear();
     ++m_context.counters.of(m_task.route.kind).retried;
     logEvent(LogLevel::Info, EventId::RelayRetried,
              {{"request", m_task.request.id.text()},
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -226,7 +226,11 @@
 {
     if (m_phase != Phase::Waiting)
         return;
-    fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
+    // What a target answered says more than that no other one has room.
+    if (m_fallback)
+        answered(*m_fallback);
+    else
+        fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
 }
 
 void RelayRun::extendForecast()
--- a/test/failure/PlatformRunners.cpp
+++ b/test/failure/PlatformRunners.cpp
@@ -231,3 +231,36 @@
     BOOST_TEST((call->end == HttpExchangeEnd::Broken));
     BOOST_TEST(model.ran().size() + second.ran().size() == 1);
 }
+
+// A data centre was evacuated and another one's runner had left, so that one runner served all. A
+// request that failed there found no other runner, waited for one and was told that none has room,
+// though the one that failed answers three of ten when asked again.
+BOOST_FIXTURE_TEST_CASE(LoneRunnerIsAskedAgain, Fixture)
+{
+    int asked = 0;
+    first.setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool fails = isPlain(request) && ++asked == 1;
+        if (fails)
+            reply->send({500, first.answerHeaders(request), "failed"});
+        return fails;
+    });
+    BOOST_TEST(site.call(daemon, "GET", "/safe/a", "r1")->response.status == 200);
+    BOOST_TEST(asked == 2);
+}
+
+// The same runner fails again: the client is given its answer and not one of the daemon's own.
+BOOST_FIXTURE_TEST_CASE(LoneRunnersFailureIsPassedOn, Fixture)
+{
+    int asked = 0;
+    first.setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        if (!isPlain(request))
+            return false;
+        ++asked;
+        reply->send({500, first.answerHeaders(request), "failed"});
+        return true;
+    });
+    const auto call = site.call(daemon, "GET", "/safe/a", "r1");
+    BOOST_TEST(call->response.status == 500);
+    BOOST_TEST(call->response.headers.contains("Cranberryquay-Response-Seal"));
+    BOOST_TEST(asked == 2);
+}
