--- a/src/relay/FeedMessage.h
+++ b/src/relay/FeedMessage.h
@@ -41,8 +41,7 @@
 /// Thread-safe.
 QList<FeedMessage> splitForDatagrams(const FeedMessage &message);
 
-/// Items are compressed: entries of targets repeat the names of their fields, and the feed of 3,000
-/// targets takes about a quarter of the bytes (worked out from entries of 250 bytes). Thread-safe.
+/// Items are compressed: entries of targets repeat the names of their fields. Thread-safe.
 QCborArray encodeFeed(const FeedMessage &message);
 
 /// None if it is no such message, or a damaged one. Thread-safe.
--- a/src/relay/FeedPlan.h
+++ b/src/relay/FeedPlan.h
@@ -28,16 +28,15 @@
 /// Whether a daemon opens watches of its own while all that it hears of is well. Two of the heads
 /// of all groups do; the next in order steps in for one that dies, is cut off or is turned away by
 /// the store. The calls of watches grow with the changes only, neither with daemons nor with data
-/// centres: on an emulated calm day 195 daemons made 4,226 priced calls when each one watched the
-/// configuration and ten the targets, and 990 with this (one run each). Thread-safe.
+/// centres. Thread-safe.
 bool watchesStore(const FeedView &view);
 
 /// How long a daemon waits before it tries the store itself when its heads live and say that they
 /// have lost it. The store may have turned away the heads alone: then the others must find out in
 /// time for a new configuration to be in force within two seconds, and were still waiting when a
-/// key that was taken away had to be refused (four of 40 emulated days of nine daemons). One that
-/// was refused itself waits longer, as calls to a store that is down for all are wasted.
-/// Precondition: @p draw is drawn from 0 to 1, so that daemons do not call together. Thread-safe.
+/// key that was taken away had to be refused. One that was refused itself waits longer, as calls to
+/// a store that is down for all are wasted. Precondition: @p draw is drawn from 0 to 1, so that
+/// daemons do not call together. Thread-safe.
 Milliseconds probeDelay(bool wasRefused, double draw);
 
 } // namespace cranberry
--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -19,9 +19,8 @@
 constexpr Milliseconds ShortRound{60};
 /// Time between rounds; what is generated meanwhile is a few tokens.
 constexpr Milliseconds BetweenRounds{40};
-/// The last part is copied this long before the engine goes, whatever the rounds say. With 350 ms,
-/// and rounds that did not wait for the link, 3.0 streams of an emulated calm day paused for over
-/// 180 ms, so 1.2 (five runs each).
+/// The last part is copied this long before the engine goes, whatever the rounds say. Earlier it is
+/// longer, and the stream pauses for longer.
 constexpr Milliseconds LastMoment{150};
 
 } // namespace
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -22,14 +22,12 @@
 /// Figures are repeated this often, so that a lost datagram misleads no longer than that.
 constexpr Milliseconds RefreshInterval{1500};
 /// What is at the engines of a data centre goes to the others this often. Without it the
-/// engines of another data centre looked empty and were chosen: in a fleet of 78, 255 of 455
-/// moves found no room.
+/// engines of another data centre look empty, and moves choose them in vain.
 constexpr Milliseconds SummaryInterval{500};
 /// Targets in one datagram: about 35 bytes each, together under the 1,400 that any path carries.
 constexpr qsizetype MostEntries = 30;
 /// Engines of a data centre that others hear of, the emptiest ones: two datagrams. Others place
-/// there seldom, and in a fleet with 800 engines in a data centre all of them would be 28 KB twice
-/// a second for each daemon (worked out).
+/// there seldom, and all engines of a large fleet would be tens of KB a second for each daemon.
 constexpr qsizetype MostSummarised = 2 * MostEntries;
 
 } // namespace
--- a/src/relay/MoveChoice.cpp
+++ b/src/relay/MoveChoice.cpp
@@ -28,9 +28,9 @@
 constexpr Milliseconds TryBeyondNotice{700};
 /// What an output token is worth to the caller beside one of the prompt.
 constexpr double OutputWorth = 10;
-/// Made in a ms by an engine that also reads prompts: 8.2 to 8.9 ms a token on emulated days.
+/// Made in a ms by an engine that also reads prompts.
 constexpr double TokensPerMillisecond = 0.11;
-/// For answers that should end before their engine leaves: forecasts are often wrong. Not tuned.
+/// For answers that should end before their engine leaves: forecasts are often wrong.
 constexpr double OutlastsAnyway = 0.4;
 
 } // namespace
--- a/src/relay/MoveChoice.h
+++ b/src/relay/MoveChoice.h
@@ -52,9 +52,8 @@
 
 /// Whether a copy that is there at @p copied is begun now. The source's least notice ends at
 /// @p leavesAt, and it may stay a while longer. Until then only copies that arrive by then are
-/// begun: any other one takes the link from the last parts of those that could go on. Two engines
-/// that left together lost all their eleven generations that way; an emulated calm day of 62
-/// engines lost 15 streams without this rule and 9 with it (one run each). Thread-safe.
+/// begun: any other one takes the link from the last parts of those that could go on, and engines
+/// that leave together would lose all their generations that way. Thread-safe.
 bool isBegunNow(MonotonicTime copied, MonotonicTime leavesAt, MonotonicTime now);
 
 } // namespace cranberry
--- a/src/relay/OutputForecast.cpp
+++ b/src/relay/OutputForecast.cpp
@@ -9,12 +9,11 @@
 
 namespace {
 
-/// Slope of the output's logarithm over that of the announced output; measured 0.37 and 0.41.
+/// Slope of the output's logarithm over that of the announced output.
 constexpr double AnnouncedWeight = 0.4;
 /// The mean of lengths over their median: their logarithms spread by 0.76 around the forecast.
 constexpr double MeanOverMedian = 1.34;
-/// The median as part of the most that requests allow, as long as no answer was seen; measured
-/// 0.24 and 0.26 for long answers, 0.2 for short ones.
+/// The median as part of the most that requests allow, as long as no answer was seen.
 constexpr double TypicalPart = 0.25;
 /// Answers that count as much as that guess.
 constexpr double GuessWeight = 8;
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -26,8 +26,7 @@
 constexpr Milliseconds ComeBackWhenReady{300};
 /// A daemon that has no configuration found the store away as it started; that lasts for seconds,
 /// and callers come back once or twice. With 0.3 s they were refused again and gave up; an answer
-/// after 1 s is still on time for objectives of 1.5 s. Worth of an emulated day with 2.3 s of it
-/// 0.385 -> 0.400, five runs each.
+/// after 1 s is still on time for objectives of 1.5 s.
 constexpr Milliseconds ComeBackWhenConfigured{1000};
 
 Error errorOf(ErrorKind kind, const QString &detail)
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -18,20 +18,17 @@
 
 namespace {
 
-/// Load up to which an engine keeps backups. Of 0.55, 0.75 and 0.9 none was better than the others:
-/// 0.404, 0.400 to 0.404 and 0.403 of a day's worth, means of 25 emulated days each.
+/// Load up to which an engine keeps backups, as the generations that run there will still grow.
 constexpr double MostBackupLoad = 0.75;
 /// Mean load of all engines by running generations up to which there are backups. They take as
-/// much memory again, and where engines fill up a backup delays or stops another answer: the worst
-/// four seconds of an emulated calm day with a mean load about 1 earned 0.42 of their worth with
-/// backups at any load and 0.73 without (one run each).
+/// much memory again, and where engines fill up a backup delays or stops another answer.
 constexpr double MostMeanLoad = 0.5;
 /// Part of an engine's memory that a generation with a backup may take by the forecast. Engines
-/// with room for five answers fill up within some ten seconds; of 90 backups of such a day 79 were
-/// chosen in its first four seconds, which is about a quarter of all memory by the forecasts.
+/// with room for few answers fill up within seconds, and backups chosen before would take the
+/// room of answers to come.
 constexpr double MostPartOfEngine = 0.14;
 /// The first part of a copy is sent within this time from the first event; before it the holder
-/// refuses: 128 of 777 takeovers in 30 emulated days without this wait, 12 of 720 with it.
+/// refuses to take over.
 constexpr Milliseconds BackupArrives{400};
 /// The first engine is given up this long after its backup's holder was asked, answered or not: two
 /// engines may not work on one generation for longer than 400 ms.
--- a/src/relay/RoomReservation.cpp
+++ b/src/relay/RoomReservation.cpp
@@ -13,8 +13,7 @@
 /// has left until then, so that giving up early costs nothing.
 constexpr Milliseconds AnswerTimeout{300};
 constexpr Milliseconds GiveBackTimeout{1000};
-/// Kept connections spare new ones, which are priced; engines that close them sooner are asked
-/// again. Not measured alone: two calm grown days had 9,346 new ones with 2 s and 8,118 with 10 s.
+/// Kept connections spare new ones; engines that close them sooner are asked again.
 constexpr Milliseconds MostIdle{10000};
 
 HttpExchangeOptions optionsWith(Milliseconds timeout, bool overKeptConnection)
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -21,7 +21,7 @@
 /// In a group with fewer daemons each one watches: there is little to save.
 constexpr int LeastDaemons = 6;
 /// A fleet of more sends too much between data centres to be one group: at 20 changes a second
-/// of 250 bytes, 40 receivers take 1.6 Mbit/s of a watcher's link (worked out).
+/// of 250 bytes, 40 receivers take 1.6 Mbit/s of a watcher's link.
 constexpr int MostDaemons = 40;
 /// A store that falls silent without closing anything is found after this time and a little more.
 /// With waits of 28 s, engines that left in 10 s of silence took 12 streams with them. A watcher's
@@ -33,9 +33,8 @@
 constexpr Milliseconds FirstPace{50};
 /// The second watcher's figures are needed only where the first one's do not arrive.
 constexpr Milliseconds SecondPace{400};
-/// Calls to a store that is away are priced too. Daemons that others feed, or tell its state while
-/// it is away, can find out later: with 71 daemons, a day on which it was down for eight seconds
-/// had 4,576 calls at 0.8 s for all and 3,710 so (one run each).
+/// Daemons that others feed, or tell its state while it is away, can find out later that the store
+/// is back; calls to a store that is away are wasted.
 constexpr Milliseconds WatcherBackoff{800};
 constexpr Milliseconds FedBackoff{2000};
 constexpr Milliseconds Heartbeat{300};
