Relay: a generation that can't begin on time any more is refused, to come back

Hypothesis: under overload those that wait beyond their objective are served last or not at all; they are late anyway, are lost if their daemon ends, and come back too early (0.6 s) when refused.

A request that could not begin on time from the first still waits.

--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -20,6 +20,7 @@
 class TargetNews;
 class TimerService;
 class WaitingRequests;
+struct RoomForecast;
 
 /// Every member outlives every request.
 struct RelayContext {
@@ -31,6 +32,7 @@
     WaitingRequests &waiting;
     RetryShare &retries;
     OutputForecast &outputs;
+    RoomForecast &rooms;
     CrashGuard &crashes;
     RelayCounters &counters;
     const CallerProtocol &callers;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -18,9 +18,8 @@
 constexpr Milliseconds AskInterval{200};
 constexpr Milliseconds NewerVersionPatience{200};
 /// Where few engines serve, the least difference of load counts: an engine with more generations
-/// than others can't send them all away in time when it leaves, and bytes between data centres cost
-/// 0.001 to 0.002 of a day's worth (emulated days of 9 daemons). With many engines one of the own
-/// data centre is about as free as any.
+/// than others can't send them all away in time when it leaves. With many engines one of the own
+/// data centre is about as free as any, and spares bytes between data centres.
 constexpr double FewDaemonsPenalty = 0.03;
 constexpr double NearPenalty = 0.15;
 constexpr double FarPenalty = 0.15;
@@ -98,6 +97,7 @@
               waiting,
               retries,
               outputs,
+              rooms,
               crashes,
               counters,
               protocols.callers,
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -17,6 +17,7 @@
 #include "relay/RelayProtocols.h"
 #include "relay/RelaySettings.h"
 #include "relay/RetryShare.h"
+#include "relay/RoomForecast.h"
 #include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetDirectory.h"
@@ -40,6 +41,7 @@
     WaitingRequests waiting;
     RetryShare retries;
     OutputForecast outputs;
+    RoomForecast rooms;
     PeerDirectory peers;
     PeerDatagrams datagrams;
     DataCentreHeads heads;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -13,6 +13,7 @@
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
+#include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
 #include "relay/WaitingRequests.h"
@@ -34,8 +35,7 @@
 constexpr Milliseconds ReuseAfterReservation{50};
 /// Part of the retries kept back from plain requests for generations that move.
 constexpr double RetryReserve = 0.5;
-/// When a caller that was refused should come back: about the time in which a generation ends
-/// somewhere.
+/// When a caller that a plain service had no place for should come back.
 constexpr Milliseconds ComeBackAfter{600};
 /// Bytes that a caller may leave unread; a stream sends some 10 KB a second.
 constexpr qsizetype MostUnsentBytes = 1024 * 1024;
@@ -162,6 +162,7 @@
 void RelayRun::occupy(const TargetId &target)
 {
     m_target = target;
+    m_occupiedAt = m_context.timers.now();
     const Tokens made(m_task.engine ? m_lastEvent * m_task.engine->tokensPerEvent : 0);
     m_reserved = std::max(expectedTokens(), m_task.request.promptTokens + made);
     m_unread = m_task.engine && !hasBegun() ? m_task.request.promptTokens : Tokens(0);
@@ -180,6 +181,10 @@
     m_reservation.reset();
     promptWasRead();
     m_context.targets.requestEnded(m_target, m_reserved);
+    if (m_task.engine && hasBegun()) {
+        const auto held = m_context.timers.now() - m_occupiedAt;
+        noteHolding(m_context.rooms, heldTokens(), std::chrono::duration_cast<Milliseconds>(held));
+    }
     m_target = TargetId();
 }
 
@@ -428,11 +433,18 @@
     error.ran = m_ran;
     error.detail = detail;
     m_ran == Ran::No ? ++counters.refused : ++counters.failed;
+    if (m_ran == Ran::No)
+        m_comeBack = comeBack();
     m_reply->send(m_context.callers.failure(
-        error, m_ran == Ran::No ? std::optional<Milliseconds>(ComeBackAfter) : std::nullopt));
+        error, m_ran == Ran::No ? std::optional<Milliseconds>(m_comeBack) : std::nullopt));
     over(errorAnswer(kind).name);
 }
 
+Milliseconds RelayRun::comeBack() const
+{
+    return m_task.engine ? expectedRoom(m_context.rooms) : ComeBackAfter;
+}
+
 qint64 RelayRun::firstEventMilliseconds() const
 {
     if (!m_streamOpen)
@@ -452,6 +464,7 @@
               {"ran", QLatin1String(ranName(m_ran))},
               {"sends", QString::number(m_sends)},
               {"events", QString::number(m_lastEvent)},
+              {"come_back_ms", QString::number(m_comeBack.count())},
               {"moves", QString::number(m_moves)},
               {"first_ms", QString::number(firstEventMilliseconds())},
               {"pause_ms", QString::number(m_longestPause.count())},
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -110,6 +110,10 @@
     double mostLoad() const;
     Tokens readable() const;
     Milliseconds waitLimit() const;
+    /// How long an engine takes to read its prompt.
+    Milliseconds readingTime() const;
+    /// When a caller is to come back whose request found no room.
+    Milliseconds comeBack() const;
 
     void place();
     void waitForRoom();
@@ -178,6 +182,7 @@
     TargetId m_target;
     HttpEndpoint m_endpoint;
     Tokens m_reserved;
+    MonotonicTime m_occupiedAt;
     /// Of the prompt, as long as the target has not shown that it read it.
     Tokens m_unread;
     std::unique_ptr<RoomReservation> m_reservation;
@@ -198,6 +203,8 @@
     MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
     Milliseconds m_longestPause{0};
+    /// Told to a caller that was refused.
+    Milliseconds m_comeBack{0};
     /// Made while the stream was moved.
     Milliseconds m_movePause{0};
     int m_moves = 0;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -22,8 +22,8 @@
 
 /// A request for a plain service waits for a target for this part of its objective.
 constexpr double WaitPart = 0.6;
-/// A generation that can no longer begin on time waits this long for room that nobody else needs;
-/// its caller gives up after about seven seconds without an event.
+/// A generation that could not begin on time from the first waits this long for room that nobody
+/// else needs; its caller gives up after about seven seconds without an event.
 constexpr Milliseconds OverduePatience{6000};
 /// And no longer than this part of the time that its caller gives it.
 constexpr double WaitPartOfTime = 0.5;
@@ -94,12 +94,14 @@
     });
 }
 
+Milliseconds RelayRun::readingTime() const
+{
+    return Milliseconds(qint64(double(m_task.request.promptTokens.value()) / TokensReadPerMs));
+}
+
 bool RelayRun::isOverdue() const
 {
-    const double reading = double(m_task.request.promptTokens.value()) / TokensReadPerMs;
-    const std::chrono::duration<double, std::milli> waited =
-        m_context.timers.now() - m_task.arrived;
-    return waited.count() + reading > double(m_task.route.objective.count());
+    return m_context.timers.now() - m_task.arrived + readingTime() > m_task.route.objective;
 }
 
 Tokens RelayRun::readable() const
@@ -195,9 +197,15 @@
 
 Milliseconds RelayRun::waitLimit() const
 {
-    if (m_task.engine)
-        return std::min(OverduePatience,
-                        std::chrono::duration_cast<Milliseconds>(WaitPartOfTime * patience()));
+    if (m_task.engine) {
+        // Once it cannot begin on time any more its caller does better to come back: here it
+        // would wait behind all that still can, and be lost if this daemon ends.
+        const Milliseconds onTime = m_task.route.objective - readingTime();
+        return onTime.count() > 0
+            ? onTime
+            : std::min(OverduePatience,
+                       std::chrono::duration_cast<Milliseconds>(WaitPartOfTime * patience()));
+    }
     return std::chrono::duration_cast<Milliseconds>(WaitPart * m_task.route.objective);
 }
 
