--- a/apps/ctl/RequestStory.cpp
+++ b/apps/ctl/RequestStory.cpp
@@ -1,5 +1,6 @@
 #include "ctl/RequestStory.h"
 
+#include <QMap>
 #include <QSet>
 
 #include <algorithm>
@@ -44,7 +45,8 @@
         return false;
     if (line.name.startsWith(QLatin1String("target.")))
         return involved.targets.contains(field(line, "target")) && line.time >= involved.first;
-    return line.name.startsWith(QLatin1String("platform."));
+    return line.name.startsWith(QLatin1String("platform."))
+        || line.name.startsWith(QLatin1String("evacuation."));
 }
 
 const LogLine *lastNamed(const QList<LogLine> &lines, const char *name)
@@ -93,6 +95,23 @@
     return cause + u'.';
 }
 
+/// The data centres that the daemon knew to be evacuated when the request ended, and since when.
+QString evacuations(const RequestStory &story)
+{
+    QMap<QString, QString> since;
+    for (const LogLine &line : story.lines) {
+        if (line.name == QLatin1String("evacuation.in_force"))
+            since.insert(field(line, "data_centre"), line.time);
+        else if (line.name == QLatin1String("evacuation.ended"))
+            since.remove(field(line, "data_centre"));
+    }
+    QString text;
+    for (auto entry = since.cbegin(); entry != since.cend(); ++entry)
+        text += QStringLiteral(" Data centre %1 was evacuated since %2.")
+                    .arg(entry.key(), entry.value());
+    return text;
+}
+
 QString unplaced(const RequestStory &story)
 {
     const LogLine *waiting = lastNamed(story.lines, "relay.waiting");
@@ -102,7 +121,7 @@
     if (waiting)
         cause += QStringLiteral(" %1 targets of its service were known.")
                      .arg(field(*waiting, "targets"));
-    return cause;
+    return cause + evacuations(story);
 }
 
 QString causeOf(const RequestStory &story, const LogLine &ended)
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -123,6 +123,21 @@
     BOOST_TEST(!fed.has(Key));
 }
 
+// An evacuation was taken back: its key was gone, and the latest change of the keys that were left
+// was an older one. Daemons that compare it to what they have did not ask, and kept the evacuation.
+BOOST_FIXTURE_TEST_CASE(NewestCountsRemovals, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    BOOST_TEST((fed.mirror.newest() == Revision(4)));
+    BOOST_TEST(fed.mirror.fed(answerOf({item(Key, 7, true)}, 7), Revision(5)));
+    BOOST_TEST((fed.mirror.newest() == Revision(7)));
+    // Found by a read, which does not say when it was removed.
+    fed.mirror.takeFrom({item(Key, 8)}, {Key}, Revision(8));
+    fed.mirror.takeFrom({}, {}, Revision(12));
+    BOOST_TEST((fed.mirror.newest() == Revision(12)));
+}
+
 // Messages are lost, repeated and reordered, by seeds. Whatever comes, the daemon never goes back
 // to an older revision, and after a whole answer it holds what the store holds.
 BOOST_FIXTURE_TEST_CASE(NeverGoesBackWhateverArrives, Fixture)
--- a/test/failure/PlatformExplained.cpp
+++ b/test/failure/PlatformExplained.cpp
@@ -112,3 +112,19 @@
         test::runCtl({QStringLiteral("explain"), QStringLiteral("r9"), QStringLiteral("/no/log")});
     BOOST_TEST(missing.exitCode == 2);
 }
+
+// A client was refused at once: the only data centre with targets for it had been evacuated.
+BOOST_FIXTURE_TEST_CASE(RefusedAsAllIsEvacuated, Fixture)
+{
+    site.evacuate(QStringLiteral("hall"), true);
+    int requests = 0;
+    QByteArray id;
+    BOOST_REQUIRE(test::waitFor([&] {
+        id = "e" + QByteArray::number(++requests);
+        return site.call(daemon, "GET", "/safe/a", id)->response.status == 503;
+    }));
+    const QByteArray told = explained(id, "relay.ended");
+    BOOST_TEST(told.contains("Ended as no_target"));
+    BOOST_TEST(told.contains("has run: no"));
+    BOOST_TEST(told.contains("Data centre hall was evacuated since"));
+}
