Relay: files of RelayRun and TargetDirectory parted by what they decide

How a send is judged and tried again, and which targets take work, are files of their own; no change of behaviour. A watch's wait has a floor of 0.1 s, for bounds under a second.

--- a/src/relay/CertaintyPlan.cpp
+++ b/src/relay/CertaintyPlan.cpp
@@ -1,5 +1,7 @@
 #include "relay/CertaintyPlan.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -11,6 +13,8 @@
 constexpr double CertainFor = 0.9;
 /// Two waits, a pace and two heartbeats of the feed are to be under AskPeersAfter.
 constexpr double WatchWaitPart = 0.125;
+/// Shorter waits would be calls without a pause.
+constexpr Milliseconds ShortestWatchWait{100};
 
 } // namespace
 
@@ -32,7 +36,8 @@
 
 Milliseconds certaintyWatchWait(Milliseconds bound)
 {
-    return std::chrono::duration_cast<Milliseconds>(WatchWaitPart * bound);
+    return std::max(ShortestWatchWait,
+                    std::chrono::duration_cast<Milliseconds>(WatchWaitPart * bound));
 }
 
 } // namespace cranberry
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -22,8 +22,6 @@
 
 namespace {
 
-/// Sends of one request, so that targets that all refuse do not share it for ever.
-constexpr int MostSends = 4;
 /// An idempotent request that is silent for this many objectives is tried elsewhere.
 constexpr double SilentObjectives = 2.5;
 /// Idle connections that may be reused: an idempotent request that meets a closed one is sent
@@ -33,13 +31,10 @@
 constexpr Milliseconds NoReuse{0};
 /// The connection by which the target has just answered; it is as good as a new one.
 constexpr Milliseconds ReuseAfterReservation{50};
-/// Part of the retries kept back from plain requests for generations that move.
-constexpr double RetryReserve = 0.5;
 /// When a caller that a plain service had no place for should come back.
 constexpr Milliseconds ComeBackAfter{600};
 /// Bytes that a caller may leave unread; a stream sends some 10 KB a second.
 constexpr qsizetype MostUnsentBytes = 1024 * 1024;
-constexpr int FirstServerFailure = 500;
 
 /// Statuses by which a system promises that a request has not run.
 bool isPromise(int status)
@@ -47,22 +42,6 @@
     return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
-AttemptFate fateOf(SendResult::Kind kind)
-{
-    switch (kind) {
-    case SendResult::Kind::Answered:
-        return AttemptFate::Answered;
-    case SendResult::Kind::Broken:
-    case SendResult::Kind::Spoilt:
-        return AttemptFate::Broken;
-    case SendResult::Kind::NotConnected:
-    case SendResult::Kind::NotExecuted:
-    case SendResult::Kind::Misdirected:
-        break;
-    }
-    return AttemptFate::Ended;
-}
-
 } // namespace
 
 RelayRun::RelayRun(RelayContext &context, RelayTask task, std::shared_ptr<CallerReply> reply,
@@ -248,117 +227,6 @@
     m_lastEventAt = now;
 }
 
-void RelayRun::attemptEnded(const SendResult &result)
-{
-    if (m_phase == Phase::Over)
-        return;
-    if (m_phase == Phase::Moving) {
-        m_endedWhileMoving = result;
-        return;
-    }
-    logEvent(LogLevel::Info, EventId::RelaySendEnded,
-             {{"request", m_task.request.id.text()},
-              {"target", m_target.text()},
-              {"result", QLatin1String(sendResultName(result.kind))},
-              {"status", QString::number(result.head.status)},
-              {"events", QString::number(m_lastEvent)},
-              {"reason", result.reason}});
-    m_ran = std::max(m_ran, ranAfter(result.kind));
-    if (ranAfter(result.kind) != Ran::No)
-        ++m_runs;
-    m_fate = fateOf(result.kind);
-    judgeTarget(result);
-    if (hasBegun() && goesOnAtBackup(result))
-        return;
-    if (hasBegun()) {
-        // Where a generation goes on, the new target may answer with a failure; that answer is
-        // whole, the stream is not.
-        const bool isWhole = result.kind == SendResult::Kind::Answered && result.isStream;
-        if (!isWhole) {
-            streamLost(result.reason);
-            return;
-        }
-        m_reply->write(m_attempt->unfinishedEvent());
-        if (m_task.engine)
-            m_context.outputs.finished(m_task.route.name,
-                                       Tokens(m_lastEvent * m_task.engine->tokensPerEvent));
-        succeed();
-        return;
-    }
-    const TargetId target = m_target;
-    leaveTarget();
-    m_excluded.insert(target);
-    if (tryAgain(result))
-        return;
-    // A stream that ends whole before its first event has nothing to pass on.
-    if (result.kind == SendResult::Kind::Answered && !result.isStream)
-        answered(result);
-    else if (m_fallback)
-        answered(*m_fallback);
-    else if (m_ran == Ran::No)
-        fail(ErrorKind::NoTarget, QStringLiteral("no target took the request"));
-    else
-        fail(ErrorKind::TargetFailed, QStringLiteral("the target did not answer whole"));
-}
-
-void RelayRun::judgeTarget(const SendResult &result)
-{
-    switch (result.kind) {
-    case SendResult::Kind::Answered:
-        if (result.head.status >= FirstServerFailure)
-            m_context.targets.failed(m_target, "answered with a failure");
-        else
-            m_context.targets.succeeded(m_target);
-        break;
-    case SendResult::Kind::NotExecuted:
-        // A full target is not a broken one; the load figures speak of that.
-        break;
-    case SendResult::Kind::Misdirected:
-        m_context.targets.markLeaving(m_target, "another target has its address");
-        break;
-    case SendResult::Kind::NotConnected:
-    case SendResult::Kind::Broken:
-    case SendResult::Kind::Spoilt:
-        m_context.targets.failed(m_target, sendResultName(result.kind));
-        break;
-    }
-}
-
-bool RelayRun::mayTryAgain(const SendResult &result) const
-{
-    if (m_sends >= MostSends || timeLeft().count() == 0)
-        return false;
-    if (ranAfter(result.kind) == Ran::No)
-        return m_ran == Ran::No || m_task.route.kind == RequestKind::Idempotent;
-    const bool isFailure =
-        result.kind != SendResult::Kind::Answered || result.head.status >= FirstServerFailure;
-    return isFailure && m_task.route.kind == RequestKind::Idempotent
-        && m_runs < m_task.route.mostTargets;
-}
-
-bool RelayRun::tryAgain(const SendResult &result)
-{
-    if (!mayTryAgain(result))
-        return false;
-    if (!m_context.retries.take(m_task.service, m_context.timers.now(),
-                                isStream() ? 0 : RetryReserve))
-        return false;
-    if (result.kind == SendResult::Kind::Answered)
-        m_fallback = result;
-    // A service's failures are often of the moment: without another target the same one is asked
-    // again. One that says that it is full is not.
-    const bool isAlone = m_context.targets.takingWork(m_task.service).size() == 1;
-    if (isAlone && ranAfter(result.kind) != Ran::No)
-        m_excluded.clear();
-    ++m_context.counters.of(m_task.route.kind).retried;
-    logEvent(LogLevel::Info, EventId::RelayRetried,
-             {{"request", m_task.request.id.text()},
-              {"after", QLatin1String(sendResultName(result.kind))},
-              {"sends", QString::number(m_sends)}});
-    place();
-    return true;
-}
-
 void RelayRun::answered(const SendResult &result)
 {
     // A target's 503 that does not say "not run" would be taken for a promise by the caller; one
@@ -375,19 +243,6 @@
     over("answered");
 }
 
-void RelayRun::silentTooLong()
-{
-    if (m_phase != Phase::Sent)
-        return;
-    SendResult silence;
-    silence.reason = QStringLiteral("silent");
-    // Without another target to go to, a late answer is better than none.
-    const bool canMove = m_context.targets.takingWork(m_task.service).size() > 1;
-    if (!canMove || m_runs + 1 >= m_task.route.mostTargets)
-        return;
-    attemptEnded(silence);
-}
-
 void RelayRun::deadlinePassed()
 {
     const auto self = shared_from_this();
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -3,7 +3,6 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "relay/ColdPace.h"
 
 #include <QRandomGenerator>
 
@@ -32,10 +31,6 @@
 /// to 0.2 s to arrive.
 constexpr Milliseconds LeastNotice{1300};
 
-/// Targets of a data centre that was evacuated may have started again just before that ends, and
-/// say so with their next heartbeat, which is up to 1.2 s and a change of the store away.
-constexpr Milliseconds ReturnsCold{2500};
-
 Milliseconds spreadDelay()
 {
     const double part = QRandomGenerator::global()->generateDouble();
@@ -88,34 +83,6 @@
         roomChanged();
 }
 
-void TargetDirectory::noteCold(TargetRecord &record)
-{
-    const MonotonicTime now = m_timers.now();
-    const bool wasCold = record.isCold(now);
-    const Milliseconds left = record.entry.coldLeft;
-    record.coldUntil = left.count() > 0 ? now + left : std::min(record.coldUntil, now);
-    // It may become cold at any time, not only when it joins.
-    if (record.isCold(now) && !wasCold)
-        beginPace(record, "entry");
-}
-
-void TargetDirectory::beginPace(TargetRecord &record, const char *reason)
-{
-    const Milliseconds pace = m_coldPace(record.entry.service);
-    if (pace.count() == 0)
-        return;
-    const MonotonicTime now = m_timers.now();
-    record.coldSendAfter = now + firstColdDelay(pace, QRandomGenerator::global()->generateDouble());
-    const auto left = std::chrono::duration_cast<Milliseconds>(
-        std::max(record.coldUntil, record.maybeColdUntil) - now);
-    logEvent(LogLevel::Info, EventId::TargetCold,
-             {{"target", record.entry.id.text()},
-              {"reason", QLatin1String(reason)},
-              {"left_ms", QString::number(left.count())},
-              {"pace_ms", QString::number(pace.count())}});
-    tellRoomAt(record.coldSendAfter);
-}
-
 void TargetDirectory::startedAgain(const TargetId &target)
 {
     const auto known = m_targets.find(target);
@@ -231,58 +198,6 @@
     return known == m_targets.cend() ? nullptr : &*known;
 }
 
-void TargetDirectory::setEvacuated(const DataCentreId &dataCentre, bool isEvacuated)
-{
-    if (isEvacuated) {
-        m_evacuated.insert(dataCentre);
-        return;
-    }
-    if (!m_evacuated.remove(dataCentre))
-        return;
-    for (TargetRecord &record : m_targets) {
-        if (record.entry.dataCentre != dataCentre)
-            continue;
-        record.maybeColdUntil = m_timers.now() + ReturnsCold;
-        beginPace(record, "evacuation ended");
-    }
-    roomChanged();
-}
-
-bool TargetDirectory::takesWork(const TargetRecord &record) const
-{
-    return !record.isLeaving && !record.isWithheld
-        && !m_evacuated.contains(record.entry.dataCentre);
-}
-
-bool TargetDirectory::takesWork(const TargetId &target) const
-{
-    const TargetRecord *record = find(target);
-    return record && takesWork(*record);
-}
-
-bool TargetDirectory::isEvacuated(const ServiceId &service) const
-{
-    bool isAnyEvacuated = false;
-    for (const TargetRecord &record : m_targets) {
-        if (record.entry.service != service || record.isLeaving || record.isWithheld)
-            continue;
-        if (takesWork(record))
-            return false;
-        isAnyEvacuated = true;
-    }
-    return isAnyEvacuated;
-}
-
-QList<const TargetRecord *> TargetDirectory::takingWork(const ServiceId &service) const
-{
-    QList<const TargetRecord *> targets;
-    for (const TargetRecord &record : m_targets) {
-        if (record.entry.service == service && takesWork(record))
-            targets.append(&record);
-    }
-    return targets;
-}
-
 int TargetDirectory::count(const ServiceId &service) const
 {
     return int(std::count_if(m_targets.cbegin(), m_targets.cend(),
