--- a/src/relay/RoomForecast.cpp
+++ b/src/relay/RoomForecast.cpp
@@ -10,8 +10,8 @@
 constexpr double Kept = 0.97;
 /// Before any generation has ended.
 constexpr Milliseconds FirstGuess{8000};
-/// Callers heed no more than a third of the time that they have left.
 constexpr Milliseconds Least{600};
+/// Callers heed no more than a third of the time that they have left.
 constexpr Milliseconds Most{12000};
 
 } // namespace
