--- a/src/relay/FeedMessage.cpp
+++ b/src/relay/FeedMessage.cpp
@@ -93,7 +93,7 @@
     message.configuration = Revision(body.at(4).toInteger());
     message.targets = body.at(5).toInteger();
     message.configurationAge = Milliseconds(
-        std::clamp<qint64>(body.at(6).toInteger(NeverCertain.count()), 0, NeverCertain.count()));
+        std::clamp<qint64>(body.at(6).toInteger(UnknownAge.count()), 0, UnknownAge.count()));
     return message;
 }
 
--- a/src/relay/FeedMessage.h
+++ b/src/relay/FeedMessage.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/Units.h"
-#include "relay/CertaintyPlan.h"
+#include "relay/StalenessPlan.h"
 #include "relay/StoreItem.h"
 
 #include <QCborArray>
@@ -31,8 +31,8 @@
     QList<StoreItem> items;
     /// The last change of the configuration that the sender has.
     Revision configuration;
-    /// The sender was certain of the configuration up to so long ago.
-    Milliseconds configurationAge = NeverCertain;
+    /// So long ago the configuration of the sender was last confirmed.
+    Milliseconds configurationAge = UnknownAge;
     /// Targets that it knows.
     qint64 targets = 0;
 };
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -44,7 +44,7 @@
 
 const QString ConfigurationField = QStringLiteral("configuration");
 const QString EntriesField = QStringLiteral("entries");
-/// The ms up to which the answering daemon was certain of the configuration.
+/// How many ms ago the configuration of the answering daemon was last confirmed.
 const QString AgeField = QStringLiteral("age");
 
 /// The revision; what changed after @p known; the keys that there are. Empty if there is too much
@@ -92,13 +92,13 @@
 
 PeerState::PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
                      StoreMirror &configuration, StoreMirror &entries,
-                     std::function<CertaintyView()> certainty)
+                     std::function<StalenessView()> staleness)
     : m_timers(timers)
     , m_client(client)
     , m_peers(peers)
     , m_configuration(configuration)
     , m_entries(entries)
-    , m_certainty(std::move(certainty))
+    , m_staleness(std::move(staleness))
     , m_timer(timers.every(AskInterval, [this] { askIfAway(); }))
 {
 }
@@ -118,7 +118,7 @@
     // What the operator wrote is worth telling however old it is, as its age goes with it.
     QCborMap state{
         {ConfigurationField, stateOf(m_configuration, Revision(parts.at(2).toLongLong()))},
-        {AgeField, qint64(m_certainty().age.count())}};
+        {AgeField, qint64(m_staleness().age.count())}};
     if (m_entries.hasSource())
         state.insert(EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong())));
     reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, state.toCborValue().toCbor()});
@@ -126,8 +126,8 @@
 
 void PeerState::askIfAway()
 {
-    const bool isUncertain = certaintyStep(m_certainty()) != CertaintyStep::Wait;
-    const bool isAway = isUncertain || !m_configuration.hasSource() || !m_entries.hasSource();
+    const bool isStale = stalenessStep(m_staleness()) != StalenessStep::Wait;
+    const bool isAway = isStale || !m_configuration.hasSource() || !m_entries.hasSource();
     if (!isAway) {
         m_pause = AskInterval;
         return;
@@ -142,9 +142,9 @@
     heard.removeIf([this](const Peer &peer) { return !m_peers.isHeard(peer); });
     if (!heard.isEmpty())
         peers = heard;
-    // Nobody is certain any more: the store is away for all, and haste is no use.
-    m_pause =
-        isCertain(m_certainty()) ? AskInterval : std::clamp(2 * m_pause, AskInterval, LongestPause);
+    // Nobody is within the bound any more: the store is away for all, and haste is no use.
+    m_pause = isWithinBound(m_staleness()) ? AskInterval
+                                           : std::clamp(2 * m_pause, AskInterval, LongestPause);
     m_nextQuestion = m_timers.now() + m_pause;
     ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
@@ -197,9 +197,9 @@
                  {{"vm", vm.text()}, {"detail", QStringLiteral("the answer cannot be read")}});
         return;
     }
-    const Milliseconds age(state.value(AgeField).toInteger(NeverCertain.count()));
+    const Milliseconds age(state.value(AgeField).toInteger(UnknownAge.count()));
     if (takeInto(m_configuration, state.value(ConfigurationField)))
-        m_configuration.vouch(asked - std::clamp(age, Milliseconds(0), NeverCertain));
+        m_configuration.confirm(asked - std::clamp(age, Milliseconds(0), UnknownAge));
     // An answer without them names a revision all the same: taken for all that there is, it
     // removed every target.
     if (hasEntries)
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -3,7 +3,7 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
-#include "relay/CertaintyPlan.h"
+#include "relay/StalenessPlan.h"
 
 #include <QByteArray>
 
@@ -33,11 +33,11 @@
 class PeerState
 {
 public:
-    /// Precondition: everything passed outlives the object; @p certainty tells how old the
+    /// Precondition: everything passed outlives the object; @p staleness tells how old the
     /// configuration may be here.
     PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
               StoreMirror &configuration, StoreMirror &entries,
-              std::function<CertaintyView()> certainty);
+              std::function<StalenessView()> staleness);
     ~PeerState();
 
     /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
@@ -56,7 +56,7 @@
     PeerDirectory &m_peers;
     StoreMirror &m_configuration;
     StoreMirror &m_entries;
-    std::function<CertaintyView()> m_certainty;
+    std::function<StalenessView()> m_staleness;
     /// Those not answered yet, by their numbers.
     std::map<int, std::unique_ptr<HttpExchange>> m_questions;
     int m_asked = 0;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,9 +42,9 @@
                       configuration ? configuration->version.value() : 0);
     text +=
         gaugeText("cranberry_relay_evacuated_data_centres", parts.targets.evacuatedDataCentres());
-    const CertaintyView certainty = parts.feed.certainty();
-    text += gaugeText("cranberry_relay_configuration_certain", isCertain(certainty) ? 1 : 0);
-    text += gaugeText("cranberry_relay_configuration_age_ms", certainty.age.count());
+    const StalenessView staleness = parts.feed.staleness();
+    text += gaugeText("cranberry_relay_configuration_fresh", isWithinBound(staleness) ? 1 : 0);
+    text += gaugeText("cranberry_relay_configuration_age_ms", staleness.age.count());
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/CertaintyPlan.cpp
+++ b/src/relay/StalenessPlan.cpp
@@ -1,4 +1,4 @@
-#include "relay/CertaintyPlan.h"
+#include "relay/StalenessPlan.h"
 
 #include <algorithm>
 
@@ -10,7 +10,7 @@
 constexpr double AskPeersAfter = 0.45;
 constexpr double FirstReadAfter = 0.5;
 constexpr double LastReadAfter = 0.8;
-constexpr double CertainFor = 0.9;
+constexpr double FreshFor = 0.9;
 /// Two waits, a pace and two heartbeats of the feed are to be under AskPeersAfter.
 constexpr double WatchWaitPart = 0.125;
 /// Shorter waits would be calls without a pause.
@@ -18,23 +18,23 @@
 
 } // namespace
 
-CertaintyStep certaintyStep(const CertaintyView &view)
+StalenessStep stalenessStep(const StalenessView &view)
 {
     const double age = double(view.age.count());
     const double bound = double(view.bound.count());
     if (age < AskPeersAfter * bound)
-        return CertaintyStep::Wait;
+        return StalenessStep::Wait;
     const double readAfter = FirstReadAfter + (LastReadAfter - FirstReadAfter) * view.draw;
     const bool readsStore = age >= readAfter * bound && !view.isTurnedAway;
-    return readsStore ? CertaintyStep::ReadStore : CertaintyStep::AskPeer;
+    return readsStore ? StalenessStep::ReadStore : StalenessStep::AskPeer;
 }
 
-bool isCertain(const CertaintyView &view)
+bool isWithinBound(const StalenessView &view)
 {
-    return double(view.age.count()) < CertainFor * double(view.bound.count());
+    return double(view.age.count()) < FreshFor * double(view.bound.count());
 }
 
-Milliseconds certaintyWatchWait(Milliseconds bound)
+Milliseconds stalenessWatchWait(Milliseconds bound)
 {
     return std::max(ShortestWatchWait,
                     std::chrono::duration_cast<Milliseconds>(WatchWaitPart * bound));
--- a/src/relay/CertaintyPlan.h
+++ b/src/relay/StalenessPlan.h
@@ -1,17 +1,18 @@
-// Defines certaintyStep, what a daemon does to be sure of the operator's newest word in time.
+// Defines stalenessStep, by which a daemon keeps its copy of what the operator wrote within a bound
+// of staleness.
 #pragma once
 
 #include "base/Units.h"
 
 namespace cranberry {
 
-/// The age of what was never certain; longer than any bound.
-constexpr Milliseconds NeverCertain{3'600'000};
+/// The age of what was never confirmed; longer than any bound.
+constexpr Milliseconds UnknownAge{3'600'000};
 
 /// What a daemon knows of how old its knowledge may be.
-struct CertaintyView {
+struct StalenessView {
     /// Until so long ago all that the operator wrote is here.
-    Milliseconds age = NeverCertain;
+    Milliseconds age = UnknownAge;
     /// Within this time after its acknowledgement a change is to be in force everywhere.
     Milliseconds bound{0};
     /// The store did not serve this daemon a moment ago.
@@ -21,9 +22,9 @@
     double draw = 1;
 };
 
-enum class CertaintyStep {
+enum class StalenessStep {
     Wait,
-    /// Another daemon may be sure of something newer.
+    /// Another daemon may be fresher.
     AskPeer,
     ReadStore,
 };
@@ -31,17 +32,17 @@
 /// A daemon that others feed can believe itself fed and be stale in many ways: the daemons that
 /// watch are turned away or deaf, a link drops one way, the one that passes changes on has itself
 /// missed them. Then a key that was taken away goes on working. Whatever the cause, the daemon sees
-/// by its own clock that nobody vouches for what it has, and asks while there is time left.
+/// by its own clock that nobody confirms what it has, and asks while there is time left.
 /// Peers go first, as calls to a store that is down for all are wasted. Thread-safe.
-CertaintyStep certaintyStep(const CertaintyView &view);
+StalenessStep stalenessStep(const StalenessView &view);
 
 /// Whether routes and keys that are not known here do not exist: a newer version that has them
 /// need not be in force yet. Thread-safe.
-bool isCertain(const CertaintyView &view);
+bool isWithinBound(const StalenessView &view);
 
 /// How long a watch waits for a change, so that those who rely on it are sure of what was there
-/// less than half of @p bound ago: a watch vouches for the moment at which it was opened, and the
+/// less than half of @p bound ago: a watch confirms the moment at which it was opened, and the
 /// next one is answered a wait later. Thread-safe.
-Milliseconds certaintyWatchWait(Milliseconds bound);
+Milliseconds stalenessWatchWait(Milliseconds bound);
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -197,21 +197,21 @@
 
 Milliseconds StoreFeed::configurationWait() const
 {
-    const Milliseconds wait = certaintyWatchWait(m_operatorBound);
+    const Milliseconds wait = stalenessWatchWait(m_operatorBound);
     // A daemon that watches for itself alone adds no heartbeats to that, and where another one
-    // watches as well that one vouches for the fleet.
+    // watches as well that one confirms for the fleet.
     if (!m_hasGroup)
         return 2 * wait;
     return view().watchersBefore > 0 ? std::max(wait, WatcherWait) : wait;
 }
 
-CertaintyView StoreFeed::certainty() const
+StalenessView StoreFeed::staleness() const
 {
     const MonotonicTime now = m_parts.timers.now();
-    const MonotonicTime certainAt = m_parts.configuration.certainAt();
-    CertaintyView view;
-    if (certainAt != MonotonicTime())
-        view.age = std::chrono::duration_cast<Milliseconds>(now - certainAt);
+    const MonotonicTime freshAsOf = m_parts.configuration.freshAsOf();
+    StalenessView view;
+    if (freshAsOf != MonotonicTime())
+        view.age = std::chrono::duration_cast<Milliseconds>(now - freshAsOf);
     view.bound = m_operatorBound;
     view.isTurnedAway = now < m_turnedAwayUntil;
     view.draw = m_readDraw;
@@ -238,12 +238,12 @@
         planProbe(false);
     for (StoreMirror *mirror : {&m_parts.entries, &m_parts.configuration})
         mirror->checkFeed();
-    readIfUncertain();
+    readIfStale();
 }
 
-void StoreFeed::readIfUncertain()
+void StoreFeed::readIfStale()
 {
-    const bool isDue = certaintyStep(certainty()) == CertaintyStep::ReadStore;
+    const bool isDue = stalenessStep(staleness()) == StalenessStep::ReadStore;
     // One that has not read at all does so by itself.
     if (!isDue || !m_parts.configuration.hasRead())
         return;
@@ -338,7 +338,7 @@
                             upTo,
                             items,
                             m_parts.configuration.newest(),
-                            certainty().age,
+                            staleness().age,
                             m_parts.entries.items().size()};
     const QList<Peer> receivers = this->receivers(!items.isEmpty());
     for (const FeedMessage &part : splitForDatagrams(whole))
@@ -399,7 +399,7 @@
     if (configuration.fed(answer, message.configuration))
         m_configurationMissing = MonotonicTime();
     if (configuration.hasRead() && message.configuration <= configuration.revision())
-        configuration.vouch(m_parts.timers.now() - message.configurationAge);
+        configuration.confirm(m_parts.timers.now() - message.configurationAge);
 }
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -3,10 +3,10 @@
 
 #include "base/Ids.h"
 #include "base/Units.h"
-#include "relay/CertaintyPlan.h"
 #include "relay/FeedMessage.h"
 #include "relay/FeedPlan.h"
 #include "relay/Peer.h"
+#include "relay/StalenessPlan.h"
 #include "relay/StoreAnswer.h"
 
 #include <QHash>
@@ -58,7 +58,7 @@
     void drain();
 
     /// How old what the operator wrote may be here.
-    CertaintyView certainty() const;
+    StalenessView staleness() const;
 
     /// The longest pause of this daemon between calls to a store that does not answer.
     Milliseconds longestBackoff() const;
@@ -102,13 +102,13 @@
     void received(const Peer &from, const QCborArray &body);
     void takeEntries(const Peer &from, const FeedMessage &message);
     void takeConfiguration(const FeedMessage &message);
-    void readIfUncertain();
+    void readIfStale();
 
     Parts m_parts;
     std::function<qint64()> m_version;
     bool m_isFirstStart;
     Milliseconds m_operatorBound;
-    /// See CertaintyView::draw.
+    /// See StalenessView::draw.
     double m_readDraw;
     MonotonicTime m_started;
     /// The store did not serve this daemon until then.
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -137,7 +137,7 @@
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
-    vouch(m_readBegan);
+    confirm(m_readBegan);
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
     // Another daemon may have told something newer since the first page was read.
     if (m_readAt < m_revision) {
@@ -198,7 +198,7 @@
     }
     const Revision base = m_revision;
     apply(answer);
-    vouch(m_callBegan);
+    confirm(m_callBegan);
     m_feed.changed(answer, base);
     watch();
 }
@@ -374,9 +374,9 @@
         removeLater(entry.key());
 }
 
-void StoreMirror::vouch(MonotonicTime certainAt)
+void StoreMirror::confirm(MonotonicTime freshAsOf)
 {
-    m_certainAt = std::max(m_certainAt, certainAt);
+    m_freshAsOf = std::max(m_freshAsOf, freshAsOf);
 }
 
 void StoreMirror::takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys,
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -70,9 +70,9 @@
     /// Reads the store, or waits for others as long as its feed holds it back.
     void start();
     /// All that the store held at this moment is here, or was replaced by something newer.
-    MonotonicTime certainAt() const { return m_certainAt; }
-    /// Another daemon that holds nothing newer was certain of that moment.
-    void vouch(MonotonicTime certainAt);
+    MonotonicTime freshAsOf() const { return m_freshAsOf; }
+    /// Another daemon that holds nothing newer is fresh as of that moment.
+    void confirm(MonotonicTime freshAsOf);
     /// It hears from the store itself or from those that watch for it.
     bool hasSource() const { return m_isCurrent || m_feed.isFed(); }
     /// Others watch for it.
@@ -167,7 +167,7 @@
     Milliseconds m_backoff{0};
     MonotonicTime m_started;
     MonotonicTime m_callBegan;
-    MonotonicTime m_certainAt;
+    MonotonicTime m_freshAsOf;
     /// Removals are doubted until then, as leases may have lapsed while the store was away.
     MonotonicTime m_doubtUntil;
     QHash<QString, MonotonicTime> m_missing;
--- a/test/correctness/CertaintyPlan.cpp
+++ b/test/correctness/StalenessPlan.cpp
@@ -1,8 +1,8 @@
-// How daemons stay certain of the operator's newest word, without a network.
-#define BOOST_TEST_MODULE CertaintyPlan
+// How daemons keep their copies of what the operator wrote fresh, without a network.
+#define BOOST_TEST_MODULE StalenessPlan
 #include <boost/test/unit_test.hpp>
 
-#include "relay/CertaintyPlan.h"
+#include "relay/StalenessPlan.h"
 
 #include <QList>
 #include <QRandomGenerator>
@@ -23,11 +23,11 @@
 constexpr Milliseconds TurnedAway{4000};
 constexpr Milliseconds Heartbeat{300};
 
-using Plan = std::function<CertaintyStep(const CertaintyView &)>;
+using Plan = std::function<StalenessStep(const StalenessView &)>;
 
 /// A daemon that two others feed; its knowledge is a moment of the store's history.
 struct Daemon {
-    Milliseconds certainAt{0};
+    Milliseconds freshAsOf{0};
     Milliseconds busyUntil{0};
     Milliseconds turnedAwayUntil{0};
     bool isServed = true;
@@ -51,7 +51,7 @@
             daemon.isServed = random.bounded(3) > 0;
             daemon.isFed = random.bounded(2) > 0;
         }
-        // Somebody is served, or nobody can be certain.
+        // Somebody is served, or nobody can be fresh.
         daemons[random.bounded(int(daemons.size()))].isServed = true;
         isFeederDeaf = random.bounded(2) > 0;
     }
@@ -62,7 +62,7 @@
             fedAt = now;
         for (Daemon &daemon : daemons) {
             if (daemon.isFed)
-                daemon.certainAt = std::max(daemon.certainAt, fedAt);
+                daemon.freshAsOf = std::max(daemon.freshAsOf, fedAt);
         }
     }
 
@@ -70,15 +70,15 @@
     {
         if (daemon.busyUntil > now)
             return;
-        const CertaintyView view{now - daemon.certainAt, Bound, daemon.turnedAwayUntil > now,
+        const StalenessView view{now - daemon.freshAsOf, Bound, daemon.turnedAwayUntil > now,
                                  daemon.draw};
         switch (plan(view)) {
-        case CertaintyStep::Wait:
+        case StalenessStep::Wait:
             return;
-        case CertaintyStep::ReadStore:
+        case StalenessStep::ReadStore:
             readStore(daemon);
             return;
-        case CertaintyStep::AskPeer:
+        case StalenessStep::AskPeer:
             askPeer(daemon);
             return;
         }
@@ -89,7 +89,7 @@
         daemon.busyUntil = now + Call;
         daemon.draw = random.generateDouble();
         if (daemon.isServed)
-            daemon.certainAt = now;
+            daemon.freshAsOf = now;
         else
             daemon.turnedAwayUntil = now + TurnedAway;
     }
@@ -100,14 +100,14 @@
         const bool isLost = random.bounded(8) == 0;
         daemon.busyUntil = now + (isLost ? NextQuestion : Call);
         if (!isLost)
-            daemon.certainAt = std::max(daemon.certainAt, peer.certainAt);
+            daemon.freshAsOf = std::max(daemon.freshAsOf, peer.freshAsOf);
     }
 
     Milliseconds oldest() const
     {
         Milliseconds oldest = now;
         for (const Daemon &daemon : daemons)
-            oldest = std::min(oldest, daemon.certainAt);
+            oldest = std::min(oldest, daemon.freshAsOf);
         return now - oldest;
     }
 
@@ -144,7 +144,7 @@
     return broken;
 }
 
-CertaintyView viewOf(qint64 age, bool isTurnedAway = false)
+StalenessView viewOf(qint64 age, bool isTurnedAway = false)
 {
     return {Milliseconds(age), Bound, isTurnedAway, 1};
 }
@@ -157,23 +157,23 @@
 // than the bound as long as the store serves anybody.
 BOOST_AUTO_TEST_CASE(WhateverFailsTheBoundHolds)
 {
-    BOOST_TEST(brokenDays(certaintyStep) == 0);
+    BOOST_TEST(brokenDays(stalenessStep) == 0);
 }
 
 // The same days break plans that lack a part.
 BOOST_AUTO_TEST_CASE(PlansThatLackAPartFail)
 {
-    const Plan trustsTheFeed = [](const CertaintyView &) { return CertaintyStep::Wait; };
-    const Plan asksNobody = [](const CertaintyView &view) {
-        const CertaintyStep step = certaintyStep(view);
-        return step == CertaintyStep::AskPeer ? CertaintyStep::Wait : step;
+    const Plan trustsTheFeed = [](const StalenessView &) { return StalenessStep::Wait; };
+    const Plan asksNobody = [](const StalenessView &view) {
+        const StalenessStep step = stalenessStep(view);
+        return step == StalenessStep::AskPeer ? StalenessStep::Wait : step;
     };
-    const Plan neverReads = [](const CertaintyView &view) {
-        const CertaintyStep step = certaintyStep(view);
-        return step == CertaintyStep::ReadStore ? CertaintyStep::AskPeer : step;
+    const Plan neverReads = [](const StalenessView &view) {
+        const StalenessStep step = stalenessStep(view);
+        return step == StalenessStep::ReadStore ? StalenessStep::AskPeer : step;
     };
-    const Plan asksTooLate = [](const CertaintyView &view) {
-        return view.age < Bound ? CertaintyStep::Wait : certaintyStep(view);
+    const Plan asksTooLate = [](const StalenessView &view) {
+        return view.age < Bound ? StalenessStep::Wait : stalenessStep(view);
     };
     BOOST_TEST(brokenDays(trustsTheFeed) > 0);
     BOOST_TEST(brokenDays(asksNobody) > 0);
@@ -183,18 +183,18 @@
 
 BOOST_AUTO_TEST_CASE(PeersGoBeforeTheStore)
 {
-    BOOST_TEST((certaintyStep(viewOf(800)) == CertaintyStep::Wait));
-    BOOST_TEST((certaintyStep(viewOf(1000)) == CertaintyStep::AskPeer));
-    BOOST_TEST((certaintyStep(viewOf(1700)) == CertaintyStep::ReadStore));
-    BOOST_TEST((certaintyStep(viewOf(1700, true)) == CertaintyStep::AskPeer));
+    BOOST_TEST((stalenessStep(viewOf(800)) == StalenessStep::Wait));
+    BOOST_TEST((stalenessStep(viewOf(1000)) == StalenessStep::AskPeer));
+    BOOST_TEST((stalenessStep(viewOf(1700)) == StalenessStep::ReadStore));
+    BOOST_TEST((stalenessStep(viewOf(1700, true)) == StalenessStep::AskPeer));
 }
 
 // A daemon that had never read anything must not tell a caller that its key does not exist.
-BOOST_AUTO_TEST_CASE(NeverCertainIsNotCertain)
+BOOST_AUTO_TEST_CASE(UnknownAgeIsNotFresh)
 {
-    CertaintyView view;
+    StalenessView view;
     view.bound = Bound;
-    BOOST_TEST(!isCertain(view));
-    BOOST_TEST(isCertain(viewOf(1700)));
-    BOOST_TEST(!isCertain(viewOf(1900)));
+    BOOST_TEST(!isWithinBound(view));
+    BOOST_TEST(isWithinBound(viewOf(1700)));
+    BOOST_TEST(!isWithinBound(viewOf(1900)));
 }
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -37,7 +37,7 @@
     return answer;
 }
 
-CertaintyView neverCertain()
+StalenessView unknownAge()
 {
     return {};
 }
@@ -187,8 +187,7 @@
     PeerDirectory peers(timers, client, Nowhere, protocol, counters, self);
     FedMirror hasAll(timers, client);
     FedMirror hasConfiguration(timers, client);
-    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror,
-                        neverCertain);
+    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror, unknownAge);
     hasAll.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
     hasConfiguration.mirror.takeFrom({item(QStringLiteral("c"), 8)}, {QStringLiteral("c")},
                                      Revision(8));
@@ -205,7 +204,7 @@
     FedMirror entries(timers, client);
     FedMirror configuration(timers, client);
     entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
-    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, neverCertain);
+    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, unknownAge);
     asking.askSoon(peer);
     BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
     BOOST_TEST(entries.has(Key));
