Relay: only daemons with a configuration about to be too old ask peers each 0.1 s

Hypothesis: daemons that start together have the configuration and miss 3,000 targets, asked each other ten times a second for seconds, and answers took the processor of those that read.

--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -21,9 +21,13 @@
 
 namespace {
 
-/// A third of those asked may be turned away as well, and links may be cut: of a bound of two
-/// seconds a half is left for questions.
-constexpr Milliseconds AskInterval{100};
+/// A target that leaves is gone about 1.5 s after it says so, and its streams take most of that
+/// to move.
+constexpr Milliseconds AskInterval{250};
+/// Of a daemon whose configuration is about to be too old: a third of those asked may be turned
+/// away as well, and links may be cut, and of a bound of two seconds a half is left. Hundreds of
+/// daemons that start together and miss the targets alone must not ask that often.
+constexpr Milliseconds StaleAskInterval{100};
 constexpr Milliseconds AskTimeout{400};
 /// When the store is away for all, no other daemon has anything newer; when it turns some away, a
 /// third of the daemons asked has nothing, and a new version must be in force within two seconds.
@@ -99,7 +103,8 @@
     , m_configuration(configuration)
     , m_entries(entries)
     , m_staleness(std::move(staleness))
-    , m_timer(timers.every(AskInterval, [this] { askIfAway(); }))
+    , m_pause(AskInterval)
+    , m_timer(timers.every(StaleAskInterval, [this] { askIfAway(); }))
 {
 }
 
@@ -142,10 +147,9 @@
     heard.removeIf([this](const Peer &peer) { return !m_peers.isHeard(peer); });
     if (!heard.isEmpty())
         peers = heard;
-    // Nobody is within the bound any more: the store is away for all, and haste is no use.
-    m_pause = isWithinBound(m_staleness()) ? AskInterval
-                                           : std::clamp(2 * m_pause, AskInterval, LongestPause);
-    m_nextQuestion = m_timers.now() + m_pause;
+    // Past the bound the store is away for all, and haste is no use.
+    const bool isUrgent = isStale && isWithinBound(m_staleness());
+    m_nextQuestion = m_timers.now() + (isUrgent ? StaleAskInterval : m_pause);
     ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
 
@@ -180,9 +184,11 @@
             const auto question = m_questions.extract(number);
             const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
             if (isWhole) {
+                m_pause = AskInterval;
                 answered(vm, response.body, needsEntries, asked);
                 return;
             }
+            m_pause = std::clamp(2 * m_pause, AskInterval, LongestPause);
             logEvent(LogLevel::Info, EventId::PeerStateFailed,
                      {{"vm", vm.text()}, {"status", QString::number(response.status)}});
         });
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -62,7 +62,7 @@
     int m_asked = 0;
     std::unique_ptr<TimerSubscription> m_soon;
     /// Pause between questions while the store is away.
-    Milliseconds m_pause{0};
+    Milliseconds m_pause;
     MonotonicTime m_nextQuestion;
     std::unique_ptr<TimerSubscription> m_timer;
 };
