Relay: what the operator removes is not doubted

Finding of a run with sanitizers, which are slow: EndReachesDaemonsThatAreFed failed, three of seven daemons kept an evacuation that had been taken back. Cause: the end was found by a read after a cut watch, and doubted for two seconds as entries with leases are; daemons that asked meanwhile took the revision of the removal and the key with it, and nothing told them later. The operator's keys have no leases.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -136,6 +136,9 @@
     RelayParts &parts = *m_parts;
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
         mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
+    // What the operator removes stays removed. While a watcher doubted it, daemons that asked were
+    // told the revision of the removal and the key with it, and kept the key for good.
+    parts.configuration.setKeysLapse(false);
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { operatorWrote(item.key, item.value); },
          [this](const QString &key) { setEvacuated(key, false); }});
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -283,7 +283,8 @@
 
 void StoreMirror::doubtIfAway()
 {
-    if (std::exchange(m_wasAway, false))
+    const bool wasAway = std::exchange(m_wasAway, false);
+    if (wasAway && m_keysLapse)
         m_doubtUntil = m_timers.now() + LapseGrace;
 }
 
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -63,6 +63,9 @@
     {
         m_longestBackoff = std::move(longest);
     }
+    /// Keys have leases, by default: what is missing after the store was away may come back within
+    /// seconds. Precondition: not started.
+    void setKeysLapse(bool lapse) { m_keysLapse = lapse; }
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
     /// Precondition: not started.
@@ -155,6 +158,7 @@
     Revision m_revision;
     Revision m_newest;
     Revision m_readAt;
+    bool m_keysLapse = true;
     bool m_isCurrent = false;
     /// The loss of the store was logged.
     bool m_isAway = false;
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -123,6 +123,22 @@
     BOOST_TEST(!fed.has(Key));
 }
 
+// The end of an evacuation was found by a read after the store had been away, and was doubted for
+// two seconds as if a lease had lapsed. Daemons that asked meanwhile were given the key beside a
+// revision at which it was gone, and never heard of its end. The operator's keys have no leases.
+BOOST_FIXTURE_TEST_CASE(KeysWithoutLeasesAreNotDoubted, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.setKeysLapse(false);
+    fed.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    BOOST_TEST(fed.mirror.fed(answerOf({}, 5), Revision(5)));
+    fed.isFed = false;
+    fed.mirror.checkFeed();
+    fed.mirror.takeFrom({}, {}, Revision(8));
+    BOOST_TEST(!fed.has(Key));
+    BOOST_TEST((fed.mirror.newest() == Revision(8)));
+}
+
 // An evacuation was taken back: its key was gone, and the latest change of the keys that were left
 // was an older one. Daemons that compare it to what they have did not ask, and kept the evacuation.
 BOOST_FIXTURE_TEST_CASE(NewestCountsRemovals, Fixture)
