--- a/src/relay/OutputForecast.h
+++ b/src/relay/OutputForecast.h
@@ -15,9 +15,8 @@
 constexpr Tokens BriefOutput{64};
 
 /// Forecasts the output of a request from what its caller expects and from the answers of its route
-/// so far. Callers' figures are right at the median but spread widely: of 767 answers, those
-/// announced with 30 to 100 tokens had 293 on average, those with over 2,000 had 1,133; the
-/// logarithm of the output follows that of the announced one with a slope of 0.4.
+/// so far. Callers' figures are right at the median but spread widely: answers announced
+/// as short are longer than that on average, those announced as long are shorter.
 /// Thread safety: only from the thread of the event loop.
 class OutputForecast
 {
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -214,7 +214,7 @@
     if (m_context.hearsOfTargets())
         return;
     // While nobody tells which targets leave, one that refuses may be about to go, or gone: all
-    // choose it, as it looks empty (1,532 refusals in 14 s without the store, 87 moves done).
+    // choose it, as it looks empty.
     m_context.reports.refresh(
         {destination}, RefusalReportFreshFor, [&context = m_context, destination] {
             const TargetRecord *record = context.targets.find(destination);
--- a/src/relay/RetryShare.h
+++ b/src/relay/RetryShare.h
@@ -22,8 +22,8 @@
 /// Guards against retry storms: a fault that fails every request would otherwise double the load
 /// on what is left. Daemons that hear each other share what their requests allow, and the part of
 /// the slack that falls to them by number: retries come in clumps, as when an engine leaves with
-/// the streams of one daemon, and a fixed part for each daemon (3 in 10 s of a fleet of 78) left
-/// 98 of 355 moves without one.
+/// the streams of one daemon, and a fixed part for each daemon would leave
+/// many of these without one.
 /// Thread safety: none; one event loop.
 class RetryShare
 {
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -24,8 +24,8 @@
 /// of 250 bytes, 40 receivers take 1.6 Mbit/s of a watcher's link.
 constexpr int MostDaemons = 40;
 /// A store that falls silent without closing anything is found after this time and a little more.
-/// With waits of 28 s, engines that left in 10 s of silence took 12 streams with them. A watcher's
-/// calls are few, and what it finds late all find late.
+/// Engines that leave in the meantime take their streams with them. A watcher's calls are few, and
+/// what it finds late all find late.
 constexpr Milliseconds WatcherWait{700};
 constexpr Milliseconds SingleWait{1500};
 /// Between an answer and the next watch. Targets come and go in groups whose changes are some ms
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -317,8 +317,8 @@
     m_feed.lost();
     m_state = State::Pausing;
     // A watch that is cut may have heard nothing for a while, and one that goes on from there may
-    // hear nothing either: the store forgets history and says so only later (a newer version was
-    // found 5.5 s late that way). A read shows what is there.
+    // hear nothing either: the store forgets history and says so only later. A read shows what is
+    // there.
     m_needsRead = true;
     if (m_feed.isFed() || m_feed.holdsBack()) {
         m_state = State::Fed;
