Relay: logs and metrics tell why a copy of the configuration was old

Histograms of the ages before each confirmation for the configuration and the targets. No decision changes.

ctest of StalenessPlan, StoreMirror, EventCatalogue, PlatformExplained, PlatformFeed, PlatformStore, FeedMessage, PlatformNames, PlatformPath: 9 passed.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -42,6 +42,9 @@
     X(TargetCold, 1216, "target.cold")                                                             \
     X(EvacuationInForce, 1509, "evacuation.in_force")                                              \
     X(EvacuationEnded, 1510, "evacuation.ended")                                                   \
+    X(StalenessChanged, 1511, "staleness.changed")                                                 \
+    X(StoreProbed, 1512, "store.probed")                                                           \
+    X(PeerStateTaken, 1928, "peers.state_taken")                                                   \
     X(MemberJoined, 1601, "member.joined")                                                         \
     X(MemberSuspected, 1602, "member.suspected")                                                   \
     X(MemberDead, 1603, "member.dead")                                                             \
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -203,9 +203,17 @@
                  {{"vm", vm.text()}, {"detail", QStringLiteral("the answer cannot be read")}});
         return;
     }
+    const Revision before = m_configuration.revision();
     const Milliseconds age(state.value(AgeField).toInteger(UnknownAge.count()));
     if (takeInto(m_configuration, state.value(ConfigurationField)))
-        m_configuration.confirm(asked - std::clamp(age, Milliseconds(0), UnknownAge));
+        m_configuration.confirm(asked - std::clamp(age, Milliseconds(0), UnknownAge),
+                                StoreSource::Peer);
+    if (before < m_configuration.revision())
+        logEvent(LogLevel::Info, EventId::PeerStateTaken,
+                 {{"vm", vm.text()},
+                  {"before", QString::number(before.value())},
+                  {"revision", QString::number(m_configuration.revision().value())},
+                  {"age_ms", QString::number(age.count())}});
     // An answer without them names a revision all the same: taken for all that there is, it
     // removed every target.
     if (hasEntries)
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -280,7 +280,8 @@
                  {{"detail", read.error().detail}});
         return;
     }
-    m_parts->gateway.setConfiguration(read.value());
+    m_parts->gateway.setConfiguration(read.value(), m_parts->configuration.changedBy(),
+                                      m_parts->configuration.age());
     m_parts->callers.setLimits(read.value().limits);
 }
 
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -5,6 +5,7 @@
 #include "base/Result.h"
 #include "base/Units.h"
 #include "relay/RelayConfiguration.h"
+#include "relay/StoreSource.h"
 
 #include <QHash>
 
@@ -33,7 +34,8 @@
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
 
     /// Puts @p configuration in force; an older version than the one in force is ignored.
-    void setConfiguration(RelayConfiguration configuration);
+    /// @p by: what brought it; @p age: how old what was in force before may have been.
+    void setConfiguration(RelayConfiguration configuration, StoreSource by, Milliseconds age);
     /// Null until one is known.
     const std::shared_ptr<const RelayConfiguration> &configuration() const
     {
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -45,6 +45,9 @@
     const StalenessView staleness = parts.feed.staleness();
     text += gaugeText("cranberry_relay_configuration_fresh", isWithinBound(staleness) ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_age_ms", staleness.age.count());
+    text += parts.configuration.ages().prometheusText("cranberry_relay_configuration_age_seconds");
+    text += gaugeText("cranberry_relay_targets_age_ms", parts.entries.age().count());
+    text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/StalenessPlan.cpp
+++ b/src/relay/StalenessPlan.cpp
@@ -18,6 +18,19 @@
 
 } // namespace
 
+const char *textOf(StalenessStep step)
+{
+    switch (step) {
+    case StalenessStep::Wait:
+        return "wait";
+    case StalenessStep::AskPeer:
+        return "ask_peer";
+    case StalenessStep::ReadStore:
+        return "read_store";
+    }
+    return "";
+}
+
 StalenessStep stalenessStep(const StalenessView &view)
 {
     const double age = double(view.age.count());
--- a/src/relay/StalenessPlan.h
+++ b/src/relay/StalenessPlan.h
@@ -29,6 +29,9 @@
     ReadStore,
 };
 
+/// As log lines name it. Thread-safe.
+const char *textOf(StalenessStep step);
+
 /// A daemon that others feed can believe itself fed and be stale in many ways: the daemons that
 /// watch are turned away or deaf, a link drops one way, the one that passes changes on has itself
 /// missed them. Then a key that was taken away goes on working. Whatever the cause, the daemon sees
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -207,13 +207,10 @@
 
 StalenessView StoreFeed::staleness() const
 {
-    const MonotonicTime now = m_parts.timers.now();
-    const MonotonicTime freshAsOf = m_parts.configuration.freshAsOf();
     StalenessView view;
-    if (freshAsOf != MonotonicTime())
-        view.age = std::chrono::duration_cast<Milliseconds>(now - freshAsOf);
+    view.age = m_parts.configuration.age();
     view.bound = m_operatorBound;
-    view.isTurnedAway = now < m_turnedAwayUntil;
+    view.isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
     view.draw = m_readDraw;
     return view;
 }
@@ -243,7 +240,9 @@
 
 void StoreFeed::readIfStale()
 {
-    const bool isDue = stalenessStep(staleness()) == StalenessStep::ReadStore;
+    const StalenessStep step = stalenessStep(staleness());
+    noteStep(step);
+    const bool isDue = step == StalenessStep::ReadStore;
     // One that has not read at all does so by itself.
     if (!isDue || !m_parts.configuration.hasRead())
         return;
@@ -251,6 +250,21 @@
     m_parts.configuration.readAgain();
 }
 
+void StoreFeed::noteStep(StalenessStep step)
+{
+    if (std::exchange(m_step, step) == step)
+        return;
+    const StalenessView view = staleness();
+    logEvent(LogLevel::Info, EventId::StalenessChanged,
+             {{"step", QLatin1String(textOf(step))},
+              {"age_ms", QString::number(view.age.count())},
+              {"bound_ms", QString::number(view.bound.count())},
+              {"confirmed_by", QLatin1String(textOf(m_parts.configuration.confirmedBy()))},
+              {"revision", QString::number(m_parts.configuration.revision().value())},
+              {"turned_away", view.isTurnedAway ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"watchers", QString::number(this->view().watchers)}});
+}
+
 void StoreFeed::drain()
 {
     // Two watchers that were stopped together were missed for a second, and streams of engines
@@ -399,7 +413,7 @@
     if (configuration.fed(answer, message.configuration))
         m_configurationMissing = MonotonicTime();
     if (configuration.hasRead() && message.configuration <= configuration.revision())
-        configuration.confirm(m_parts.timers.now() - message.configurationAge);
+        configuration.confirm(m_parts.timers.now() - message.configurationAge, StoreSource::Feed);
 }
 
 } // namespace cranberry
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -103,6 +103,7 @@
     void takeEntries(const Peer &from, const FeedMessage &message);
     void takeConfiguration(const FeedMessage &message);
     void readIfStale();
+    void noteStep(StalenessStep step);
 
     Parts m_parts;
     std::function<qint64()> m_version;
@@ -110,6 +111,8 @@
     Milliseconds m_operatorBound;
     /// See StalenessView::draw.
     double m_readDraw;
+    /// The step that was logged last.
+    StalenessStep m_step = StalenessStep::Wait;
     MonotonicTime m_started;
     /// The store did not serve this daemon until then.
     MonotonicTime m_turnedAwayUntil;
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "http/HttpClient.h"
 #include "relay/RelayCounters.h"
+#include "relay/StalenessPlan.h"
 #include "relay/StoreProtocol.h"
 
 #include <QRandomGenerator>
@@ -105,6 +106,7 @@
         unavailable();
         return;
     }
+    m_changedBy = StoreSource::Read;
     // Pages are not a snapshot: the watch goes on from the first page's revision and repeats
     // what changed while the later ones were read.
     if (m_readAt == Revision())
@@ -131,13 +133,14 @@
         logEvent(LogLevel::Info, EventId::PlatformBack,
                  {{"prefix", m_prefix},
                   {"keys", QString::number(m_reading.size())},
-                  {"revision", QString::number(m_readAt.value())}});
+                  {"revision", QString::number(m_readAt.value())},
+                  {"age_ms", QString::number(age().count())}});
     }
     doubtIfAway();
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
-    confirm(m_readBegan);
+    confirm(m_readBegan, StoreSource::Read);
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
     // Another daemon may have told something newer since the first page was read.
     if (m_readAt < m_revision) {
@@ -192,13 +195,16 @@
     if (!m_isCurrent) {
         m_isAway = false;
         logEvent(LogLevel::Info, EventId::PlatformBack,
-                 {{"prefix", m_prefix}, {"revision", QString::number(answer.asOf.value())}});
+                 {{"prefix", m_prefix},
+                  {"revision", QString::number(answer.asOf.value())},
+                  {"age_ms", QString::number(age().count())}});
         doubtIfAway();
         m_isCurrent = true;
     }
     const Revision base = m_revision;
+    m_changedBy = StoreSource::Watch;
     apply(answer);
-    confirm(m_callBegan);
+    confirm(m_callBegan, StoreSource::Watch);
     m_feed.changed(answer, base);
     watch();
 }
@@ -235,6 +241,7 @@
     if (follows) {
         feedBack();
         // An older message may come late; a key that was removed since would be there again.
+        m_changedBy = StoreSource::Feed;
         if (answer.asOf > m_revision)
             apply(answer);
         return true;
@@ -266,7 +273,9 @@
     logEvent(LogLevel::Warning, EventId::PlatformDown,
              {{"prefix", m_prefix},
               {"revision", QString::number(m_revision.value())},
-              {"by", QLatin1String(by)}});
+              {"by", QLatin1String(by)},
+              {"age_ms", QString::number(age().count())},
+              {"confirmed_by", QLatin1String(textOf(m_confirmedBy))}});
 }
 
 void StoreMirror::feedBack()
@@ -274,9 +283,11 @@
     if (m_isCurrent)
         return;
     m_isAway = false;
-    logEvent(
-        LogLevel::Info, EventId::PlatformBack,
-        {{"prefix", m_prefix}, {"revision", QString::number(m_revision.value())}, {"by", "feed"}});
+    logEvent(LogLevel::Info, EventId::PlatformBack,
+             {{"prefix", m_prefix},
+              {"revision", QString::number(m_revision.value())},
+              {"by", "feed"},
+              {"age_ms", QString::number(age().count())}});
     doubtIfAway();
     m_isCurrent = true;
 }
@@ -305,6 +316,10 @@
         noteAway("feed");
     if (m_feed.holdsBack())
         return;
+    logEvent(LogLevel::Info, EventId::StoreProbed,
+             {{"prefix", m_prefix},
+              {"call", m_needsRead ? QStringLiteral("read") : QStringLiteral("watch")},
+              {"age_ms", QString::number(age().count())}});
     if (m_needsRead)
         read();
     else
@@ -375,9 +390,21 @@
         removeLater(entry.key());
 }
 
-void StoreMirror::confirm(MonotonicTime freshAsOf)
+void StoreMirror::confirm(MonotonicTime freshAsOf, StoreSource by)
+{
+    if (freshAsOf <= m_freshAsOf)
+        return;
+    if (m_freshAsOf != MonotonicTime())
+        m_ages.add(double(age().count()));
+    m_freshAsOf = freshAsOf;
+    m_confirmedBy = by;
+}
+
+Milliseconds StoreMirror::age() const
 {
-    m_freshAsOf = std::max(m_freshAsOf, freshAsOf);
+    if (m_freshAsOf == MonotonicTime())
+        return UnknownAge;
+    return std::chrono::duration_cast<Milliseconds>(m_timers.now() - m_freshAsOf);
 }
 
 void StoreMirror::takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys,
@@ -385,6 +412,7 @@
 {
     if (revision <= m_revision)
         return;
+    m_changedBy = StoreSource::Peer;
     doubtIfAway();
     for (const StoreItem &item : changed)
         put(item);
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -1,9 +1,11 @@
 // Defines StoreMirror, a daemon's copy of some keys of the platform's store.
 #pragma once
 
+#include "base/LatencyHistogram.h"
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 #include "relay/StoreAnswer.h"
+#include "relay/StoreSource.h"
 
 #include <QHash>
 #include <QSet>
@@ -75,7 +77,15 @@
     /// All that the store held at this moment is here, or was replaced by something newer.
     MonotonicTime freshAsOf() const { return m_freshAsOf; }
     /// Another daemon that holds nothing newer is fresh as of that moment.
-    void confirm(MonotonicTime freshAsOf);
+    void confirm(MonotonicTime freshAsOf, StoreSource by);
+    /// What confirmed freshAsOf().
+    StoreSource confirmedBy() const { return m_confirmedBy; }
+    /// What brought the change that the callbacks are called for.
+    StoreSource changedBy() const { return m_changedBy; }
+    /// How long ago all that the store held is known to have been here; UnknownAge if it never was.
+    Milliseconds age() const;
+    /// The ages just before each confirmation.
+    const LatencyHistogram &ages() const { return m_ages; }
     /// It hears from the store itself or from those that watch for it.
     bool hasSource() const { return m_isCurrent || m_feed.isFed(); }
     /// Others watch for it.
@@ -172,6 +182,9 @@
     MonotonicTime m_started;
     MonotonicTime m_callBegan;
     MonotonicTime m_freshAsOf;
+    StoreSource m_confirmedBy = StoreSource::None;
+    StoreSource m_changedBy = StoreSource::None;
+    LatencyHistogram m_ages;
     /// Removals are doubted until then, as leases may have lapsed while the store was away.
     MonotonicTime m_doubtUntil;
     QHash<QString, MonotonicTime> m_missing;
