Relay: the first call after the watchers are gone does not wait for changes

Cause: a chain of waits that nobody bounded. Both watchers lost the store silently; the others noticed 1.0 to 1.5 s later, waited up to 0.6 s, and then called the store with a watch of the targets that waits up to 1.5 s for a change. The configuration waits for the outcome of that call (one call is enough to find out whether the store is back), and the outcome came when a target changed or the wait was over.

Fix: that call is a watch of 100 ms, as it is where a message of the feed was lost. It costs one more call for each loss.

correctness/StoreFeed FirstCallAfterTheWatchersAreGoneDoesNotWaitForChanges failed before (1,500 ms, wanted 100) and passes; StoreMirror, PlatformFeed, PlatformStore, PlatformNews, PlatformRunners pass.

--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -23,7 +23,7 @@
 /// Pages older than this are read again: what changed since the first one must still be in the
 /// store's history, which may be a few seconds long.
 constexpr Milliseconds ReadHolds{3000};
-/// For changes that are known to be there.
+/// For changes that are there already.
 constexpr Milliseconds CatchUpWait{100};
 /// All targets of a site announce themselves within a second, and each announcement would end a
 /// watch; so at first a watch follows the last one only after a while. Two or three answers then
@@ -248,6 +248,7 @@
     }
     if (m_feed.askPeers())
         return false;
+    // A message was lost: the store still has what it said.
     if (m_hasRead)
         catchUp();
     else
@@ -257,7 +258,6 @@
 
 void StoreMirror::catchUp()
 {
-    // A message was lost: the store still has what it said.
     m_state = State::Watching;
     m_isCatchingUp = true;
     call(m_protocol.watch(m_prefix, m_revision, CatchUpWait), ReadTimeout,
@@ -320,10 +320,11 @@
              {{"prefix", m_prefix},
               {"call", m_needsRead ? QStringLiteral("read") : QStringLiteral("watch")},
               {"age_ms", QString::number(age().count())}});
+    // Others may wait for the outcome, so that it must not depend on when something changes.
     if (m_needsRead)
         read();
     else
-        openWatch();
+        catchUp();
 }
 
 void StoreMirror::unavailable()
