Relay: targets are kept within a bound of age, as the configuration is

What callers would see: requests go to a target that has left, or end there, as the daemons that watch for theirs are deaf or cut off and go on being heard.

The configuration had got a bound by the daemon's own clock; targets, which must get no more requests 2 s after their leaving is acknowledged, had not.

Change: heartbeats and answers of peers tell the age of the targets as well; a fed daemon whose age nobody confirms asks peers from 0.45 of the bound on and the store from 0.5 to 0.8 of it (a watch that does not wait, since what it has is only behind). A daemon with a watch of its own needs neither. Of a message in parts only the last one confirms, and one that a head passes on late does not. An answer of a watch that waited in vain stands for its end, not for its begin; the first watcher waits 400 ms instead of 700, so that its heartbeats keep the others below 0.45 of the bound. target_drain_ms is a setting, from the deployment's sheet.

Evidence: correctness/StoreFeed TargetsThatNobodyConfirmsAreReadWithinTheBound failed before (no call in 2 s of unconfirmed heartbeats) and passes; ConfirmedCopiesAreNotRead says that it costs nothing while the watchers are well.

--- a/src/relay/FeedMessage.cpp
+++ b/src/relay/FeedMessage.cpp
@@ -42,11 +42,19 @@
 
 } // namespace
 
+Milliseconds decodeAge(const QCborValue &value)
+{
+    return Milliseconds(
+        std::clamp<qint64>(value.toInteger(UnknownAge.count()), 0, UnknownAge.count()));
+}
+
 QList<FeedMessage> splitForDatagrams(const FeedMessage &message)
 {
     QList<FeedMessage> parts;
     FeedMessage part = message;
     part.items.clear();
+    // Only what comes with the last part makes the receiver as fresh as the sender.
+    part.targetsAge = UnknownAge;
     qsizetype bytes = 0;
     Revision last = message.base;
     for (const StoreItem &item : message.items) {
@@ -62,6 +70,7 @@
         last = std::max(last, item.revision);
     }
     part.upTo = message.upTo;
+    part.targetsAge = message.targetsAge;
     parts.append(part);
     return parts;
 }
@@ -74,7 +83,8 @@
             packed(message.items),
             message.configuration.value(),
             message.targets,
-            qint64(message.configurationAge.count())};
+            qint64(message.configurationAge.count()),
+            qint64(message.targetsAge.count())};
 }
 
 std::optional<FeedMessage> decodeFeed(const QCborArray &body)
@@ -92,8 +102,8 @@
     message.items = *items;
     message.configuration = Revision(body.at(4).toInteger());
     message.targets = body.at(5).toInteger();
-    message.configurationAge = Milliseconds(
-        std::clamp<qint64>(body.at(6).toInteger(UnknownAge.count()), 0, UnknownAge.count()));
+    message.configurationAge = decodeAge(body.at(6));
+    message.targetsAge = decodeAge(body.at(7));
     return message;
 }
 
--- a/src/relay/FeedMessage.h
+++ b/src/relay/FeedMessage.h
@@ -35,6 +35,8 @@
     Milliseconds configurationAge = UnknownAge;
     /// Targets that it knows.
     qint64 targets = 0;
+    /// All changes of targets until so long ago are among those up to upTo.
+    Milliseconds targetsAge = UnknownAge;
 };
 
 /// Messages that each fit a datagram and together say what @p message says; one for a heartbeat.
@@ -47,4 +49,7 @@
 /// None if it is no such message, or a damaged one. Thread-safe.
 std::optional<FeedMessage> decodeFeed(const QCborArray &body);
 
+/// An age as another daemon tells it; UnknownAge if it tells none. Thread-safe.
+Milliseconds decodeAge(const QCborValue &value);
+
 } // namespace cranberry
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "http/HttpClient.h"
+#include "relay/FeedMessage.h"
 #include "relay/PeerDirectory.h"
 #include "relay/StoreMirror.h"
 
@@ -48,8 +49,9 @@
 
 const QString ConfigurationField = QStringLiteral("configuration");
 const QString EntriesField = QStringLiteral("entries");
-/// How many ms ago the configuration of the answering daemon was last confirmed.
+/// How many ms ago the configuration and the entries of the answering daemon were last confirmed.
 const QString AgeField = QStringLiteral("age");
+const QString EntriesAgeField = QStringLiteral("entries_age");
 
 /// The revision; what changed after @p known; the keys that there are. Empty if there is too much
 /// of it for a daemon that has nothing yet: the store tells that faster.
@@ -95,8 +97,7 @@
 } // namespace
 
 PeerState::PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-                     StoreMirror &configuration, StoreMirror &entries,
-                     std::function<StalenessView()> staleness)
+                     StoreMirror &configuration, StoreMirror &entries, Staleness staleness)
     : m_timers(timers)
     , m_client(client)
     , m_peers(peers)
@@ -123,15 +124,22 @@
     // What the operator wrote is worth telling however old it is, as its age goes with it.
     QCborMap state{
         {ConfigurationField, stateOf(m_configuration, Revision(parts.at(2).toLongLong()))},
-        {AgeField, qint64(m_staleness().age.count())}};
+        {AgeField, qint64(m_configuration.age().count())},
+        {EntriesAgeField, qint64(m_entries.age().count())}};
     if (m_entries.hasSource())
         state.insert(EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong())));
     reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, state.toCborValue().toCbor()});
 }
 
+bool PeerState::isStale(const std::function<StalenessView()> &staleness) const
+{
+    return stalenessStep(staleness()) != StalenessStep::Wait;
+}
+
 void PeerState::askIfAway()
 {
-    const bool isStale = stalenessStep(m_staleness()) != StalenessStep::Wait;
+    const bool isStale =
+        this->isStale(m_staleness.configuration) || this->isStale(m_staleness.targets);
     const bool isAway = isStale || !m_configuration.hasSource() || !m_entries.hasSource();
     if (!isAway) {
         m_pause = AskInterval;
@@ -148,7 +156,8 @@
     if (!heard.isEmpty())
         peers = heard;
     // Past the bound the store is away for all, and haste is no use.
-    const bool isUrgent = isStale && isWithinBound(m_staleness());
+    const bool isUrgent = isStale
+        && (isWithinBound(m_staleness.configuration()) || isWithinBound(m_staleness.targets()));
     m_nextQuestion = m_timers.now() + (isUrgent ? StaleAskInterval : m_pause);
     ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
@@ -167,7 +176,8 @@
 void PeerState::ask(const Peer &peer)
 {
     // Entries come by the feed, and all of them are a long answer.
-    const bool needsEntries = !m_entries.hasRead() || !m_entries.hasSource();
+    const bool needsEntries =
+        !m_entries.hasRead() || !m_entries.hasSource() || isStale(m_staleness.targets);
     const qint64 entries = needsEntries ? m_entries.revision().value() : NotNeeded;
     HttpRequest request;
     request.method = "GET";
@@ -204,10 +214,9 @@
         return;
     }
     const Revision before = m_configuration.revision();
-    const Milliseconds age(state.value(AgeField).toInteger(UnknownAge.count()));
+    const Milliseconds age = decodeAge(state.value(AgeField));
     if (takeInto(m_configuration, state.value(ConfigurationField)))
-        m_configuration.confirm(asked - std::clamp(age, Milliseconds(0), UnknownAge),
-                                StoreSource::Peer);
+        m_configuration.confirm(asked - age, StoreSource::Peer);
     if (before < m_configuration.revision())
         logEvent(LogLevel::Info, EventId::PeerStateTaken,
                  {{"vm", vm.text()},
@@ -216,8 +225,8 @@
                   {"age_ms", QString::number(age.count())}});
     // An answer without them names a revision all the same: taken for all that there is, it
     // removed every target.
-    if (hasEntries)
-        takeInto(m_entries, state.value(EntriesField));
+    if (hasEntries && takeInto(m_entries, state.value(EntriesField)))
+        m_entries.confirm(asked - decodeAge(state.value(EntriesAgeField)), StoreSource::Peer);
 }
 
 } // namespace cranberry
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -33,11 +33,15 @@
 class PeerState
 {
 public:
-    /// Precondition: everything passed outlives the object; @p staleness tells how old the
-    /// configuration may be here.
+    /// How old this daemon's copies may be.
+    struct Staleness {
+        std::function<StalenessView()> configuration;
+        std::function<StalenessView()> targets;
+    };
+
+    /// Precondition: everything passed outlives the object.
     PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-              StoreMirror &configuration, StoreMirror &entries,
-              std::function<StalenessView()> staleness);
+              StoreMirror &configuration, StoreMirror &entries, Staleness staleness);
     ~PeerState();
 
     /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
@@ -47,6 +51,7 @@
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) const;
 
 private:
+    bool isStale(const std::function<StalenessView()> &staleness) const;
     void askIfAway();
     void ask(const Peer &peer);
     void answered(const VmId &vm, const QByteArray &body, bool hasEntries, MonotonicTime asked);
@@ -56,7 +61,7 @@
     PeerDirectory &m_peers;
     StoreMirror &m_configuration;
     StoreMirror &m_entries;
-    std::function<StalenessView()> m_staleness;
+    Staleness m_staleness;
     /// Those not answered yet, by their numbers.
     std::map<int, std::unique_ptr<HttpExchange>> m_questions;
     int m_asked = 0;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -110,10 +110,12 @@
                     protocols.store.operatorPrefix)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , targetEntries(protocols.store, targets, counters)
-    , peerState(timers, client, peers, configuration, entries, [this] { return feed.staleness(); })
+    , peerState(timers, client, peers, configuration, entries,
+                {[this] { return feed.configurationStaleness(); },
+                 [this] { return feed.targetsStaleness(); }})
     , feed({timers, peers, heads, datagrams, peerState, entries, configuration}, given.isFirstStart,
-           given.operatorBound, [this] { return configurationVersion(*this); })
-    , gateway(context, [this] { return isWithinBound(feed.staleness()); })
+           given.staleness, [this] { return configurationVersion(*this); })
+    , gateway(context, [this] { return isWithinBound(feed.configurationStaleness()); })
     , callers(
           timers,
           [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -42,7 +42,7 @@
                       configuration ? configuration->version.value() : 0);
     text +=
         gaugeText("cranberry_relay_evacuated_data_centres", parts.targets.evacuatedDataCentres());
-    const StalenessView staleness = parts.feed.staleness();
+    const StalenessView staleness = parts.feed.configurationStaleness();
     text += gaugeText("cranberry_relay_configuration_fresh", isWithinBound(staleness) ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_age_ms", staleness.age.count());
     text += parts.configuration.ages().prometheusText("cranberry_relay_configuration_age_seconds");
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -38,6 +38,16 @@
     return limits;
 }
 
+StalenessBounds readBounds(SettingsReader &reader)
+{
+    StalenessBounds bounds;
+    bounds.configuration = std::min(
+        readDuration(reader, QStringLiteral("configuration_apply_ms"), bounds.configuration),
+        readDuration(reader, QStringLiteral("evacuation_ms"), Milliseconds(MostMilliseconds)));
+    bounds.targets = readDuration(reader, QStringLiteral("target_drain_ms"), bounds.targets);
+    return bounds;
+}
+
 } // namespace
 
 Result<RelaySettings> parseRelaySettings(const QByteArray &json)
@@ -62,9 +72,7 @@
     settings.peer = readAddress(reader, QStringLiteral("peer"));
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
-    settings.operatorBound = std::min(
-        readDuration(reader, QStringLiteral("configuration_apply_ms"), settings.operatorBound),
-        readDuration(reader, QStringLiteral("evacuation_ms"), Milliseconds(MostMilliseconds)));
+    settings.staleness = readBounds(reader);
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.noteUnread();
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -5,6 +5,7 @@
 #include "base/Result.h"
 #include "http/HttpEndpoint.h"
 #include "relay/RetryShare.h"
+#include "relay/StalenessPlan.h"
 
 namespace cranberry {
 
@@ -16,9 +17,7 @@
     HttpEndpoint peer;
     HttpEndpoint store;
     RetryLimits retries;
-    /// Within this time after its acknowledgement a change that the operator makes is to be in
-    /// force at every daemon.
-    Milliseconds operatorBound{2000};
+    StalenessBounds staleness;
     /// The whole fleet starts for the first time, not this daemon alone.
     bool isFirstStart = false;
     /// A stop by signal is followed by a kill after this time.
--- a/src/relay/StalenessPlan.cpp
+++ b/src/relay/StalenessPlan.cpp
@@ -35,7 +35,7 @@
 {
     const double age = double(view.age.count());
     const double bound = double(view.bound.count());
-    if (age < AskPeersAfter * bound)
+    if (view.hasOwnWatch || age < AskPeersAfter * bound)
         return StalenessStep::Wait;
     const double readAfter = FirstReadAfter + (LastReadAfter - FirstReadAfter) * view.draw;
     const bool readsStore = age >= readAfter * bound && !view.isTurnedAway;
--- a/src/relay/StalenessPlan.h
+++ b/src/relay/StalenessPlan.h
@@ -1,4 +1,4 @@
-// Defines stalenessStep, by which a daemon keeps its copy of what the operator wrote within a bound
+// Defines stalenessStep, by which a daemon keeps its copies of the platform's store within a bound
 // of staleness.
 #pragma once
 
@@ -9,17 +9,27 @@
 /// The age of what was never confirmed; longer than any bound.
 constexpr Milliseconds UnknownAge{3'600'000};
 
-/// What a daemon knows of how old its knowledge may be.
+/// Within these times after its acknowledgement a change is to be in force at every daemon.
+struct StalenessBounds {
+    /// What the operator writes.
+    Milliseconds configuration{2000};
+    /// A target that leaves gets no more requests.
+    Milliseconds targets{2000};
+};
+
+/// What a daemon knows of how old a copy of it may be.
 struct StalenessView {
-    /// Until so long ago all that the operator wrote is here.
+    /// All that was written until so long ago is here.
     Milliseconds age = UnknownAge;
-    /// Within this time after its acknowledgement a change is to be in force everywhere.
+    /// Of StalenessBounds.
     Milliseconds bound{0};
     /// The store did not serve this daemon a moment ago.
     bool isTurnedAway = false;
     /// From 0 to 1, drawn by each daemon anew after each read, so that one of them reads first and
     /// the others learn from it.
     double draw = 1;
+    /// Its own watch is open, so that changes come by themselves.
+    bool hasOwnWatch = false;
 };
 
 enum class StalenessStep {
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -27,6 +27,8 @@
 /// Engines that leave in the meantime take their streams with them. A watcher's calls are few, and
 /// what it finds late all find late.
 constexpr Milliseconds WatcherWait{700};
+/// Of the first watcher, whose heartbeats keep the others from asking elsewhere.
+constexpr Milliseconds FirstWatcherWait{400};
 constexpr Milliseconds SingleWait{1500};
 /// Between an answer and the next watch. Targets come and go in groups whose changes are some ms
 /// apart, and each change would end a watch; a target that leaves says so 1.5 s ahead.
@@ -59,13 +61,14 @@
 
 } // namespace
 
-StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart, Milliseconds operatorBound,
+StoreFeed::StoreFeed(const Parts &parts, bool isFirstStart, const StalenessBounds &bounds,
                      std::function<qint64()> version)
     : m_parts(parts)
     , m_version(std::move(version))
     , m_isFirstStart(isFirstStart)
-    , m_operatorBound(operatorBound)
-    , m_readDraw(QRandomGenerator::global()->generateDouble())
+    , m_configuration{parts.configuration, bounds.configuration,
+                      QRandomGenerator::global()->generateDouble()}
+    , m_targets{parts.entries, bounds.targets, QRandomGenerator::global()->generateDouble()}
     , m_started(parts.timers.now())
     , m_timer(parts.timers.every(Heartbeat, [this] { check(); }))
 {
@@ -192,12 +195,15 @@
 
 Milliseconds StoreFeed::watchWait() const
 {
-    return isGroupHead(view()) ? WatcherWait : SingleWait;
+    const FeedView now = view();
+    if (!isGroupHead(now))
+        return SingleWait;
+    return now.watchersBefore > 0 ? WatcherWait : FirstWatcherWait;
 }
 
 Milliseconds StoreFeed::configurationWait() const
 {
-    const Milliseconds wait = stalenessWatchWait(m_operatorBound);
+    const Milliseconds wait = stalenessWatchWait(m_configuration.bound);
     // A daemon that watches for itself alone adds no heartbeats to that, and where another one
     // watches as well that one confirms for the fleet.
     if (!m_hasGroup)
@@ -205,13 +211,25 @@
     return view().watchersBefore > 0 ? std::max(wait, WatcherWait) : wait;
 }
 
-StalenessView StoreFeed::staleness() const
+StalenessView StoreFeed::staleness(const BoundedCopy &copy) const
 {
     StalenessView view;
-    view.age = m_parts.configuration.age();
-    view.bound = m_operatorBound;
+    view.age = copy.mirror.age();
+    view.bound = copy.bound;
     view.isTurnedAway = m_parts.timers.now() < m_turnedAwayUntil;
-    view.draw = m_readDraw;
+    view.draw = copy.readDraw;
+    return view;
+}
+
+StalenessView StoreFeed::configurationStaleness() const
+{
+    return staleness(m_configuration);
+}
+
+StalenessView StoreFeed::targetsStaleness() const
+{
+    StalenessView view = staleness(m_targets);
+    view.hasOwnWatch = m_parts.entries.isWatching();
     return view;
 }
 
@@ -240,27 +258,38 @@
 
 void StoreFeed::readIfStale()
 {
-    const StalenessStep step = stalenessStep(staleness());
-    noteStep(step);
-    const bool isDue = step == StalenessStep::ReadStore;
-    // One that has not read at all does so by itself.
-    if (!isDue || !m_parts.configuration.hasRead())
+    if (takeReadDue(m_configuration)) {
+        m_parts.configuration.readAgain();
         return;
-    m_readDraw = QRandomGenerator::global()->generateDouble();
-    m_parts.configuration.readAgain();
+    }
+    // One call is enough to find out whether the store serves this daemon.
+    if (!m_parts.configuration.isReading() && takeReadDue(m_targets))
+        m_parts.entries.refresh();
+}
+
+bool StoreFeed::takeReadDue(BoundedCopy &copy)
+{
+    const StalenessView view = &copy == &m_targets ? targetsStaleness() : configurationStaleness();
+    noteStep(copy, view);
+    // A copy that has never been read is read without that.
+    if (stalenessStep(view) != StalenessStep::ReadStore || !copy.mirror.hasRead())
+        return false;
+    copy.readDraw = QRandomGenerator::global()->generateDouble();
+    return true;
 }
 
-void StoreFeed::noteStep(StalenessStep step)
+void StoreFeed::noteStep(BoundedCopy &copy, const StalenessView &view)
 {
-    if (std::exchange(m_step, step) == step)
+    const StalenessStep step = stalenessStep(view);
+    if (std::exchange(copy.step, step) == step)
         return;
-    const StalenessView view = staleness();
     logEvent(LogLevel::Info, EventId::StalenessChanged,
-             {{"step", QLatin1String(textOf(step))},
+             {{"prefix", copy.mirror.prefix()},
+              {"step", QLatin1String(textOf(step))},
               {"age_ms", QString::number(view.age.count())},
               {"bound_ms", QString::number(view.bound.count())},
-              {"confirmed_by", QLatin1String(textOf(m_parts.configuration.confirmedBy()))},
-              {"revision", QString::number(m_parts.configuration.revision().value())},
+              {"confirmed_by", QLatin1String(textOf(copy.mirror.confirmedBy()))},
+              {"revision", QString::number(copy.mirror.revision().value())},
               {"turned_away", view.isTurnedAway ? QStringLiteral("yes") : QStringLiteral("no")},
               {"watchers", QString::number(this->view().watchers)}});
 }
@@ -347,13 +376,16 @@
 {
     if (!isGroupHead(view()))
         return;
+    // What a head passes on late is not all that it has.
+    const bool isAll = !(upTo < m_parts.entries.revision());
     const FeedMessage whole{standing(),
                             base,
                             upTo,
                             items,
                             m_parts.configuration.newest(),
-                            staleness().age,
-                            m_parts.entries.items().size()};
+                            m_parts.configuration.age(),
+                            m_parts.entries.items().size(),
+                            isAll ? m_parts.entries.age() : UnknownAge};
     const QList<Peer> receivers = this->receivers(!items.isEmpty());
     for (const FeedMessage &part : splitForDatagrams(whole))
         m_parts.datagrams.send(receivers, DatagramKind::StoreChange, encodeFeed(part));
@@ -397,6 +429,7 @@
     if (!entries.fed(answer, message.base))
         return;
     m_entriesMissing = MonotonicTime();
+    entries.confirm(m_parts.timers.now() - message.targetsAge, StoreSource::Feed);
     // The own group hears watchers of its own data centre itself.
     const bool isElsewhere = from.dataCentre != m_parts.peers.self().dataCentre;
     if (isNew && isElsewhere)
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -48,9 +48,7 @@
     /// Precondition: all of @p parts outlives the feed. @p isFirstStart: the whole fleet starts, so
     /// that nobody can have anything to tell yet.
     /// @p version tells which version of the configuration is in force here.
-    /// @p operatorBound: within it after its acknowledgement a change that the operator makes is to
-    /// be in force here.
-    StoreFeed(const Parts &parts, bool isFirstStart, Milliseconds operatorBound,
+    StoreFeed(const Parts &parts, bool isFirstStart, const StalenessBounds &bounds,
               std::function<qint64()> version);
     ~StoreFeed();
 
@@ -58,12 +56,24 @@
     void drain();
 
     /// How old what the operator wrote may be here.
-    StalenessView staleness() const;
+    StalenessView configurationStaleness() const;
+    /// How old the entries of targets may be here.
+    StalenessView targetsStaleness() const;
 
     /// The longest pause of this daemon between calls to a store that does not answer.
     Milliseconds longestBackoff() const;
 
 private:
+    /// A copy of a part of the store that is kept within a bound.
+    struct BoundedCopy {
+        StoreMirror &mirror;
+        Milliseconds bound;
+        /// See StalenessView::draw.
+        double readDraw;
+        /// The step that was logged last.
+        StalenessStep step = StalenessStep::Wait;
+    };
+
     struct Source {
         Peer peer;
         FeedStanding standing = FeedStanding::Away;
@@ -102,17 +112,17 @@
     void received(const Peer &from, const QCborArray &body);
     void takeEntries(const Peer &from, const FeedMessage &message);
     void takeConfiguration(const FeedMessage &message);
+    StalenessView staleness(const BoundedCopy &copy) const;
     void readIfStale();
-    void noteStep(StalenessStep step);
+    /// The read of @p copy is due; its next one is drawn.
+    bool takeReadDue(BoundedCopy &copy);
+    void noteStep(BoundedCopy &copy, const StalenessView &view);
 
     Parts m_parts;
     std::function<qint64()> m_version;
     bool m_isFirstStart;
-    Milliseconds m_operatorBound;
-    /// See StalenessView::draw.
-    double m_readDraw;
-    /// The step that was logged last.
-    StalenessStep m_step = StalenessStep::Wait;
+    BoundedCopy m_configuration;
+    BoundedCopy m_targets;
     MonotonicTime m_started;
     /// The store did not serve this daemon until then.
     MonotonicTime m_turnedAwayUntil;
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -173,10 +173,24 @@
 {
     m_state = State::Watching;
     const Milliseconds wait = m_watchWait();
-    call(m_protocol.watch(m_prefix, m_revision, wait), wait + WatchSlack,
+    watchFor(wait, wait + WatchSlack);
+}
+
+void StoreMirror::watchFor(Milliseconds wait, Milliseconds timeout)
+{
+    m_wait = wait;
+    call(m_protocol.watch(m_prefix, m_revision, wait), timeout,
          [this](const StoreAnswer &answer) { watched(answer); });
 }
 
+MonotonicTime StoreMirror::watchedUntil(const StoreAnswer &answer) const
+{
+    // An answer with changes says nothing of what followed them; one without stands for its whole
+    // wait.
+    const bool waitedInVain = answer.items.isEmpty() && m_timers.now() - m_callBegan >= m_wait;
+    return waitedInVain ? m_callBegan + m_wait : m_callBegan;
+}
+
 void StoreMirror::watched(const StoreAnswer &answer)
 {
     m_isCatchingUp = false;
@@ -204,7 +218,7 @@
     const Revision base = m_revision;
     m_changedBy = StoreSource::Watch;
     apply(answer);
-    confirm(m_callBegan, StoreSource::Watch);
+    confirm(watchedUntil(answer), StoreSource::Watch);
     m_feed.changed(answer, base);
     watch();
 }
@@ -260,8 +274,17 @@
 {
     m_state = State::Watching;
     m_isCatchingUp = true;
-    call(m_protocol.watch(m_prefix, m_revision, CatchUpWait), ReadTimeout,
-         [this](const StoreAnswer &missed) { watched(missed); });
+    watchFor(CatchUpWait, ReadTimeout);
+}
+
+void StoreMirror::refresh()
+{
+    if (m_state != State::Fed)
+        return;
+    if (m_needsRead)
+        read();
+    else
+        catchUp();
 }
 
 void StoreMirror::noteAway(const char *by)
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -97,6 +97,10 @@
     bool fed(const StoreAnswer &answer, Revision base);
     /// Reads all anew, as another daemon knows of something newer; nothing if it reads already.
     void readAgain();
+    /// Asks the store for what changed since; nothing if an own call is under way.
+    void refresh();
+    /// A read is under way.
+    bool isReading() const { return m_state == State::Reading; }
     /// Goes back to an own watch if nothing is fed any more.
     void checkFeed();
     /// All was read at least once.
@@ -105,6 +109,8 @@
     bool hasSome() const { return m_hasRead || !m_items.isEmpty(); }
     const QHash<QString, StoreItem> &items() const { return m_items; }
     Revision revision() const { return m_revision; }
+    /// The keys that it copies begin with it.
+    const QString &prefix() const { return m_prefix; }
     /// The latest change of a key, removals included; of a removal that no watch showed, the
     /// revision of the read that found it.
     Revision newest() const { return m_newest; }
@@ -132,7 +138,9 @@
     void readDone();
     void watch();
     void openWatch();
+    void watchFor(Milliseconds wait, Milliseconds timeout);
     void watched(const StoreAnswer &answer);
+    MonotonicTime watchedUntil(const StoreAnswer &answer) const;
     void unavailable();
     void catchUp();
     void noteAway(const char *by);
@@ -181,6 +189,8 @@
     Milliseconds m_backoff{0};
     MonotonicTime m_started;
     MonotonicTime m_callBegan;
+    /// How long the watch that is open may wait.
+    Milliseconds m_wait{0};
     MonotonicTime m_freshAsOf;
     StoreSource m_confirmedBy = StoreSource::None;
     StoreSource m_changedBy = StoreSource::None;
--- a/test/correctness/FeedMessage.cpp
+++ b/test/correctness/FeedMessage.cpp
@@ -29,13 +29,17 @@
 
 BOOST_AUTO_TEST_CASE(MessagesComeBackAsTheyWere)
 {
-    const FeedMessage sent = messageOf(5);
+    FeedMessage sent = messageOf(5);
+    sent.configurationAge = Milliseconds(120);
+    sent.targetsAge = Milliseconds(340);
     const std::optional<FeedMessage> read = decodeFeed(encodeFeed(sent));
     BOOST_REQUIRE(read.has_value());
     BOOST_TEST((read->standing == sent.standing));
     BOOST_TEST((read->base == sent.base && read->upTo == sent.upTo));
     BOOST_TEST((read->configuration == sent.configuration));
     BOOST_TEST(read->targets == sent.targets);
+    BOOST_TEST((read->configurationAge == sent.configurationAge));
+    BOOST_TEST((read->targetsAge == sent.targetsAge));
     BOOST_REQUIRE(read->items.size() == sent.items.size());
     for (qsizetype i = 0; i < sent.items.size(); ++i) {
         BOOST_TEST((read->items.at(i).key == sent.items.at(i).key));
@@ -64,6 +68,17 @@
     BOOST_TEST(items == whole.items.size());
 }
 
+// Guards against a receiver that counts as fresh before it has the last part.
+BOOST_AUTO_TEST_CASE(OnlyTheLastPartTellsTheAge)
+{
+    FeedMessage whole = messageOf(90);
+    whole.targetsAge = Milliseconds(340);
+    const QList<FeedMessage> parts = splitForDatagrams(whole);
+    for (qsizetype i = 0; i + 1 < parts.size(); ++i)
+        BOOST_TEST((parts.at(i).targetsAge == UnknownAge));
+    BOOST_TEST((parts.last().targetsAge == whole.targetsAge));
+}
+
 BOOST_AUTO_TEST_CASE(HeartbeatIsOneMessageWithoutItems)
 {
     const QList<FeedMessage> parts = splitForDatagrams(messageOf(0));
--- a/test/correctness/StalenessPlan.cpp
+++ b/test/correctness/StalenessPlan.cpp
@@ -71,7 +71,7 @@
         if (daemon.busyUntil > now)
             return;
         const StalenessView view{now - daemon.freshAsOf, Bound, daemon.turnedAwayUntil > now,
-                                 daemon.draw};
+                                 daemon.draw, false};
         switch (plan(view)) {
         case StalenessStep::Wait:
             return;
@@ -146,7 +146,7 @@
 
 StalenessView viewOf(qint64 age, bool isTurnedAway = false)
 {
-    return {Milliseconds(age), Bound, isTurnedAway, 1};
+    return {Milliseconds(age), Bound, isTurnedAway, 1, false};
 }
 
 } // namespace
@@ -181,6 +181,13 @@
     BOOST_TEST(brokenDays(asksTooLate) > 0);
 }
 
+BOOST_AUTO_TEST_CASE(OwnWatchNeedsNobody)
+{
+    StalenessView view = viewOf(1700);
+    view.hasOwnWatch = true;
+    BOOST_TEST((stalenessStep(view) == StalenessStep::Wait));
+}
+
 BOOST_AUTO_TEST_CASE(PeersGoBeforeTheStore)
 {
     BOOST_TEST((stalenessStep(viewOf(800)) == StalenessStep::Wait));
--- a/test/correctness/StoreFeed.cpp
+++ b/test/correctness/StoreFeed.cpp
@@ -79,6 +79,11 @@
     return Others;
 }
 
+StalenessView unknownAge()
+{
+    return {};
+}
+
 /// A daemon that has read everything and is fed by two others.
 struct FedDaemon {
     FedDaemon()
@@ -91,20 +96,20 @@
             mirror->takeFrom({}, {}, Revision(5));
             mirror->confirm(timers.now(), StoreSource::Read);
         }
-        beat(3 * Heartbeat, FeedStanding::Watches);
-        entries.confirm(timers.now(), StoreSource::Read);
+        beat(3 * Heartbeat, FeedStanding::Watches, 0ms);
         BOOST_REQUIRE(entries.isFed());
         BOOST_REQUIRE(configuration.isFed());
         calls.clear();
     }
 
     /// All others are heard, and the first two in the order say @p standing.
-    void beatOnce(FeedStanding standing)
+    void beatOnce(FeedStanding standing, Milliseconds targetsAge)
     {
         FeedMessage heartbeat;
         heartbeat.standing = standing;
         heartbeat.base = heartbeat.upTo = heartbeat.configuration = Revision(5);
         heartbeat.configurationAge = 0ms;
+        heartbeat.targetsAge = targetsAge;
         int heads = 0;
         for (int number = 0; number <= Others; ++number) {
             const Peer peer = peerOf(number);
@@ -116,10 +121,10 @@
         }
     }
 
-    void beat(Milliseconds duration, FeedStanding standing)
+    void beat(Milliseconds duration, FeedStanding standing, Milliseconds targetsAge = UnknownAge)
     {
         for (Milliseconds passed{0}; passed < duration; passed += Heartbeat) {
-            beatOnce(standing);
+            beatOnce(standing, targetsAge);
             timers.advance(Heartbeat);
         }
     }
@@ -141,10 +146,10 @@
     DataCentreHeads heads{timers, peers, datagrams};
     StoreMirror configuration{timers, client, Nowhere, protocol, counters, Operator};
     StoreMirror entries{timers, client, Nowhere, protocol, counters, Targets};
-    PeerState state{timers, client, peers, configuration, entries, [] { return StalenessView(); }};
+    PeerState state{timers, client, peers, configuration, entries, {unknownAge, unknownAge}};
     StoreFeed feed{{timers, peers, heads, datagrams, state, entries, configuration},
                    false,
-                   Bound,
+                   {Bound, Bound},
                    [] { return 0; }};
 };
 
@@ -167,3 +172,11 @@
     daemon.beat(Bound, FeedStanding::Watches);
     BOOST_TEST(!daemon.callsTo(Targets).isEmpty());
 }
+
+// Guards against calls to the store by daemons whose watchers are well.
+BOOST_AUTO_TEST_CASE(ConfirmedCopiesAreNotRead)
+{
+    FedDaemon daemon;
+    daemon.beat(5 * Bound, FeedStanding::Watches, Bound / 4);
+    BOOST_TEST(daemon.calls.isEmpty());
+}
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "base/QtTimerService.h"
+#include "http/CallerReply.h"
 #include "http/HttpClient.h"
 #include "http/HttpListener.h"
 #include "relay/PeerDirectory.h"
@@ -42,6 +43,14 @@
     return {};
 }
 
+StalenessView freshTargets()
+{
+    StalenessView view;
+    view.age = 0ms;
+    view.bound = 2000ms;
+    return view;
+}
+
 /// A mirror that others feed; its store cannot be reached.
 struct FedMirror {
     FedMirror(TimerService &timers, HttpClient &client)
@@ -203,7 +212,8 @@
     PeerDirectory peers(timers, client, Nowhere, protocol, counters, self);
     FedMirror hasAll(timers, client);
     FedMirror hasConfiguration(timers, client);
-    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror, unknownAge);
+    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror,
+                        {unknownAge, freshTargets});
     hasAll.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
     hasConfiguration.mirror.takeFrom({item(QStringLiteral("c"), 8)}, {QStringLiteral("c")},
                                      Revision(8));
@@ -220,8 +230,75 @@
     FedMirror entries(timers, client);
     FedMirror configuration(timers, client);
     entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
-    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, unknownAge);
+    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror,
+                     {unknownAge, freshTargets});
     asking.askSoon(peer);
     BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
     BOOST_TEST(entries.has(Key));
 }
+
+namespace {
+
+/// A mirror with a watch of its own to a store that answers when the test says so.
+struct WatchingMirror {
+    WatchingMirror(TimerService &timers, HttpClient &client)
+        : listener(
+            timers,
+            [this](const HttpRequest &, const std::shared_ptr<CallerReply> &held) { reply = held; },
+            [](ErrorKind) { return HttpResponse(); })
+    {
+        protocol.watch = [this](const QString &, Revision, Milliseconds wanted) {
+            wait = wanted;
+            HttpRequest request;
+            request.method = "GET";
+            request.path = "/watch";
+            return request;
+        };
+        protocol.readItems = [this](const HttpResponse &) { return answer; };
+        const quint16 port = listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value();
+        mirror = std::make_unique<StoreMirror>(timers, client,
+                                               HttpEndpoint{QStringLiteral("127.0.0.1"), port},
+                                               protocol, counters, QStringLiteral("targets/"));
+        mirror->setCallbacks({[](const StoreItem &) {}, [](const QString &) {}});
+        mirror->takeFrom({}, {}, Revision(5));
+        mirror->start();
+    }
+
+    void answerWith(const StoreAnswer &given)
+    {
+        BOOST_REQUIRE(test::waitFor([this] { return reply != nullptr; }));
+        answer = given;
+        reply->send({200, {}, {}});
+        BOOST_REQUIRE(
+            test::waitFor([this] { return mirror->confirmedBy() == StoreSource::Watch; }));
+    }
+
+    StoreProtocol protocol;
+    RelayCounters counters;
+    StoreAnswer answer;
+    Milliseconds wait{0};
+    std::shared_ptr<CallerReply> reply;
+    HttpListener listener;
+    std::unique_ptr<StoreMirror> mirror;
+};
+
+} // namespace
+
+// Guards against a copy that counts as older than it is after a quiet watch.
+BOOST_FIXTURE_TEST_CASE(QuietWatchConfirmsItsWholeWait, Fixture)
+{
+    WatchingMirror watching(timers, client);
+    timers.advance(watching.wait + 20ms);
+    watching.answerWith(answerOf({}, 5));
+    BOOST_TEST(watching.mirror->age().count() == 20);
+}
+
+// Guards against a copy that counts as fresh up to changes that an answer cannot have.
+BOOST_FIXTURE_TEST_CASE(WatchWithChangesConfirmsItsBegin, Fixture)
+{
+    WatchingMirror watching(timers, client);
+    timers.advance(watching.wait + 20ms);
+    const qint64 wait = watching.wait.count();
+    watching.answerWith(answerOf({item(Key, 6)}, 6));
+    BOOST_TEST(watching.mirror->age().count() == wait + 20);
+}
