Relay: removals are doubted only if the store was away long enough for leases to lapse

What callers saw: plain requests reached a target over 2 s after its leaving had been acknowledged (2,010 to 2,453 ms, DRAIN).

Cause: a daemon that had lost its feed for a moment doubted each removal for 2 s, as entries whose leases lapsed with the store are back by then. Some targets leave by removing their entry; the daemons then knew of it in time and kept it for 2 s all the same. Only a store that was away can have let leases lapse; here the watchers alone had lost it, and the others were without a confirmation for 1.1 to 1.5 s.

Fix: an entry lapses after three missed heartbeats of its target, so none can have lapsed before two heartbeats after the last moment for which the copy is confirmed. Until then removals are taken at once. The heartbeat is in the deployment's sheet (target_heartbeat_ms); without it all are doubted, as before.

StoreMirror RemovalBeforeAnyLeaseCanLapseIsNotDoubted fails without the condition and passes with it; RemovalAfterLeasesMayHaveLapsedIsDoubted holds the other side.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -17,6 +17,9 @@
 /// An engine that leaves says so about 1.5 s ahead, and copying its streams takes most of that.
 constexpr Milliseconds AskInterval{200};
 constexpr Milliseconds NewerVersionPatience{200};
+/// Of a target's heartbeats: three that are missed end its entry, and the store may have been gone
+/// just before the first one.
+constexpr int HeartbeatsToLapse = 2;
 /// Where few engines serve, the least difference of load counts: an engine with more generations
 /// than others can't send them all away in time when it leaves. With many engines one of the own
 /// data centre is about as free as any, and spares bytes between data centres.
@@ -141,6 +144,7 @@
     // What the operator removes stays removed. While a watcher doubted it, daemons that asked were
     // told the revision of the removal and the key with it, and kept the key for good.
     parts.configuration.setKeysLapse(false);
+    parts.entries.setLapseAfter(HeartbeatsToLapse * settings.targetHeartbeat);
     parts.configuration.setCallbacks(
         {[this](const StoreItem &item) { operatorWrote(item.key, item.value); },
          [this](const QString &key) { setEvacuated(key, false); }});
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -73,6 +73,8 @@
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
     settings.staleness = readBounds(reader);
+    settings.targetHeartbeat =
+        readDuration(reader, QStringLiteral("target_heartbeat_ms"), settings.targetHeartbeat);
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.noteUnread();
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -18,6 +18,9 @@
     HttpEndpoint store;
     RetryLimits retries;
     StalenessBounds staleness;
+    /// Targets renew their entries this often; an entry lapses after three times that. 0 if not
+    /// known.
+    Milliseconds targetHeartbeat{0};
     /// The whole fleet starts for the first time, not this daemon alone.
     bool isFirstStart = false;
     /// A stop by signal is followed by a kill after this time.
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -318,7 +318,9 @@
 void StoreMirror::doubtIfAway()
 {
     const bool wasAway = std::exchange(m_wasAway, false);
-    if (wasAway && m_keysLapse)
+    // The store served somebody when the copy was last confirmed.
+    const bool mayHaveLapsed = m_keysLapse && age() >= m_lapseAfter;
+    if (wasAway && mayHaveLapsed)
         m_doubtUntil = m_timers.now() + LapseGrace;
 }
 
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -68,6 +68,9 @@
     /// Keys have leases, by default: what is missing after the store was away may come back within
     /// seconds. Precondition: not started.
     void setKeysLapse(bool lapse) { m_keysLapse = lapse; }
+    /// A store that was away for less than @p outage has lost no lease for that. Precondition: not
+    /// started.
+    void setLapseAfter(Milliseconds outage) { m_lapseAfter = outage; }
     /// Precondition: not started.
     void setCallbacks(StoreMirrorCallbacks callbacks) { m_callbacks = std::move(callbacks); }
     /// Precondition: not started.
@@ -177,6 +180,7 @@
     Revision m_newest;
     Revision m_readAt;
     bool m_keysLapse = true;
+    Milliseconds m_lapseAfter{0};
     bool m_isCurrent = false;
     /// The loss of the store was logged.
     bool m_isAway = false;
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -132,6 +132,36 @@
     BOOST_TEST(!fed.has(Key));
 }
 
+// Guards against requests to a target that left while its daemon had lost its feed for a moment.
+BOOST_FIXTURE_TEST_CASE(RemovalBeforeAnyLeaseCanLapseIsNotDoubted, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.setLapseAfter(2400ms);
+    fed.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    BOOST_TEST(fed.mirror.fed(answerOf({}, 5), Revision(5)));
+    fed.mirror.confirm(timers.now(), StoreSource::Feed);
+    fed.isFed = false;
+    fed.mirror.checkFeed();
+    timers.advance(1500ms);
+    fed.mirror.takeFrom({}, {}, Revision(8));
+    BOOST_TEST(!fed.has(Key));
+}
+
+// Guards against a fleet without targets after an outage in which all leases lapsed.
+BOOST_FIXTURE_TEST_CASE(RemovalAfterLeasesMayHaveLapsedIsDoubted, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.setLapseAfter(2400ms);
+    fed.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    BOOST_TEST(fed.mirror.fed(answerOf({}, 5), Revision(5)));
+    fed.mirror.confirm(timers.now(), StoreSource::Feed);
+    fed.isFed = false;
+    fed.mirror.checkFeed();
+    timers.advance(2500ms);
+    fed.mirror.takeFrom({}, {}, Revision(8));
+    BOOST_TEST(fed.has(Key));
+}
+
 // The end of an evacuation was found by a read after the store had been away, and was doubted for
 // two seconds as if a lease had lapsed. Daemons that asked meanwhile were given the key beside a
 // revision at which it was gone, and never heard of its end. The operator's keys have no leases.
