Relay: entries that are doubted are not told to other daemons

What callers would see: one daemon goes on sending to a target that all others know to be gone, until it reads the store anew.

Fix: doubted entries are left out of the answer. The asking daemon doubts the removal itself if it was without the store as well.

StoreMirror DoubtedEntriesAreNotTold failed before and passes.

--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -64,6 +64,9 @@
     QCborArray keys;
     if (known < mirror.revision()) {
         for (const StoreItem &item : mirror.items()) {
+            // Beside this revision the other daemon would never hear of its removal.
+            if (mirror.isDoubted(item.key))
+                continue;
             keys.append(item.key);
             if (item.revision > known)
                 changed.append(QCborArray{item.key, item.value, item.revision.value()});
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -111,6 +111,8 @@
     /// Something is there, though perhaps not all yet.
     bool hasSome() const { return m_hasRead || !m_items.isEmpty(); }
     const QHash<QString, StoreItem> &items() const { return m_items; }
+    /// At revision() the key was gone; it is kept for a moment, as its lease may have lapsed.
+    bool isDoubted(const QString &key) const { return m_missing.contains(key); }
     Revision revision() const { return m_revision; }
     /// The keys that it copies begin with it.
     const QString &prefix() const { return m_prefix; }
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -228,43 +228,87 @@
     }
 }
 
+namespace {
+
+/// A daemon that asks another one for what it has of the store.
+struct AskingDaemon {
+    AskingDaemon()
+        : client(timers)
+        , peers(timers, client, Nowhere, protocol, counters, selfPeer())
+        , listener(
+              timers,
+              [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+                  answering.handle(request, reply);
+              },
+              [](ErrorKind) { return HttpResponse(); })
+    {
+        told.mirror.takeFrom({item(QStringLiteral("c"), 8)}, {QStringLiteral("c")}, Revision(8));
+    }
+
+    static Peer selfPeer()
+    {
+        test::ensureApplication();
+        Peer self;
+        self.vm = VmId(QStringLiteral("vm"));
+        return self;
+    }
+
+    /// Until the configuration of the other one is here.
+    void ask(const PeerState::Staleness &staleness)
+    {
+        PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, staleness);
+        Peer peer;
+        peer.endpoint = {QStringLiteral("127.0.0.1"),
+                         listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value()};
+        asking.askSoon(peer);
+        BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
+    }
+
+    QtTimerService timers;
+    HttpClient client;
+    StoreProtocol protocol;
+    RelayCounters counters;
+    PeerDirectory peers;
+    /// Of the daemon that is asked.
+    FedMirror told{timers, client};
+    FedMirror toldEntries{timers, client};
+    PeerState answering{
+        timers, client, peers, told.mirror, toldEntries.mirror, {unknownAge, unknownAge}};
+    HttpListener listener;
+    FedMirror entries{timers, client};
+    FedMirror configuration{timers, client};
+};
+
+} // namespace
+
 // A daemon that lacked the configuration asked another one for it alone. The answer named a newer
 // revision of the targets and held none of them, and all targets were removed.
 BOOST_AUTO_TEST_CASE(AnswerWithoutEntriesRemovesNone)
 {
-    test::ensureApplication();
-    QtTimerService timers;
-    HttpClient client(timers);
-    const StoreProtocol protocol;
-    RelayCounters counters;
-    Peer self;
-    self.vm = VmId(QStringLiteral("vm"));
-    PeerDirectory peers(timers, client, Nowhere, protocol, counters, self);
-    FedMirror hasAll(timers, client);
-    FedMirror hasConfiguration(timers, client);
-    PeerState answering(timers, client, peers, hasConfiguration.mirror, hasAll.mirror,
-                        {unknownAge, freshTargets});
-    hasAll.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
-    hasConfiguration.mirror.takeFrom({item(QStringLiteral("c"), 8)}, {QStringLiteral("c")},
-                                     Revision(8));
-    HttpListener listener(
-        timers,
-        [&](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
-            answering.handle(request, reply);
-        },
-        [](ErrorKind) { return HttpResponse(); });
-    Peer peer;
-    peer.endpoint = {QStringLiteral("127.0.0.1"),
-                     listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value()};
-
-    FedMirror entries(timers, client);
-    FedMirror configuration(timers, client);
-    entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
-    PeerState asking(timers, client, peers, configuration.mirror, entries.mirror,
-                     {unknownAge, freshTargets});
-    asking.askSoon(peer);
-    BOOST_TEST(test::waitFor([&] { return configuration.has(QStringLiteral("c")); }));
-    BOOST_TEST(entries.has(Key));
+    AskingDaemon daemon;
+    daemon.toldEntries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
+    daemon.entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    daemon.ask({unknownAge, freshTargets});
+    BOOST_TEST(daemon.entries.has(Key));
+}
+
+// Guards against a target that is kept for good, as it was told beside a revision at which it was
+// gone.
+BOOST_AUTO_TEST_CASE(DoubtedEntriesAreNotTold)
+{
+    AskingDaemon daemon;
+    StoreMirror &doubting = daemon.toldEntries.mirror;
+    doubting.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    BOOST_TEST(doubting.fed(answerOf({}, 5), Revision(5)));
+    daemon.toldEntries.isFed = false;
+    doubting.checkFeed();
+    daemon.toldEntries.isFed = true;
+    doubting.takeFrom({}, {}, Revision(9));
+    BOOST_REQUIRE(daemon.toldEntries.has(Key));
+    daemon.entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
+    daemon.ask({unknownAge, unknownAge});
+    BOOST_TEST((daemon.entries.mirror.revision() == Revision(9)));
+    BOOST_TEST(!daemon.entries.has(Key));
 }
 
 namespace {
