Relay: how stale a copy is goes to the decision as a value

Read as a newcomer: takeReadDue compared addresses to find out which of two copies it has. No behaviour changes. StoreMirror, StoreFeed, PlatformFeed, PlatformStore pass.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -141,8 +141,7 @@
     RelayParts &parts = *m_parts;
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
         mirror->setLongestBackoff([this] { return m_parts->feed.longestBackoff(); });
-    // What the operator removes stays removed. While a watcher doubted it, daemons that asked were
-    // told the revision of the removal and the key with it, and kept the key for good.
+    // The operator's keys have no leases: what is removed stays removed.
     parts.configuration.setKeysLapse(false);
     parts.entries.setLapseAfter(HeartbeatsToLapse * settings.targetHeartbeat);
     parts.configuration.setCallbacks(
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -258,18 +258,17 @@
 
 void StoreFeed::readIfStale()
 {
-    if (takeReadDue(m_configuration)) {
+    if (takeReadDue(m_configuration, configurationStaleness())) {
         m_parts.configuration.readAgain();
         return;
     }
     // One call is enough to find out whether the store serves this daemon.
-    if (!m_parts.configuration.isReading() && takeReadDue(m_targets))
+    if (!m_parts.configuration.isReading() && takeReadDue(m_targets, targetsStaleness()))
         m_parts.entries.refresh();
 }
 
-bool StoreFeed::takeReadDue(BoundedCopy &copy)
+bool StoreFeed::takeReadDue(BoundedCopy &copy, const StalenessView &view)
 {
-    const StalenessView view = &copy == &m_targets ? targetsStaleness() : configurationStaleness();
     noteStep(copy, view);
     // A copy that has never been read is read without that.
     if (stalenessStep(view) != StalenessStep::ReadStore || !copy.mirror.hasRead())
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -114,8 +114,8 @@
     void takeConfiguration(const FeedMessage &message);
     StalenessView staleness(const BoundedCopy &copy) const;
     void readIfStale();
-    /// The read of @p copy is due; its next one is drawn.
-    bool takeReadDue(BoundedCopy &copy);
+    /// Whether a read of @p copy is due by @p view; draws when the next one is.
+    bool takeReadDue(BoundedCopy &copy, const StalenessView &view);
     void noteStep(BoundedCopy &copy, const StalenessView &view);
 
     Parts m_parts;
