Relay: peers are asked for targets only by daemons that the store turns away

Since targets have a bound of age, a fed daemon whose age nobody confirmed asked peers first, as it does for the configuration. A peer's answer lists the keys of all targets (some 60 KB at 3,000, worked out), and the store's only what changed.

StoreMirror PeersAreNotAskedForTargetsThatTheStoreTells failed before (the answer moved the asking daemon on) and passes. The test of doubted entries asks as one that is turned away now.

--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -75,6 +75,13 @@
     return {mirror.revision().value(), changed, keys};
 }
 
+/// A peer's answer lists the keys of all targets, and the store's only what changed: so peers are
+/// asked only if the store does not serve this daemon.
+bool asksPeersForTargets(const StalenessView &targets)
+{
+    return targets.isTurnedAway && stalenessStep(targets) != StalenessStep::Wait;
+}
+
 /// Whether all that the other daemon has is here now.
 bool takeInto(StoreMirror &mirror, const QCborValue &state)
 {
@@ -142,7 +149,7 @@
 void PeerState::askIfAway()
 {
     const bool isStale =
-        this->isStale(m_staleness.configuration) || this->isStale(m_staleness.targets);
+        this->isStale(m_staleness.configuration) || asksPeersForTargets(m_staleness.targets());
     const bool isAway = isStale || !m_configuration.hasSource() || !m_entries.hasSource();
     if (!isAway) {
         m_pause = AskInterval;
@@ -179,8 +186,8 @@
 void PeerState::ask(const Peer &peer)
 {
     // Entries come by the feed, and all of them are a long answer.
-    const bool needsEntries =
-        !m_entries.hasRead() || !m_entries.hasSource() || isStale(m_staleness.targets);
+    const bool needsEntries = !m_entries.hasRead() || !m_entries.hasSource()
+        || asksPeersForTargets(m_staleness.targets());
     const qint64 entries = needsEntries ? m_entries.revision().value() : NotNeeded;
     HttpRequest request;
     request.method = "GET";
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -43,6 +43,13 @@
     return {};
 }
 
+StalenessView staleAndTurnedAway()
+{
+    StalenessView view;
+    view.isTurnedAway = true;
+    return view;
+}
+
 StalenessView freshTargets()
 {
     StalenessView view;
@@ -292,6 +299,16 @@
     BOOST_TEST(daemon.entries.has(Key));
 }
 
+// Guards against lists of all keys of thousands of targets between daemons that the store serves.
+BOOST_AUTO_TEST_CASE(PeersAreNotAskedForTargetsThatTheStoreTells)
+{
+    AskingDaemon daemon;
+    daemon.toldEntries.mirror.takeFrom({item(Key, 9)}, {Key}, Revision(9));
+    daemon.entries.mirror.takeFrom({}, {}, Revision(5));
+    daemon.ask({unknownAge, unknownAge});
+    BOOST_TEST((daemon.entries.mirror.revision() == Revision(5)));
+}
+
 // Guards against a target that is kept for good, as it was told beside a revision at which it was
 // gone.
 BOOST_AUTO_TEST_CASE(DoubtedEntriesAreNotTold)
@@ -306,7 +323,7 @@
     doubting.takeFrom({}, {}, Revision(9));
     BOOST_REQUIRE(daemon.toldEntries.has(Key));
     daemon.entries.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(5));
-    daemon.ask({unknownAge, unknownAge});
+    daemon.ask({unknownAge, staleAndTurnedAway});
     BOOST_TEST((daemon.entries.mirror.revision() == Revision(9)));
     BOOST_TEST(!daemon.entries.has(Key));
 }
