--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -36,8 +36,7 @@
 constexpr Milliseconds KeepSilent{30000};
 /// Daemons speak at least each 1.5 s.
 constexpr Milliseconds SilentAfter{4000};
-/// Up to this many peers every daemon tells all: with 78 daemons and 60 generations a second that
-/// is about 110 datagrams a second each, under 0.5% of a small VM's processor.
+/// Up to this many peers every daemon tells all; with more the datagrams grow with their square.
 constexpr int SmallFleet = 100;
 constexpr int StatusOk = 200;
 const QString PeerPrefix = QStringLiteral("cranberry/vm/");
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -295,8 +295,8 @@
 
 void StoreFeed::drain()
 {
-    // Two watchers that were stopped together were missed for a second, and streams of engines
-    // that left in it were lost.
+    // Else the others notice only when heartbeats are missing, and meanwhile do not hear which
+    // engines leave.
     const bool wasHead = isGroupHead(view());
     const QList<Peer> fed = receivers(false);
     m_parts.peers.drain();
@@ -340,8 +340,8 @@
 
 bool StoreFeed::askForConfiguration()
 {
-    // All daemons of a data centre need it at once, and their heads alone took 1.1 s to answer 60;
-    // each one that has it answers others.
+    // All daemons of a data centre need it at once, too many for its heads alone; each one that has
+    // it answers others.
     QList<Peer> known = sources();
     for (const Peer &peer : m_parts.peers.peersNearby()) {
         if (m_parts.peers.isHeard(peer) && peer.version > m_version())
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -81,8 +81,8 @@
 
 void StoreMirror::read()
 {
-    // With thousands of keys a read has many pages, and one that began anew with each refused
-    // call never ended where all daemons of a fleet started at once.
+    // With thousands of keys a read has many pages, and one that begins anew with each refused call
+    // may never end.
     const bool goesOn = !m_readUpTo.isEmpty() && m_timers.now() - m_readBegan < ReadHolds;
     if (!goesOn) {
         m_reading.clear();
