Relay: report size and duration of peer state responses in logs and metrics

New metrics: counters of the bytes sent and received and of failed requests, and histograms of the time to a complete response and of the lateness of a periodic timer.

A read of the store confirmed the copy before applying its items, so that age_ms of configuration.in_force was the duration of the read. The copy is now confirmed after its items are applied: age_ms is the age of the copy up to then, as it is for a watch and a peer. No decision reads the age in between (the callbacks only log it).

--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -7,6 +7,7 @@
 #include "http/HttpClient.h"
 #include "relay/FeedMessage.h"
 #include "relay/PeerDirectory.h"
+#include "relay/RelayCounters.h"
 #include "relay/StoreMirror.h"
 
 #include <QCborArray>
@@ -107,12 +108,14 @@
 } // namespace
 
 PeerState::PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-                     StoreMirror &configuration, StoreMirror &entries, Staleness staleness)
+                     StoreMirror &configuration, StoreMirror &entries, RelayCounters &counters,
+                     Staleness staleness)
     : m_timers(timers)
     , m_client(client)
     , m_peers(peers)
     , m_configuration(configuration)
     , m_entries(entries)
+    , m_counters(counters)
     , m_staleness(std::move(staleness))
     , m_pause(AskInterval)
     , m_timer(timers.every(StaleAskInterval, [this] { askIfAway(); }))
@@ -138,7 +141,9 @@
         {EntriesAgeField, qint64(m_entries.age().count())}};
     if (m_entries.hasSource())
         state.insert(EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong())));
-    reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, state.toCborValue().toCbor()});
+    const QByteArray body = state.toCborValue().toCbor();
+    m_counters.peerStateBytesSent += body.size();
+    reply->send({StatusOk, {{"Content-Type", "application/cbor"}}, body});
 }
 
 bool PeerState::isStale(const std::function<StalenessView()> &staleness) const
@@ -197,21 +202,30 @@
     options.connectTimeout = AskTimeout;
     options.timeout = AskTimeout;
     const int number = ++m_asked;
-    m_questions[number] = m_client.fetch(
-        peer.endpoint, request, options,
-        [this, number, needsEntries, vm = peer.vm,
-         asked = m_timers.now()](HttpExchangeEnd end, const HttpResponse &response) {
-            const auto question = m_questions.extract(number);
-            const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
-            if (isWhole) {
-                m_pause = AskInterval;
-                answered(vm, response.body, needsEntries, asked);
-                return;
-            }
-            m_pause = std::clamp(2 * m_pause, AskInterval, LongestPause);
-            logEvent(LogLevel::Info, EventId::PeerStateFailed,
-                     {{"vm", vm.text()}, {"status", QString::number(response.status)}});
-        });
+    m_questions[number] =
+        m_client.fetch(peer.endpoint, request, options,
+                       [this, number, needsEntries, vm = peer.vm,
+                        asked = m_timers.now()](HttpExchangeEnd end, const HttpResponse &response) {
+                           const auto question = m_questions.extract(number);
+                           const bool isWhole =
+                               end == HttpExchangeEnd::Complete && response.status == StatusOk;
+                           const Milliseconds elapsed =
+                               std::chrono::duration_cast<Milliseconds>(m_timers.now() - asked);
+                           m_counters.peerStateBytesReceived += response.body.size();
+                           if (isWhole) {
+                               m_counters.peerStateResponseTimes.add(double(elapsed.count()));
+                               m_pause = AskInterval;
+                               answered(vm, response.body, needsEntries, asked);
+                               return;
+                           }
+                           m_pause = std::clamp(2 * m_pause, AskInterval, LongestPause);
+                           ++m_counters.peerStateFailed;
+                           logEvent(LogLevel::Info, EventId::PeerStateFailed,
+                                    {{"vm", vm.text()},
+                                     {"status", QString::number(response.status)},
+                                     {"bytes", QString::number(response.body.size())},
+                                     {"took_ms", QString::number(elapsed.count())}});
+                       });
 }
 
 void PeerState::answered(const VmId &vm, const QByteArray &body, bool hasEntries,
@@ -223,6 +237,7 @@
                  {{"vm", vm.text()}, {"detail", QStringLiteral("the answer cannot be read")}});
         return;
     }
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(m_timers.now() - asked);
     const Revision before = m_configuration.revision();
     const Milliseconds age = decodeAge(state.value(AgeField));
     if (takeInto(m_configuration, state.value(ConfigurationField)))
@@ -232,6 +247,8 @@
                  {{"vm", vm.text()},
                   {"before", QString::number(before.value())},
                   {"revision", QString::number(m_configuration.revision().value())},
+                  {"bytes", QString::number(body.size())},
+                  {"took_ms", QString::number(elapsed.count())},
                   {"age_ms", QString::number(age.count())}});
     // An answer without them names a revision all the same: taken for all that there is, it
     // removed every target.
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -25,6 +25,7 @@
 class TimerSubscription;
 struct HttpRequest;
 struct Peer;
+struct RelayCounters;
 
 /// Answers what this daemon holds of the store, and asks another daemon for it while the store
 /// cannot be reached. A daemon cut off from the store would else go on with routes and keys that
@@ -41,7 +42,8 @@
 
     /// Precondition: everything passed outlives the object.
     PeerState(TimerService &timers, HttpClient &client, PeerDirectory &peers,
-              StoreMirror &configuration, StoreMirror &entries, Staleness staleness);
+              StoreMirror &configuration, StoreMirror &entries, RelayCounters &counters,
+              Staleness staleness);
     ~PeerState();
 
     /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
@@ -61,6 +63,7 @@
     PeerDirectory &m_peers;
     StoreMirror &m_configuration;
     StoreMirror &m_entries;
+    RelayCounters &m_counters;
     Staleness m_staleness;
     /// Those not answered yet, by their numbers.
     std::map<int, std::unique_ptr<HttpExchange>> m_questions;
--- a/src/relay/RelayConfiguration.cpp
+++ b/src/relay/RelayConfiguration.cpp
@@ -16,6 +16,14 @@
     }
 }
 
+qsizetype routeCount(const RelayConfiguration &configuration)
+{
+    qsizetype count = 0;
+    for (const QList<RelayRoute> &routes : configuration.routes)
+        count += routes.size();
+    return count;
+}
+
 const RelayRoute *findRoute(const RelayConfiguration &configuration, const QByteArray &host,
                             const QByteArray &target)
 {
--- a/src/relay/RelayConfiguration.h
+++ b/src/relay/RelayConfiguration.h
@@ -27,6 +27,9 @@
 /// Sorts each host's routes as findRoute() expects them.
 void sortRoutes(RelayConfiguration &configuration);
 
+/// The total number of routes of all hosts. Thread-safe.
+qsizetype routeCount(const RelayConfiguration &configuration);
+
 /// The route with the longest prefix that begins @p target; null if there is none.
 /// Precondition: the routes are sorted. Thread-safe.
 const RelayRoute *findRoute(const RelayConfiguration &configuration, const QByteArray &host,
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -31,6 +31,17 @@
     qint64 streamsLost = 0;
     qint64 storeCalls = 0;
     qint64 reportsAsked = 0;
+    /// Body bytes of the responses to peers' state requests.
+    qint64 peerStateBytesSent = 0;
+    /// Body bytes received from peers, including incomplete and failed responses.
+    qint64 peerStateBytesReceived = 0;
+    /// State requests to peers without a complete response of status 200.
+    qint64 peerStateFailed = 0;
+    /// From sending a state request to its complete response of status 200.
+    LatencyHistogram peerStateResponseTimes;
+    /// Delay of the periodic engine check past its due time; grows when the event loop is starved
+    /// of CPU time.
+    LatencyHistogram timerLateness;
     /// Entries of targets that another program wrote.
     qint64 unreadableEntries = 0;
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -113,7 +113,7 @@
                     protocols.store.operatorPrefix)
     , entries(timers, client, given.store, protocols.store, counters, protocols.store.targetPrefix)
     , targetEntries(protocols.store, targets, counters)
-    , peerState(timers, client, peers, configuration, entries,
+    , peerState(timers, client, peers, configuration, entries, counters,
                 {[this] { return feed.configurationStaleness(); },
                  [this] { return feed.targetsStaleness(); }})
     , feed({timers, peers, heads, datagrams, peerState, entries, configuration}, given.isFirstStart,
@@ -218,8 +218,18 @@
     });
 }
 
+void RelayDaemon::recordTimerLateness()
+{
+    const MonotonicTime now = m_parts->timers.now();
+    const MonotonicTime due = std::exchange(m_nextCheckDue, now + AskInterval);
+    if (due != MonotonicTime())
+        m_parts->counters.timerLateness.add(
+            std::chrono::duration<double, std::milli>(std::max(now, due) - due).count());
+}
+
 void RelayDaemon::lookAtEngines()
 {
+    recordTimerLateness();
     m_parts->gateway.checkSilence();
     askEnginesInUse();
     if (isReady() && !std::exchange(m_wasReady, true))
@@ -286,7 +296,7 @@
         return;
     }
     m_parts->gateway.setConfiguration(read.value(), m_parts->configuration.changedBy(),
-                                      m_parts->configuration.age());
+                                      m_parts->configuration.age(), value.size());
     m_parts->callers.setLimits(read.value().limits);
 }
 
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -38,6 +38,7 @@
     void configurationRead(const QByteArray &value);
     bool isReady() const;
     void finishDrainWhenIdle();
+    void recordTimerLateness();
     void lookAtEngines();
     void askEnginesInUse();
     void newerVersionHeard(const Peer &from, qint64 version);
@@ -49,6 +50,8 @@
     std::unique_ptr<TimerSubscription> m_askTimer;
     std::unique_ptr<TimerSubscription> m_readAgainTimer;
     qint64 m_heardVersion = 0;
+    /// When lookAtEngines() is due next; default-constructed before its first run.
+    MonotonicTime m_nextCheckDue;
     bool m_hadEntries = false;
     bool m_wasReady = false;
 };
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -48,15 +48,17 @@
 RelayGateway::~RelayGateway() = default;
 
 void RelayGateway::setConfiguration(RelayConfiguration configuration, StoreSource by,
-                                    Milliseconds age)
+                                    Milliseconds age, qsizetype encodedSize)
 {
     if (m_configuration && configuration.version <= m_configuration->version)
         return;
     logEvent(LogLevel::Info, EventId::ConfigurationInForce,
              {{"version", QString::number(configuration.version.value())},
               {"hosts", QString::number(configuration.routes.size())},
+              {"routes", QString::number(routeCount(configuration))},
               {"keys", QString::number(configuration.workspaceOfKey.size())},
               {"by", QLatin1String(textOf(by))},
+              {"bytes", QString::number(encodedSize)},
               {"age_ms", QString::number(age.count())}});
     m_configuration = std::make_shared<const RelayConfiguration>(std::move(configuration));
 }
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -34,8 +34,10 @@
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
 
     /// Puts @p configuration in force; an older version than the one in force is ignored.
-    /// @p by: what brought it; @p age: how old what was in force before may have been.
-    void setConfiguration(RelayConfiguration configuration, StoreSource by, Milliseconds age);
+    /// @p by: its source; @p age: the maximum age of the copy that it replaces;
+    /// @p encodedSize: its size in bytes as stored.
+    void setConfiguration(RelayConfiguration configuration, StoreSource by, Milliseconds age,
+                          qsizetype encodedSize);
     /// Null until one is known.
     const std::shared_ptr<const RelayConfiguration> &configuration() const
     {
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -37,6 +37,12 @@
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
     text += counterText("cranberry_relay_unreadable_entries_total", counters.unreadableEntries);
+    text += counterText("cranberry_relay_peer_state_sent_bytes_total", counters.peerStateBytesSent);
+    text += counterText("cranberry_relay_peer_state_received_bytes_total",
+                        counters.peerStateBytesReceived);
+    text += counterText("cranberry_relay_peer_state_failed_total", counters.peerStateFailed);
+    text += counters.peerStateResponseTimes.prometheusText("cranberry_relay_peer_state_seconds");
+    text += counters.timerLateness.prometheusText("cranberry_relay_timer_lateness_seconds");
     const auto &configuration = parts.gateway.configuration();
     text += gaugeText("cranberry_relay_configuration_version",
                       configuration ? configuration->version.value() : 0);
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -140,13 +140,17 @@
     m_isCurrent = true;
     m_hasRead = true;
     m_needsRead = false;
-    confirm(m_readBegan, StoreSource::Read);
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
     // Another daemon may have told something newer since the first page was read.
-    if (m_readAt < m_revision) {
-        watch();
-        return;
-    }
+    if (!(m_readAt < m_revision))
+        applyRead(read);
+    // Not before: the callbacks of applyRead() report the age of the copy that it replaces.
+    confirm(m_readBegan, StoreSource::Read);
+    watch();
+}
+
+void StoreMirror::applyRead(const QHash<QString, StoreItem> &read)
+{
     m_revision = m_readAt;
     const QList<QString> known = m_items.keys();
     for (const QString &key : known) {
@@ -155,7 +159,6 @@
     }
     for (const StoreItem &item : read)
         put(item);
-    watch();
 }
 
 void StoreMirror::watch()
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -141,6 +141,7 @@
     void readPage(const QString &after);
     void pageRead(const StoreAnswer &answer);
     void readDone();
+    void applyRead(const QHash<QString, StoreItem> &read);
     void watch();
     void openWatch();
     void watchFor(Milliseconds wait, Milliseconds timeout);
--- a/test/correctness/StoreFeed.cpp
+++ b/test/correctness/StoreFeed.cpp
@@ -146,7 +146,8 @@
     DataCentreHeads heads{timers, peers, datagrams};
     StoreMirror configuration{timers, client, Nowhere, protocol, counters, Operator};
     StoreMirror entries{timers, client, Nowhere, protocol, counters, Targets};
-    PeerState state{timers, client, peers, configuration, entries, {unknownAge, unknownAge}};
+    PeerState state{
+        timers, client, peers, configuration, entries, counters, {unknownAge, unknownAge}};
     StoreFeed feed{{timers, peers, heads, datagrams, state, entries, configuration},
                    false,
                    {Bound, Bound},
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -263,7 +263,8 @@
     /// Until the configuration of the other one is here.
     void ask(const PeerState::Staleness &staleness)
     {
-        PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, staleness);
+        PeerState asking(timers, client, peers, configuration.mirror, entries.mirror, counters,
+                         staleness);
         Peer peer;
         peer.endpoint = {QStringLiteral("127.0.0.1"),
                          listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value()};
@@ -280,7 +281,7 @@
     FedMirror told{timers, client};
     FedMirror toldEntries{timers, client};
     PeerState answering{
-        timers, client, peers, told.mirror, toldEntries.mirror, {unknownAge, unknownAge}};
+        timers, client, peers, told.mirror, toldEntries.mirror, counters, {unknownAge, unknownAge}};
     HttpListener listener;
     FedMirror entries{timers, client};
     FedMirror configuration{timers, client};
