Relay: time out store calls on inactivity rather than total duration

Cause: reads and watches of the store had a timeout for the whole response (1.5 s for a read; the wait plus 600 ms for a watch), whatever its size. A document of 365 KB is 487 KB in base64 and takes 0.39 s on such a link with no other traffic; a value of the largest size that the store accepts takes 1.1 s. With other traffic on the link, the call was aborted mid-transfer and restarted from the beginning.

Fix: an HTTP exchange can now also time out when no data has been received for a given time (stallTimeout). Store calls use their former total timeout as the stall timeout, and their total timeout is 5 s longer to allow for the transfer. A store that does not respond at all is detected as early as before; one that stalls mid-response a full stall timeout after its last byte.

Tests: SlowReadThatMakesProgressCompletes failed before this change (a read of 2 s, sent in parts 100 ms apart, never completed). AnswerThatStallsTimesOut covers the new option.

Class: a time limit on work whose size is determined by another party, with the work restarted when the limit expires, so that load and wasted work increase together.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -83,13 +83,29 @@
             finish(HttpExchangeEnd::TimedOut, QStringLiteral("no answer in time"));
         });
     }
+    if (m_options.stallTimeout.count() > 0) {
+        m_lastProgress = m_timers.now();
+        watchForStall(m_options.stallTimeout);
+    }
     m_stream->write(m_outgoing);
     m_outgoing.clear();
 }
 
+void HttpExchange::watchForStall(Milliseconds delay)
+{
+    m_stallTimer = m_timers.after(delay, [this] {
+        const auto idle = std::chrono::duration_cast<Milliseconds>(m_timers.now() - m_lastProgress);
+        if (idle < m_options.stallTimeout)
+            watchForStall(m_options.stallTimeout - idle);
+        else
+            finish(HttpExchangeEnd::TimedOut, QStringLiteral("no data within the stall timeout"));
+    });
+}
+
 void HttpExchange::received(const QByteArray &data)
 {
     const std::shared_ptr<bool> destroyed = m_destroyed;
+    m_lastProgress = m_timers.now();
     m_incoming += data;
     if (!parse())
         return;
@@ -180,6 +196,7 @@
         return;
     m_finished = true;
     m_timeout.reset();
+    m_stallTimer.reset();
     m_stream->setCallbacks({});
     // An answer that came before the whole request had left, or with bytes behind it, leaves the
     // connection in a state that a further request would be mixed up with.
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -49,6 +49,7 @@
 
 private:
     void connected();
+    void watchForStall(Milliseconds delay);
     void received(const QByteArray &data);
     bool parse();
     bool takeHeaders();
@@ -65,6 +66,9 @@
     HttpExchangeCallbacks m_callbacks;
     std::unique_ptr<internal::HttpResponseParser> m_parser;
     std::unique_ptr<TimerSubscription> m_timeout;
+    std::unique_ptr<TimerSubscription> m_stallTimer;
+    /// When data was last received or, before any, when the connection was established.
+    MonotonicTime m_lastProgress;
     std::unique_ptr<TcpStream> m_stream;
     bool m_connected = false;
     /// The answer at hand is that to another request.
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -12,6 +12,8 @@
 struct HttpExchangeOptions {
     /// Time for the whole exchange; zero is without limit.
     Milliseconds timeout{0};
+    /// Longest time without receiving data once connected; zero is without limit.
+    Milliseconds stallTimeout{0};
     /// Time in which the connection must come about.
     Milliseconds connectTimeout{2000};
     /// Take an idle connection if there is one, and leave it for the next when done. A reused
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -23,6 +23,10 @@
 /// Pages older than this are read again: what changed since the first one must still be in the
 /// store's history, which may be a few seconds long.
 constexpr Milliseconds ReadHolds{3000};
+/// Added to the timeout of a call for the transfer of the response. The configuration document can
+/// be as large as the store's largest value, a megabyte before base64 encoding, and other traffic
+/// may leave it only part of a 10 Mbit/s link.
+constexpr Milliseconds TransferAllowance{5000};
 /// For changes that are there already.
 constexpr Milliseconds CatchUpWait{100};
 /// All targets of a site announce themselves within a second, and each announcement would end a
@@ -66,7 +70,8 @@
     options.connectTimeout = ConnectTimeout;
     // An idle connection may have fallen silent: that would be found only after the timeout, and a
     // new one costs a millisecond.
-    options.timeout = timeout;
+    options.stallTimeout = timeout;
+    options.timeout = timeout + TransferAllowance;
     m_call = m_client.fetch(
         m_store, request, options,
         [this, callback = std::move(callback)](HttpExchangeEnd end, const HttpResponse &response) {
--- a/test/correctness/HttpStreams.cpp
+++ b/test/correctness/HttpStreams.cpp
@@ -185,3 +185,21 @@
     BOOST_REQUIRE(test::waitFor([&] { return finished; }));
     BOOST_CHECK(end == HttpExchangeEnd::NotConnected);
 }
+
+// Guards against an exchange that keeps waiting after the server stops sending mid-response.
+BOOST_FIXTURE_TEST_CASE(AnswerThatStallsTimesOut, Fixture)
+{
+    HttpExchangeOptions options;
+    options.stallTimeout = std::chrono::milliseconds(100);
+    HttpExchangeEnd end = HttpExchangeEnd::Complete;
+    bool finished = false;
+    const auto exchange = client.fetch(endpoint, {"GET", "/s", {}, {}, {}}, options,
+                                       [&](HttpExchangeEnd how, const HttpResponse &) {
+                                           end = how;
+                                           finished = true;
+                                       });
+    BOOST_REQUIRE(test::waitFor([&] { return streams.size() == 1; }));
+    streams[0].responder->write("part");
+    BOOST_REQUIRE(test::waitFor([&] { return finished; }));
+    BOOST_CHECK(end == HttpExchangeEnd::TimedOut);
+}
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -13,6 +13,7 @@
 #include "relay/StoreProtocol.h"
 #include "support/EventLoop.h"
 #include "support/ManualTimers.h"
+#include "support/SlowHttpServer.h"
 
 #include <QRandomGenerator>
 
@@ -394,3 +395,41 @@
     watching.answerWith(answerOf({item(Key, 6)}, 6));
     BOOST_TEST(watching.mirror->age().count() == wait + 20);
 }
+
+// Guards against aborting and restarting a read whose response takes longer than the timeout to
+// transfer although data keeps arriving.
+BOOST_AUTO_TEST_CASE(SlowReadThatMakesProgressCompletes)
+{
+    test::ensureApplication();
+    test::SlowHttpServer server([](const QByteArray &) { return QByteArray(2000, 'x'); }, 100,
+                                100ms);
+    QtTimerService timers;
+    HttpClient client(timers);
+    RelayCounters counters;
+    StoreProtocol protocol;
+    protocol.range = [](const QString &, const QString &) {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/read";
+        return request;
+    };
+    protocol.watch = [](const QString &, Revision, Milliseconds) {
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/watch";
+        return request;
+    };
+    protocol.readItems = [](const HttpResponse &) { return answerOf({item(Key, 4)}, 5); };
+    StoreMirror mirror(timers, client, {QStringLiteral("127.0.0.1"), server.port()}, protocol,
+                       counters, QStringLiteral("targets/"));
+    StoreMirrorFeed feed;
+    feed.isFed = [] { return false; };
+    feed.holdsBack = [] { return false; };
+    feed.pace = [] { return 100ms; };
+    feed.lost = [] {};
+    feed.changed = [](const StoreAnswer &, Revision) {};
+    mirror.setFeed(feed);
+    mirror.setCallbacks({[](const StoreItem &) {}, [](const QString &) {}});
+    mirror.start();
+    BOOST_TEST(test::waitFor([&] { return mirror.items().contains(Key); }));
+}
