Relay: include removals before the first read in feed heartbeats

User-visible effect: a revoked evacuation, or in future any other removed operator key, remains in force at some daemons.

Cause: a heartbeat carries the revision of the last change that its sender saw, and receivers that have reached this revision are confirmed. A daemon whose first read came after a key was removed never saw the removal and sends an older revision, so a receiver that still holds the key considers its copy complete.

The sender now reports at least the revision of its first read. Receivers behind that revision ask once, and the answer lists the remaining keys. Rejected alternative: raising newest() itself, whose meaning is pinned by NewestCountsRemovals.

Adds the test RemovalsBeforeTheFirstReadMayBeMissing, which fails when newest() is used instead (4, not 9). Not covered: a key that was set and removed between two later reads of the sender.

--- a/src/relay/FeedMessage.h
+++ b/src/relay/FeedMessage.h
@@ -29,7 +29,7 @@
     Revision base;
     Revision upTo;
     QList<StoreItem> items;
-    /// The last change of the configuration that the sender has.
+    /// The revision that a copy of the configuration must have reached to be confirmed by this one.
     Revision configuration;
     /// So long ago the configuration of the sender was last confirmed.
     Milliseconds configurationAge = UnknownAge;
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -381,7 +381,7 @@
                             base,
                             upTo,
                             items,
-                            m_parts.configuration.newest(),
+                            m_parts.configuration.requiredPeerRevision(),
                             m_parts.configuration.age(),
                             m_parts.entries.items().size(),
                             isAll ? m_parts.entries.age() : UnknownAge};
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -143,7 +143,8 @@
     }
     doubtIfAway();
     m_isCurrent = true;
-    m_hasRead = true;
+    if (!std::exchange(m_hasRead, true))
+        m_firstReadRevision = m_readAt;
     m_needsRead = false;
     const QHash<QString, StoreItem> read = std::exchange(m_reading, {});
     // Another daemon may have told something newer since the first page was read.
@@ -434,6 +435,11 @@
     m_confirmedBy = by;
 }
 
+Revision StoreMirror::requiredPeerRevision() const
+{
+    return std::max(m_newest, m_firstReadRevision);
+}
+
 Milliseconds StoreMirror::age() const
 {
     if (m_freshAsOf == MonotonicTime())
@@ -447,6 +453,8 @@
     if (revision <= m_revision)
         return;
     m_changedBy = StoreSource::Peer;
+    if (!m_hasRead)
+        m_firstReadRevision = revision;
     doubtIfAway();
     for (const StoreItem &item : changed)
         put(item);
--- a/src/relay/StoreMirror.h
+++ b/src/relay/StoreMirror.h
@@ -119,6 +119,9 @@
     /// The latest change of a key, removals included; of a removal that no watch showed, the
     /// revision of the read that found it.
     Revision newest() const { return m_newest; }
+    /// The revision that another copy must have reached to be confirmed by this one: newest(), but
+    /// at least the revision of the first read, because earlier removals are unknown here.
+    Revision requiredPeerRevision() const;
     /// Takes in what another daemon holds at @p revision, if it is newer: what @p changed since
     /// revision() and the @p keys that are left.
     void takeFrom(const QList<StoreItem> &changed, const QSet<QString> &keys, Revision revision);
@@ -181,6 +184,7 @@
     MonotonicTime m_readBegan;
     Revision m_revision;
     Revision m_newest;
+    Revision m_firstReadRevision;
     Revision m_readAt;
     bool m_keysLapse = true;
     Milliseconds m_lapseAfter{0};
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -122,6 +122,15 @@
     BOOST_TEST(fed.has(Key));
 }
 
+// Guards against confirming a peer's copy that still holds a key removed before this daemon's first
+// read.
+BOOST_FIXTURE_TEST_CASE(RemovalsBeforeTheFirstReadMayBeMissing, Fixture)
+{
+    FedMirror fed(timers, client);
+    fed.mirror.takeFrom({item(Key, 4)}, {Key}, Revision(9));
+    BOOST_TEST((fed.mirror.requiredPeerRevision() == Revision(9)));
+}
+
 // The leases of all targets lapsed while the store was down, and a daemon that had just started
 // knew none of them. One that asked it took its answer for the truth and had no target for
 // seconds; entries that lapsed are back within two.
