Relay: fetch contents from a peer only when outdated, one fetch at a time

Cause: a daemon whose copy may be stale queries a peer every 100 ms. Each request asked for the whole document if it was newer, with up to four requests in flight and a timeout of 400 ms. A response of 365 KB takes 0.29 s on a link of 10 Mbit/s with no other traffic; two concurrent responses cannot complete within 400 ms. The aborted transfers saturated the links nevertheless, and delayed the read of the store that the age bound requires.

Fix: the periodic request now asks only for ages and revisions (about 100 bytes). A daemon that finds its copy outdated fetches the contents from the peer that has just responded, one fetch at a time. A fetch is aborted when no data arrives for 800 ms, or after 5 s in total. The response also includes the revision that a copy must have reached to be confirmed by it, so that an up-to-date copy is confirmed without a fetch.

Tests: AtMostOneFetchIsInProgress and SlowFetchThatMakesProgressCompletes failed before this change (6 concurrent fetches; contents never applied).

--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -31,6 +31,10 @@
 /// daemons that start together and miss the targets alone must not ask that often.
 constexpr Milliseconds StaleAskInterval{100};
 constexpr Milliseconds AskTimeout{400};
+/// Responses with contents can be hundreds of KB and share the links with other traffic. Aborting
+/// and repeating a transfer that still makes progress only adds to the load.
+constexpr Milliseconds FetchStallTimeout{800};
+constexpr Milliseconds FetchTimeout{5000};
 /// When the store is away for all, no other daemon has anything newer; when it turns some away, a
 /// third of the daemons asked has nothing, and a new version must be in force within two seconds.
 constexpr Milliseconds LongestPause{500};
@@ -53,6 +57,8 @@
 /// How many ms ago the configuration and the entries of the answering daemon were last confirmed.
 const QString AgeField = QStringLiteral("age");
 const QString EntriesAgeField = QStringLiteral("entries_age");
+/// The revision that a copy of the configuration must have reached to be confirmed by the answer.
+const QString NewestField = QStringLiteral("newest");
 
 /// The revision; what changed after @p known; the keys that there are. Empty if there is too much
 /// of it for a daemon that has nothing yet: the store tells that faster.
@@ -83,6 +89,29 @@
     return targets.isTurnedAway && stalenessStep(targets) != StalenessStep::Wait;
 }
 
+/// A request for the changes after the given revisions.
+HttpRequest stateRequest(qint64 configuration, qint64 entries)
+{
+    HttpRequest request;
+    request.method = "GET";
+    request.path =
+        StatePath + QByteArray::number(configuration) + '/' + QByteArray::number(entries);
+    return request;
+}
+
+/// Whether @p mirror includes every change that @p state, a peer's response, reports for @p field.
+/// @p newestField holds the revision of the last change; if it is absent, the revision of the
+/// peer's copy is used.
+bool isUpToDateWith(const StoreMirror &mirror, const QCborMap &state, const QString &field,
+                    const QString &newestField)
+{
+    const QCborArray fields = state.value(field).toArray();
+    if (fields.isEmpty() || !mirror.hasRead())
+        return false;
+    const qint64 peerRevision = fields.at(0).toInteger();
+    return Revision(state.value(newestField).toInteger(peerRevision)) <= mirror.revision();
+}
+
 /// Whether all that the other daemon has is here now.
 bool takeInto(StoreMirror &mirror, const QCborValue &state)
 {
@@ -138,6 +167,7 @@
     QCborMap state{
         {ConfigurationField, stateOf(m_configuration, Revision(parts.at(2).toLongLong()))},
         {AgeField, qint64(m_configuration.age().count())},
+        {NewestField, m_configuration.requiredPeerRevision().value()},
         {EntriesAgeField, qint64(m_entries.age().count())}};
     if (m_entries.hasSource())
         state.insert(EntriesField, stateOf(m_entries, Revision(parts.at(3).toLongLong())));
@@ -174,80 +204,118 @@
     const bool isUrgent = isStale
         && (isWithinBound(m_staleness.configuration()) || isWithinBound(m_staleness.targets()));
     m_nextQuestion = m_timers.now() + (isUrgent ? StaleAskInterval : m_pause);
-    ask(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
+    askForRevisions(peers.at(QRandomGenerator::global()->bounded(int(peers.size()))));
 }
 
 void PeerState::askSoon(const Peer &peer)
 {
-    if (!m_questions.empty() || m_soon)
+    if (m_fetch || m_soon)
         return;
     const Milliseconds delay(QRandomGenerator::global()->bounded(MostDelayMilliseconds));
     m_soon = m_timers.after(delay, [this, peer] {
         m_soon.reset();
-        ask(peer);
+        if (!m_fetch)
+            fetchContents(peer);
     });
 }
 
-void PeerState::ask(const Peer &peer)
+bool PeerState::needsEntries() const
 {
     // Entries come by the feed, and all of them are a long answer.
-    const bool needsEntries = !m_entries.hasRead() || !m_entries.hasSource()
+    return !m_entries.hasRead() || !m_entries.hasSource()
         || asksPeersForTargets(m_staleness.targets());
-    const qint64 entries = needsEntries ? m_entries.revision().value() : NotNeeded;
-    HttpRequest request;
-    request.method = "GET";
-    request.path = StatePath + QByteArray::number(m_configuration.revision().value()) + '/'
-        + QByteArray::number(entries);
+}
+
+void PeerState::askForRevisions(const Peer &peer)
+{
     HttpExchangeOptions options;
     options.connectTimeout = AskTimeout;
     options.timeout = AskTimeout;
     const int number = ++m_asked;
-    m_questions[number] =
-        m_client.fetch(peer.endpoint, request, options,
-                       [this, number, needsEntries, vm = peer.vm,
-                        asked = m_timers.now()](HttpExchangeEnd end, const HttpResponse &response) {
-                           const auto question = m_questions.extract(number);
-                           const bool isWhole =
-                               end == HttpExchangeEnd::Complete && response.status == StatusOk;
-                           const Milliseconds elapsed =
-                               std::chrono::duration_cast<Milliseconds>(m_timers.now() - asked);
-                           m_counters.peerStateBytesReceived += response.body.size();
-                           if (isWhole) {
-                               m_counters.peerStateResponseTimes.add(double(elapsed.count()));
-                               m_pause = AskInterval;
-                               answered(vm, response.body, needsEntries, asked);
-                               return;
-                           }
-                           m_pause = std::clamp(2 * m_pause, AskInterval, LongestPause);
-                           ++m_counters.peerStateFailed;
-                           logEvent(LogLevel::Info, EventId::PeerStateFailed,
-                                    {{"vm", vm.text()},
-                                     {"status", QString::number(response.status)},
-                                     {"bytes", QString::number(response.body.size())},
-                                     {"took_ms", QString::number(elapsed.count())}});
-                       });
+    m_questions[number] = m_client.fetch(peer.endpoint, stateRequest(NotNeeded, NotNeeded), options,
+                                         [this, number, peer, asked = m_timers.now()](
+                                             HttpExchangeEnd end, const HttpResponse &response) {
+                                             const auto question = m_questions.extract(number);
+                                             const std::optional<QCborMap> state =
+                                                 decodeResponse(peer.vm, end, response, asked);
+                                             if (state)
+                                                 handleRevisions(peer, *state, asked);
+                                         });
 }
 
-void PeerState::answered(const VmId &vm, const QByteArray &body, bool hasEntries,
-                         MonotonicTime asked)
+void PeerState::handleRevisions(const Peer &peer, const QCborMap &state, MonotonicTime asked)
+{
+    const bool hasConfiguration =
+        isUpToDateWith(m_configuration, state, ConfigurationField, NewestField);
+    if (hasConfiguration)
+        m_configuration.confirm(asked - decodeAge(state.value(AgeField)), StoreSource::Peer);
+    const bool hasEntries = isUpToDateWith(m_entries, state, EntriesField, QString());
+    if (hasEntries)
+        m_entries.confirm(asked - decodeAge(state.value(EntriesAgeField)), StoreSource::Peer);
+    const bool isOutdated =
+        !hasConfiguration || (!hasEntries && needsEntries() && state.contains(EntriesField));
+    if (isOutdated && !m_fetch)
+        fetchContents(peer);
+}
+
+void PeerState::fetchContents(const Peer &peer)
+{
+    const bool includesEntries = needsEntries();
+    const qint64 entries = includesEntries ? m_entries.revision().value() : NotNeeded;
+    HttpExchangeOptions options;
+    options.connectTimeout = AskTimeout;
+    options.stallTimeout = FetchStallTimeout;
+    options.timeout = FetchTimeout;
+    m_fetch = m_client.fetch(
+        peer.endpoint, stateRequest(m_configuration.revision().value(), entries), options,
+        [this, includesEntries, vm = peer.vm,
+         asked = m_timers.now()](HttpExchangeEnd end, const HttpResponse &response) {
+            const auto exchange = std::move(m_fetch);
+            const std::optional<QCborMap> state = decodeResponse(vm, end, response, asked);
+            if (state)
+                handleContents(vm, *state, response.body.size(), includesEntries, asked);
+        });
+}
+
+std::optional<QCborMap> PeerState::decodeResponse(const VmId &vm, HttpExchangeEnd end,
+                                                  const HttpResponse &response, MonotonicTime asked)
 {
-    const QCborMap state = QCborValue::fromCbor(body).toMap();
-    if (!state.contains(ConfigurationField)) {
-        logEvent(LogLevel::Warning, EventId::PeerStateFailed,
-                 {{"vm", vm.text()}, {"detail", QStringLiteral("the answer cannot be read")}});
-        return;
-    }
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(m_timers.now() - asked);
+    m_counters.peerStateBytesReceived += response.body.size();
+    if (end != HttpExchangeEnd::Complete || response.status != StatusOk) {
+        m_pause = std::clamp(2 * m_pause, AskInterval, LongestPause);
+        ++m_counters.peerStateFailed;
+        logEvent(LogLevel::Info, EventId::PeerStateFailed,
+                 {{"vm", vm.text()},
+                  {"status", QString::number(response.status)},
+                  {"bytes", QString::number(response.body.size())},
+                  {"took_ms", QString::number(elapsed.count())}});
+        return std::nullopt;
+    }
+    m_counters.peerStateResponseTimes.add(double(elapsed.count()));
+    m_pause = AskInterval;
+    const QCborMap state = QCborValue::fromCbor(response.body).toMap();
+    if (state.contains(ConfigurationField))
+        return state;
+    logEvent(LogLevel::Warning, EventId::PeerStateFailed,
+             {{"vm", vm.text()}, {"detail", QStringLiteral("the response cannot be decoded")}});
+    return std::nullopt;
+}
+
+void PeerState::handleContents(const VmId &vm, const QCborMap &state, qsizetype bytes,
+                               bool hasEntries, MonotonicTime asked)
+{
     const Revision before = m_configuration.revision();
     const Milliseconds age = decodeAge(state.value(AgeField));
     if (takeInto(m_configuration, state.value(ConfigurationField)))
         m_configuration.confirm(asked - age, StoreSource::Peer);
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(m_timers.now() - asked);
     if (before < m_configuration.revision())
         logEvent(LogLevel::Info, EventId::PeerStateTaken,
                  {{"vm", vm.text()},
                   {"before", QString::number(before.value())},
                   {"revision", QString::number(m_configuration.revision().value())},
-                  {"bytes", QString::number(body.size())},
+                  {"bytes", QString::number(bytes)},
                   {"took_ms", QString::number(elapsed.count())},
                   {"age_ms", QString::number(age.count())}});
     // An answer without them names a revision all the same: taken for all that there is, it
--- a/src/relay/PeerState.h
+++ b/src/relay/PeerState.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 class QCborMap;
 class QCborValue;
@@ -23,7 +24,9 @@
 class StoreMirror;
 class TimerService;
 class TimerSubscription;
+enum class HttpExchangeEnd;
 struct HttpRequest;
+struct HttpResponse;
 struct Peer;
 struct RelayCounters;
 
@@ -46,8 +49,8 @@
               Staleness staleness);
     ~PeerState();
 
-    /// Asks @p peer after a short while for what it has that is newer than what is here; nothing
-    /// if another daemon is being asked.
+    /// Fetches newer contents from @p peer after a short random delay. Does nothing if a fetch is
+    /// already scheduled or in progress.
     void askSoon(const Peer &peer);
     /// Answers another daemon.
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) const;
@@ -55,8 +58,19 @@
 private:
     bool isStale(const std::function<StalenessView()> &staleness) const;
     void askIfAway();
-    void ask(const Peer &peer);
-    void answered(const VmId &vm, const QByteArray &body, bool hasEntries, MonotonicTime asked);
+    bool needsEntries() const;
+    /// Requests the ages and revisions of the copies of @p peer, without their contents.
+    void askForRevisions(const Peer &peer);
+    void handleRevisions(const Peer &peer, const QCborMap &state, MonotonicTime asked);
+    /// Requests the contents that changed since this daemon's revisions from @p peer.
+    /// Precondition: no fetch is in progress.
+    void fetchContents(const Peer &peer);
+    void handleContents(const VmId &vm, const QCborMap &state, qsizetype bytes, bool hasEntries,
+                        MonotonicTime asked);
+    /// Decodes the response of @p vm and updates the counters. Logs failures and returns nullopt
+    /// for them.
+    std::optional<QCborMap> decodeResponse(const VmId &vm, HttpExchangeEnd end,
+                                           const HttpResponse &response, MonotonicTime asked);
 
     TimerService &m_timers;
     HttpClient &m_client;
@@ -65,7 +79,10 @@
     StoreMirror &m_entries;
     RelayCounters &m_counters;
     Staleness m_staleness;
-    /// Those not answered yet, by their numbers.
+    /// The fetch in progress, if any. Limited to one, as concurrent fetches would compete for this
+    /// daemon's link.
+    std::unique_ptr<HttpExchange> m_fetch;
+    /// Pending requests for revisions, by number.
     std::map<int, std::unique_ptr<HttpExchange>> m_questions;
     int m_asked = 0;
     std::unique_ptr<TimerSubscription> m_soon;
--- a/test/correctness/StoreMirror.cpp
+++ b/test/correctness/StoreMirror.cpp
@@ -15,8 +15,12 @@
 #include "support/ManualTimers.h"
 #include "support/SlowHttpServer.h"
 
+#include <QCborArray>
+#include <QCborMap>
 #include <QRandomGenerator>
 
+#include <algorithm>
+
 using namespace cranberry;
 using namespace std::chrono_literals;
 
@@ -442,3 +446,123 @@
     mirror.start();
     BOOST_TEST(test::waitFor([&] { return mirror.items().contains(Key); }));
 }
+
+namespace {
+
+StalenessView nearlyStale()
+{
+    StalenessView view;
+    view.age = 1000ms;
+    view.bound = 2000ms;
+    return view;
+}
+
+/// The response of a peer that has a newer configuration. Contents are included only if @p isFetch.
+QByteArray newerStateResponse(bool isFetch)
+{
+    QCborArray changed;
+    if (isFetch)
+        changed.append(QCborArray{QStringLiteral("c"), QByteArray(2000, 'x'), 8});
+    const QCborArray keys{QStringLiteral("c")};
+    return QCborMap{
+        {QStringLiteral("configuration"), QCborArray{8, changed, isFetch ? keys : QCborArray()}},
+        {QStringLiteral("age"), 0}}
+        .toCborValue()
+        .toCbor();
+}
+
+/// A daemon whose configuration is close to its age limit, and a slow peer with a newer one.
+struct StaleDaemon {
+    explicit StaleDaemon(TimerService &timers, bool isFetchAnswered)
+        : server(
+            [isFetchAnswered](const QByteArray &path) {
+                const bool isFetch = isFetchOf(path);
+                return isFetch && !isFetchAnswered ? QByteArray() : newerStateResponse(isFetch);
+            },
+            100, 100ms)
+        , client(timers)
+        , peers(timers, client, Nowhere, protocol, counters, AskingDaemon::selfPeer())
+        , entries(timers, client)
+        , configuration(timers, client)
+        , asking(timers, client, peers, configuration.mirror, entries.mirror, counters,
+                 {nearlyStale, freshTargets})
+    {
+        Peer peer;
+        peer.vm = VmId(QStringLiteral("other"));
+        peer.endpoint = {QStringLiteral("127.0.0.1"), server.port()};
+        peers.heard(peer);
+        configuration.mirror.takeFrom({}, {}, Revision(5));
+        entries.mirror.takeFrom({}, {}, Revision(5));
+    }
+
+    static bool isFetchOf(const QByteArray &path) { return path.startsWith("/state/5/"); }
+
+    qsizetype fetches() const
+    {
+        return std::count_if(server.paths().cbegin(), server.paths().cend(), isFetchOf);
+    }
+
+    test::SlowHttpServer server;
+    HttpClient client;
+    StoreProtocol protocol;
+    RelayCounters counters;
+    PeerDirectory peers;
+    FedMirror entries;
+    FedMirror configuration;
+    PeerState asking;
+};
+
+} // namespace
+
+// Guards against concurrent transfers of the whole configuration that saturate the link.
+BOOST_FIXTURE_TEST_CASE(AtMostOneFetchIsInProgress, Fixture)
+{
+    StaleDaemon daemon(timers, false);
+    for (int asked = 1; asked <= 6; ++asked) {
+        timers.advance(100ms);
+        BOOST_REQUIRE(test::waitFor([&] { return daemon.server.paths().size() >= asked; }));
+    }
+    BOOST_REQUIRE(test::waitFor([&] { return daemon.fetches() > 0; }));
+    BOOST_TEST(daemon.fetches() == 1);
+}
+
+// Guards against aborting and restarting the transfer of a response that takes longer than the
+// timeout of a request for revisions.
+BOOST_AUTO_TEST_CASE(SlowFetchThatMakesProgressCompletes)
+{
+    test::ensureApplication();
+    QtTimerService timers;
+    StaleDaemon daemon(timers, true);
+    BOOST_TEST(test::waitFor([&] { return daemon.configuration.has(QStringLiteral("c")); }));
+}
+
+// Guards against confirming a copy that still holds a key removed before the peer's first read.
+BOOST_AUTO_TEST_CASE(KeyRemovedBeforeThePeersFirstReadIsRemoved)
+{
+    const QString removedKey = QStringLiteral("k");
+    const QString keptKey = QStringLiteral("c");
+    AskingDaemon daemon;
+    FedMirror told(daemon.timers, daemon.client);
+    told.mirror.takeFrom({item(keptKey, 8)}, {keptKey}, Revision(10));
+    daemon.toldEntries.mirror.takeFrom({}, {}, Revision(10));
+    const PeerState answering(daemon.timers, daemon.client, daemon.peers, told.mirror,
+                              daemon.toldEntries.mirror, daemon.counters,
+                              {freshTargets, freshTargets});
+    HttpListener listener(
+        daemon.timers,
+        [&](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
+            answering.handle(request, reply);
+        },
+        [](ErrorKind) { return HttpResponse(); });
+    daemon.configuration.mirror.takeFrom({item(keptKey, 8), item(removedKey, 4)},
+                                         {keptKey, removedKey}, Revision(8));
+    daemon.entries.mirror.takeFrom({}, {}, Revision(10));
+    Peer peer;
+    peer.vm = VmId(QStringLiteral("other"));
+    peer.endpoint = {QStringLiteral("127.0.0.1"),
+                     listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value()};
+    daemon.peers.heard(peer);
+    const PeerState asking(daemon.timers, daemon.client, daemon.peers, daemon.configuration.mirror,
+                           daemon.entries.mirror, daemon.counters, {nearlyStale, freshTargets});
+    BOOST_TEST(test::waitFor([&] { return !daemon.configuration.has(removedKey); }));
+}
