Platform store: time out reads on inactivity rather than total duration

A list of claims or a configuration log of several MB would be aborted midway on every attempt over a slow link. Not observed by callers; found by reading the code.

Reads, lists (of VMs, too) and watches now fail when no data has arrived for the former timeout, and have an additional 10 s in total for the transfer. Writes and lease calls keep the limit on the whole call: their responses are short, and the handling of a lost response relies on that limit.

SlowListThatMakesProgressCompletes failed before this change (a list that takes 3 s, sent in parts 100 ms apart).

--- a/src/platformstore/HttpKeyValueStore.cpp
+++ b/src/platformstore/HttpKeyValueStore.cpp
@@ -15,6 +15,8 @@
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 412;
+/// Added to the timeout of GET requests to allow for transferring large responses.
+constexpr Milliseconds TransferAllowance{10'000};
 
 Error unavailable(const QString &detail)
 {
@@ -150,7 +152,9 @@
 {
     const qint64 id = ++m_lastCall;
     HttpExchangeOptions options;
-    options.timeout = timeout;
+    options.stallTimeout = timeout;
+    // Only responses to GET requests can be large; other calls keep the timeout as a total limit.
+    options.timeout = request.method == "GET" ? timeout + TransferAllowance : timeout;
     options.connectTimeout = m_timeout;
     options.reuseConnection = true;
     m_calls[id].callback = std::move(callback);
--- a/src/platformstore/HttpKeyValueStore.h
+++ b/src/platformstore/HttpKeyValueStore.h
@@ -18,7 +18,9 @@
 public:
     static constexpr Milliseconds DefaultTimeout{2000};
 
-    /// @p timeout bounds each call, for watches in addition to the time they wait.
+    /// @p timeout limits the total duration of writes and lease calls. For reads, lists and watches
+    /// it limits the time without data from the service, for watches in addition to the time they
+    /// wait.
     /// Precondition: @p timers outlives the store.
     HttpKeyValueStore(TimerService &timers, HttpEndpoint endpoint,
                       Milliseconds timeout = DefaultTimeout);
--- a/test/correctness/KeyValueService.cpp
+++ b/test/correctness/KeyValueService.cpp
@@ -4,6 +4,7 @@
 
 #include "platformstore/HttpKeyValueStore.h"
 #include "support/EventLoop.h"
+#include "support/SlowHttpServer.h"
 #include "support/StandinProcess.h"
 #include "support/StoreCalls.h"
 
@@ -142,3 +143,19 @@
     BOOST_CHECK(counts["writes"].toInt() == 1);
     BOOST_CHECK(counts["watches"].toInt() == 0);
 }
+
+// Guards against aborting a list whose response takes longer than the timeout to transfer although
+// data keeps arriving.
+BOOST_AUTO_TEST_CASE(SlowListThatMakesProgressCompletes)
+{
+    test::ensureApplication();
+    test::SlowHttpServer server(
+        [](const QByteArray &) {
+            return "{\"entries\":[],\"padding\":\"" + QByteArray(3000, 'x') + "\"}";
+        },
+        100, std::chrono::milliseconds(100));
+    QtTimerService timers;
+    HttpKeyValueStore store(timers, {QStringLiteral("127.0.0.1"), server.port()});
+    test::StoreCalls calls(store);
+    BOOST_TEST(calls.list(QStringLiteral("prefix/")).has_value());
+}
