Daemons: a crash report includes buffered log lines and works after a stack overflow

Cause: glog's handler runs on the stack of the thread that failed, which has no room after an overflow, and log lines wait in the buffer of LogSink. The stack was not written at all by the code of the first two crashes.

Change: the handler has an alternate signal stack, and the buffer is written before the stack. Both daemons install it.

--- a/apps/CranberryDaemon.cpp
+++ b/apps/CranberryDaemon.cpp
@@ -1,4 +1,5 @@
 // cranberryd: one entry VM of the system.
+#include "base/CrashReport.h"
 #include "daemon/Daemon.h"
 
 #include <QCoreApplication>
@@ -51,6 +52,7 @@
     FLAGS_logtostderr = true;
     FLAGS_log_prefix = true;
     google::InitGoogleLogging(program);
+    cranberry::installCrashReport();
 }
 
 } // namespace
--- a/src/base/LogSink.cpp
+++ b/src/base/LogSink.cpp
@@ -26,6 +26,20 @@
     return ::poll(&output, 1, 0) == 1 && (output.revents & POLLOUT) != 0;
 }
 
+/// Writes as much of @p bytes as standard output takes without blocking; returns how much.
+qsizetype writeAvailable(const char *bytes, qsizetype size)
+{
+    qsizetype written = 0;
+    while (written < size && takesMore()) {
+        const qsizetype part = std::min(AtOnce, size - written);
+        const ssize_t count = ::write(STDOUT_FILENO, bytes + written, size_t(part));
+        if (count <= 0)
+            break;
+        written += count;
+    }
+    return written;
+}
+
 } // namespace
 
 struct LogSink::Buffer {
@@ -69,15 +83,8 @@
 void LogSink::flush()
 {
     const std::lock_guard<std::mutex> lock(m_buffer->mutex);
-    qsizetype written = 0;
     QByteArray &bytes = m_buffer->bytes;
-    while (written < bytes.size() && takesMore()) {
-        const qsizetype size = std::min(AtOnce, bytes.size() - written);
-        const ssize_t count = ::write(STDOUT_FILENO, bytes.constData() + written, size_t(size));
-        if (count <= 0)
-            break;
-        written += count;
-    }
+    const qsizetype written = writeAvailable(bytes.constData(), bytes.size());
     bytes.remove(0, written);
     if (bytes.isEmpty() && m_buffer->dropped > 0) {
         bytes = "event=1006 name=log.dropped lines=" + QByteArray::number(m_buffer->dropped) + '\n';
@@ -85,4 +92,13 @@
     }
 }
 
+void LogSink::writeAfterCrash()
+{
+    // Stays locked: what is written here must not be written again.
+    if (!m_buffer->mutex.try_lock())
+        return;
+    const QByteArray &bytes = m_buffer->bytes;
+    writeAvailable(bytes.constData(), bytes.size());
+}
+
 } // namespace cranberry
--- a/src/base/LogSink.h
+++ b/src/base/LogSink.h
@@ -26,6 +26,11 @@
     /// Takes one line without its end. Important lines may fill the whole buffer, others half.
     void append(const QByteArray &line, bool isImportant);
 
+    /// Writes what is buffered and leaves the buffer as it is; nothing if the crash interrupted an
+    /// append(). A second call does nothing. Async-signal-safe; only for a process that is about to
+    /// end.
+    void writeAfterCrash();
+
     /// The sink in use; null if there is none.
     static LogSink *current();
 
--- a/src/relay/RelayProgram.cpp
+++ b/src/relay/RelayProgram.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelayProgram.h"
 
+#include "base/CrashReport.h"
 #include "base/EventLog.h"
 #include "base/LogSink.h"
 #include "relay/RelayDaemon.h"
@@ -11,7 +12,6 @@
 #include <QSocketNotifier>
 
 #include <gflags/gflags.h>
-#include <glog/logging.h>
 
 #include <csignal>
 #include <cstdio>
@@ -85,8 +85,7 @@
     // The loop over poll() needs no further library and no threads.
     qputenv("QT_NO_GLIB", "1");
     QCoreApplication application(argc, argv);
-    // A daemon that crashes leaves its stack; without it nothing tells what it was doing.
-    google::InstallFailureSignalHandler();
+    installCrashReport();
     LogSink sink;
     RelayDaemon daemon(settings.value(), protocols);
     if (const auto started = daemon.start(); !started)
