Relay: a stream's place at the destination of a move is counted once, until the stream is there

Callers saw: a daemon ends with a segmentation fault, and all answers on its connections break off.

Cause: the place that a move counts at its destination was released before the stream was counted there. If the destination's entry had ended meanwhile, its record was dropped, and the stream ran at a target that was not known. When the entry came back and ended again, the new record was dropped at once, and the order to move the stream read the record of its source through a null pointer. The holder of a backup had the same gap. A stream that was lost while it was stopped for a move released its place twice, so that the record of a target in use could be dropped too.

Change: TargetPlace counts a request for as long as it lives; records also stay while copies are at the target; a move whose source is not known is logged and not begun.

Evidence: failure/PlatformMoves StreamAtADestinationWhoseEntryEndsIsCounted ended the daemon before (SIGSEGV at 0x58 in RelayRun::beginMove, by its report) and StreamLostDuringAMoveFreesItsPlaceOnce found own=0 with one request there.

--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -16,6 +16,7 @@
 #include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetPlace.h"
 #include "relay/WaitingRequests.h"
 
 namespace cranberry {
@@ -327,8 +328,7 @@
               {"ms", QString::number(taken.count(), 'f', 0)}});
     leaveTarget();
     m_phase = Phase::Over;
-    endReservation();
-    m_move.reset();
+    abandonMove();
     m_takeover.reset();
     m_takeoverTimer.reset();
     m_nextBackup.reset();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -25,6 +25,7 @@
 class RelayAttempt;
 enum class AttemptFate;
 class RoomReservation;
+class TargetPlace;
 class TimerSubscription;
 struct AttemptPlan;
 struct CopyReference;
@@ -154,7 +155,8 @@
     void logTakeover(const char *outcome, int status) const;
     void refusedBy(const TargetId &destination);
     void moveLater(const QString &reason, Milliseconds wait);
-    void endReservation();
+    /// Ends a copy that is under way. Precondition: the generation was not stopped for it.
+    void abandonMove();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
     void resumeAtSource(const CopyReference &copy);
     void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
@@ -213,6 +215,8 @@
 
     std::unique_ptr<GenerationMove> m_move;
     TargetId m_moveDestination;
+    /// There, so that the next move spreads to another destination.
+    std::unique_ptr<TargetPlace> m_destinationPlace;
     /// What the copy takes of both links.
     Milliseconds m_copyTime{0};
     HttpEndpoint m_moveDestinationEndpoint;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -13,6 +13,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetPlace.h"
 
 namespace cranberry {
 
@@ -159,20 +160,20 @@
 
 void RelayRun::takeoverBegan()
 {
-    const TargetId holder = m_backup->holder();
-    const HttpEndpoint endpoint = m_backup->endpoint();
     logTakeover("taken over", 0);
+    // Keeps the holder's record until the generation is counted there.
+    const auto backup = std::exchange(m_backup, std::move(m_nextBackup));
+    const TargetId holder = backup->holder();
     ++m_moves;
     ++m_context.counters.movesDone;
     m_isFirstSinceMove = true;
     m_endedWhileMoving.reset();
     m_takeoverTimer.reset();
-    m_move.reset();
+    abandonMove();
     m_moveTimer.reset();
     leaveTarget();
-    m_backup = std::move(m_nextBackup);
     m_phase = Phase::Sent;
-    m_endpoint = endpoint;
+    m_endpoint = backup->endpoint();
     occupy(holder);
     m_attempt = std::move(m_takeover);
     const TargetRecord *record = m_context.targets.find(holder);
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -15,6 +15,7 @@
 #include "relay/ReservationOutcome.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetNews.h"
+#include "relay/TargetPlace.h"
 
 namespace cranberry {
 
@@ -99,6 +100,10 @@
 void RelayRun::beginMove()
 {
     const TargetRecord *source = m_context.targets.find(m_target);
+    if (!source) {
+        moveLater(QStringLiteral("the source is not known"), MoveAgainAfter);
+        return;
+    }
     TargetNeed wanted = need();
     wanted.excluded.insert(m_target);
     if (!m_avoidedDestination.isEmpty())
@@ -120,8 +125,8 @@
     m_moveDestination = pick.target->entry.id;
     m_isDestinationLost = false;
     m_moveDestinationEndpoint = pick.target->entry.endpoint;
-    // Counted at the destination from now on, so that the next move spreads to another.
-    m_context.targets.requestPlaced(m_moveDestination, expectedTokens());
+    m_destinationPlace =
+        std::make_unique<TargetPlace>(m_context.targets, m_moveDestination, expectedTokens());
     m_copyTime = pick.copyTime;
     m_context.news.copyOrdered(m_target, m_moveDestination, m_copyTime);
     const auto expected =
@@ -165,10 +170,9 @@
               {"rounds", QString::number(outcome.rounds)},
               {"first_round_ms", QString::number(outcome.firstRound.count())},
               {"events", QString::number(m_lastEvent)}});
-    endReservation();
     if (!stopped) {
         ++m_context.counters.movesFailed;
-        m_move.reset();
+        abandonMove();
         if (outcome.kind == MoveOutcome::Kind::NoRoom)
             refusedBy(m_moveDestination);
         if (outcome.rounds == 1 && outcome.kind != MoveOutcome::Kind::Copied)
@@ -180,6 +184,8 @@
                                                                 : MoveAgainAfter);
         return;
     }
+    // Its record is needed until the generation is counted there.
+    const auto place = std::move(m_destinationPlace);
     const CopyReference copy{m_endpoint, outcome.handle};
     const bool isHeld = !copy.handle.isEmpty();
     const bool isCopied = outcome.kind == MoveOutcome::Kind::Copied;
@@ -198,8 +204,16 @@
     }
 }
 
+void RelayRun::abandonMove()
+{
+    m_move.reset();
+    m_destinationPlace.reset();
+}
+
 void RelayRun::resumeAtSource(const CopyReference &copy)
 {
+    // Without another request its record would end with an entry that has ended.
+    const TargetPlace place(m_context.targets, m_target, Tokens(0));
     const TargetRecord *source = m_context.targets.find(m_target);
     // Going on there would be new work for a data centre that is to get none.
     if (source && m_context.targets.isEvacuated(source->entry.dataCentre))
@@ -242,12 +256,6 @@
     targetLeaving(m_target, wait);
 }
 
-void RelayRun::endReservation()
-{
-    if (!m_moveDestination.isEmpty() && m_move)
-        m_context.targets.requestEnded(m_moveDestination, expectedTokens());
-}
-
 void RelayRun::resume(const HttpEndpoint &holder, const TargetId &holderId,
                       const CopyReference &copy)
 {
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -186,7 +186,9 @@
 void TargetDirectory::dropIfUnused(const TargetId &target)
 {
     const auto known = m_targets.find(target);
-    if (known == m_targets.end() || known->ownRunning > 0 || !m_removed.contains(target))
+    if (known == m_targets.end() || !m_removed.contains(target))
+        return;
+    if (known->ownRunning > 0 || known->ownBackup.value() > 0)
         return;
     m_targets.erase(known);
     m_removed.remove(target);
@@ -366,6 +368,7 @@
         return;
     known->ownBackup -= tokens;
     ownLoadChanged(target, false);
+    dropIfUnused(target);
     roomChanged();
 }
 
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -30,7 +30,7 @@
 
     /// Takes in an entry that is new or has changed.
     void put(const RelayTarget &entry);
-    /// The target is gone; its record stays while requests are at it.
+    /// The target is gone; its record stays while requests or copies are at it.
     void remove(const TargetId &target);
     /// The target has ended and started anew under another id: its requests are lost.
     void startedAgain(const TargetId &target);
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -12,6 +12,16 @@
 namespace {
 
 constexpr int Events = 200;
+/// Bytes of a daemon's log shown if it has ended: its stack is there.
+constexpr qsizetype LogTail = 4000;
+/// The answer of a runner that holds what it copied.
+const QByteArray CopyHeld = R"({"handle":"copy","created":1})";
+
+/// The order to stop a generation and copy what is left of it.
+bool isLastMove(const HttpRequest &request)
+{
+    return request.path == "/v1/kv-move" && request.body.contains("\"last\":true");
+}
 
 struct Fixture {
     Fixture()
@@ -28,6 +38,13 @@
     Runner &source() { return isAtFirst ? first : second; }
     Runner &destination() { return isAtFirst ? second : first; }
     void leave() { site.announce(source(), "model", "draining"); }
+    /// Adds another target and waits until the daemon knows it, and all that was written before.
+    void awaitEntriesTaken(const QByteArray &marker)
+    {
+        site.addRunner(marker, "plain");
+        BOOST_REQUIRE(test::waitFor(
+            [&] { return site.log(daemon).contains("target.joined target=" + marker); }));
+    }
 
     test::PlatformSite site;
     Runner &first = site.addRunner("model-1", "model");
@@ -119,3 +136,67 @@
     }
     BOOST_TEST(source().ran().size() == before);
 }
+
+// A stream is lost because its data centre is evacuated while it is stopped for a move. Its place
+// at the destination was given back twice, so that the destination counted as emptier than it was.
+BOOST_FIXTURE_TEST_CASE(StreamLostDuringAMoveFreesItsPlaceOnce, Fixture)
+{
+    Runner::Reply lastMove;
+    Runner &from = source();
+    from.setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast)
+            lastMove = reply;
+        return isLast;
+    });
+    leave();
+    BOOST_REQUIRE(test::waitFor([&] { return lastMove != nullptr; }));
+    site.evacuate(QStringLiteral("hall"), true);
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("evacuation.in_force"); }));
+    from.crash();
+    lastMove->send({503, {}, CopyHeld});
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Broken));
+    site.evacuate(QStringLiteral("hall"), false);
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("evacuation.ended"); }));
+    destination().setGeneration(3, Milliseconds(2));
+    const auto next = site.call(daemon, "POST", "/model/a", "r2", test::PlatformSite::generation());
+    BOOST_TEST((next->response.body == test::PlatformSite::events(3)));
+    const QByteArray sent = "name=relay.sent request=r2 target=" + destination().id();
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains(sent); }));
+    const QByteArray log = site.log(daemon);
+    const QByteArray line = log.mid(log.indexOf(sent)).split('\n').first();
+    BOOST_TEST_INFO(line.constData());
+    // Itself alone.
+    BOOST_TEST(line.contains(" own=1 "));
+}
+
+// A destination's entry ends while the last part is copied there. The stream that went on there was
+// not counted as its request; when the entry came back and ended again, the daemon crashed.
+BOOST_FIXTURE_TEST_CASE(StreamAtADestinationWhoseEntryEndsIsCounted, Fixture)
+{
+    const QString entry = QStringLiteral("servers/") + QString::fromLatin1(destination().id());
+    Runner::Reply lastMove;
+    Runner &from = source();
+    from.setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast)
+            lastMove = reply;
+        return isLast;
+    });
+    leave();
+    BOOST_REQUIRE(test::waitFor([&] { return lastMove != nullptr; }));
+    site.store().remove(entry);
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("name=target.gone"); }));
+    from.crash();
+    lastMove->send({200, {}, CopyHeld});
+    BOOST_REQUIRE(test::waitFor([&] { return destination().generating() == 1; }));
+    site.announce(destination(), "model", "ready");
+    awaitEntriesTaken("marker-1");
+    site.store().remove(entry);
+    awaitEntriesTaken("marker-2");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+    BOOST_TEST_INFO(site.log(daemon).right(LogTail).constData());
+    BOOST_TEST(!site.hasEnded(daemon));
+}
