Relay: a stream that is resumed at its source names the target

Callers saw: nothing, unless the source's address had passed to another target, which would then have been asked to go on with the stream.

Cause: resume() took the target by reference to the member that it clears first. The request went out without the name of the target, and the run was counted nowhere from then on.

Change: it takes the id by value. Other functions that take ids by reference were read: none clears what it was given.

Test: failure/PlatformMoves StreamResumedAtItsSourceNamesTheTarget; before, the header was empty.

--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -159,7 +159,8 @@
     void abandonMove();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
     void resumeAtSource(const CopyReference &copy);
-    void resume(const HttpEndpoint &holder, const TargetId &holderId, const CopyReference &copy);
+    /// @p holderId may be target(), which changes meanwhile.
+    void resume(const HttpEndpoint &holder, TargetId holderId, const CopyReference &copy);
     void streamLost(const QString &reason);
 
     void succeed();
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -256,8 +256,8 @@
     targetLeaving(m_target, wait);
 }
 
-void RelayRun::resume(const HttpEndpoint &holder, const TargetId &holderId,
-                      const CopyReference &copy)
+// NOLINTNEXTLINE(performance-unnecessary-value-param): leaveTarget() clears what it may refer to.
+void RelayRun::resume(const HttpEndpoint &holder, TargetId holderId, const CopyReference &copy)
 {
     const bool done = holderId != m_target;
     ++m_moves;
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -137,6 +137,28 @@
     BOOST_TEST(source().ran().size() == before);
 }
 
+// The last part finds no room, so that only the source still holds the generation. It was resumed
+// there without the name of the target, and a target that has taken over the address would run it.
+BOOST_FIXTURE_TEST_CASE(StreamResumedAtItsSourceNamesTheTarget, Fixture)
+{
+    Runner &from = source();
+    from.setOverride([&from](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast) {
+            from.crash();
+            reply->send({503, {}, CopyHeld});
+        }
+        return isLast;
+    });
+    leave();
+    BOOST_REQUIRE(test::waitFor([&] { return from.ran().size() == 2; }));
+    const HttpHeaders &headers = from.ran().last().headers;
+    BOOST_TEST((headers.value("Kv-From") == from.address() + "/copy"));
+    BOOST_TEST((headers.value("Cranberryquay-Expect-Instance") == from.id()));
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+}
+
 // A stream is lost because its data centre is evacuated while it is stopped for a move. Its place
 // at the destination was given back twice, so that the destination counted as emptier than it was.
 BOOST_FIXTURE_TEST_CASE(StreamLostDuringAMoveFreesItsPlaceOnce, Fixture)
