Relay: a takeover ends the copy of the same generation that is under way

Callers saw: a daemon ends with a segmentation fault, and all answers on its connections break off.

Cause: a copy to another engine may be under way without a takeover, because the holder of the backup may not be used. If the stream broke and the holder could be used again, it was asked to go on beside the copy. The copy went on, stopped the generation, resumed it elsewhere and replaced the backup; the holder's answer was then handled with a backup that was not there any more.

Change: takeOver() ends a copy that is under way, so that each generation is in one transition at a time. A copy that has stopped the generation was never taken over beside.

--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -95,6 +95,8 @@
         return false;
     if (!m_context.retries.take(m_task.service, m_context.timers.now(), 0))
         return false;
+    // Its answer would change the backup while the holder is asked.
+    abandonMove();
     AttemptPlan plan;
     plan.target = m_backup->holder();
     plan.workspace = m_task.workspace;
@@ -169,7 +171,6 @@
     m_isFirstSinceMove = true;
     m_endedWhileMoving.reset();
     m_takeoverTimer.reset();
-    abandonMove();
     m_moveTimer.reset();
     leaveTarget();
     m_phase = Phase::Sent;
--- a/test/failure/PlatformBackups.cpp
+++ b/test/failure/PlatformBackups.cpp
@@ -14,6 +14,10 @@
 constexpr int Events = 200;
 /// An answer that is worth a copy.
 constexpr int MostOutput = 2000;
+/// Bytes of a daemon's log shown if it has ended: its stack is there.
+constexpr qsizetype LogTail = 4000;
+/// The answer of a runner that holds what it copied.
+const QByteArray CopyHeld = R"({"handle":"copy","created":1})";
 
 struct Fixture {
     Fixture()
@@ -110,3 +114,66 @@
     BOOST_TEST((call->end == HttpExchangeEnd::Broken));
     BOOST_TEST(!isWhole());
 }
+
+// A generation is copied away from a runner that leaves, as the one with its backup may not be used
+// then; its connection breaks, and the backup goes on after all. The copy went on beside that and
+// took the generation to a third runner; the daemon crashed when the first answer came.
+BOOST_FIXTURE_TEST_CASE(TakeoverEndsACopyUnderWay, Fixture)
+{
+    // Not over before the answers below.
+    constexpr int LongEvents = 3000;
+    Runner &third = site.addRunner("model-3", "model");
+    for (Runner *runner : {&first, &second, &third})
+        runner->setGeneration(LongEvents, Milliseconds(1));
+    const QString held = QStringLiteral("servers/") + QString::fromLatin1(holder().id());
+    site.store().put(held, "unreadable");
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("name=target.withheld"); }));
+    Runner::Reply firstMove;
+    bool isMoveCancelled = false;
+    int moves = 0;
+    source().setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        if (request.path != "/v1/kv-move")
+            return false;
+        ++moves;
+        if (firstMove) {
+            reply->send({200, {}, CopyHeld});
+            return true;
+        }
+        firstMove = reply;
+        reply->onCallerGone([&isMoveCancelled] { isMoveCancelled = true; });
+        return true;
+    });
+    Runner::Reply takeover;
+    HttpRequest takeoverRequest;
+    holder().setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        if (!request.headers.contains("Kv-From"))
+            return false;
+        takeover = reply;
+        takeoverRequest = request;
+        return true;
+    });
+    site.announce(source(), "model", "draining");
+    BOOST_REQUIRE(test::waitFor([&] { return firstMove != nullptr; }));
+    site.announce(holder(), "model", "ready");
+    site.addRunner("marker", "plain");
+    BOOST_REQUIRE(
+        test::waitFor([&] { return site.log(daemon).contains("target.joined target=marker"); }));
+    source().crash();
+    BOOST_REQUIRE(test::waitFor([&] { return takeover != nullptr; }));
+    // No other runner can keep a further backup.
+    site.announce(holder(), "model", "draining");
+    BOOST_REQUIRE(test::waitFor(
+        [&] { return site.log(daemon).contains("name=target.leaving target=" + holder().id()); }));
+    firstMove->send({200, {}, CopyHeld});
+    // Two further orders stop the generation and take it to the third runner.
+    BOOST_REQUIRE(test::waitFor([&] { return isMoveCancelled || moves == 3; }));
+    BOOST_TEST(isMoveCancelled);
+    takeover->startStream(200, holder().answerHeaders(takeoverRequest));
+    for (int i = takeoverRequest.headers.value("Last-Event-Id").toInt() + 1; i <= LongEvents; ++i)
+        takeover->write(Runner::event(i));
+    takeover->end();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(LongEvents)));
+    BOOST_TEST_INFO(site.log(daemon).right(LogTail).constData());
+    BOOST_TEST(!site.hasEnded(daemon));
+}
