Relay: a configuration is read for its bound although the store refused a call before

Cause: a daemon whose call the store did not serve follows others for 4 s, and the bound of age made no exception. The store dropped its history and cut all watches in one moment, so that nobody was fresher, and nobody read for 3.5 s though the store served everybody.

Change: the configuration is read again 0.15 to 0.4 of its bound after a refusal. A refusal of such a read does not postpone the probe for the targets. Targets are left as they are, as each daemon would read all of them.

Ruled out: processor time (the log lines are on time), the daemons that were cut off (the others had watches of their own).

--- a/src/relay/StalenessPlan.cpp
+++ b/src/relay/StalenessPlan.cpp
@@ -11,6 +11,9 @@
 constexpr double FirstReadAfter = 0.5;
 constexpr double LastReadAfter = 0.8;
 constexpr double FreshFor = 0.9;
+/// A daemon that the store did not serve reads again after a part of the bound between these.
+constexpr double FirstReadAgainAfter = 0.15;
+constexpr double LastReadAgainAfter = 0.4;
 /// Two waits, a pace and two heartbeats of the feed are to be under AskPeersAfter.
 constexpr double WatchWaitPart = 0.125;
 /// Shorter waits would be calls without a pause.
@@ -38,7 +41,12 @@
     if (view.hasOwnWatch || age < AskPeersAfter * bound)
         return StalenessStep::Wait;
     const double readAfter = FirstReadAfter + (LastReadAfter - FirstReadAfter) * view.draw;
-    const bool readsStore = age >= readAfter * bound && !view.isTurnedAway;
+    // If the store refused all daemons in one moment, none of them is fresher than the others.
+    const double readAgainAfter =
+        FirstReadAgainAfter + (LastReadAgainAfter - FirstReadAgainAfter) * view.draw;
+    const bool mayRead =
+        !view.isTurnedAway || double(view.sinceRefused.count()) >= readAgainAfter * bound;
+    const bool readsStore = age >= readAfter * bound && mayRead;
     return readsStore ? StalenessStep::ReadStore : StalenessStep::AskPeer;
 }
 
--- a/src/relay/StalenessPlan.h
+++ b/src/relay/StalenessPlan.h
@@ -30,6 +30,9 @@
     double draw = 1;
     /// Its own watch is open, so that changes come by themselves.
     bool hasOwnWatch = false;
+    /// Since the store last did not serve a call of this daemon, for a copy that is worth another
+    /// call while isTurnedAway holds.
+    Milliseconds sinceRefused{0};
 };
 
 enum class StalenessStep {
--- a/src/relay/StoreFeed.cpp
+++ b/src/relay/StoreFeed.cpp
@@ -223,7 +223,10 @@
 
 StalenessView StoreFeed::configurationStaleness() const
 {
-    return staleness(m_configuration);
+    StalenessView view = staleness(m_configuration);
+    view.sinceRefused =
+        std::chrono::duration_cast<Milliseconds>(m_parts.timers.now() - m_refusedAt);
+    return view;
 }
 
 StalenessView StoreFeed::targetsStaleness() const
@@ -258,8 +261,10 @@
 
 void StoreFeed::readIfStale()
 {
-    if (takeReadDue(m_configuration, configurationStaleness())) {
+    const StalenessView configuration = configurationStaleness();
+    if (takeReadDue(m_configuration, configuration)) {
         m_parts.configuration.readAgain();
+        m_isReadingAgain = configuration.isTurnedAway && m_parts.configuration.isReading();
         return;
     }
     // One call is enough to find out whether the store serves this daemon.
@@ -324,7 +329,11 @@
 
 void StoreFeed::lost()
 {
-    m_turnedAwayUntil = m_parts.timers.now() + TurnedAwayHolds;
+    m_refusedAt = m_parts.timers.now();
+    // A further refusal says nothing new: it must not postpone the next probe for the targets.
+    if (std::exchange(m_isReadingAgain, false) && m_parts.configuration.isReading())
+        return;
+    m_turnedAwayUntil = m_refusedAt + TurnedAwayHolds;
     planProbe(true);
     // The others must not wait until they miss the heartbeat.
     heartbeat();
--- a/src/relay/StoreFeed.h
+++ b/src/relay/StoreFeed.h
@@ -124,8 +124,12 @@
     BoundedCopy m_configuration;
     BoundedCopy m_targets;
     MonotonicTime m_started;
-    /// The store did not serve this daemon until then.
+    /// When the store last did not serve a call, and until when this daemon follows others for
+    /// that.
+    MonotonicTime m_refusedAt;
     MonotonicTime m_turnedAwayUntil;
+    /// The configuration is read for its bound although the store refused a call a moment ago.
+    bool m_isReadingAgain = false;
     /// A daemon whose heads have lost the store tries it again itself then; one that was never fed
     /// does not wait for them, as all may have started together.
     MonotonicTime m_probeDue;
--- a/test/correctness/StalenessPlan.cpp
+++ b/test/correctness/StalenessPlan.cpp
@@ -22,6 +22,8 @@
 /// A daemon whose call the store refused does not try again before.
 constexpr Milliseconds TurnedAway{4000};
 constexpr Milliseconds Heartbeat{300};
+/// Of a copy whose watch has just been cut: its wait, its slack and a pace.
+constexpr Milliseconds AgeOfWatch{920};
 
 using Plan = std::function<StalenessStep(const StalenessView &)>;
 
@@ -30,6 +32,7 @@
     Milliseconds freshAsOf{0};
     Milliseconds busyUntil{0};
     Milliseconds turnedAwayUntil{0};
+    Milliseconds refusedAt{0};
     bool isServed = true;
     double draw = 0.5;
     /// It takes the heartbeats of the two for its source.
@@ -70,8 +73,9 @@
     {
         if (daemon.busyUntil > now)
             return;
-        const StalenessView view{now - daemon.freshAsOf, Bound, daemon.turnedAwayUntil > now,
-                                 daemon.draw, false};
+        const StalenessView view{
+            now - daemon.freshAsOf, Bound, daemon.turnedAwayUntil > now, daemon.draw, false,
+            now - daemon.refusedAt};
         switch (plan(view)) {
         case StalenessStep::Wait:
             return;
@@ -91,7 +95,13 @@
         if (daemon.isServed)
             daemon.freshAsOf = now;
         else
-            daemon.turnedAwayUntil = now + TurnedAway;
+            refuse(daemon);
+    }
+
+    void refuse(Daemon &daemon) const
+    {
+        daemon.refusedAt = now;
+        daemon.turnedAwayUntil = now + TurnedAway;
     }
 
     void askPeer(Daemon &daemon)
@@ -127,6 +137,26 @@
         return worst;
     }
 
+    /// The greatest age after all watches were cut in one moment. The store serves all from then
+    /// on, and nobody feeds the others.
+    Milliseconds cutAllWatches()
+    {
+        now = std::chrono::seconds(10);
+        for (Daemon &daemon : daemons) {
+            daemon.freshAsOf = now - AgeOfWatch;
+            daemon.draw = random.generateDouble();
+            refuse(daemon);
+        }
+        Milliseconds worst{0};
+        const Milliseconds end = now + TurnedAway;
+        for (; now < end; now += Step) {
+            for (Daemon &daemon : daemons)
+                act(daemon);
+            worst = std::max(worst, oldest());
+        }
+        return worst;
+    }
+
     QRandomGenerator random;
     Plan plan;
     QList<Daemon> daemons;
@@ -160,6 +190,14 @@
     BOOST_TEST(brokenDays(stalenessStep) == 0);
 }
 
+// The store dropped its history and cut all watches at once. Each daemon took itself for turned
+// away and read nothing for four seconds, though the store served everybody.
+BOOST_AUTO_TEST_CASE(WatchesThatAreCutTogetherLeaveCopiesWithinTheBound)
+{
+    for (quint32 seed = 1; seed <= 100; ++seed)
+        BOOST_TEST((Fleet(seed, stalenessStep).cutAllWatches() <= Bound));
+}
+
 // The same days break plans that lack a part.
 BOOST_AUTO_TEST_CASE(PlansThatLackAPartFail)
 {
