--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -155,7 +155,8 @@
     void logTakeover(const char *outcome, int status) const;
     void refusedBy(const TargetId &destination);
     void moveLater(const QString &reason, Milliseconds wait);
-    /// Ends a copy that is under way. Precondition: the generation was not stopped for it.
+    /// Ends a copy that is under way. Precondition: it has not stopped the generation, or the run
+    /// ends.
     void abandonMove();
     void moveEnded(const MoveOutcome &outcome, bool stopped);
     void resumeAtSource(const CopyReference &copy);
