Relay: requests are sorted by keys that are computed before the sort

Callers saw: a daemon ends with a segmentation fault, and all answers on its connections break off.

Cause: the waiting requests were sorted by a comparison that asks each request whether it is overdue, which reads the clock. A request that became overdue between two comparisons changed the order while std::stable_sort() ran. Its insertion step relies on the first element not being ordered after the one that it inserts; when that changed, it went past the beginning of the list and read a shared pointer from the memory before it. The streams of a leaving target were sorted in the same way: the priority of a copy falls or rises when the remaining notice passes a bound.

Change: stableSortByKey() computes the key of each element once, from one reading of the clock, and sorts by these plain values. WaitingRank holds what the order of waiting requests depends on, and isServedBefore() compares two of them. tryPlace() takes its decision from one reading as well. The order itself is the same as before.

Looked for elsewhere: every sort, partial sort, selection and ordered container of src, platform and apps. The others compare constants, copied values or hashes of ids.

--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -1,6 +1,7 @@
 #include "relay/RelayGateway.h"
 
 #include "base/EventLog.h"
+#include "base/StableSortByKey.h"
 #include "base/TimerService.h"
 #include "http/CallerReply.h"
 #include "relay/EngineReports.h"
@@ -9,7 +10,7 @@
 
 #include <QRandomGenerator>
 
-#include <algorithm>
+#include <functional>
 
 namespace cranberry {
 
@@ -69,9 +70,9 @@
     runs.removeIf([&](const auto &run) { return !run->isGeneratingAt(target); });
     if (runs.isEmpty())
         return;
-    std::stable_sort(runs.begin(), runs.end(), [](const auto &a, const auto &b) {
-        return a->movePriority() > b->movePriority();
-    });
+    stableSortByKey(
+        runs, [now = m_context.timers.now()](const auto &run) { return run->movePriority(now); },
+        std::greater<double>());
     // The report of the target says how long it will stay.
     m_context.reports.refresh({target}, NoticeMaxAge, [] {});
     // Notices of two engines that leave together arrive one after the other, and other daemons move
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -33,6 +33,7 @@
 struct RelayAttemptCallbacks;
 struct ReservationOutcome;
 struct ServerSentEvent;
+struct WaitingRank;
 
 /// A request with its route, before a target is chosen.
 struct RelayTask {
@@ -71,12 +72,8 @@
     const TargetId &target() const { return m_target; }
     /// Sends it if a target can take it; returns false if it must keep waiting.
     bool tryPlace();
-    /// It can no longer be answered within its objective.
-    bool isOverdue() const;
-    int priority() const { return m_task.route.priority; }
-    MonotonicTime arrived() const { return m_task.arrived; }
-    /// Forecast output length; see OutputForecast.
-    Tokens expectedOutput() const { return m_expectedOutput; }
+    /// Its rank among the waiting requests at @p now.
+    WaitingRank waitingRank(MonotonicTime now) const;
     bool isGeneratingAt(const TargetId &target) const
     {
         return m_target == target && isGenerating();
@@ -87,8 +84,8 @@
     void targetLost(const TargetId &target);
     /// Resumes from the backup if no event has arrived from the engine for too long.
     void checkSilence();
-    /// Priority of its copy if its target leaves; see cranberry::movePriority().
-    double movePriority() const;
+    /// Priority of its copy at @p now if its target leaves; see cranberry::movePriority().
+    double movePriority(MonotonicTime now) const;
 
 private:
     enum class Phase {
@@ -107,12 +104,14 @@
     /// The shorter of the timeouts of the caller and the route, from the arrival.
     Milliseconds timeout() const;
     Milliseconds timeLeft() const;
+    /// It can no longer be answered within its objective at @p now.
+    bool isOverdue(MonotonicTime now) const;
     Tokens expectedTokens() const;
     /// Tokens in memory at its target once the prompt has been read.
     Tokens heldTokens() const;
     TargetNeed need() const;
-    double maxLoad() const;
-    Tokens unreadLimit() const;
+    double maxLoad(MonotonicTime now) const;
+    Tokens unreadLimit(MonotonicTime now) const;
     Milliseconds waitLimit() const;
     /// Time that an engine takes to read the prompt.
     Milliseconds readingTime() const;
@@ -177,6 +176,7 @@
     const std::shared_ptr<CallerReply> m_reply;
     Ended m_ended;
     const MonotonicTime m_deadline;
+    /// Forecast output length; see OutputForecast.
     const Tokens m_expectedOutput;
 
     Phase m_phase = Phase::Placing;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -45,7 +45,7 @@
     if (!m_task.engine || !m_task.engine->canBackUp || !isStream())
         return false;
     const double maxTokens = MaxEngineFraction * double(m_task.engine->memory.value());
-    return expectedOutput() > ShortOutputLimit && double(expectedTokens().value()) <= maxTokens;
+    return m_expectedOutput > ShortOutputLimit && double(expectedTokens().value()) <= maxTokens;
 }
 
 std::unique_ptr<GenerationBackup> RelayRun::chooseBackup(AttemptPlan &plan)
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -82,7 +82,7 @@
     return m_task.request.promptTokens + Tokens(made);
 }
 
-double RelayRun::movePriority() const
+double RelayRun::movePriority(MonotonicTime now) const
 {
     const TargetRecord *source = m_context.targets.find(m_target);
     if (!source)
@@ -93,8 +93,7 @@
     // For an answer that exceeded its forecast, the remaining output is the rest of the current
     // forecast step.
     candidate.remaining = m_reserved - heldTokens();
-    candidate.notice =
-        std::chrono::duration_cast<Milliseconds>(source->leavesAt - m_context.timers.now());
+    candidate.notice = std::chrono::duration_cast<Milliseconds>(source->leavesAt - now);
     return cranberry::movePriority(candidate);
 }
 
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -11,6 +11,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
+#include "relay/WaitingRank.h"
 #include "relay/WaitingRequests.h"
 
 #include <algorithm>
@@ -56,7 +57,7 @@
 
 Tokens RelayRun::expectedTokens() const
 {
-    return m_task.engine ? m_task.request.promptTokens + expectedOutput() : Tokens(0);
+    return m_task.engine ? m_task.request.promptTokens + m_expectedOutput : Tokens(0);
 }
 
 TargetNeed RelayRun::need() const
@@ -101,37 +102,41 @@
     return Milliseconds(qint64(double(m_task.request.promptTokens.value()) / PromptTokensPerMs));
 }
 
-bool RelayRun::isOverdue() const
+bool RelayRun::isOverdue(MonotonicTime now) const
 {
-    return m_context.timers.now() - m_task.arrived + readingTime() > m_task.route.objective;
+    return now - m_task.arrived + readingTime() > m_task.route.objective;
 }
 
-Tokens RelayRun::unreadLimit() const
+WaitingRank RelayRun::waitingRank(MonotonicTime now) const
 {
-    if (isOverdue())
+    return {isOverdue(now), m_task.route.priority, m_expectedOutput, m_task.arrived};
+}
+
+Tokens RelayRun::unreadLimit(MonotonicTime now) const
+{
+    if (isOverdue(now))
         return OverdueMaxUnread + m_task.request.promptTokens;
-    const std::chrono::duration<double, std::milli> waited =
-        m_context.timers.now() - m_task.arrived;
+    const std::chrono::duration<double, std::milli> waited = now - m_task.arrived;
     const double left = double(m_task.route.objective.count()) - waited.count();
     return Tokens(qint64(left * PromptTokensPerMs));
 }
 
-double RelayRun::maxLoad() const
+double RelayRun::maxLoad(MonotonicTime now) const
 {
-    if (isOverdue() && expectedOutput() > ShortOutputLimit)
+    if (isOverdue(now) && m_expectedOutput > ShortOutputLimit)
         return OverdueMaxLoad;
     const double memory = std::max(double(m_task.engine->memory.value()), 1.0);
-    return BaseMaxLoad - LengthDiscount * double(expectedOutput().value()) / memory;
+    return BaseMaxLoad - LengthDiscount * double(m_expectedOutput.value()) / memory;
 }
 
 bool RelayRun::tryPlace()
 {
+    const MonotonicTime now = m_context.timers.now();
     TargetNeed wanted = need();
     if (m_task.engine)
-        wanted.unreadLimit = unreadLimit();
-    const TargetPick pick =
-        chooseTarget(m_context.targets.takingWork(m_task.service), wanted, m_context.timers.now());
-    const bool isFull = m_task.engine && pick.load > maxLoad();
+        wanted.unreadLimit = unreadLimit(now);
+    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted, now);
+    const bool isFull = m_task.engine && pick.load > maxLoad(now);
     if (!pick.target || isFull)
         return false;
     if (reservesRoom())
@@ -153,7 +158,7 @@
     m_reservationLoad = pick.load;
     // Counted before the grant, so that this daemon sends its next request to another engine.
     occupy(pick.target->entry.id);
-    const Tokens output(qint64(ReservedOutputFraction * double(expectedOutput().value())));
+    const Tokens output(qint64(ReservedOutputFraction * double(m_expectedOutput.value())));
     m_reservation = std::make_unique<RoomReservation>(
         m_context, pick.target->entry, m_task.request.promptTokens + output,
         std::min(ReservationLifetime, m_task.engine->maxReservation),
--- a/src/relay/WaitingRequests.cpp
+++ b/src/relay/WaitingRequests.cpp
@@ -1,10 +1,10 @@
 #include "relay/WaitingRequests.h"
 
+#include "base/StableSortByKey.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "relay/RelayRun.h"
-
-#include <algorithm>
+#include "relay/WaitingRank.h"
 
 namespace cranberry {
 
@@ -13,17 +13,6 @@
 /// Changes of room within this time are handled in one pass.
 constexpr Milliseconds PassDelay{5};
 
-bool isServedBefore(const std::shared_ptr<RelayRun> &a, const std::shared_ptr<RelayRun> &b)
-{
-    if (a->isOverdue() != b->isOverdue())
-        return b->isOverdue();
-    if (a->isOverdue())
-        return a->arrived() < b->arrived();
-    if (a->priority() != b->priority())
-        return a->priority() < b->priority();
-    return a->expectedOutput() < b->expectedOutput();
-}
-
 } // namespace
 
 WaitingRequests::WaitingRequests(TimerService &timers)
@@ -56,7 +45,9 @@
         if (run && run->isWaiting())
             runs.append(run);
     }
-    std::stable_sort(runs.begin(), runs.end(), isServedBefore);
+    stableSortByKey(
+        runs, [now = m_timers.now()](const auto &run) { return run->waitingRank(now); },
+        isServedBefore);
     for (const std::shared_ptr<RelayRun> &run : std::as_const(runs)) {
         if (run->isWaiting() && !run->tryPlace())
             m_waiting.append(run);
--- a/src/relay/WaitingRequests.h
+++ b/src/relay/WaitingRequests.h
@@ -13,9 +13,7 @@
 class TimerSubscription;
 
 /// The queue of requests that no target can take yet. Whenever room may be available, tries the
-/// requests in order: first those that can still be answered on time, by priority and then by
-/// shortest expected output, since the same memory serves more short answers; then the others in
-/// order of arrival.
+/// requests in the order of isServedBefore().
 /// Thread safety: only from the thread of the event loop.
 class WaitingRequests
 {
