TcpStream: a queued failure report does not use a destroyed stream

Callers would see: a daemon ends with a segmentation fault.

Cause: a connection that fails inside the call that opens it reports that by a queued call, with the write notifier as its receiver. The destructor of the stream defers the deletion of the notifier, so that the queued call was still delivered and used the destroyed stream.

Change: the queued call checks whether the stream was destroyed.

Evidence: failure/ConnectionGoneBeforeItsFailure failed in 20 of 20 runs before (a destroyed stream reported its failure) and passes in 20 of 20 now.

--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -225,9 +225,15 @@
 
 void TcpStream::scheduleNotConnected()
 {
-    // Queued, so that no callback runs inside the call that creates the stream.
+    // Queued, so that no callback runs inside the call that creates the stream. The notifier
+    // outlives the stream until the event loop deletes it, and receives queued calls until then.
     QMetaObject::invokeMethod(
-        m_writeNotifier, [this] { end(TcpEnd::NotConnected); }, Qt::QueuedConnection);
+        m_writeNotifier,
+        [this, destroyed = m_destroyed] {
+            if (!*destroyed)
+                end(TcpEnd::NotConnected);
+        },
+        Qt::QueuedConnection);
 }
 
 void TcpStream::closeDescriptor(bool reset)
