--- a/src/base/StableSortByKey.h
+++ b/src/base/StableSortByKey.h
@@ -20,7 +20,7 @@
 {
     using Key = std::decay_t<decltype(keyOf(std::as_const(elements).first()))>;
     static_assert(std::is_trivially_copyable_v<Key> && !std::is_pointer_v<Key>,
-                  "a key must be a plain value that does not refer to changing state");
+                  "a key must be a trivially copyable value");
     std::vector<std::pair<Key, Element>> keyed;
     keyed.reserve(size_t(elements.size()));
     for (const Element &element : std::as_const(elements))
