HttpListener: a listener that cannot listen can be stopped

Operators saw: a daemon whose port is taken, or whose address is invalid, ends with code 139 after its error message instead of with code 2. Nothing was being served.

Cause: after a failed call listenOn() left the descriptor open without a notifier, and stopAccepting(), which the destructor calls, used the notifier.

Change: listenOn() closes the descriptor if it fails.

--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -65,8 +65,13 @@
     socklen_t size = sizeof(address);
     if (!isValid || m_descriptor < 0 || ::bind(m_descriptor, generic, size) != 0
         || ::listen(m_descriptor, ListenBacklog) != 0
-        || ::getsockname(m_descriptor, generic, &size) != 0)
-        return listenError(endpoint);
+        || ::getsockname(m_descriptor, generic, &size) != 0) {
+        const Error error = listenError(endpoint);
+        if (m_descriptor >= 0)
+            ::close(m_descriptor);
+        m_descriptor = -1;
+        return error;
+    }
     m_notifier = new QSocketNotifier(m_descriptor, QSocketNotifier::Read);
     QObject::connect(m_notifier, &QSocketNotifier::activated, m_notifier, [this] { accept(); });
     return ntohs(address.sin_port);
