StoreMirror: the grace period of a removal is computed from one reading of the clock

Callers would see: requests sent to a target that is gone, after an outage of the store.

Cause: removeAfterGrace() compared one reading of the clock with the end of the grace period and computed the delay until then from another. If the period ended between the two, the delay was negative. A timer with a negative delay never fires, so that the removal was lost, together with the earlier ones whose timer it replaced.

Change: one reading for both.

Found by the review of the sorts that read the clock.

--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -412,16 +412,16 @@
 {
     if (!m_items.contains(key))
         return;
-    if (m_timers.now() >= m_removalGraceEnd) {
+    const MonotonicTime now = m_timers.now();
+    if (now >= m_removalGraceEnd) {
         m_items.remove(key);
         m_callbacks.removed(key);
         return;
     }
     m_pendingRemovals.insert(key, m_removalGraceEnd);
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_removalGraceEnd - now);
     m_pendingRemovalTimer =
-        m_timers.after(std::chrono::duration_cast<Milliseconds>(m_removalGraceEnd - m_timers.now())
-                           + Milliseconds(1),
-                       [this] { retryPendingRemovals(); });
+        m_timers.after(left + Milliseconds(1), [this] { retryPendingRemovals(); });
 }
 
 void StoreMirror::retryPendingRemovals()
