--- a/test/failure/ConnectionGoneBeforeItsFailure.cpp
+++ b/test/failure/ConnectionGoneBeforeItsFailure.cpp
@@ -8,6 +8,7 @@
 #include "http/HttpRequest.h"
 #include "http/TcpStream.h"
 #include "support/EventLoop.h"
+#include "support/ManualTimers.h"
 
 #include <QCoreApplication>
 
@@ -88,3 +89,27 @@
         BOOST_TEST((ends == QList<TcpEnd>{TcpEnd::NotConnected}));
     }
 }
+
+// The same with a connect timeout that passes before the failure is reported, as in a daemon whose
+// step of the event loop takes longer than the timeout. The request ends once.
+BOOST_FIXTURE_TEST_CASE(ConnectTimeoutBeforeTheFailureEndsTheRequestOnce, Fixture)
+{
+    constexpr Milliseconds ConnectTimeout{50};
+    test::ManualTimers timers;
+    HttpClient client(timers);
+    HttpRequest request;
+    request.method = "GET";
+    request.path = "/";
+    HttpExchangeOptions options;
+    options.connectTimeout = ConnectTimeout;
+    std::vector<std::unique_ptr<HttpExchange>> exchanges;
+    int reports = 0;
+    for (int i = 0; i < Connections; ++i)
+        exchanges.push_back(
+            client.fetch({UnreachableAddress, Port}, request, options,
+                         [&reports](HttpExchangeEnd, const HttpResponse &) { ++reports; }));
+    timers.advance(ConnectTimeout);
+    BOOST_TEST(reports == Connections);
+    runQueuedCalls();
+    BOOST_TEST(reports == Connections);
+}
