--- a/src/base/StableSortByKey.h
+++ b/src/base/StableSortByKey.h
@@ -11,7 +11,7 @@
 
 /// Sorts @p elements stably by keys that are computed once for each element, before the sort. The
 /// standard library's sorts access memory outside the range if the order changes while they run, so
-/// that a comparison must not read the clock or other state that may change. @p Key is therefore a
+/// that a comparison must not read the clock or other state that may change. A key is therefore a
 /// plain value.
 /// Preconditions: @p isBefore is a strict weak ordering of keys; a floating-point key is a number.
 /// Thread safety: that of @p keyOf and @p isBefore.
--- a/test/error/RelayMessages.cpp
+++ b/test/error/RelayMessages.cpp
@@ -1,5 +1,5 @@
-// Whatever a peer, a target or the store sends: garbage, other types, numbers beyond any bound and
-// truncated messages do not end a daemon.
+// Tests decoders of messages from peers and targets on damaged and truncated input, unexpected
+// types and numbers beyond any bound. Decoding must not end the daemon.
 #define BOOST_TEST_MODULE RelayMessages
 #include <boost/test/unit_test.hpp>
 
@@ -107,7 +107,7 @@
     }
 }
 
-// Guards against a length of gigabytes, announced in four bytes, that is taken as it is.
+// Guards against an allocation of the announced size: four bytes can announce gigabytes.
 BOOST_AUTO_TEST_CASE(CompressedItemsThatAnnounceGigabytes)
 {
     const QByteArray sound = compressItems({{QStringLiteral("k"), "v", Revision(1), false}});
@@ -122,7 +122,7 @@
     }
 }
 
-// Guards against the depth of a message that overflows the stack.
+// Guards against a stack overflow by deeply nested messages.
 BOOST_AUTO_TEST_CASE(DeepMessages)
 {
     for (const int depth : {1000, 1025, 60000, 1000000}) {
@@ -147,8 +147,8 @@
     }
 }
 
-// Guards against rows of loads, heads, copies, leaving targets and forwarded messages that hold
-// other types or numbers beyond any bound.
+// Guards against unexpected types and numbers in rows of loads, heads, copies, leaving targets and
+// forwarded messages.
 BOOST_AUTO_TEST_CASE(DatagramsOfOtherTypes)
 {
     test::ensureApplication();
@@ -178,7 +178,7 @@
     BOOST_TEST(test::waitFor([&] { return isOver; }));
 }
 
-// Guards against answers that break off, announce gigabytes, or hold other bytes.
+// Guards against answers that are truncated, announce gigabytes or contain damaged bytes.
 BOOST_AUTO_TEST_CASE(AnswersOnTheWire)
 {
     test::ensureApplication();
