--- a/test/failure/ConnectionGoneBeforeItsFailure.cpp
+++ b/test/failure/ConnectionGoneBeforeItsFailure.cpp
@@ -103,6 +103,7 @@
     HttpExchangeOptions options;
     options.connectTimeout = ConnectTimeout;
     std::vector<std::unique_ptr<HttpExchange>> exchanges;
+    exchanges.reserve(Connections);
     int reports = 0;
     for (int i = 0; i < Connections; ++i)
         exchanges.push_back(
