--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -140,14 +140,13 @@
                          [] { return true; }};
 };
 
-/// Starts @p count requests that wait for a target and become overdue one after another, the
-/// earliest 5 ms after the time of the call.
+/// Starts @p count requests that wait for a target and become overdue 7 to 9 ms after the call.
 std::vector<std::shared_ptr<RelayRun>> startWaiting(Fixture &fixture, int count,
                                                     std::mt19937 &random)
 {
     std::vector<std::shared_ptr<RelayRun>> runs;
     for (int i = 0; i < count; ++i) {
-        // Their wait ends up to 1 ms before they become overdue, which is later than the pass.
+        // They wait until they become overdue, which is later than the next pass.
         const Milliseconds objective(7 + int(random() % 3));
         runs.push_back(std::make_shared<RelayRun>(
             fixture.context, fixture.task(i, objective, Tokens(0), fixture.timers.now()),
