Rate limits that targets name are read and logged; unknown headers of answers too

Cause of the lack: answers were forwarded without a look at headers that the adapter does not know, so the logs could not show whether a limit was read, shared, late or ended too early.

target.limited, target.limit_ended and target.limit_unreadable say what a daemon knows of a target's limit and who told it, answer.header_unknown names a header once that this version does not know, cranberry_relay_limited_targets counts. An answer without a limit ends one only if its request was sent after the last answer that named it arrived.

Test: failure/PlatformExplained RateLimitsAreLogged.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -70,6 +70,10 @@
     X(TargetNotice, 1215, "target.notice")                                                         \
     X(TargetWithheld, 1213, "target.withheld")                                                     \
     X(StoreCompacted, 1508, "store.compacted")                                                     \
+    X(TargetLimited, 1219, "target.limited")                                                       \
+    X(TargetLimitEnded, 1220, "target.limit_ended")                                                \
+    X(TargetLimitUnreadable, 1221, "target.limit_unreadable")                                      \
+    X(AnswerHeaderUnknown, 1222, "answer.header_unknown")                                          \
     X(RelayArrived, 1901, "relay.arrived")                                                         \
     X(RelayRefused, 1902, "relay.refused")                                                         \
     X(RelayWaiting, 1903, "relay.waiting")                                                         \
--- a/src/relay/AnswerHead.h
+++ b/src/relay/AnswerHead.h
@@ -2,6 +2,8 @@
 
 #include "http/HttpHeaders.h"
 
+#include <optional>
+
 namespace cranberry {
 
 /// The head of a target's answer.
@@ -17,6 +19,13 @@
     bool isMisdirected = false;
     /// It cannot be forwarded: it answers another request or is encoded.
     bool isUnusable = false;
+    /// Requests per second that the target takes from all daemons together, if the answer names a
+    /// limit; finite and not negative.
+    std::optional<double> requestsPerSecond;
+    /// The limit that the answer names, if it cannot be read.
+    QByteArray unreadableLimit;
+    /// Names of headers that the protocol does not know.
+    QList<QByteArray> unknownHeaders;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -1,9 +1,11 @@
 #include "relay/RelayAttempt.h"
 
+#include "base/TimerService.h"
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
+#include "relay/TargetLimits.h"
 
 namespace cranberry {
 
@@ -76,6 +78,8 @@
     : m_context(context)
     , m_request(request)
     , m_callbacks(std::move(callbacks))
+    , m_target(plan.target)
+    , m_sentAt(context.timers.now())
     , m_alive(std::make_shared<bool>(true))
 {
     HttpExchangeCallbacks events;
@@ -92,6 +96,7 @@
 {
     m_head = m_context.targetProtocol.answerHead(m_request, status, headers);
     m_hasHead = true;
+    m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
     m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable;
     if (!m_isStream)
         return;
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/Ids.h"
+#include "base/Units.h"
 #include "delivery/ServerSentEventParser.h"
 #include "http/HttpExchange.h"
 #include "relay/SendResult.h"
@@ -47,6 +49,8 @@
     RelayContext &m_context;
     const RelayRequest &m_request;
     RelayAttemptCallbacks m_callbacks;
+    const TargetId m_target;
+    const MonotonicTime m_sentAt;
     AnswerHead m_head;
     bool m_hasHead = false;
     bool m_isStream = false;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -17,6 +17,7 @@
 class OutputForecast;
 class TargetDirectory;
 class TargetAnnouncements;
+class TargetLimits;
 class TimerService;
 class WaitingRequests;
 struct RoomForecast;
@@ -26,6 +27,7 @@
     TimerService &timers;
     HttpClient &client;
     TargetDirectory &targets;
+    TargetLimits &limits;
     TargetAnnouncements &news;
     EngineReports &reports;
     WaitingRequests &waiting;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -88,6 +88,7 @@
     , protocols(platformProtocols)
     , client(timers)
     , targets(timers)
+    , limits(timers)
     , reports(timers, client, targets, protocols.targets, counters)
     , waiting(timers)
     , retryBudget(startSettings.retries)
@@ -101,6 +102,7 @@
     , context{timers,
               client,
               targets,
+              limits,
               news,
               reports,
               waiting,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -54,6 +54,7 @@
     text += parts.configuration.ages().prometheusText("cranberry_relay_configuration_age_seconds");
     text += gaugeText("cranberry_relay_targets_age_ms", parts.entries.age().count());
     text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
+    text += gaugeText("cranberry_relay_limited_targets", parts.limits.limitedTargets());
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -22,6 +22,7 @@
 #include "relay/TargetAnnouncements.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetEntries.h"
+#include "relay/TargetLimits.h"
 #include "relay/WaitingRequests.h"
 
 namespace cranberry {
@@ -36,6 +37,7 @@
     QtTimerService timers;
     HttpClient client;
     TargetDirectory targets;
+    TargetLimits limits;
     EngineReports reports;
     WaitingRequests waiting;
     RelayRetryBudget retryBudget;
--- a/test/failure/PlatformExplained.cpp
+++ b/test/failure/PlatformExplained.cpp
@@ -130,3 +130,33 @@
     BOOST_TEST(explanation.contains("has run: no"));
     BOOST_TEST(explanation.contains("Data centre hall was evacuated since"));
 }
+
+// A runner names a rate limit, changes it, names one that cannot be read, and ends it. The log has
+// a line for each, and one for a header that the daemon does not know.
+BOOST_FIXTURE_TEST_CASE(RateLimitsAreLogged, Fixture)
+{
+    int requests = 0;
+    const auto awaitLine = [&](const QByteArray &line) {
+        return test::waitFor([&] {
+            site.call(daemon, "GET", "/safe/a", "l" + QByteArray::number(++requests));
+            return site.log(daemon).contains(line);
+        });
+    };
+    plain.setRateLimit("100");
+    BOOST_TEST(awaitLine("name=target.limited target=plain-1 per_second=100 before=none"));
+    plain.setRateLimit("50.5");
+    BOOST_TEST(awaitLine("name=target.limited target=plain-1 per_second=50.5 before=100"));
+    plain.setRateLimit("many");
+    BOOST_TEST(awaitLine("name=target.limit_unreadable target=plain-1"));
+    plain.setRateLimit("");
+    BOOST_TEST(awaitLine("name=target.limit_ended target=plain-1 per_second=none before=50.5"));
+    plain.setOverride([this](const HttpRequest &request, const Runner::Reply &reply) {
+        HttpHeaders headers = plain.answerHeaders(request);
+        headers.add("X-New", "1");
+        reply->send({200, headers, {}});
+        return true;
+    });
+    BOOST_TEST(awaitLine("name=answer.header_unknown target=plain-1 header=x-new"));
+    site.call(daemon, "GET", "/safe/a", "last");
+    BOOST_TEST(site.log(daemon).count("name=answer.header_unknown") == 1);
+}
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -18,6 +18,7 @@
 #include "relay/StoreProtocol.h"
 #include "relay/TargetAnnouncements.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetLimits.h"
 #include "relay/WaitingRequests.h"
 #include "support/EventLoop.h"
 #include "support/ManualTimers.h"
@@ -110,6 +111,7 @@
     CallerProtocol callerProtocol;
     TargetProtocol targetProtocol;
     TargetDirectory targets{timers};
+    TargetLimits limits{timers};
     Peer self;
     PeerDirectory peers{timers, client, {}, storeProtocol, counters, self};
     PeerDatagrams datagrams{peers};
@@ -124,6 +126,7 @@
     RelayContext context{timers,
                          client,
                          targets,
+                         limits,
                          news,
                          reports,
                          waiting,
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -80,8 +80,11 @@
 
 HttpHeaders RunnerEmulator::answerHeaders(const HttpRequest &request) const
 {
-    return {{IdHeader, request.headers.value(IdHeader)},
-            {"Cranberryquay-Response-Seal", "seal-" + m_id}};
+    HttpHeaders headers{{IdHeader, request.headers.value(IdHeader)},
+                        {"Cranberryquay-Response-Seal", "seal-" + m_id}};
+    if (!m_rateLimit.isEmpty())
+        headers.add("Server-Limit", m_rateLimit);
+    return headers;
 }
 
 QByteArray RunnerEmulator::event(int number)
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -50,6 +50,8 @@
     int mostGenerating() const { return m_mostGenerating; }
     /// Room that is kept free for requests that have not come.
     int reserved() const { return int(m_reservations.size()); }
+    /// The rate limit that its answers name from now on; none if @p perSecond is empty.
+    void setRateLimit(const QByteArray &perSecond) { m_rateLimit = perSecond; }
     /// Breaks all its connections off, as a crash does.
     void crash();
     /// The time of its start, which its entry and its reports name; none if it is not set.
@@ -85,6 +87,7 @@
     int m_events = 3;
     Milliseconds m_interval{5};
     int m_room = 1000;
+    QByteArray m_rateLimit;
     int m_granted = 0;
     int m_mostGenerating = 0;
     QSet<QByteArray> m_reservations;
