Rate limits that targets name are kept by all daemons together

Cause: no part of the daemon acted on the limit. Class: a limit over the fleet that one daemon cannot keep alone.

One daemon, the owner of the target by rendezvous hash, hands out permits at the rate of the limit; a request to a target with a limit needs one, whichever way it takes (first send, retry, move, takeover). A daemon without a permit chooses another target. If all targets of the service have a limit and none has a permit before the request would give up waiting, it is rejected at once as not run, with a Retry-After from the rate and from the callers that were told to retry before. Nothing is sent without an answer of the owner, so lost and late messages cost requests and break no limit. An owner that reaches k of n daemons hands out k/n of the limit, and one that takes over waits until the permits of the one before have expired. The limit is announced to all daemons, and a daemon that starts asks for what the others know. Generations that continue elsewhere cannot wait: they are reported to the owner, which hands out less afterwards. No room is reserved at a target with a limit, as that is one more request.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -74,6 +74,10 @@
     X(TargetLimitEnded, 1220, "target.limit_ended")                                                \
     X(TargetLimitUnreadable, 1221, "target.limit_unreadable")                                      \
     X(AnswerHeaderUnknown, 1222, "answer.header_unknown")                                          \
+    X(PermitsOwned, 1223, "permits.owned")                                                         \
+    X(PermitsNotOwned, 1224, "permits.not_owned")                                                  \
+    X(PermitsAnswered, 1225, "permits.answered")                                                   \
+    X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RelayArrived, 1901, "relay.arrived")                                                         \
     X(RelayRefused, 1902, "relay.refused")                                                         \
     X(RelayWaiting, 1903, "relay.waiting")                                                         \
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -33,8 +33,10 @@
     Head,
     /// A message from another data centre that a head forwards to its own.
     Forwarded,
+    /// Rate limits of targets, and permits; see LimitMessages.
+    Limit,
 };
-constexpr std::size_t DatagramKindCount = 8;
+constexpr std::size_t DatagramKindCount = 9;
 
 /// Whether @p kind is the number of a DatagramKind. Thread-safe.
 bool isDatagramKind(qint64 kind);
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -304,6 +304,13 @@
     return isSmallFleet() ? peers() : localPeers();
 }
 
+int PeerDirectory::knownDaemons() const
+{
+    const MonotonicTime limit = m_timers.now() - UnseenTimeout;
+    const auto isSeen = [limit](const Peer &peer) { return peer.lastSeen >= limit; };
+    return int(std::count_if(m_peers.cbegin(), m_peers.cend(), isSeen)) + 1;
+}
+
 int PeerDirectory::fleetSize() const
 {
     const auto isThere = [this](const Peer &peer) { return !isGone(peer); };
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -77,6 +77,9 @@
     bool hasListed() const { return m_hasListed; }
     /// The number of daemons that may be alive, including this one.
     int fleetSize() const;
+    /// The number of daemons that may be alive, including this one and those that are silent, which
+    /// may be cut off.
+    int knownDaemons() const;
 
 private:
     void call(const HttpRequest &request, std::function<void(const HttpResponse &)> callback);
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -82,6 +82,7 @@
     , m_sentAt(context.timers.now())
     , m_alive(std::make_shared<bool>(true))
 {
+    m_context.limits.recordSent(m_target);
     HttpExchangeCallbacks events;
     events.headers = [this](int status, const HttpHeaders &headers) {
         headersReceived(status, headers);
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -97,6 +97,8 @@
     , datagrams(peers)
     , heads(timers, peers, datagrams)
     , loads(timers, peers, heads, datagrams, targets, retryBudget)
+    , limitExchange(timers, peers, heads, datagrams, limits,
+                    [this](const TargetId &target) { return targets.find(target) != nullptr; })
     , news(timers, peers, heads, datagrams, targets, [this] { return entries.hasSource(); })
     , crashGuard(timers, peers, datagrams)
     , context{timers,
@@ -175,6 +177,7 @@
     parts.peers.onLocalPeersJoined([this](const QList<Peer> &joined) {
         // New peers learn of this daemon immediately instead of with their next listing.
         m_parts->loads.sendHello(joined);
+        m_parts->limitExchange.sendQuery(joined);
     });
     parts.loads.setHasEngine(
         [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
@@ -186,6 +189,7 @@
     parts.targets.onCrashed(
         [this](const TargetId &target) { m_parts->crashGuard.targetDisappeared(target); });
     parts.targets.onCapacityFreed([this] { m_parts->waiting.roomChanged(); });
+    parts.limits.onChanged([this] { m_parts->waiting.roomChanged(); });
 }
 
 RelayDaemon::~RelayDaemon() = default;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+/// Bounds the size of a scrape.
+constexpr qsizetype MaxTargetsInMetrics = 100;
 constexpr std::array<const char *, RequestKindCount> KindNames{"idempotent", "at_most_once",
                                                                "stream"};
 
@@ -22,6 +24,29 @@
     return text + counters.toAnswer.prometheusText(prefix + "_to_answer_seconds");
 }
 
+QByteArray limitsText(const RelayParts &parts)
+{
+    const TargetLimits::Counters &counters = parts.limits.counters();
+    const QList<LimitNews> limited = parts.limits.known();
+    QByteArray text = gaugeText("cranberry_relay_limited_targets", limited.size());
+    text += counterText("cranberry_relay_permits_asked_total", counters.asks);
+    text += counterText("cranberry_relay_permits_received_total", counters.permitsReceived);
+    text +=
+        counterText("cranberry_relay_permits_granted_total", parts.limitExchange.permitsGranted());
+    text += counterText("cranberry_relay_sent_with_permit_total", counters.sentWithPermit);
+    text += counterText("cranberry_relay_sent_without_permit_total", counters.sentWithoutPermit);
+    text += counterText("cranberry_relay_rejected_by_limit_total", counters.rejected);
+    text += "# TYPE cranberry_relay_target_limit gauge\n";
+    for (const LimitNews &target : limited.first(std::min(limited.size(), MaxTargetsInMetrics)))
+        text += "cranberry_relay_target_limit{target=\"" + target.target.text().toUtf8() + "\"} "
+            + QByteArray::number(target.evidence.perSecond.value_or(0)) + '\n';
+    text += "# TYPE cranberry_relay_target_limit_part gauge\n";
+    for (const LimitNews &target : limited.first(std::min(limited.size(), MaxTargetsInMetrics)))
+        text += "cranberry_relay_target_limit_part{target=\"" + target.target.text().toUtf8()
+            + "\"} " + QByteArray::number(parts.limitExchange.ownPart(target.target)) + '\n';
+    return text;
+}
+
 } // namespace
 
 QByteArray relayMetricsText(const RelayParts &parts)
@@ -54,7 +79,7 @@
     text += parts.configuration.ages().prometheusText("cranberry_relay_configuration_age_seconds");
     text += gaugeText("cranberry_relay_targets_age_ms", parts.entries.age().count());
     text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
-    text += gaugeText("cranberry_relay_limited_targets", parts.limits.limitedTargets());
+    text += limitsText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -6,6 +6,7 @@
 #include "relay/CrashGuard.h"
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
+#include "relay/LimitExchange.h"
 #include "relay/LoadExchange.h"
 #include "relay/OutputForecast.h"
 #include "relay/PeerDatagrams.h"
@@ -47,6 +48,7 @@
     PeerDatagrams datagrams;
     DataCentreHeads heads;
     LoadExchange loads;
+    LimitExchange limitExchange;
     TargetAnnouncements news;
     CrashGuard crashGuard;
     RelayContext context;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -302,6 +302,8 @@
 
 Milliseconds RelayRun::retryAfter() const
 {
+    if (m_rejectionDelay)
+        return *m_rejectionDelay;
     return m_task.engine ? expectedRoomDelay(m_context.roomForecast) : PlainRetryAfter;
 }
 
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -72,6 +72,9 @@
     const TargetId &target() const { return m_target; }
     /// Sends it if a target can take it; returns false if it must keep waiting.
     bool tryPlace();
+    /// Rejects it if rate limits keep it from all its targets until it would give up waiting;
+    /// returns false if it can wait.
+    bool rejectIfLimited();
     /// Its rank among the waiting requests at @p now.
     WaitingRank waitingRank(MonotonicTime now) const;
     bool isGeneratingAt(const TargetId &target) const
@@ -121,7 +124,14 @@
     void place();
     void waitForRoom();
     void waitTimedOut();
-    bool reservesRoom() const;
+    /// Asks for permits for the targets with a rate limit. @p isFirst: the request has not asked
+    /// before.
+    void requestPermits(bool isFirst);
+    /// The targets that may serve the request if all of them have a rate limit; empty if one has
+    /// none.
+    QList<TargetId> limitedTargets() const;
+    MonotonicTime waitsUntil() const;
+    bool reservesRoom(const TargetId &target) const;
     void reserve(const TargetPick &pick);
     void reservationEnded(const ReservationOutcome &outcome);
     void send(const TargetRecord &record, double load);
@@ -210,6 +220,9 @@
     MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
     Milliseconds m_longestPause{0};
+    /// Delay after which a caller should retry that is rejected as all targets have reached their
+    /// rate limits.
+    std::optional<Milliseconds> m_rejectionDelay;
     /// Value sent to a caller that was refused.
     Milliseconds m_retryAfter{0};
     /// Longest pause of the stream that a move caused.
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -104,6 +104,7 @@
         moveLater(QStringLiteral("the source is unknown"), MoveRetryDelay);
         return;
     }
+    requestPermits(false);
     TargetNeed wanted = need();
     wanted.excluded.insert(m_target);
     if (!m_avoidedDestination.isEmpty())
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -11,6 +11,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetLimits.h"
 #include "relay/WaitingRank.h"
 #include "relay/WaitingRequests.h"
 
@@ -69,10 +70,56 @@
     need.prompt = m_task.request.promptTokens;
     need.engine = m_task.engine;
     need.distance = m_context.distanceCosts();
-    need.excluded = m_excluded;
+    need.excluded = m_excluded + m_context.limits.withoutPermit();
     return need;
 }
 
+void RelayRun::requestPermits(bool isFirst)
+{
+    for (const TargetRecord *target : m_context.targets.takingWork(m_task.service)) {
+        if (!m_excluded.contains(target->entry.id))
+            m_context.limits.requestPermit(target->entry.id, isFirst);
+    }
+}
+
+QList<TargetId> RelayRun::limitedTargets() const
+{
+    QList<TargetId> limited;
+    for (const TargetRecord *target : m_context.targets.takingWork(m_task.service)) {
+        const TargetId &id = target->entry.id;
+        if (m_excluded.contains(id))
+            continue;
+        if (!m_context.limits.isLimited(id))
+            return {};
+        limited.append(id);
+    }
+    return limited;
+}
+
+bool RelayRun::rejectIfLimited()
+{
+    const QList<TargetId> limited = limitedTargets();
+    if (limited.isEmpty())
+        return false;
+    Milliseconds soonest = Milliseconds::max();
+    for (const TargetId &target : limited)
+        soonest = std::min(soonest, m_context.limits.untilPermit(target).value_or(Milliseconds(0)));
+    const MonotonicTime now = m_context.timers.now();
+    if (now + soonest < std::min(waitsUntil(), m_deadline))
+        return false;
+    m_rejectionDelay = m_context.limits.reject(limited);
+    logEvent(LogLevel::Info, EventId::RelayLimited,
+             {{"request", m_task.request.id.text()},
+              {"service", m_task.service.text()},
+              {"targets", QString::number(limited.size())},
+              {"next_permit_ms", QString::number(soonest.count())}});
+    if (m_fallback)
+        forwardAnswer(*m_fallback);
+    else
+        fail(ErrorKind::NoTarget, QStringLiteral("all targets have reached their rate limits"));
+    return true;
+}
+
 void RelayRun::place()
 {
     m_phase = Phase::Placing;
@@ -132,6 +179,7 @@
 bool RelayRun::tryPlace()
 {
     const MonotonicTime now = m_context.timers.now();
+    requestPermits(m_phase == Phase::Placing);
     TargetNeed wanted = need();
     if (m_task.engine)
         wanted.unreadLimit = unreadLimit(now);
@@ -139,16 +187,18 @@
     const bool isFull = m_task.engine && pick.load > maxLoad(now);
     if (!pick.target || isFull)
         return false;
-    if (reservesRoom())
+    if (reservesRoom(pick.target->entry.id))
         reserve(pick);
     else
         send(*pick.target, pick.load);
     return true;
 }
 
-bool RelayRun::reservesRoom() const
+bool RelayRun::reservesRoom(const TargetId &target) const
 {
-    return m_task.engine && m_task.engine->maxReservation.count() > 0;
+    // A reservation is one more request to a target that takes few.
+    return m_task.engine && m_task.engine->maxReservation.count() > 0
+        && !m_context.limits.isLimited(target);
 }
 
 void RelayRun::reserve(const TargetPick &pick)
@@ -216,6 +266,11 @@
     return std::chrono::duration_cast<Milliseconds>(PlainWaitFraction * m_task.route.objective);
 }
 
+MonotonicTime RelayRun::waitsUntil() const
+{
+    return m_task.arrived + waitLimit();
+}
+
 void RelayRun::waitForRoom()
 {
     // The operator decides when the evacuation ends, so that waiting until the timeout would not
@@ -224,14 +279,17 @@
         fail(ErrorKind::NoTarget, QStringLiteral("the data centres of all targets are evacuated"));
         return;
     }
+    if (rejectIfLimited())
+        return;
     m_phase = Phase::Waiting;
     logEvent(LogLevel::Info, EventId::RelayWaiting,
              {{"request", m_task.request.id.text()},
               {"service", m_task.service.text()},
-              {"targets", QString::number(m_context.targets.count(m_task.service))}});
+              {"targets", QString::number(m_context.targets.count(m_task.service))},
+              {"limited", QString::number(limitedTargets().size())}});
     m_context.waiting.add(shared_from_this());
-    const auto until = m_task.arrived + waitLimit();
-    const auto left = std::chrono::duration_cast<Milliseconds>(until - m_context.timers.now());
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(waitsUntil() - m_context.timers.now());
     m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
         const auto self = shared_from_this();
         waitTimedOut();
@@ -243,10 +301,14 @@
     if (m_phase != Phase::Waiting)
         return;
     // The answer of a target is more informative than a lack of room elsewhere.
-    if (m_fallback)
+    if (m_fallback) {
         forwardAnswer(*m_fallback);
-    else
-        fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
+        return;
+    }
+    const QList<TargetId> limited = limitedTargets();
+    if (!limited.isEmpty())
+        m_rejectionDelay = m_context.limits.reject(limited);
+    fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
 }
 
 void RelayRun::extendForecast()
