Bounded asks and queries; tests of rate limits at processes

A request asks for permits of at most four targets, as in a large fleet many targets of a service may have a limit and each ask is a message. A daemon asks four others for the limits they know when it starts, instead of every peer that joins: with n daemons starting together these were n squared messages.

--- a/src/relay/LimitExchange.cpp
+++ b/src/relay/LimitExchange.cpp
@@ -21,8 +21,8 @@
 constexpr Milliseconds RefreshInterval{500};
 /// A daemon that is not the owner tells this to one that takes it for the owner.
 constexpr Milliseconds NotOwnerDelay{200};
-/// Number of daemons of a data centre that answer a query; with hundreds, all would answer at once.
-constexpr int MaxQueryAnswers = 3;
+/// Number of daemons that a daemon asks when it starts; some of them may have ended.
+constexpr int MaxQueries = 4;
 
 } // namespace
 
@@ -101,9 +101,16 @@
                          encodeNews(news.mid(first, MaxTargetsPerNews), m_timers.now()));
 }
 
-void LimitExchange::sendQuery(const QList<Peer> &peers)
+void LimitExchange::queryOnce(const QList<Peer> &peers)
 {
-    m_datagrams.send(peers, DatagramKind::Limit, encodeQuery());
+    if (m_hasQueried || peers.isEmpty())
+        return;
+    m_hasQueried = true;
+    QList<Peer> left = peers;
+    for (int asked = 0; asked < MaxQueries && !left.isEmpty(); ++asked) {
+        const int chosen = QRandomGenerator::global()->bounded(int(left.size()));
+        m_datagrams.send({left.takeAt(chosen)}, DatagramKind::Limit, encodeQuery());
+    }
 }
 
 double LimitExchange::ownPart(const TargetId &target) const
@@ -169,8 +176,7 @@
             m_limits.recordNews(news, from.vm);
         break;
     case LimitMessageKind::Query:
-        if (m_peers.localRank() < MaxQueryAnswers)
-            sendKnown(from);
+        sendKnown(from);
         break;
     case LimitMessageKind::Ask:
         if (const auto ask = decodeAsk(body, now)) {
--- a/src/relay/LimitExchange.h
+++ b/src/relay/LimitExchange.h
@@ -40,8 +40,8 @@
                   std::function<bool(const TargetId &)> isKnown);
     ~LimitExchange();
 
-    /// Asks @p peers which limits they know.
-    void sendQuery(const QList<Peer> &peers);
+    /// Asks some of @p peers which limits they know, if this daemon has not asked before.
+    void queryOnce(const QList<Peer> &peers);
     /// Requests per second that this daemon hands out for @p target as its owner; zero if it is
     /// not.
     double ownPart(const TargetId &target) const;
@@ -70,6 +70,7 @@
     std::function<bool(const TargetId &)> m_isKnown;
     std::map<TargetId, Owned> m_owned;
     qint64 m_permitsGranted = 0;
+    bool m_hasQueried = false;
     std::unique_ptr<TimerSubscription> m_refreshTimer;
 };
 
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -177,7 +177,7 @@
     parts.peers.onLocalPeersJoined([this](const QList<Peer> &joined) {
         // New peers learn of this daemon immediately instead of with their next listing.
         m_parts->loads.sendHello(joined);
-        m_parts->limitExchange.sendQuery(joined);
+        m_parts->limitExchange.queryOnce(joined);
     });
     parts.loads.setHasEngine(
         [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -15,6 +15,8 @@
 #include "relay/WaitingRank.h"
 #include "relay/WaitingRequests.h"
 
+#include <QRandomGenerator>
+
 #include <algorithm>
 
 namespace cranberry {
@@ -51,6 +53,9 @@
 constexpr Tokens ForecastStep{256};
 /// Fraction of the expected output that is reserved in addition to the prompt.
 constexpr double ReservedOutputFraction = 0.5;
+/// Number of targets with a rate limit whose permits one request asks for. In a large fleet many
+/// targets of a service may have one, and each ask is a message.
+constexpr int MaxPermitRequests = 4;
 /// The request is sent immediately after the grant, over the same connection.
 constexpr Milliseconds ReservationLifetime{500};
 
@@ -76,9 +81,17 @@
 
 void RelayRun::requestPermits(bool isFirst)
 {
+    if (!m_context.limits.isAnyLimited())
+        return;
+    QList<TargetId> targets;
     for (const TargetRecord *target : m_context.targets.takingWork(m_task.service)) {
-        if (!m_excluded.contains(target->entry.id))
-            m_context.limits.requestPermit(target->entry.id, isFirst);
+        const TargetId &id = target->entry.id;
+        if (!m_excluded.contains(id) && m_context.limits.isLimited(id))
+            targets.append(id);
+    }
+    for (int asked = 0; asked < MaxPermitRequests && !targets.isEmpty(); ++asked) {
+        const int chosen = QRandomGenerator::global()->bounded(int(targets.size()));
+        m_context.limits.requestPermit(targets.takeAt(chosen), isFirst);
     }
 }
 
--- a/src/relay/TargetLimits.h
+++ b/src/relay/TargetLimits.h
@@ -63,6 +63,8 @@
     /// The limit of @p target; unset if it names none.
     std::optional<double> limitOf(const TargetId &target) const;
     bool isLimited(const TargetId &target) const { return limitOf(target).has_value(); }
+    /// Whether any target may have a limit; cheap.
+    bool isAnyLimited() const { return !m_entries.empty(); }
     /// The targets to which nothing may be sent now for lack of a permit.
     QSet<TargetId> withoutPermit() const;
 
--- a/test/failure/TargetRateLimits.cpp
+++ b/test/failure/TargetRateLimits.cpp
@@ -6,6 +6,7 @@
 #include "support/PlatformSite.h"
 
 #include <algorithm>
+#include <csignal>
 #include <map>
 #include <vector>
 
@@ -87,7 +88,48 @@
         return worst;
     }
 
+    void endLimit(int runner) { m_runners[size_t(runner)]->setRateLimit({}); }
+
+    /// Requests that count at @p runner so far.
+    int arrivals(int runner) const
+    {
+        const auto found = m_arrivals.find(m_runners[size_t(runner)]);
+        return found == m_arrivals.end() ? 0 : int(found->second.size());
+    }
+
+    /// The daemon that hands out the permits of @p runner; -1 if none does.
+    int awaitOwner(int runner)
+    {
+        const QByteArray line =
+            "name=permits.owned target=" + m_runners[size_t(runner)]->id() + ' ';
+        int owner = -1;
+        test::waitFor([&] {
+            for (const int daemon : m_daemons)
+                owner = m_site.log(daemon).contains(line) ? daemon : owner;
+            return owner >= 0;
+        });
+        return owner;
+    }
+
+    void kill(int daemon)
+    {
+        m_site.signal(daemon, SIGKILL);
+        test::waitFor([&] { return m_site.hasEnded(daemon); });
+        m_down = daemon;
+        m_toldAt.erase(daemon);
+    }
+
+    void restart(int daemon)
+    {
+        m_site.restart(daemon);
+        test::waitFor([&] { return m_site.isReady(daemon); });
+        m_down = -1;
+    }
+
+    QByteArray log(int daemon) { return m_site.log(daemon); }
     int answered() const { return m_answered; }
+    int rejected() const { return m_rejected; }
+    int rejectedWithRetryAfter() const { return m_rejectedWithRetryAfter; }
     int sent() const { return m_sent; }
 
 private:
@@ -99,7 +141,9 @@
     void sendOne()
     {
         const QByteArray id = QByteArray::number(++m_sent);
-        const int daemon = m_daemons[size_t(m_sent) % m_daemons.size()];
+        int daemon = m_daemons[size_t(m_sent) % m_daemons.size()];
+        if (daemon == m_down)
+            daemon = m_daemons[size_t(m_sent + 1) % m_daemons.size()];
         m_daemonOf[id] = daemon;
         const bool isIdempotent = m_sent % 2 == 0;
         m_calls.push_back({daemon,
@@ -112,7 +156,11 @@
         const auto isOver = [this](const Call &sent) {
             if (!sent.call->isOver)
                 return false;
-            m_answered += sent.call->response.status == 200 ? 1 : 0;
+            const HttpResponse &response = sent.call->response;
+            m_answered += response.status == 200 ? 1 : 0;
+            m_rejected += response.status == 503 ? 1 : 0;
+            if (response.status == 503 && response.headers.value("Retry-After").toDouble() > 0)
+                ++m_rejectedWithRetryAfter;
             if (sent.call->response.headers.contains("Server-Limit"))
                 m_toldAt.emplace(sent.daemon, m_timers.now());
             return true;
@@ -143,6 +191,9 @@
     std::map<const Runner *, std::vector<MonotonicTime>> m_arrivals;
     int m_sent = 0;
     int m_answered = 0;
+    int m_rejected = 0;
+    int m_rejectedWithRetryAfter = 0;
+    int m_down = -1;
 };
 
 } // namespace
@@ -161,3 +212,94 @@
     // The other targets have room for all requests.
     BOOST_TEST(site.answered() >= site.sent() * 95 / 100);
 }
+
+// Guards against requests that wait until their timeout, or are sent over the limit, when all
+// targets of their service have reached their limits.
+BOOST_AUTO_TEST_CASE(RequestsBeyondAllLimitsAreRejectedAtOnce)
+{
+    LimitSite site(3);
+    site.send(30, Milliseconds(500));
+    for (int runner = 0; runner < 3; ++runner)
+        site.nameLimit(runner, 2.0);
+    site.send(30, NoticePeriod + Window + Milliseconds(1000));
+    for (int runner = 0; runner < 3; ++runner)
+        BOOST_TEST(site.worstWindow(runner) <= allowedInWindow(2.0));
+    BOOST_TEST(site.rejected() > 0);
+    BOOST_TEST(site.rejected() == site.rejectedWithRetryAfter());
+    BOOST_TEST(site.log(0).contains("name=relay.limited"));
+}
+
+// Guards against a limit that is exceeded, or stops all requests for good, when the daemon that
+// hands out its permits is killed and starts again.
+BOOST_AUTO_TEST_CASE(OwnerOfATargetIsKilled)
+{
+    LimitSite site(4);
+    site.send(30, Milliseconds(500));
+    for (int runner = 0; runner < 3; ++runner)
+        site.nameLimit(runner, 4.0);
+    site.send(30, NoticePeriod);
+    const int owner = site.awaitOwner(0);
+    BOOST_REQUIRE(owner >= 0);
+    site.kill(owner);
+    site.send(30, Milliseconds(1500));
+    site.restart(owner);
+    // The other daemons take another owner once the killed one has been silent for four seconds.
+    site.send(30, Window + Milliseconds(4000));
+    const int before = site.arrivals(0);
+    site.send(30, Window);
+    for (int runner = 0; runner < 3; ++runner)
+        BOOST_TEST(site.worstWindow(runner) <= allowedInWindow(4.0));
+    BOOST_TEST(site.arrivals(0) > before);
+    // It learned the limits from the other daemons.
+    BOOST_TEST(site.log(owner).contains("name=target.limited"));
+    BOOST_TEST(site.log(owner).contains("by=vm"));
+}
+
+// Guards against a limit that is kept after the target has ended it.
+BOOST_AUTO_TEST_CASE(EndedLimitIsKeptNoLonger)
+{
+    LimitSite site(3);
+    site.nameLimit(0, 1.0);
+    site.send(50, Milliseconds(4000));
+    site.endLimit(0);
+    const bool isEnded = test::waitFor([&] {
+        site.send(50, Milliseconds(200));
+        return site.log(0).contains("name=target.limit_ended")
+            && site.log(1).contains("name=target.limit_ended")
+            && site.log(2).contains("name=target.limit_ended");
+    });
+    BOOST_TEST(isEnded);
+    const qsizetype before = site.runner(0).ran().size();
+    site.send(50, Milliseconds(4000));
+    // A third of 200 requests, where the limit allowed 4.
+    BOOST_TEST(site.runner(0).ran().size() - before > 20);
+}
+
+// Guards against streams that are sent to an engine over its limit, and against reservations there.
+BOOST_AUTO_TEST_CASE(StreamsKeepTheLimitOfAnEngine)
+{
+    test::PlatformSite site;
+    site.configure(1);
+    Runner &limited = site.addRunner("model-1", "model");
+    Runner &free = site.addRunner("model-2", "model");
+    for (Runner *runner : {&limited, &free})
+        runner->setGeneration(3, Milliseconds(2));
+    limited.setRateLimit("0");
+    const int daemon = site.startDaemon();
+    site.startDaemon();
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains("name=member.joined"); }));
+    int requests = 0;
+    BOOST_REQUIRE(test::waitFor([&] {
+        site.call(daemon, "POST", "/model/a", "s" + QByteArray::number(++requests),
+                  test::PlatformSite::generation());
+        return site.log(daemon).contains("name=target.limited target=model-1 per_second=0");
+    }));
+    const qsizetype before = limited.ran().size();
+    for (int i = 0; i < 40; ++i) {
+        const auto call = site.call(daemon, "POST", "/model/a", "t" + QByteArray::number(i),
+                                    test::PlatformSite::generation());
+        BOOST_TEST((call->response.body == test::PlatformSite::events(3)));
+    }
+    BOOST_TEST(limited.ran().size() == before);
+    BOOST_TEST(limited.reserved() == 0);
+}
