Soak: targets name, change and end rate limits

LimitChecks applies the users' rule to what targets receive; the test of processes and the soak share it. Limits are drawn from a generator of their own, so that a seed injects the same other faults as before. Datagrams between daemons are not cut in the soak, as they do not pass its proxies; correctness/RatePermits loses and delays them.

--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -41,12 +41,13 @@
         options.daemons = int(FLAGS_daemons);
         cranberry::soak::SoakRun run(options);
         const cranberry::standin::PromiseChecks &checks = run.run();
+        const QStringList broken = checks.broken() + run.limits().broken();
         std::printf("seed %u: %d answers, %d whole, %d promises broken\n", seed, checks.answers(),
-                    checks.wholeAnswers(), int(checks.broken().size()));
-        for (const QString &line : checks.broken())
+                    checks.wholeAnswers(), int(broken.size()));
+        for (const QString &line : broken)
             std::printf("  %s\n", qPrintable(line));
         std::fflush(stdout);
-        violationCount += int(checks.broken().size());
+        violationCount += int(broken.size());
     }
     return violationCount > 0 ? ExitViolation : 0;
 }
--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -5,6 +5,7 @@
 #include <QElapsedTimer>
 
 #include <csignal>
+#include <cstring>
 
 namespace cranberry::soak {
 
@@ -15,6 +16,8 @@
 /// Average interval between requests, and between faults.
 constexpr int RequestIntervalMs = 15;
 constexpr int FaultIntervalMs = 400;
+/// Average interval between changes of rate limits; a limit counts from 3 s after it was named.
+constexpr int LimitIntervalMs = 2500;
 constexpr int MaxOutputTokens = 120;
 constexpr int PromptTokens = 500;
 /// Time for the pending requests to end after the last fault; their deadline is 15 s.
@@ -25,6 +28,7 @@
 SoakRun::SoakRun(const SoakOptions &options)
     : m_options(options)
     , m_random(options.seed)
+    , m_limitRandom(options.seed)
 {
     m_site.configure(m_version);
     for (int i = 0; i < options.engines; ++i)
@@ -32,7 +36,7 @@
     for (int i = 0; i < 2; ++i) {
         m_plainTargets.push_back(&m_site.addRunner("plain-" + QByteArray::number(i), "plain"));
         m_plainTargets.back()->onRan([this, i](const HttpRequest &request) {
-            m_checks.ran("plain-" + QByteArray::number(i), request);
+            recordRun("plain-" + QByteArray::number(i), request);
         });
     }
     for (int i = 0; i < options.daemons; ++i) {
@@ -49,16 +53,37 @@
     const QByteArray id = "engine-" + QByteArray::number(qulonglong(m_engines.size()));
     standin::RunnerEmulator &engine = m_site.addRunner(id, "model");
     engine.setGeneration(EventsPerStream, EventInterval);
-    engine.onRan([this, id](const HttpRequest &request) { m_checks.ran(id, request); });
+    engine.onRan([this, id](const HttpRequest &request) { recordRun(id, request); });
     m_engines.push_back(&engine);
 }
 
+void SoakRun::recordRun(const QByteArray &target, const HttpRequest &request)
+{
+    m_checks.ran(target, request);
+    const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
+    m_limits.received(target, m_daemonOfRequest.value(id, -1), m_timers.now());
+}
+
+void SoakRun::changeLimit()
+{
+    const bool isPlain = m_limitRandom() % 4 != 0;
+    const std::vector<standin::RunnerEmulator *> &targets = isPlain ? m_plainTargets : m_engines;
+    standin::RunnerEmulator &target = *targets[m_limitRandom() % targets.size()];
+    const quint32 tenths = m_limitRandom() % 100;
+    const bool isEnd = m_limitRandom() % 4 == 0;
+    const double perSecond = double(tenths) / 10;
+    target.setRateLimit(isEnd ? QByteArray() : QByteArray::number(perSecond));
+    m_limits.named(target.id(), isEnd ? std::nullopt : std::optional<double>(perSecond),
+                   m_timers.now());
+}
+
 const standin::PromiseChecks &SoakRun::run()
 {
     QElapsedTimer elapsed;
     elapsed.start();
     qint64 nextRequestMs = 0;
     qint64 nextFaultMs = FaultIntervalMs;
+    qint64 nextLimitMs = LimitIntervalMs / 2;
     const qint64 endMs = std::chrono::milliseconds(m_options.duration).count();
     test::waitFor(
         [&] {
@@ -70,6 +95,10 @@
                 injectFault();
                 nextFaultMs += 1 + randomBelow(2 * FaultIntervalMs);
             }
+            while (nextLimitMs <= elapsed.elapsed()) {
+                changeLimit();
+                nextLimitMs += 1 + m_limitRandom() % (2 * LimitIntervalMs);
+            }
             collectAnswers();
             return elapsed.elapsed() > endMs;
         },
@@ -91,6 +120,7 @@
         return;
     const QByteArray id =
         "s" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
+    m_daemonOfRequest.insert(id, daemon);
     const HttpEndpoint endpoint = m_proxies[size_t(daemon)]->endpoint();
     switch (randomBelow(4)) {
     case 0:
@@ -98,13 +128,14 @@
             {id,
              m_site.sendTo(endpoint, "POST", "/model/a", id,
                            test::PlatformSite::generation(PromptTokens, MaxOutputTokens)),
-             false});
+             daemon, false});
         break;
     case 1:
-        m_pending.push_back({id, m_site.sendTo(endpoint, "GET", "/safe/a", id, {}), false});
+        m_pending.push_back({id, m_site.sendTo(endpoint, "GET", "/safe/a", id, {}), daemon, false});
         break;
     default:
-        m_pending.push_back({id, m_site.sendTo(endpoint, "POST", "/unsafe/a", id, {}), false});
+        m_pending.push_back(
+            {id, m_site.sendTo(endpoint, "POST", "/unsafe/a", id, {}), daemon, false});
         break;
     }
     // One client in 20 disconnects before the answer.
@@ -120,6 +151,12 @@
             continue;
         }
         const bool isWhole = pending->call->end == HttpExchangeEnd::Complete;
+        const HttpHeaders &headers = pending->call->response.headers;
+        if (headers.contains("Server-Limit")) {
+            const QByteArray seal = headers.value("Cranberryquay-Response-Seal");
+            m_limits.passedOn(seal.mid(qsizetype(strlen("seal-"))), pending->daemon,
+                              m_timers.now());
+        }
         m_checks.answered(pending->id, pending->call->response, isWhole);
         pending = m_pending.erase(pending);
     }
@@ -151,6 +188,7 @@
 {
     const int daemon = randomBelow(m_options.daemons);
     const auto index = size_t(daemon);
+    m_limits.disturbed(daemon, m_timers.now());
     if (m_site.hasEnded(daemon)) {
         // The process has exited; a new one replaces it.
         m_site.restart(daemon);
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "base/QtTimerService.h"
 #include "soak/FaultProxy.h"
+#include "standins/users/LimitChecks.h"
 #include "standins/users/PromiseChecks.h"
 #include "support/PlatformSite.h"
 
@@ -30,11 +32,14 @@
 
     /// Runs to completion and returns the checks with all violations.
     const standin::PromiseChecks &run();
+    /// The checks of rate limits. Precondition: run() has returned.
+    const standin::LimitChecks &limits() const { return m_limits; }
 
 private:
     struct PendingRequest {
         QByteArray id;
         std::shared_ptr<test::ClientCall> call;
+        int daemon = 0;
         bool hasEnoughEvents = false;
     };
 
@@ -47,11 +52,19 @@
     void injectDaemonFault();
     void injectStoreFault();
     void injectEngineFault();
+    /// A target names a rate limit, another one, or none.
+    void changeLimit();
+    void recordRun(const QByteArray &target, const HttpRequest &request);
     void clearFaults();
 
     SoakOptions m_options;
     std::mt19937 m_random;
+    /// Apart from the other faults, so that a seed still injects the same ones.
+    std::mt19937 m_limitRandom;
+    QtTimerService m_timers;
     standin::PromiseChecks m_checks;
+    standin::LimitChecks m_limits;
+    QHash<QByteArray, int> m_daemonOfRequest;
     test::PlatformSite m_site;
     std::vector<standin::RunnerEmulator *> m_engines;
     std::vector<standin::RunnerEmulator *> m_plainTargets;
--- a/test/failure/TargetRateLimits.cpp
+++ b/test/failure/TargetRateLimits.cpp
@@ -2,11 +2,13 @@
 #define BOOST_TEST_MODULE TargetRateLimits
 #include <boost/test/unit_test.hpp>
 
+#include "standins/users/LimitChecks.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
 #include <algorithm>
 #include <csignal>
+#include <cstring>
 #include <map>
 #include <vector>
 
@@ -18,14 +20,10 @@
 constexpr Milliseconds Window{4000};
 /// A limit counts from this time after it was first named.
 constexpr Milliseconds NoticePeriod{3000};
-/// A daemon counts from this time after it passed on an answer that names the limit.
-constexpr Milliseconds ReactionTime{500};
-constexpr double AllowedFactor = 1.5;
-constexpr int AllowedExtra = 5;
 
 int allowedInWindow(double perSecond)
 {
-    return int(AllowedFactor * perSecond * double(Window.count()) / 1000) + AllowedExtra;
+    return standin::LimitChecks::allowedInWindow(perSecond);
 }
 
 /// Daemons and three runners of the plain service. Counts what a runner receives from daemons that
@@ -52,9 +50,7 @@
     void nameLimit(int runner, double perSecond)
     {
         m_runners[size_t(runner)]->setRateLimit(QByteArray::number(perSecond));
-        m_namedAt[m_runners[size_t(runner)]] = m_timers.now();
-        m_arrivals[m_runners[size_t(runner)]].clear();
-        m_toldAt.clear();
+        m_checks.named(m_runners[size_t(runner)]->id(), perSecond, m_timers.now());
     }
 
     /// Sends @p perSecond requests a second for @p duration, to the daemons in turn.
@@ -76,26 +72,13 @@
     /// The most requests that count in any window at @p runner.
     int worstWindow(int runner) const
     {
-        const auto found = m_arrivals.find(m_runners[size_t(runner)]);
-        if (found == m_arrivals.end())
-            return 0;
-        const std::vector<MonotonicTime> &times = found->second;
-        int worst = 0;
-        for (auto first = times.begin(); first != times.end(); ++first) {
-            const auto last = std::lower_bound(first, times.end(), *first + Window);
-            worst = std::max(worst, int(last - first));
-        }
-        return worst;
+        return m_checks.mostInWindow(m_runners[size_t(runner)]->id());
     }
 
     void endLimit(int runner) { m_runners[size_t(runner)]->setRateLimit({}); }
 
     /// Requests that count at @p runner so far.
-    int arrivals(int runner) const
-    {
-        const auto found = m_arrivals.find(m_runners[size_t(runner)]);
-        return found == m_arrivals.end() ? 0 : int(found->second.size());
-    }
+    int arrivals(int runner) const { return m_checks.counted(m_runners[size_t(runner)]->id()); }
 
     /// The daemon that hands out the permits of @p runner; -1 if none does.
     int awaitOwner(int runner)
@@ -116,13 +99,14 @@
         m_site.signal(daemon, SIGKILL);
         test::waitFor([&] { return m_site.hasEnded(daemon); });
         m_down = daemon;
-        m_toldAt.erase(daemon);
+        m_checks.disturbed(daemon, m_timers.now());
     }
 
     void restart(int daemon)
     {
         m_site.restart(daemon);
         test::waitFor([&] { return m_site.isReady(daemon); });
+        m_checks.disturbed(daemon, m_timers.now());
         m_down = -1;
     }
 
@@ -138,6 +122,12 @@
         std::shared_ptr<test::ClientCall> call;
     };
 
+    static QByteArray runnerOf(const HttpResponse &response)
+    {
+        return response.headers.value("Cranberryquay-Response-Seal")
+            .mid(qsizetype(strlen("seal-")));
+    }
+
     void sendOne()
     {
         const QByteArray id = QByteArray::number(++m_sent);
@@ -161,8 +151,8 @@
             m_rejected += response.status == 503 ? 1 : 0;
             if (response.status == 503 && response.headers.value("Retry-After").toDouble() > 0)
                 ++m_rejectedWithRetryAfter;
-            if (sent.call->response.headers.contains("Server-Limit"))
-                m_toldAt.emplace(sent.daemon, m_timers.now());
+            if (response.headers.contains("Server-Limit"))
+                m_checks.passedOn(runnerOf(response), sent.daemon, m_timers.now());
             return true;
         };
         m_calls.erase(std::remove_if(m_calls.begin(), m_calls.end(), isOver), m_calls.end());
@@ -170,14 +160,8 @@
 
     void recordRun(const Runner &runner, const HttpRequest &request)
     {
-        const auto named = m_namedAt.find(&runner);
-        const MonotonicTime now = m_timers.now();
-        if (named == m_namedAt.end() || now - named->second < NoticePeriod)
-            return;
-        const auto told =
-            m_toldAt.find(m_daemonOf[request.headers.value("Cranberryquay-Request-Id")]);
-        if (told != m_toldAt.end() && now - told->second >= ReactionTime)
-            m_arrivals[&runner].push_back(now);
+        const int daemon = m_daemonOf[request.headers.value("Cranberryquay-Request-Id")];
+        m_checks.received(runner.id(), daemon, m_timers.now());
     }
 
     test::PlatformSite m_site;
@@ -186,9 +170,7 @@
     std::vector<int> m_daemons;
     std::vector<Call> m_calls;
     std::map<QByteArray, int> m_daemonOf;
-    std::map<int, MonotonicTime> m_toldAt;
-    std::map<const Runner *, MonotonicTime> m_namedAt;
-    std::map<const Runner *, std::vector<MonotonicTime>> m_arrivals;
+    standin::LimitChecks m_checks;
     int m_sent = 0;
     int m_answered = 0;
     int m_rejected = 0;
