--- a/src/relay/RatePermits.cpp
+++ b/src/relay/RatePermits.cpp
@@ -13,6 +13,8 @@
 /// Owners of all parts together keep about this number in any case, so that a permit is not lost
 /// when it is asked for late.
 constexpr double MinSaved = 2;
+/// Only an answer shows that a limit has ended or grown, also one of zero.
+constexpr double MinPerSecond = 0.2;
 /// Requests without a permit delay later permits by at most this time.
 constexpr double MaxDebtSeconds = 10;
 /// An ask or its answer is lost if no answer has arrived after this time.
@@ -55,8 +57,8 @@
     if (reachable <= 0 || daemons <= 0)
         return {};
     const double fraction = double(std::min(reachable, daemons)) / daemons;
-    return {perSecond * fraction,
-            std::max({1.0, MinSaved * fraction, perSecond * fraction * MaxSavedSeconds})};
+    const double handedOut = std::max(perSecond, MinPerSecond) * fraction;
+    return {handedOut, std::max({1.0, MinSaved * fraction, handedOut * MaxSavedSeconds})};
 }
 
 PermitBucket openBucket(MonotonicTime now)
--- a/src/relay/RatePermits.h
+++ b/src/relay/RatePermits.h
@@ -63,7 +63,9 @@
 };
 
 /// Returns the part of a limit of @p perSecond that an owner hands out if it reaches @p reachable
-/// of @p daemons daemons, both including itself; none if either is not positive. Thread-safe.
+/// of @p daemons daemons, both including itself; none if either is not positive. A limit of zero or
+/// close to it still lets one request through each 5 s, as only an answer shows its end.
+/// Thread-safe.
 LimitPart limitPart(double perSecond, int reachable, int daemons);
 
 /// Returns a bucket that has nothing to hand out until all permits of an earlier owner have
