--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -5,7 +5,6 @@
 #include <QElapsedTimer>
 
 #include <csignal>
-#include <cstring>
 
 namespace cranberry::soak {
 
@@ -60,8 +59,7 @@
 void SoakRun::recordRun(const QByteArray &target, const HttpRequest &request)
 {
     m_checks.ran(target, request);
-    const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
-    m_limits.received(target, m_daemonOfRequest.value(id, -1), m_timers.now());
+    m_limits.received(target, request, m_timers.now());
 }
 
 void SoakRun::changeLimit()
@@ -120,7 +118,7 @@
         return;
     const QByteArray id =
         "s" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
-    m_daemonOfRequest.insert(id, daemon);
+    m_limits.sent(id, daemon);
     const HttpEndpoint endpoint = m_proxies[size_t(daemon)]->endpoint();
     switch (randomBelow(4)) {
     case 0:
@@ -151,12 +149,7 @@
             continue;
         }
         const bool isWhole = pending->call->end == HttpExchangeEnd::Complete;
-        const HttpHeaders &headers = pending->call->response.headers;
-        if (headers.contains("Server-Limit")) {
-            const QByteArray seal = headers.value("Cranberryquay-Response-Seal");
-            m_limits.passedOn(seal.mid(qsizetype(strlen("seal-"))), pending->daemon,
-                              m_timers.now());
-        }
+        m_limits.passedOn(pending->call->response.headers, pending->daemon, m_timers.now());
         m_checks.answered(pending->id, pending->call->response, isWhole);
         pending = m_pending.erase(pending);
     }
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -64,7 +64,6 @@
     QtTimerService m_timers;
     standin::PromiseChecks m_checks;
     standin::LimitChecks m_limits;
-    QHash<QByteArray, int> m_daemonOfRequest;
     test::PlatformSite m_site;
     std::vector<standin::RunnerEmulator *> m_engines;
     std::vector<standin::RunnerEmulator *> m_plainTargets;
--- a/test/failure/TargetRateLimits.cpp
+++ b/test/failure/TargetRateLimits.cpp
@@ -8,8 +8,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <cstring>
-#include <map>
 #include <vector>
 
 using namespace cranberry;
@@ -36,8 +34,9 @@
         m_site.configure(1);
         for (const char *id : {"plain-1", "plain-2", "plain-3"}) {
             Runner &runner = m_site.addRunner(id, "plain");
-            runner.onRan(
-                [this, &runner](const HttpRequest &request) { recordRun(runner, request); });
+            runner.onRan([this, &runner](const HttpRequest &request) {
+                m_checks.received(runner.id(), request, m_timers.now());
+            });
             m_runners.push_back(&runner);
         }
         for (int i = 0; i < daemons; ++i)
@@ -122,19 +121,13 @@
         std::shared_ptr<test::ClientCall> call;
     };
 
-    static QByteArray runnerOf(const HttpResponse &response)
-    {
-        return response.headers.value("Cranberryquay-Response-Seal")
-            .mid(qsizetype(strlen("seal-")));
-    }
-
     void sendOne()
     {
         const QByteArray id = QByteArray::number(++m_sent);
         int daemon = m_daemons[size_t(m_sent) % m_daemons.size()];
         if (daemon == m_down)
             daemon = m_daemons[size_t(m_sent + 1) % m_daemons.size()];
-        m_daemonOf[id] = daemon;
+        m_checks.sent(id, daemon);
         const bool isIdempotent = m_sent % 2 == 0;
         m_calls.push_back({daemon,
                            m_site.send(daemon, isIdempotent ? "GET" : "POST",
@@ -151,25 +144,17 @@
             m_rejected += response.status == 503 ? 1 : 0;
             if (response.status == 503 && response.headers.value("Retry-After").toDouble() > 0)
                 ++m_rejectedWithRetryAfter;
-            if (response.headers.contains("Server-Limit"))
-                m_checks.passedOn(runnerOf(response), sent.daemon, m_timers.now());
+            m_checks.passedOn(response.headers, sent.daemon, m_timers.now());
             return true;
         };
         m_calls.erase(std::remove_if(m_calls.begin(), m_calls.end(), isOver), m_calls.end());
     }
 
-    void recordRun(const Runner &runner, const HttpRequest &request)
-    {
-        const int daemon = m_daemonOf[request.headers.value("Cranberryquay-Request-Id")];
-        m_checks.received(runner.id(), daemon, m_timers.now());
-    }
-
     test::PlatformSite m_site;
     QtTimerService m_timers;
     std::vector<Runner *> m_runners;
     std::vector<int> m_daemons;
     std::vector<Call> m_calls;
-    std::map<QByteArray, int> m_daemonOf;
     standin::LimitChecks m_checks;
     int m_sent = 0;
     int m_answered = 0;
--- a/test/standins/users/LimitChecks.cpp
+++ b/test/standins/users/LimitChecks.cpp
@@ -11,6 +11,8 @@
 constexpr Milliseconds ReactionTime{500};
 constexpr double AllowedFactor = 1.5;
 constexpr int AllowedExtra = 5;
+/// RunnerEmulator writes its id after this prefix.
+constexpr qsizetype SealPrefixLength = sizeof("seal-") - 1;
 
 } // namespace
 
@@ -29,9 +31,17 @@
     m_targets[target] = named;
 }
 
-void LimitChecks::passedOn(const QByteArray &target, int daemon, MonotonicTime now)
+void LimitChecks::sent(const QByteArray &id, int daemon)
 {
-    m_targets[target].passedOnAt.emplace(daemon, now);
+    m_daemonOfRequest[id] = daemon;
+}
+
+void LimitChecks::passedOn(const HttpHeaders &headers, int daemon, MonotonicTime now)
+{
+    if (!headers.contains("Server-Limit"))
+        return;
+    const QByteArray seal = headers.value("Cranberryquay-Response-Seal");
+    m_targets[seal.mid(SealPrefixLength)].passedOnAt.emplace(daemon, now);
 }
 
 void LimitChecks::disturbed(int daemon, MonotonicTime now)
@@ -39,8 +49,9 @@
     m_disturbedAt[daemon] = now;
 }
 
-void LimitChecks::received(const QByteArray &target, int daemon, MonotonicTime now)
+void LimitChecks::received(const QByteArray &target, const HttpRequest &request, MonotonicTime now)
 {
+    const int daemon = m_daemonOfRequest[request.headers.value("Cranberryquay-Request-Id")];
     const auto found = m_targets.find(target);
     if (found == m_targets.end() || !found->second.perSecond)
         return;
--- a/test/standins/users/LimitChecks.h
+++ b/test/standins/users/LimitChecks.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include "base/Units.h"
+#include "http/HttpHeaders.h"
+#include "http/HttpRequest.h"
 
 #include <QByteArray>
 #include <QStringList>
@@ -23,12 +25,14 @@
 public:
     /// @p target names @p perSecond in its answers from @p now on; none if unset.
     void named(const QByteArray &target, std::optional<double> perSecond, MonotonicTime now);
-    /// @p daemon passed on an answer of @p target that names a limit.
-    void passedOn(const QByteArray &target, int daemon, MonotonicTime now);
+    /// A caller sends the request @p id to @p daemon.
+    void sent(const QByteArray &id, int daemon);
+    /// @p daemon passed on the answer @p headers of a target, which may name a limit.
+    void passedOn(const HttpHeaders &headers, int daemon, MonotonicTime now);
     /// @p daemon was stopped, started, paused or continued.
     void disturbed(int daemon, MonotonicTime now);
-    /// @p target received a request from @p daemon.
-    void received(const QByteArray &target, int daemon, MonotonicTime now);
+    /// @p target received @p request.
+    void received(const QByteArray &target, const HttpRequest &request, MonotonicTime now);
 
     /// Requests that count at @p target since it last named a limit.
     int counted(const QByteArray &target) const;
@@ -49,6 +53,7 @@
     };
 
     std::map<QByteArray, Target> m_targets;
+    std::map<QByteArray, int> m_daemonOfRequest;
     std::map<int, MonotonicTime> m_disturbedAt;
     QStringList m_broken;
 };
