--- a/test/failure/TargetRateLimits.cpp
+++ b/test/failure/TargetRateLimits.cpp
@@ -6,6 +6,11 @@
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
+#include <QCborArray>
+#include <QCborValue>
+#include <QHostAddress>
+#include <QUdpSocket>
+
 #include <algorithm>
 #include <csignal>
 #include <vector>
@@ -110,6 +115,15 @@
     }
 
     QByteArray log(int daemon) { return m_site.log(daemon); }
+
+    /// The port at which @p daemon receives messages of other daemons.
+    quint16 peerPort(int daemon)
+    {
+        const QByteArray log = m_site.log(daemon);
+        const qsizetype at = log.indexOf(" peer=") + qsizetype(sizeof(" peer=") - 1);
+        return quint16(log.mid(at).split('\n').first().split(' ').first().toInt());
+    }
+
     int answered() const { return m_answered; }
     int rejected() const { return m_rejected; }
     int rejectedWithRetryAfter() const { return m_rejectedWithRetryAfter; }
@@ -270,3 +284,26 @@
     BOOST_TEST(limited.ran().size() - before <= allowedInWindow(0));
     BOOST_TEST(limited.reserved() == 0);
 }
+
+// Guards against a daemon that missed the end of a limit, by a lost message, and gets no permit to
+// find it out: it would never send to the target again.
+BOOST_AUTO_TEST_CASE(DaemonThatMissedTheEndOfALimitFindsItOut)
+{
+    LimitSite site(2);
+    // A message of a daemon that does not exist names limits that the targets do not have.
+    QCborArray rows;
+    for (int runner = 0; runner < 3; ++runner)
+        rows.append(QCborArray{QString::fromLatin1(site.runner(runner).id()), 2.0, 0, 0});
+    const QCborArray message{
+        QStringLiteral("vm9"), QStringLiteral("hall"), 8, QCborArray{0, rows}, 0, true};
+    QUdpSocket socket;
+    const quint16 port = site.peerPort(1);
+    socket.writeDatagram(QCborValue(message).toCbor(), QHostAddress::LocalHost, port);
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(1).count("name=target.limited") == 3; }));
+    BOOST_TEST(test::waitFor([&] {
+        site.send(30, Milliseconds(200));
+        return site.log(1).count("name=target.limit_ended") == 3;
+    }));
+    BOOST_TEST(!site.log(0).contains(
+        "name=target.limited target=plain-1 per_second=2 before=none by=vm9"));
+}
