--- a/test/support/LimitSimulation.cpp
+++ b/test/support/LimitSimulation.cpp
@@ -10,7 +10,7 @@
 
 constexpr Milliseconds Step{2};
 constexpr Milliseconds Window{4000};
-/// Use is measured after this time, when permits are handed out.
+/// Requests before this time do not count as use: the first owner hands out nothing yet.
 constexpr Milliseconds WarmUp{2000};
 
 struct Message {
