relay.send_ended says how an answer's body was framed and how it ended

It now has the framing of the body (length, chunks, connection) and a judgement of the end; cranberry_relay_answer_ends_total counts both. No decision changes: the judgement is not used yet.

--- a/src/delivery/ServerSentEventParser.cpp
+++ b/src/delivery/ServerSentEventParser.cpp
@@ -1,5 +1,6 @@
 #include "delivery/ServerSentEventParser.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cranberry {
@@ -47,8 +48,24 @@
     return {crlf, 3};
 }
 
+bool isBlankOrComment(QByteArray line)
+{
+    if (line.endsWith('\r'))
+        line.chop(1);
+    return line.isEmpty() || line.startsWith(':');
+}
+
 } // namespace
 
+bool ServerSentEventParser::isInsideEvent() const
+{
+    QList<QByteArray> lines = m_pending.split('\n');
+    // The last one is not terminated: a comment may be cut too. A lone CR is a blank line.
+    const QByteArray unterminated = lines.takeLast();
+    const bool hasCutLine = !unterminated.isEmpty() && unterminated != "\r";
+    return hasCutLine || !std::all_of(lines.cbegin(), lines.cend(), isBlankOrComment);
+}
+
 QList<ServerSentEvent> ServerSentEventParser::feed(const QByteArray &bytes)
 {
     QList<ServerSentEvent> events;
--- a/src/delivery/ServerSentEventParser.h
+++ b/src/delivery/ServerSentEventParser.h
@@ -29,6 +29,10 @@
     /// The received bytes that belong to no complete event.
     QByteArray unparsedBytes() const { return m_skipped + m_pending; }
 
+    /// True if the bytes after the last complete event are the beginning of another one, or of a
+    /// line. Blank lines and complete comment lines are neither.
+    bool isInsideEvent() const;
+
 private:
     QByteArray m_pending;
     /// Complete blocks without data, which become part of the next event's raw bytes.
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -183,6 +183,11 @@
                                  : QStringLiteral("reset by the peer"));
 }
 
+BodyFraming HttpExchange::framing() const
+{
+    return m_isSkippingResponse ? BodyFraming::Unknown : m_parser->framing();
+}
+
 Milliseconds HttpExchange::keepAliveTimeout() const
 {
     const QByteArray keepAlive = m_parser->headers().value("Keep-Alive");
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "http/BodyFraming.h"
 #include "http/HttpEndpoint.h"
 #include "http/HttpExchangeEnd.h"
 #include "http/HttpExchangeOptions.h"
@@ -47,6 +48,9 @@
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
+    /// How the end of the response's body is marked.
+    BodyFraming framing() const;
+
 private:
     void handleConnected();
     void startStallTimer(Milliseconds delay);
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -21,6 +21,15 @@
     body_limit(NoBodyLimit);
 }
 
+BodyFraming HttpResponseParser::framing() const
+{
+    if (!is_header_done())
+        return BodyFraming::Unknown;
+    if (chunked())
+        return BodyFraming::Chunks;
+    return need_eof() ? BodyFraming::Connection : BodyFraming::Length;
+}
+
 void HttpResponseParser::on_request_impl(boost::beast::http::verb, View, View, int, Error &) { }
 
 void HttpResponseParser::on_response_impl(int code, View, int, Error &)
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/BodyFraming.h"
 #include "http/HttpHeaders.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -16,6 +17,7 @@
 
     int status() const { return m_status; }
     const HttpHeaders &headers() const { return m_headers; }
+    BodyFraming framing() const;
     /// Returns the body bytes parsed since the last call.
     QByteArray takeBody() { return std::exchange(m_body, {}); }
 
--- /dev/null
+++ b/src/relay/AnswerEnd.cpp
@@ -0,0 +1,30 @@
+#include "relay/AnswerEnd.h"
+
+#include "http/BodyFraming.h"
+#include "http/HttpExchangeEnd.h"
+
+namespace cranberry {
+
+AnswerEnd judgeAnswerEnd(const AnswerEndFacts &facts)
+{
+    if (facts.exchange != HttpExchangeEnd::Complete)
+        return AnswerEnd::Broken;
+    if (facts.isInsideEvent)
+        return AnswerEnd::InsideEvent;
+    return AnswerEnd::Whole;
+}
+
+const char *answerEndName(AnswerEnd end)
+{
+    switch (end) {
+    case AnswerEnd::Whole:
+        return "whole";
+    case AnswerEnd::Broken:
+        return "broken";
+    case AnswerEnd::InsideEvent:
+        return "inside_event";
+    }
+    return "unknown";
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/AnswerEnd.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstddef>
+
+namespace cranberry {
+
+enum class BodyFraming;
+enum class HttpExchangeEnd;
+
+/// What the end of a target's answer says about its completeness.
+enum class AnswerEnd {
+    Whole,
+    /// The exchange did not end with a complete response.
+    Broken,
+    /// A stream ended after the beginning of an event, however its body is framed.
+    InsideEvent,
+};
+
+constexpr std::size_t AnswerEndCount = 3;
+
+/// The facts from which an end is judged.
+struct AnswerEndFacts {
+    HttpExchangeEnd exchange;
+    BodyFraming framing;
+    /// Always false for an answer that is not a stream.
+    bool isInsideEvent = false;
+};
+
+/// Thread-safe.
+AnswerEnd judgeAnswerEnd(const AnswerEndFacts &facts);
+
+/// The name used in log lines and metrics. Thread-safe.
+const char *answerEndName(AnswerEnd end);
+
+} // namespace cranberry
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -4,6 +4,7 @@
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
 #include "relay/RelayContext.h"
+#include "relay/RelayCounters.h"
 #include "relay/RelayRequest.h"
 #include "relay/TargetLimits.h"
 
@@ -145,6 +146,9 @@
     result.isStream = m_isStream;
     result.body = m_body;
     result.reason = reason;
+    result.framing = m_exchange->framing();
+    result.end = judgeAnswerEnd({end, result.framing, m_isStream && m_events.isInsideEvent()});
+    m_context.counters.countAnswerEnd(result.framing, result.end);
     const auto callback = std::move(m_callbacks.ended);
     callback(result);
 }
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/LatencyHistogram.h"
+#include "http/BodyFraming.h"
+#include "relay/AnswerEnd.h"
 #include "relay/RequestKind.h"
 
 #include <array>
@@ -47,6 +49,13 @@
     /// Target entries that could not be parsed because another program wrote them.
     qint64 unreadableEntries = 0;
 
+    /// Ends of answers by the framing of their bodies.
+    std::array<std::array<qint64, AnswerEndCount>, BodyFramingCount> answerEnds{};
+
+    void countAnswerEnd(BodyFraming framing, AnswerEnd end)
+    {
+        ++answerEnds[std::size_t(framing)][std::size_t(end)];
+    }
     KindCounters &of(RequestKind kind) { return kinds[std::size_t(kind)]; }
 };
 
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -24,6 +24,19 @@
     return text + counters.toAnswer.prometheusText(prefix + "_to_answer_seconds");
 }
 
+QByteArray answerEndsText(const RelayCounters &counters)
+{
+    QByteArray text = "# TYPE cranberry_relay_answer_ends_total counter\n";
+    for (std::size_t framing = 0; framing < BodyFramingCount; ++framing) {
+        for (std::size_t end = 0; end < AnswerEndCount; ++end)
+            text += QByteArray("cranberry_relay_answer_ends_total{framing=\"")
+                + bodyFramingName(BodyFraming(framing)) + "\",end=\""
+                + answerEndName(AnswerEnd(end)) + "\"} "
+                + QByteArray::number(counters.answerEnds[framing][end]) + '\n';
+    }
+    return text;
+}
+
 QByteArray limitsText(const RelayParts &parts)
 {
     const TargetLimits::Counters &counters = parts.limits.counters();
@@ -81,6 +94,7 @@
     text += counterText("cranberry_relay_moves_done_total", counters.movesDone);
     text += counterText("cranberry_relay_moves_failed_total", counters.movesFailed);
     text += counterText("cranberry_relay_streams_lost_total", counters.streamsLost);
+    text += answerEndsText(counters);
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
     text += counterText("cranberry_relay_unreadable_entries_total", counters.unreadableEntries);
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -54,6 +54,8 @@
               {"result", QLatin1String(sendResultName(result.kind))},
               {"status", QString::number(result.head.status)},
               {"events", QString::number(m_lastEvent)},
+              {"framing", QLatin1String(bodyFramingName(result.framing))},
+              {"answer_end", QLatin1String(answerEndName(result.end))},
               {"reason", result.reason}});
     m_ran = std::max(m_ran, ranAfter(result.kind));
     if (ranAfter(result.kind) != Ran::No)
--- a/src/relay/SendResult.h
+++ b/src/relay/SendResult.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "base/ErrorKind.h"
+#include "http/BodyFraming.h"
+#include "relay/AnswerEnd.h"
 #include "relay/AnswerHead.h"
 
 #include <QByteArray>
@@ -32,6 +34,8 @@
     /// The body of an answer that is not a stream.
     QByteArray body;
     QString reason;
+    BodyFraming framing = BodyFraming::Unknown;
+    AnswerEnd end = AnswerEnd::Broken;
 };
 
 /// Whether the request may have run after an attempt that ended so. Thread-safe.
