--- a/test/standins/users/RawRunner.cpp
+++ b/test/standins/users/RawRunner.cpp
@@ -1,6 +1,7 @@
 #include "standins/users/RawRunner.h"
 
 #include <QTcpSocket>
+#include <QTimer>
 
 #include <sys/socket.h>
 
@@ -23,12 +24,14 @@
     : m_answer(std::move(answer))
 {
     m_server.listen(QHostAddress::LocalHost);
+    m_endpoint = {QStringLiteral("127.0.0.1"), m_server.serverPort()};
     QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
 }
 
-HttpEndpoint RawRunner::endpoint() const
+void RawRunner::restart()
 {
-    return {QStringLiteral("127.0.0.1"), m_server.serverPort()};
+    if (!m_server.isListening())
+        m_server.listen(QHostAddress::LocalHost, m_endpoint.port);
 }
 
 QByteArray RawRunner::header(const QByteArray &request, const QByteArray &name)
@@ -56,12 +59,38 @@
     if (head < 0 || seen.size() < head + 4 + length)
         return;
     ++m_requests;
-    const RawAnswer answer = m_answer(socket->read(head + 4 + length));
-    socket->write(answer.bytes);
-    if (answer.after == RawAnswer::After::Close)
+    send(socket, m_answer(socket->read(head + 4 + length)));
+}
+
+void RawRunner::send(QTcpSocket *socket, const RawAnswer &answer)
+{
+    const qsizetype piece = answer.pieceBytes == 0 ? answer.bytes.size() : answer.pieceBytes;
+    socket->write(answer.bytes.left(piece));
+    if (answer.bytes.size() <= piece) {
+        finish(socket, answer.after);
+        return;
+    }
+    socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    RawAnswer rest = answer;
+    rest.bytes.remove(0, piece);
+    QTimer::singleShot(0, socket, [this, socket, rest] { send(socket, rest); });
+}
+
+void RawRunner::finish(QTcpSocket *socket, RawAnswer::After after)
+{
+    switch (after) {
+    case RawAnswer::After::KeepOpen:
+        break;
+    case RawAnswer::After::Exit:
+        m_server.close();
+        [[fallthrough]];
+    case RawAnswer::After::Close:
         socket->disconnectFromHost();
-    else if (answer.after == RawAnswer::After::Reset)
+        break;
+    case RawAnswer::After::Reset:
         reset(socket);
+        break;
+    }
 }
 
 } // namespace cranberry::standin
--- a/test/standins/users/RawRunner.h
+++ b/test/standins/users/RawRunner.h
@@ -16,10 +16,15 @@
         KeepOpen,
         Close,
         Reset,
+        /// Closes the listening socket before the connection, as the end of a process does.
+        Exit,
     };
 
     QByteArray bytes;
     After after = After::KeepOpen;
+    /// Size of the pieces in which the bytes are sent, one in each turn of the event loop; all
+    /// bytes at once if zero.
+    qsizetype pieceBytes = 0;
 };
 
 /// Thread safety: only from the thread of its event loop.
@@ -31,7 +36,9 @@
 
     explicit RawRunner(Answer answer);
 
-    HttpEndpoint endpoint() const;
+    HttpEndpoint endpoint() const { return m_endpoint; }
+    /// Listens again after RawAnswer::After::Exit.
+    void restart();
     int requests() const { return m_requests; }
     /// The value of the header @p name in the raw @p request.
     static QByteArray header(const QByteArray &request, const QByteArray &name);
@@ -39,9 +46,12 @@
 private:
     void accept();
     void read(class QTcpSocket *socket);
+    void send(QTcpSocket *socket, const RawAnswer &answer);
+    void finish(QTcpSocket *socket, RawAnswer::After after);
 
     Answer m_answer;
     int m_requests = 0;
+    HttpEndpoint m_endpoint;
     QTcpServer m_server;
 };
 
