A stream that ends inside an event is broken off, however it is framed

Cause: an exchange that ends in order counted as a complete answer. That is right for HTTP, but a crash of a target closes the connection of a stream without a length in order too, and nothing looked at the bytes left after the last complete event. The daemon even sent them to the caller, as the unfinished event, before the last chunk.

Now one pure function (judgeAnswerEnd) judges the end from the end of the exchange, the framing and the bytes left; a stream that ends inside an event is Broken, whatever its framing. Broken is what the takeover, target health and the forecast of output lengths already act on, so a torn stream continues at its backup, counts as a failure and teaches the forecast nothing. The second copy of "is it whole" in continueAtBackup() is gone. Blank lines and complete comment lines behind the last event are not an event.

--- a/src/delivery/ServerSentEventParser.h
+++ b/src/delivery/ServerSentEventParser.h
@@ -27,7 +27,7 @@
     bool isMalformed() const { return m_malformed; }
 
     /// The received bytes that belong to no complete event.
-    QByteArray unparsedBytes() const { return m_skipped + m_pending; }
+    QByteArray trailingBytes() const { return m_skipped + m_pending; }
 
     /// True if the bytes after the last complete event are the beginning of another one, or of a
     /// line. Blank lines and complete comment lines are neither.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -54,6 +54,11 @@
     return Ran::Maybe;
 }
 
+bool isWholeStream(const SendResult &result)
+{
+    return result.kind == SendResult::Kind::Answered && result.isStream;
+}
+
 const char *sendResultName(SendResult::Kind kind)
 {
     switch (kind) {
@@ -121,7 +126,7 @@
     }
 }
 
-SendResult::Kind RelayAttempt::classify(HttpExchangeEnd end) const
+SendResult::Kind RelayAttempt::classify(HttpExchangeEnd end, AnswerEnd answerEnd) const
 {
     if (end == HttpExchangeEnd::NotConnected)
         return SendResult::Kind::NotConnected;
@@ -131,7 +136,7 @@
         return SendResult::Kind::NotExecuted;
     if (end == HttpExchangeEnd::Malformed)
         return SendResult::Kind::Invalid;
-    if (end != HttpExchangeEnd::Complete)
+    if (answerEnd != AnswerEnd::Whole)
         return SendResult::Kind::Broken;
     if (m_head.isUnusable || (isSuccess(m_head) && !m_head.isSealed))
         return SendResult::Kind::Invalid;
@@ -141,13 +146,15 @@
 void RelayAttempt::finished(HttpExchangeEnd end, const QString &reason)
 {
     SendResult result;
-    result.kind = classify(end);
+    result.framing = m_exchange->framing();
+    result.end = judgeAnswerEnd({end, result.framing, m_isStream && m_events.isInsideEvent()});
+    result.kind = classify(end, result.end);
     result.head = m_head;
     result.isStream = m_isStream;
     result.body = m_body;
-    result.reason = reason;
-    result.framing = m_exchange->framing();
-    result.end = judgeAnswerEnd({end, result.framing, m_isStream && m_events.isInsideEvent()});
+    result.reason = result.end == AnswerEnd::InsideEvent
+        ? QStringLiteral("the stream ended inside an event")
+        : reason;
     m_context.counters.countAnswerEnd(result.framing, result.end);
     const auto callback = std::move(m_callbacks.ended);
     callback(result);
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -38,13 +38,13 @@
                  const AttemptPlan &plan, Milliseconds maxIdle, RelayAttemptCallbacks callbacks);
 
     /// Bytes of a stream after its last complete event.
-    QByteArray unfinishedEvent() const { return m_events.unparsedBytes(); }
+    QByteArray trailingBytes() const { return m_events.trailingBytes(); }
 
 private:
     void headersReceived(int status, const HttpHeaders &headers);
     void bodyReceived(const QByteArray &data);
     void finished(HttpExchangeEnd end, const QString &reason);
-    SendResult::Kind classify(HttpExchangeEnd end) const;
+    SendResult::Kind classify(HttpExchangeEnd end, AnswerEnd answerEnd) const;
 
     RelayContext &m_context;
     const RelayRequest &m_request;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -141,8 +141,7 @@
 
 bool RelayRun::continueAtBackup(const SendResult &result)
 {
-    const bool isWhole = result.kind == SendResult::Kind::Answered && result.isStream;
-    if (isWhole)
+    if (isWholeStream(result))
         return false;
     const bool isBroken = result.kind == SendResult::Kind::Broken;
     if (!m_takeover && !(isBroken && tryTakeOver("broken")))
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -65,14 +65,11 @@
     if (hasBegun() && continueAtBackup(result))
         return;
     if (hasBegun()) {
-        // The target at which a generation is resumed may answer with a failure; that answer is
-        // complete, but the stream is not.
-        const bool isWhole = result.kind == SendResult::Kind::Answered && result.isStream;
-        if (!isWhole) {
+        if (!isWholeStream(result)) {
             failStream(result.reason);
             return;
         }
-        m_reply->write(m_attempt->unfinishedEvent());
+        m_reply->write(m_attempt->trailingBytes());
         if (m_task.engine)
             m_context.outputForecast.recordAnswer(
                 m_task.route.name, Tokens(m_lastEvent * m_task.engine->tokensPerEvent));
--- a/src/relay/SendResult.h
+++ b/src/relay/SendResult.h
@@ -21,7 +21,8 @@
         NotExecuted,
         /// The address belongs to another target, which did not run the request.
         Misdirected,
-        /// The connection broke or timed out after the request was sent.
+        /// The answer is incomplete: the connection broke or timed out after the request was sent,
+        /// or a stream ended inside an event.
         Broken,
         /// The response cannot be the answer to the request.
         Invalid,
@@ -41,6 +42,10 @@
 /// Whether the request may have run after an attempt that ended so. Thread-safe.
 Ran ranAfter(SendResult::Kind kind);
 
+/// False for a stream that broke off, and for a complete answer that is not a stream: the target at
+/// which a generation is resumed may answer with a failure. Thread-safe.
+bool isWholeStream(const SendResult &result);
+
 /// The name used in log lines. Thread-safe.
 const char *sendResultName(SendResult::Kind kind);
 
