A close by a target that has gone is no end of an answer

The close of a connection cannot tell the two apart, but the process can be asked: after an orderly close that ends a body without a length, the client opens a connection to the target and closes it again, without sending anything. A process that has crashed has no listening socket. Plain answers of the own interface do the same. Answers with a length or chunks, and all other exchanges, are unchanged.

Ruled out: asking for a load report, as a report that was requested earlier may have been sent before the crash and plain services have none; passing the answer on without a length, as then the crash of a daemon would look like an end in order too.

--- a/src/delivery/PlainRun.cpp
+++ b/src/delivery/PlainRun.cpp
@@ -113,8 +113,10 @@
               {"target", m_target.text()}});
     ++m_context.counters.attemptsSent;
     m_sent = true;
+    HttpExchangeOptions options;
+    options.confirmClose = true;
     m_exchange = m_context.client.fetch(
-        m_endpoint, request, {}, [this](HttpExchangeEnd end, const HttpResponse &response) {
+        m_endpoint, request, options, [this](HttpExchangeEnd end, const HttpResponse &response) {
             const std::shared_ptr<PlainRun> alive = shared_from_this();
             exchangeEnded(end, response);
         });
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "http/EndpointCheck.h"
 #include "http/HttpConnectionPool.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponseParser.h"
@@ -178,11 +179,28 @@
         m_parser->put_eof(error);
         isComplete = !error && m_parser->is_done();
     }
+    if (isComplete && m_options.confirmClose && framing() == BodyFraming::Connection) {
+        confirmClose();
+        return;
+    }
     finish(isComplete ? HttpExchangeEnd::Complete : HttpExchangeEnd::Broken,
            end == TcpEnd::Closed ? QStringLiteral("closed by the peer")
                                  : QStringLiteral("reset by the peer"));
 }
 
+void HttpExchange::confirmClose()
+{
+    m_stallTimer.reset();
+    m_closeCheck = std::make_unique<EndpointCheck>(
+        m_timers, m_endpoint, m_options.connectTimeout, [this](bool isAccepting) {
+            if (isAccepting)
+                finish(HttpExchangeEnd::Complete, QStringLiteral("closed by the peer"));
+            else
+                finish(HttpExchangeEnd::Broken,
+                       QStringLiteral("closed by the peer, which no longer accepts connections"));
+        });
+}
+
 BodyFraming HttpExchange::framing() const
 {
     return m_isSkippingResponse ? BodyFraming::Unknown : m_parser->framing();
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -14,6 +14,7 @@
 
 namespace cranberry {
 
+class EndpointCheck;
 class HttpConnectionPool;
 class TcpStream;
 class TimerService;
@@ -58,6 +59,7 @@
     bool parse();
     bool processHeaders();
     void handleEnd(TcpEnd end);
+    void confirmClose();
     void finish(HttpExchangeEnd end, const QString &reason);
     Milliseconds keepAliveTimeout() const;
 
@@ -74,6 +76,7 @@
     /// When data was last received or, before any, when the connection was established.
     MonotonicTime m_lastProgress;
     std::unique_ptr<TcpStream> m_stream;
+    std::unique_ptr<EndpointCheck> m_closeCheck;
     bool m_connected = false;
     /// True while the response being parsed belongs to another request.
     bool m_isSkippingResponse = false;
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -24,6 +24,9 @@
     bool keepConnection = false;
     /// A connection that has been idle for longer is not reused; no limit if unset.
     std::optional<Milliseconds> maxIdleTime;
+    /// After a body that ends with the connection, check that the peer still accepts connections. A
+    /// process that crashes closes its connections in order too; the exchange then ends as broken.
+    bool confirmClose = false;
     /// Name of a header whose value a target repeats in its response. A response with a value other
     /// than echoValue belongs to an earlier request on the connection and is skipped. Not checked
     /// if empty.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -31,6 +31,7 @@
     options.reuseConnection = maxIdle.count() > 0;
     options.keepConnection = true;
     options.maxIdleTime = maxIdle;
+    options.confirmClose = true;
     options.echoHeader = context.targetProtocol.echoHeader;
     options.echoValue = request.id.text().toUtf8();
     return options;
--- a/test/failure/PlatformRunners.cpp
+++ b/test/failure/PlatformRunners.cpp
@@ -83,6 +83,33 @@
     BOOST_TEST((call->response.body == "whole"));
 }
 
+// Guards against a truncated body that looks complete: the runner crashed midway, which closed its
+// connection in order, and its answer had no length.
+BOOST_FIXTURE_TEST_CASE(AnswerWithoutLengthOfACrashedRunnerIsNotWhole, RawFixture)
+{
+    answer = [](const QByteArray &request) {
+        return RawAnswer{sealedHead(request, "") + "half", RawAnswer::After::Exit};
+    };
+    const auto call = site.call(daemon, "POST", "/unsafe/a", "r1");
+    BOOST_TEST(call->response.status == 502);
+    BOOST_TEST(!call->response.headers.contains("Cranberryquay-Response-Seal"));
+}
+
+// Guards against a stricter check that rejects whole answers without a length.
+BOOST_FIXTURE_TEST_CASE(AnswersWithoutLengthOfAnySizeAreWhole, RawFixture)
+{
+    for (const qsizetype size : {0, 1, 1000, 65536, 1000000}) {
+        const QByteArray body(size, 'x');
+        answer = [&](const QByteArray &request) {
+            return RawAnswer{sealedHead(request, "") + body, RawAnswer::After::Close,
+                             size == 1000 ? 1 : 0};
+        };
+        const auto call = site.call(daemon, "POST", "/unsafe/a", "r" + QByteArray::number(size));
+        BOOST_TEST(call->response.status == 200);
+        BOOST_TEST((call->response.body == body));
+    }
+}
+
 // Guards against a client that is told that its request has not run although it has: the runner
 // answered 503 without marking the request as not executed, and the daemon forwarded the 503.
 BOOST_FIXTURE_TEST_CASE(UnmarkedRefusalIsNoPromise, Fixture)
--- a/test/failure/TornStreams.cpp
+++ b/test/failure/TornStreams.cpp
@@ -179,6 +179,23 @@
     }
 }
 
+// Guards against a stream that looks complete although its target has crashed between two events:
+// the connection was closed in order, and no byte shows it.
+BOOST_FIXTURE_TEST_CASE(CloseByACrashBetweenEventsIsNoEnd, Fixture)
+{
+    for (int events = 1; events <= 3; ++events) {
+        QByteArray sent;
+        for (int number = 1; number <= events; ++number)
+            sent += eventText(number, "\n");
+        for (const qsizetype pieceBytes : {AllAtOnce, qsizetype(1)})
+            checkBroken(*stream(sent, Framing::Connection, RawAnswer::After::Exit, pieceBytes),
+                        sent);
+        // A body whose framing is complete needs no further evidence.
+        for (const Framing framing : {Framing::Chunks, Framing::Length})
+            checkWhole(*stream(sent, framing, RawAnswer::After::Exit), sent);
+    }
+}
+
 // Resets, missing chunks and short bodies were told apart before, and still are.
 BOOST_FIXTURE_TEST_CASE(BrokenFramingIsNoEnd, Fixture)
 {
