A close after a stop order whose answer was lost is no end of a stream

Callers could see a stream without a length as complete although the daemon itself had ordered its target to stop it.

Cause: the final order of a move stops the generation and closes its stream without its end. If the answer to the order was lost, the daemon judged the end of the stream by itself; with neither a length nor chunks, an orderly close between two events counted as complete, with the rest missing and no byte to show it.

The run now remembers that its target may have stopped it, until the target says that it has not (no such run, order in progress), the order was not sent, or the generation goes on elsewhere. A close is no evidence of a complete stream then, and the stream is broken off or continues at its backup. Framed ends are evidence as before. Ends are counted where the run acts on them.

Evidence: PlatformMoves/StopWhoseAnswerIsLostIsNoEnd and StopAfterItsAnswerIsLostIsNoEnd failed before this change (Complete instead of Broken) and pass; StreamWithoutLengthGoesOnElsewhere and StreamThatEndsBeforeItsStopIsWhole pass before and after. CloseDelimitedProxy is a stand-in that takes the chunks off a target's streams.

--- a/src/relay/AnswerEnd.cpp
+++ b/src/relay/AnswerEnd.cpp
@@ -14,6 +14,12 @@
     return AnswerEnd::Whole;
 }
 
+AnswerEnd judgeAfterStopOrder(AnswerEnd end, BodyFraming framing)
+{
+    const bool isUnproven = end == AnswerEnd::Whole && framing == BodyFraming::Connection;
+    return isUnproven ? AnswerEnd::Stopped : end;
+}
+
 const char *answerEndName(AnswerEnd end)
 {
     switch (end) {
@@ -23,6 +29,8 @@
         return "broken";
     case AnswerEnd::InsideEvent:
         return "inside_event";
+    case AnswerEnd::Stopped:
+        return "stopped";
     }
     return "unknown";
 }
--- a/src/relay/AnswerEnd.h
+++ b/src/relay/AnswerEnd.h
@@ -14,9 +14,12 @@
     Broken,
     /// A stream ended after the beginning of an event, however its body is framed.
     InsideEvent,
+    /// The connection was closed after the target was ordered to stop the generation, which closes
+    /// it too.
+    Stopped,
 };
 
-constexpr std::size_t AnswerEndCount = 3;
+constexpr std::size_t AnswerEndCount = 4;
 
 /// The facts from which an end is judged.
 struct AnswerEndFacts {
@@ -29,6 +32,10 @@
 /// Thread-safe.
 AnswerEnd judgeAnswerEnd(const AnswerEndFacts &facts);
 
+/// The end of an answer that was judged as @p end, if its target was ordered to stop the generation
+/// and may have done so. Thread-safe.
+AnswerEnd judgeAfterStopOrder(AnswerEnd end, BodyFraming framing);
+
 /// The name used in log lines and metrics. Thread-safe.
 const char *answerEndName(AnswerEnd end);
 
--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -70,13 +70,20 @@
     m_exchange =
         m_context.client.fetch(m_source, m_context.targetProtocol.move(order), options,
                                [this, isFinal](HttpExchangeEnd end, const HttpResponse &response) {
-                                   const MoveOutcome outcome = end == HttpExchangeEnd::Complete
-                                       ? m_context.targetProtocol.readMove(response)
-                                       : MoveOutcome();
-                                   answered(isFinal, outcome);
+                                   answered(isFinal, readOutcome(end, response));
                                });
 }
 
+MoveOutcome GenerationMove::readOutcome(HttpExchangeEnd end, const HttpResponse &response) const
+{
+    if (end == HttpExchangeEnd::Complete)
+        return m_context.targetProtocol.readMove(response);
+    MoveOutcome outcome;
+    if (end == HttpExchangeEnd::NotConnected)
+        outcome.kind = MoveOutcome::Kind::NotSent;
+    return outcome;
+}
+
 void GenerationMove::answered(bool isFinal, const MoveOutcome &outcome)
 {
     if (++m_rounds == 1)
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -12,6 +12,7 @@
 
 class HttpExchange;
 class TimerSubscription;
+enum class HttpExchangeEnd;
 struct HttpResponse;
 struct RelayContext;
 
@@ -42,6 +43,7 @@
     void sendOrder(bool isFinal);
     bool isTimeToStop() const;
     Milliseconds nextRoundDelay() const;
+    MoveOutcome readOutcome(HttpExchangeEnd end, const HttpResponse &response) const;
     void answered(bool isFinal, const MoveOutcome &outcome);
     void freeCopy();
     void end(MoveOutcome outcome, bool stopped);
--- a/src/relay/MoveOutcome.h
+++ b/src/relay/MoveOutcome.h
@@ -16,6 +16,8 @@
         Busy,
         /// The destination has no room or is unreachable.
         NoRoom,
+        /// The order was not sent: the engine did not accept the connection.
+        NotSent,
         /// No answer, or one that could not be interpreted.
         Unknown,
     };
@@ -43,10 +45,19 @@
         return "busy";
     case MoveOutcome::Kind::NoRoom:
         return "no_room";
+    case MoveOutcome::Kind::NotSent:
+        return "not_sent";
     case MoveOutcome::Kind::Unknown:
         break;
     }
     return "unknown";
 }
 
+/// Whether an engine that was ordered to stop a generation may have stopped it. Thread-safe.
+inline bool mayHaveStopped(MoveOutcome::Kind kind)
+{
+    return kind != MoveOutcome::Kind::NoSuchRun && kind != MoveOutcome::Kind::Busy
+        && kind != MoveOutcome::Kind::NotSent;
+}
+
 } // namespace cranberry
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -4,7 +4,6 @@
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
 #include "relay/RelayContext.h"
-#include "relay/RelayCounters.h"
 #include "relay/RelayRequest.h"
 #include "relay/TargetLimits.h"
 
@@ -60,6 +59,16 @@
     return result.kind == SendResult::Kind::Answered && result.isStream;
 }
 
+SendResult afterStopOrder(SendResult result)
+{
+    result.end = judgeAfterStopOrder(result.end, result.framing);
+    if (result.end == AnswerEnd::Stopped) {
+        result.kind = SendResult::Kind::Broken;
+        result.reason = QStringLiteral("closed by the peer, which was ordered to stop");
+    }
+    return result;
+}
+
 const char *sendResultName(SendResult::Kind kind)
 {
     switch (kind) {
@@ -156,7 +165,6 @@
     result.reason = result.end == AnswerEnd::InsideEvent
         ? QStringLiteral("the stream ended inside an event")
         : reason;
-    m_context.counters.countAnswerEnd(result.framing, result.end);
     const auto callback = std::move(m_callbacks.ended);
     callback(result);
 }
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -172,6 +172,7 @@
         recordHolding(m_context.roomForecast, heldTokens(),
                       std::chrono::duration_cast<Milliseconds>(held));
     }
+    m_mayBeStopped = false;
     m_target = TargetId();
 }
 
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -144,7 +144,7 @@
     void extendForecast();
     void recordPause();
     void eventReceived(const ServerSentEvent &event);
-    void attemptEnded(const SendResult &result);
+    void attemptEnded(const SendResult &received);
     void updateTargetHealth(const SendResult &result);
     bool canRetry(const SendResult &result) const;
     bool tryRetry(const SendResult &result);
@@ -248,6 +248,8 @@
     bool m_isFirstSinceMove = false;
 
     std::unique_ptr<GenerationMove> m_move;
+    /// target() was ordered to stop the generation and may have done so.
+    bool m_mayBeStopped = false;
     TargetId m_moveDestination;
     /// Counts the generation at the destination, so that the next move is likely to choose another.
     std::unique_ptr<TargetPlace> m_destinationPlace;
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -149,6 +149,7 @@
             || !m_context.targets.takesWork(m_moveDestination) || !spendOnMove())
             return false;
         m_phase = Phase::Moving;
+        m_mayBeStopped = true;
         return true;
     };
     callbacks.ended = [this](const MoveOutcome &outcome, bool stopped) {
@@ -206,8 +207,9 @@
         // The generation is stopped, and only its source still holds it.
         resumeAtSource(copy);
     } else {
-        // The generation had ended or the order was not received; the stream shows which.
+        // The generation had ended, or the engine may have stopped it.
         m_phase = Phase::Sent;
+        m_mayBeStopped = mayHaveStopped(outcome.kind);
         returnRetry();
         ++m_context.counters.movesFailed;
         m_move.reset();
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -10,6 +10,7 @@
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
+#include "relay/RelayCounters.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
 
@@ -40,14 +41,16 @@
 
 } // namespace
 
-void RelayRun::attemptEnded(const SendResult &result)
+void RelayRun::attemptEnded(const SendResult &received)
 {
     if (m_phase == Phase::Over)
         return;
     if (m_phase == Phase::Moving) {
-        m_deferredResult = result;
+        m_deferredResult = received;
         return;
     }
+    const SendResult result = m_mayBeStopped ? afterStopOrder(received) : received;
+    m_context.counters.countAnswerEnd(result.framing, result.end);
     logEvent(LogLevel::Info, EventId::RelaySendEnded,
              {{"request", m_task.request.id.text()},
               {"target", m_target.text()},
--- a/src/relay/SendResult.h
+++ b/src/relay/SendResult.h
@@ -46,6 +46,9 @@
 /// which a generation is resumed may answer with a failure. Thread-safe.
 bool isWholeStream(const SendResult &result);
 
+/// @p result if its target was ordered to stop the generation and may have done so. Thread-safe.
+SendResult afterStopOrder(SendResult result);
+
 /// The name used in log lines. Thread-safe.
 const char *sendResultName(SendResult::Kind kind);
 
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -3,9 +3,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/CallerReply.h"
+#include "standins/users/CloseDelimitedProxy.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
+#include <QTimer>
+
 using namespace cranberry;
 using Runner = standin::RunnerEmulator;
 
@@ -14,6 +17,8 @@
 constexpr int Events = 200;
 /// Tail of a daemon's log that is shown if the daemon has ended; it contains the stack trace.
 constexpr qsizetype LogTailBytes = 4000;
+/// Longer than a stream takes to end.
+constexpr Milliseconds AnswerDelay{100};
 /// The answer of a runner to a move order when the destination holds the copied state.
 const QByteArray CopyHeld = R"({"handle":"copy","created":1})";
 
@@ -56,6 +61,34 @@
     bool isOnFirst = true;
 };
 
+/// As Fixture, with streams that have neither a length nor chunks.
+struct CloseDelimitedFixture {
+    CloseDelimitedFixture()
+    {
+        first.setAnnounced(firstProxy.endpoint());
+        second.setAnnounced(secondProxy.endpoint());
+        for (Runner *runner : {&first, &second}) {
+            runner->setGeneration(Events, Milliseconds(10));
+            site.announce(*runner, "model", "ready");
+        }
+        site.configure(1);
+        site.setFirstStart();
+        daemon = site.startDaemon();
+        call = site.send(daemon, "POST", "/model/a", "r1", test::PlatformSite::generation());
+        BOOST_REQUIRE(test::waitFor([&] { return call->response.body.size() > 100; }));
+        source = first.generating() == 1 ? &first : &second;
+    }
+
+    test::PlatformSite site;
+    Runner &first = site.addRunner("model-1", "model");
+    Runner &second = site.addRunner("model-2", "model");
+    standin::CloseDelimitedProxy firstProxy{first.endpoint()};
+    standin::CloseDelimitedProxy secondProxy{second.endpoint()};
+    int daemon = -1;
+    std::shared_ptr<test::ClientCall> call;
+    Runner *source = nullptr;
+};
+
 } // namespace
 
 // Guards against the loss of a stream whose runner drains while it generates. The stream resumes on
@@ -230,3 +263,63 @@
     BOOST_TEST_INFO(site.log(daemon).right(LogTailBytes).constData());
     BOOST_TEST(!site.hasEnded(daemon));
 }
+
+// A stream without a length moves like any other: its close by the move order is no end.
+BOOST_FIXTURE_TEST_CASE(StreamWithoutLengthGoesOnElsewhere, CloseDelimitedFixture)
+{
+    site.announce(*source, "model", "draining");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+    BOOST_TEST(first.ran().size() + second.ran().size() == 2);
+}
+
+// Guards against a truncated stream that looks complete: the runner stopped it as ordered, which
+// closed its connection in order between two events, and the answer to the order was lost before or
+// after that.
+BOOST_FIXTURE_TEST_CASE(StopWhoseAnswerIsLostIsNoEnd, CloseDelimitedFixture)
+{
+    source->setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast) {
+            source->crash();
+            QTimer::singleShot(AnswerDelay, [reply] { reply->abort(); });
+        }
+        return isLast;
+    });
+    site.announce(*source, "model", "draining");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(StopAfterItsAnswerIsLostIsNoEnd, CloseDelimitedFixture)
+{
+    source->setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast) {
+            reply->abort();
+            QTimer::singleShot(AnswerDelay, [&] { source->crash(); });
+        }
+        return isLast;
+    });
+    site.announce(*source, "model", "draining");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Broken));
+}
+
+// The runner had sent the whole stream when the order came, and says that it has no such run.
+BOOST_FIXTURE_TEST_CASE(StreamThatEndsBeforeItsStopIsWhole, CloseDelimitedFixture)
+{
+    source->setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        const bool isLast = isLastMove(request);
+        if (isLast) {
+            // Ends with its next event.
+            source->setGeneration(1, Milliseconds(10));
+            QTimer::singleShot(AnswerDelay, [reply] { reply->send({404, {}, "{}"}); });
+        }
+        return isLast;
+    });
+    site.announce(*source, "model", "draining");
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+}
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -40,7 +40,8 @@
 
 QByteArray RunnerEmulator::address() const
 {
-    return m_endpoint.address.toLatin1() + ':' + QByteArray::number(m_endpoint.port);
+    const HttpEndpoint endpoint = m_announced.value_or(m_endpoint);
+    return endpoint.address.toLatin1() + ':' + QByteArray::number(endpoint.port);
 }
 
 QByteArray RunnerEmulator::entry(const QByteArray &service, const QByteArray &state) const
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -29,6 +29,8 @@
     const QByteArray &id() const { return m_id; }
     HttpEndpoint endpoint() const { return m_endpoint; }
     QByteArray address() const;
+    /// The address that its entry names if it differs from endpoint(), as behind a proxy.
+    void setAnnounced(const HttpEndpoint &endpoint) { m_announced = endpoint; }
     /// Its entry in the store.
     QByteArray entry(const QByteArray &service, const QByteArray &state = "ready") const;
 
@@ -84,6 +86,7 @@
     std::optional<qint64> m_born;
     QtTimerService m_timers;
     HttpEndpoint m_endpoint;
+    std::optional<HttpEndpoint> m_announced;
     int m_events = 3;
     Milliseconds m_interval{5};
     int m_room = 1000;
