Test of takeovers after a torn stream without a length

A runner whose stream is torn inside an event, or whose process ends between two events, has its generation taken over by the holder of its backup.

--- a/test/failure/PlatformBackups.cpp
+++ b/test/failure/PlatformBackups.cpp
@@ -3,6 +3,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/CallerReply.h"
+#include "standins/users/CloseDelimitedProxy.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
@@ -46,6 +47,43 @@
     bool isOnFirst = true;
 };
 
+/// As Fixture, with streams that have neither a length nor chunks.
+struct CloseDelimitedFixture {
+    CloseDelimitedFixture()
+    {
+        first.setAnnounced(firstProxy.endpoint());
+        second.setAnnounced(secondProxy.endpoint());
+        for (Runner *runner : {&first, &second}) {
+            runner->setGeneration(Events, Milliseconds(10));
+            site.announce(*runner, "model", "ready");
+        }
+        site.configure(1);
+        site.setFirstStart();
+        daemon = site.startDaemon();
+        call = site.send(daemon, "POST", "/model/a", "r1",
+                         test::PlatformSite::generation(100, MaxOutputTokens));
+        BOOST_REQUIRE(test::waitFor([&] { return call->response.body.contains("id: 80\n"); }));
+        source = first.generating() == 1 ? &first : &second;
+        sourceProxy = first.generating() == 1 ? &firstProxy : &secondProxy;
+    }
+
+    bool isWhole() const
+    {
+        return call->end == HttpExchangeEnd::Complete
+            && call->response.body == test::PlatformSite::events(Events);
+    }
+
+    test::PlatformSite site;
+    Runner &first = site.addRunner("model-1", "model");
+    Runner &second = site.addRunner("model-2", "model");
+    standin::CloseDelimitedProxy firstProxy{first.endpoint()};
+    standin::CloseDelimitedProxy secondProxy{second.endpoint()};
+    int daemon = -1;
+    std::shared_ptr<test::ClientCall> call;
+    Runner *source = nullptr;
+    standin::CloseDelimitedProxy *sourceProxy = nullptr;
+};
+
 } // namespace
 
 // Guards against the loss of a stream whose runner crashes without notice while it generates. The
@@ -182,3 +220,22 @@
     BOOST_TEST_INFO(site.log(daemon).right(LogTailBytes).constData());
     BOOST_TEST(!site.hasEnded(daemon));
 }
+
+// Guards against a backup that is given up: the runner crashed inside an event of a stream without
+// a length, and its close in order counted as the end.
+BOOST_FIXTURE_TEST_CASE(GenerationTornInsideAnEventGoesOn, CloseDelimitedFixture)
+{
+    sourceProxy->setTornBytes("id: 999\ndata: ev");
+    source->crash();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(isWhole());
+}
+
+// The same for a crash between two events, which ends the process.
+BOOST_FIXTURE_TEST_CASE(GenerationTornBetweenEventsGoesOn, CloseDelimitedFixture)
+{
+    sourceProxy->setListening(false);
+    source->crash();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(isWhole());
+}
