A stream whose parser dropped events is not whole

Callers would see a stream as complete although events are missing: above 1 MiB without an event (comments, or one event) the parser returns no further events, and nothing asked whether it had given up. The end of such a stream now counts as inside an event.

Evidence: AnswerEnds/StreamWithDroppedEventsIsNotWhole failed before and passes. TornStreams/StreamWithAnOversizedEventIsNotWhole passes before and after this commit, as the cut of its notes happened to lie inside a line.

--- a/src/delivery/ServerSentEventParser.cpp
+++ b/src/delivery/ServerSentEventParser.cpp
@@ -59,6 +59,9 @@
 
 bool ServerSentEventParser::isInsideEvent() const
 {
+    // Events may have been dropped.
+    if (m_malformed)
+        return true;
     QList<QByteArray> lines = m_pending.split('\n');
     // The last one is not terminated: a comment may be cut too. A lone CR is a blank line.
     const QByteArray unterminated = lines.takeLast();
--- a/src/delivery/ServerSentEventParser.h
+++ b/src/delivery/ServerSentEventParser.h
@@ -30,7 +30,7 @@
     QByteArray trailingBytes() const { return m_skipped + m_pending; }
 
     /// True if the bytes after the last complete event are the beginning of another one, or of a
-    /// line. Blank lines and complete comment lines are neither.
+    /// line. Blank lines and complete comment lines are neither. Always true if isMalformed().
     bool isInsideEvent() const;
 
 private:
--- a/test/correctness/AnswerEnds.cpp
+++ b/test/correctness/AnswerEnds.cpp
@@ -116,3 +116,14 @@
         BOOST_TEST((atOnce.trailingBytes() == inPieces.trailingBytes()), "seed " << seed);
     }
 }
+
+// Guards against a stream that is judged whole although events were dropped: what precedes an event
+// exceeded the limit of the parser.
+BOOST_AUTO_TEST_CASE(StreamWithDroppedEventsIsNotWhole)
+{
+    ServerSentEventParser parser;
+    (void)parser.feed(QByteArray(": note\n\n").repeated(200000));
+    BOOST_REQUIRE(parser.isMalformed());
+    BOOST_TEST(parser.feed("id: 1\ndata: x\n\n").isEmpty());
+    BOOST_TEST(parser.isInsideEvent());
+}
--- a/test/failure/TornStreams.cpp
+++ b/test/failure/TornStreams.cpp
@@ -196,6 +196,18 @@
     }
 }
 
+// Guards against a stream that looks complete although its rest was dropped: what precedes an event
+// exceeded the limit of the parser.
+BOOST_FIXTURE_TEST_CASE(StreamWithAnOversizedEventIsNotWhole, Fixture)
+{
+    const QByteArray note = ": " + QByteArray(1000, 'x') + "\n\n";
+    constexpr int TooManyNotes = 1100;
+    const QByteArray first = eventText(1, "\n");
+    const QByteArray body = first + note.repeated(TooManyNotes) + eventText(2, "\n");
+    for (const Framing framing : AllFramings)
+        checkBroken(*stream(body, framing), first);
+}
+
 // Resets, missing chunks and short bodies were told apart before, and still are.
 BOOST_FIXTURE_TEST_CASE(BrokenFramingIsNoEnd, Fixture)
 {
