A CBOR document that was cut short is rejected

A list of targets that was cut short would have been taken as whole, and the rest removed. JSON that is cut short does not parse.

decodeCborDocument() takes exactly one whole value.

--- a/src/relay/PeerDatagrams.cpp
+++ b/src/relay/PeerDatagrams.cpp
@@ -1,6 +1,7 @@
 #include "relay/PeerDatagrams.h"
 
 #include "base/EventLog.h"
+#include "relay/CborDocument.h"
 #include "relay/PeerDirectory.h"
 
 #include <QCborValue>
@@ -57,7 +58,8 @@
 {
     while (m_socket->hasPendingDatagrams()) {
         const QNetworkDatagram datagram = m_socket->receiveDatagram();
-        const QCborArray message = QCborValue::fromCbor(datagram.data()).toArray();
+        const std::optional<QCborValue> document = decodeCborDocument(datagram.data());
+        const QCborArray message = document ? document->toArray() : QCborArray();
         Peer peer;
         peer.vm = VmId(message.at(0).toString());
         peer.dataCentre = DataCentreId(message.at(1).toString());
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "http/HttpClient.h"
+#include "relay/CborDocument.h"
 #include "relay/FeedMessage.h"
 #include "relay/PeerDirectory.h"
 #include "relay/RelayCounters.h"
@@ -370,9 +371,9 @@
     }
     m_counters.peerStateResponseTimes.add(double(elapsed.count()));
     m_pause = AskInterval;
-    const QCborMap state = QCborValue::fromCbor(response.body).toMap();
-    if (state.contains(ConfigurationField))
-        return state;
+    const std::optional<QCborValue> document = decodeCborDocument(response.body);
+    if (document && document->toMap().contains(ConfigurationField))
+        return document->toMap();
     logEvent(LogLevel::Warning, EventId::PeerStateFailed,
              {{"vm", vm.text()}, {"detail", QStringLiteral("the response cannot be decoded")}});
     return std::nullopt;
--- a/src/relay/StoreItemCompression.cpp
+++ b/src/relay/StoreItemCompression.cpp
@@ -1,5 +1,7 @@
 #include "relay/StoreItemCompression.h"
 
+#include "relay/CborDocument.h"
+
 #include <QCborArray>
 #include <QCborValue>
 
@@ -27,10 +29,10 @@
     QList<StoreItem> items;
     if (bytes.isEmpty())
         return items;
-    const QCborValue rows = QCborValue::fromCbor(qUncompress(bytes));
-    if (!rows.isArray())
+    const std::optional<QCborValue> rows = decodeCborDocument(qUncompress(bytes));
+    if (!rows || !rows->isArray())
         return std::nullopt;
-    for (const QCborValue row : rows.toArray()) {
+    for (const QCborValue row : rows->toArray()) {
         const QCborArray fields = row.toArray();
         items.append({fields.at(0).toString(), fields.at(1).toByteArray(),
                       Revision(fields.at(2).toInteger()), fields.at(3).toBool()});
--- a/test/error/RelayMessages.cpp
+++ b/test/error/RelayMessages.cpp
@@ -121,6 +121,23 @@
     }
 }
 
+// Guards against a list that is taken as whole although it was cut short: the decoder returns what
+// precedes the cut.
+BOOST_AUTO_TEST_CASE(TruncatedItemsAreRejected)
+{
+    QList<StoreItem> items;
+    for (int i = 0; i < 20; ++i)
+        items.append({QStringLiteral("key-%1").arg(i), "value", Revision(i + 1), i % 2 == 0});
+    const QByteArray bytes = compressItems(items);
+    BOOST_REQUIRE(decompressItems(bytes));
+    BOOST_TEST(decompressItems(bytes)->size() == items.size());
+    const QByteArray decoded = qUncompress(bytes);
+    for (qsizetype size = 1; size < decoded.size(); ++size)
+        BOOST_TEST(!decompressItems(qCompress(decoded.left(size))));
+    for (qsizetype size = 1; size < bytes.size(); ++size)
+        BOOST_TEST(!decompressItems(bytes.left(size)));
+}
+
 // Guards against a stack overflow by deeply nested messages.
 BOOST_AUTO_TEST_CASE(DeepMessages)
 {
