Soak: engines tear streams without a length and lose answers to stop orders

Half of its engines now send streams without a length; a crash tears them after a random byte of an event or ends the process between two events, and a quarter of the engines lose the answers to final move orders. Every whole stream must be exactly the target's.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -20,6 +20,7 @@
 constexpr int LimitIntervalMs = 2500;
 /// Average interval between changes of refusals.
 constexpr int RefusalIntervalMs = 1200;
+constexpr Milliseconds EngineRestartTime{700};
 constexpr int MaxOutputTokens = 120;
 constexpr int PromptTokens = 500;
 /// Time for the pending requests to end after the last fault; their deadline is 15 s.
@@ -32,7 +33,9 @@
     , m_random(options.seed)
     , m_limitRandom(options.seed)
     , m_refusalRandom(options.seed)
+    , m_tearRandom(options.seed)
 {
+    m_checks.expectStreams(test::PlatformSite::events(EventsPerStream));
     m_site.configure(m_version);
     for (int i = 0; i < options.engines; ++i)
         addEngine();
@@ -60,6 +63,26 @@
     watchArrivals(engine, true);
     engine.onRan([this, id](const HttpRequest &request) { recordRun(id, request); });
     m_engines.push_back(&engine);
+    m_engineProxies.push_back(nullptr);
+    engine.setLosesMoveAnswers(m_tearRandom() % 4 == 0);
+    if (m_tearRandom() % 2 == 0)
+        return;
+    m_engineProxies.back() = std::make_unique<standin::CloseDelimitedProxy>(engine.endpoint());
+    engine.setAnnounced(m_engineProxies.back()->endpoint());
+    m_site.announce(engine, "model", "ready");
+}
+
+void SoakRun::crashEngine(std::size_t index)
+{
+    if (standin::CloseDelimitedProxy *proxy = m_engineProxies[index].get()) {
+        const QByteArray event = standin::RunnerEmulator::event(EventsPerStream);
+        const qsizetype tornBytes = qsizetype(m_tearRandom() % quint32(event.size()));
+        proxy->setTornBytes(event.left(tornBytes));
+        // No byte shows a stream that was torn between two events; the end of the process does.
+        if (tornBytes == 0 || m_tearRandom() % 2 == 0)
+            proxy->stopListeningFor(EngineRestartTime);
+    }
+    m_engines[index]->crash();
 }
 
 void SoakRun::recordRun(const QByteArray &target, const HttpRequest &request)
@@ -274,7 +297,7 @@
     const auto index = size_t(randomBelow(int(m_engines.size())));
     standin::RunnerEmulator &engine = *m_engines[index];
     if (randomBelow(3) == 0) {
-        engine.crash();
+        crashEngine(index);
         return;
     }
     // The engine drains, and a new one joins.
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -2,6 +2,7 @@
 
 #include "base/QtTimerService.h"
 #include "soak/FaultProxy.h"
+#include "standins/users/CloseDelimitedProxy.h"
 #include "standins/users/LimitChecks.h"
 #include "standins/users/PromiseChecks.h"
 #include "standins/users/RetryChecks.h"
@@ -63,6 +64,9 @@
     void changeRefusals();
     /// Counts a request that a target receives; refuses it if its service does so now.
     void watchArrivals(standin::RunnerEmulator &target, bool isEngine);
+    /// An engine crashes. Streams without a length are torn inside an event, or between two events
+    /// by the end of its process.
+    void crashEngine(std::size_t index);
     void clearFaults();
 
     SoakOptions m_options;
@@ -70,6 +74,7 @@
     /// Apart from the other faults, so that a seed still injects the same ones.
     std::mt19937 m_limitRandom;
     std::mt19937 m_refusalRandom;
+    std::mt19937 m_tearRandom;
     QtTimerService m_timers;
     standin::PromiseChecks m_checks;
     standin::LimitChecks m_limits;
@@ -79,6 +84,8 @@
     bool m_arePlainTargetsRefusing = false;
     test::PlatformSite m_site;
     std::vector<standin::RunnerEmulator *> m_engines;
+    /// For each engine; null if it sends its streams in chunks.
+    std::vector<std::unique_ptr<standin::CloseDelimitedProxy>> m_engineProxies;
     std::vector<standin::RunnerEmulator *> m_plainTargets;
     std::vector<std::unique_ptr<FaultProxy>> m_proxies;
     std::vector<PendingRequest> m_pending;
--- a/test/standins/users/CloseDelimitedProxy.cpp
+++ b/test/standins/users/CloseDelimitedProxy.cpp
@@ -1,6 +1,7 @@
 #include "standins/users/CloseDelimitedProxy.h"
 
 #include <QTcpSocket>
+#include <QTimer>
 
 namespace cranberry::standin {
 
@@ -38,6 +39,12 @@
         m_server.listen(QHostAddress::LocalHost, m_endpoint.port);
 }
 
+void CloseDelimitedProxy::stopListeningFor(Milliseconds time)
+{
+    setListening(false);
+    QTimer::singleShot(time, &m_server, [this] { setListening(true); });
+}
+
 void CloseDelimitedProxy::accept()
 {
     while (QTcpSocket *client = m_server.nextPendingConnection()) {
--- a/test/standins/users/CloseDelimitedProxy.h
+++ b/test/standins/users/CloseDelimitedProxy.h
@@ -1,6 +1,7 @@
 // Defines CloseDelimitedProxy, which makes a stand-in's streams end with their connection.
 #pragma once
 
+#include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
 #include <QByteArray>
@@ -28,6 +29,7 @@
     void setTornBytes(const QByteArray &bytes) { m_tornBytes = bytes; }
     /// Closes the listening socket, as the end of a process does, or opens it again.
     void setListening(bool listening);
+    void stopListeningFor(Milliseconds time);
 
 private:
     struct Link;
--- a/test/standins/users/PromiseChecks.cpp
+++ b/test/standins/users/PromiseChecks.cpp
@@ -63,6 +63,8 @@
             if (line.startsWith("id: ") && line != "id: " + QByteArray::number(next++))
                 breaks(id, QStringLiteral("an event is missing or came twice"));
         }
+        if (isWhole && response.body != m_expectedStream)
+            breaks(id, QStringLiteral("the stream is framed as complete and is not"));
     } else if (isWhole && response.body != "answer to body of " + id
                && response.body != "answer to ") {
         breaks(id, QStringLiteral("the body is not the target's"));
--- a/test/standins/users/PromiseChecks.h
+++ b/test/standins/users/PromiseChecks.h
@@ -13,6 +13,8 @@
 class PromiseChecks
 {
 public:
+    /// Every whole stream must be exactly @p body.
+    void expectStreams(const QByteArray &body) { m_expectedStream = body; }
     /// A target began to run @p request.
     void ran(const QByteArray &target, const HttpRequest &request);
     /// A caller has its final answer, or the connection ended (status 0).
@@ -36,6 +38,7 @@
 
     QHash<QByteArray, Story> m_stories;
     QStringList m_broken;
+    QByteArray m_expectedStream;
     int m_answers = 0;
     int m_whole = 0;
 };
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -188,6 +188,10 @@
     if (order.value("last").toBool()) {
         m_runs.remove(id);
         run->reply->abort();
+        if (m_losesMoveAnswers) {
+            reply->abort();
+            return;
+        }
     }
     reply->send(jsonAnswer(200, {{"handle", "copy"}, {"created", run->made}}));
 }
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -54,6 +54,8 @@
     int reserved() const { return int(m_reservations.size()); }
     /// The rate limit that its answers name from now on; none if @p perSecond is empty.
     void setRateLimit(const QByteArray &perSecond) { m_rateLimit = perSecond; }
+    /// Answers to the final orders of moves are lost from now on, or arrive again.
+    void setLosesMoveAnswers(bool loses) { m_losesMoveAnswers = loses; }
     /// Breaks all its connections off, as a crash does.
     void crash();
     /// The time of its start, which its entry and its reports name; none if it is not set.
@@ -91,6 +93,7 @@
     Milliseconds m_interval{5};
     int m_room = 1000;
     QByteArray m_rateLimit;
+    bool m_losesMoveAnswers = false;
     int m_granted = 0;
     int m_mostGenerating = 0;
     QSet<QByteArray> m_reservations;
