A daemon finds out which services it cannot reach

Cause: during a partition from all targets the logs name one failed target after the other (target.suspected, relay.send_ended), so that they cannot tell 'no target answers this daemon' from 'some targets failed'. Nothing else depends on it yet.

Ruled out: answers over connections from before the partition as evidence, as these may live on; the connect alone, as a proxy accepts and then resets.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -77,6 +77,8 @@
     X(PermitsOwned, 1223, "permits.owned")                                                         \
     X(PermitsNotOwned, 1224, "permits.not_owned")                                                  \
     X(PermitsAnswered, 1225, "permits.answered")                                                   \
+    X(ServiceUnreachable, 1226, "service.unreachable")                                             \
+    X(ServiceReachable, 1227, "service.reachable")                                                 \
     X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RetryGranted, 1930, "retry.granted")                                                         \
     X(RetryRefused, 1931, "retry.refused")                                                         \
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -57,6 +57,7 @@
     if (options.reuseConnection)
         m_stream = pool.take(endpoint, options.maxIdleTime);
     const bool reused = m_stream != nullptr;
+    m_isNewConnection = !reused;
     if (!reused)
         m_stream = TcpStream::connectTo(endpoint);
     TcpStreamCallbacks events;
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -49,6 +49,8 @@
     HttpExchange(const HttpExchange &) = delete;
     HttpExchange &operator=(const HttpExchange &) = delete;
 
+    /// Whether the connection was opened for this exchange.
+    bool isNewConnection() const { return m_isNewConnection; }
     /// How the end of the response's body is marked.
     BodyFraming framing() const;
 
@@ -78,6 +80,7 @@
     std::unique_ptr<TcpStream> m_stream;
     std::unique_ptr<EndpointCheck> m_closeCheck;
     bool m_connected = false;
+    bool m_isNewConnection = false;
     /// True while the response being parsed belongs to another request.
     bool m_isSkippingResponse = false;
     /// True if a response to another request was received; the connection is then not reused.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -3,6 +3,7 @@
 #include "base/TimerService.h"
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
 #include "relay/TargetLimits.h"
@@ -14,6 +15,10 @@
 /// A reachable target in the region accepts a connection within 5 ms. No byte of the request has
 /// been sent yet, so an early timeout is safe.
 constexpr Milliseconds ConnectTimeout{300};
+/// A target that answers plain requests and takes longer may be unreachable; a stream begins after
+/// its prompt is read.
+constexpr Milliseconds PlainPatience{300};
+constexpr Milliseconds StreamPatience{2000};
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 
@@ -99,6 +104,7 @@
     , m_alive(std::make_shared<bool>(true))
 {
     m_context.limits.recordSent(m_target);
+    m_context.reach.recordSent(m_target, m_callbacks.event ? StreamPatience : PlainPatience);
     HttpExchangeCallbacks events;
     events.headers = [this](int status, const HttpHeaders &headers) {
         headersReceived(status, headers);
@@ -113,6 +119,7 @@
 {
     m_head = m_context.targetProtocol.answerHead(m_request, status, headers);
     m_hasHead = true;
+    m_context.reach.recordAnswer(m_target, m_exchange->isNewConnection());
     m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
     m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable;
     if (!m_isStream)
@@ -155,6 +162,8 @@
 
 void RelayAttempt::finished(HttpExchangeEnd end, const QString &reason)
 {
+    if (!m_hasHead)
+        m_context.reach.recordNoAnswer(m_target, m_exchange->isNewConnection());
     SendResult result;
     result.framing = m_exchange->framing();
     result.end = judgeAnswerEnd(end, m_isStream && m_events.isInsideEvent());
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -15,6 +15,7 @@
 class EngineReports;
 class HttpClient;
 class OutputForecast;
+class ReachMonitor;
 class TargetDirectory;
 class TargetAnnouncements;
 class TargetLimits;
@@ -28,6 +29,7 @@
     HttpClient &client;
     TargetDirectory &targets;
     TargetLimits &limits;
+    ReachMonitor &reach;
     TargetAnnouncements &news;
     EngineReports &reports;
     WaitingRequests &waiting;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -95,6 +95,21 @@
     return coldPace(perSecond, fleetPosition(parts).daemons);
 }
 
+/// A request that a target of @p service answers without running anything.
+HttpRequest probeRequest(const RelayParts &parts, const ServiceId &service)
+{
+    const auto &configuration = parts.gateway.configuration();
+    const RelayService known =
+        configuration ? configuration->services.value(service) : RelayService();
+    // A health check waits for a slot of an engine, a report does not.
+    if (known.engine || known.healthPath.isEmpty())
+        return parts.protocols.targets.report();
+    HttpRequest request;
+    request.method = "GET";
+    request.path = known.healthPath;
+    return request;
+}
+
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
 {
     Error error;
@@ -111,6 +126,8 @@
     , client(timers)
     , targets(timers)
     , limits(timers)
+    , reach(timers, client, targets,
+            [this](const ServiceId &service) { return probeRequest(*this, service); })
     , reports(timers, client, targets, protocols.targets, counters)
     , waiting(timers)
     , retryBudget(
@@ -132,6 +149,7 @@
               client,
               targets,
               limits,
+              reach,
               news,
               reports,
               waiting,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -80,6 +80,16 @@
     return text;
 }
 
+QByteArray reachText(const RelayParts &parts)
+{
+    const ReachMonitor::Counters &reach = parts.reach.counters();
+    QByteArray text = counterText("cranberry_relay_reach_probes_total", reach.probes);
+    text += counterText("cranberry_relay_services_lost_total", reach.lost);
+    text += counterText("cranberry_relay_services_regained_total", reach.regained);
+    return text
+        + gaugeText("cranberry_relay_unreachable_services", parts.reach.unreachable().size());
+}
+
 } // namespace
 
 QByteArray relayMetricsText(RelayParts &parts)
@@ -117,6 +127,7 @@
     text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
     text += limitsText(parts);
     text += retryUnitsText(parts);
+    text += reachText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -12,6 +12,7 @@
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
 #include "relay/PeerState.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayProtocols.h"
@@ -40,6 +41,7 @@
     HttpClient client;
     TargetDirectory targets;
     TargetLimits limits;
+    ReachMonitor reach;
     EngineReports reports;
     WaitingRequests waiting;
     RelayRetryBudget retryBudget;
--- a/src/relay/RelayService.h
+++ b/src/relay/RelayService.h
@@ -3,6 +3,8 @@
 #include "base/Ids.h"
 #include "relay/EngineTraits.h"
 
+#include <QByteArray>
+
 #include <optional>
 
 namespace cranberry {
@@ -14,6 +16,8 @@
     std::optional<EngineTraits> engine;
     /// Requests per second that a target can handle just after its start; zero if unlimited.
     double coldPerSecond = 0;
+    /// Path of the health check of its targets; empty if they have none.
+    QByteArray healthPath;
 };
 
 } // namespace cranberry
--- a/src/relay/RoomReservation.cpp
+++ b/src/relay/RoomReservation.cpp
@@ -1,6 +1,7 @@
 #include "relay/RoomReservation.h"
 
 #include "http/HttpClient.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayTarget.h"
 #include "relay/ReservationOrder.h"
@@ -64,12 +65,18 @@
         [state, overKeptConnection](HttpExchangeEnd end, const HttpResponse &response) {
             // Some engines close idle connections without notice, which says nothing about their
             // state.
-            if (end == HttpExchangeEnd::Broken && overKeptConnection && state->ended)
+            if (end == HttpExchangeEnd::Broken && overKeptConnection && state->ended) {
                 ask(state, false);
-            else if (end == HttpExchangeEnd::Complete)
+                return;
+            }
+            const bool isNew = state->exchange->isNewConnection();
+            if (end == HttpExchangeEnd::Complete) {
+                state->context.reach.recordAnswer(state->order.target, isNew);
                 answered(state, state->context.targetProtocol.readReservation(response));
-            else
+            } else {
+                state->context.reach.recordNoAnswer(state->order.target, isNew);
                 answered(state, ReservationOutcome());
+            }
         });
 }
 
