--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -129,10 +129,18 @@
         if (request.headers.contains("Cranberryquay-Token-Usage"))
             generate(request, reply);
         else
-            reply->send({200, answerHeaders(request), "answer to " + request.body});
+            answer(request, reply);
     }
 }
 
+void RunnerEmulator::answer(const HttpRequest &request, const Reply &reply)
+{
+    HttpHeaders headers = answerHeaders(request);
+    if (m_answersPerConnection > 0 && m_ran.size() % m_answersPerConnection == 0)
+        headers.add("Connection", "close");
+    reply->send({200, headers, "answer to " + request.body});
+}
+
 void RunnerEmulator::generate(const HttpRequest &request, const Reply &reply)
 {
     const QByteArray id = request.headers.value(IdHeader);
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -54,6 +54,8 @@
     int reserved() const { return int(m_reservations.size()); }
     /// The rate limit that its answers name from now on; none if @p perSecond is empty.
     void setRateLimit(const QByteArray &perSecond) { m_rateLimit = perSecond; }
+    /// Each answer number @p answers to a plain request closes its connection; none if zero.
+    void setAnswersPerConnection(int answers) { m_answersPerConnection = answers; }
     /// Answers to the final orders of moves are lost from now on, or arrive again.
     void setLosesMoveAnswers(bool loses) { m_losesMoveAnswers = loses; }
     /// Breaks all its connections off, as a crash does.
@@ -77,6 +79,7 @@
     };
 
     void handle(const HttpRequest &request, const Reply &reply);
+    void answer(const HttpRequest &request, const Reply &reply);
     void generate(const HttpRequest &request, const Reply &reply);
     void step(const QByteArray &id);
     void move(const HttpRequest &request, const Reply &reply);
@@ -93,6 +96,7 @@
     Milliseconds m_interval{5};
     int m_room = 1000;
     QByteArray m_rateLimit;
+    int m_answersPerConnection = 0;
     bool m_losesMoveAnswers = false;
     int m_granted = 0;
     int m_mostGenerating = 0;
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -185,6 +185,14 @@
     return m_daemons[size_t(daemon)].process->state() == QProcess::NotRunning;
 }
 
+QList<qint64> PlatformSite::processes() const
+{
+    QList<qint64> ids;
+    for (const Daemon &daemon : m_daemons)
+        ids.append(daemon.process->processId());
+    return ids;
+}
+
 QByteArray PlatformSite::log(int daemon)
 {
     Daemon &read = m_daemons[size_t(daemon)];
@@ -200,8 +208,9 @@
     request.path = path;
     request.headers = {{"Host", "site.example"},
                        {"Cranberryquay-Request-Id", id},
-                       {"Cranberryquay-Deadline-Ms", "15000"},
                        {"Authorization", "Bearer key"}};
+    if (!more.contains("Cranberryquay-Deadline-Ms"))
+        request.headers.add("Cranberryquay-Deadline-Ms", "15000");
     for (const HttpHeaders::Field &field : more.fields())
         request.headers.add(field.first, field.second);
     if (method == "POST")
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -59,6 +59,8 @@
     QByteArray metrics(int daemon);
     void signal(int daemon, int number);
     bool hasEnded(int daemon) const;
+    /// The ids of the processes of all daemons.
+    QList<qint64> processes() const;
     /// All lines that the daemon wrote so far.
     QByteArray log(int daemon);
 
