Requests for a service that a daemon cannot reach go through another daemon

Cause: a daemon's only way to a target was its own, and its view of the targets stood for the world's. It knew within milliseconds that no target answered it and had nothing to do with the knowledge.

Change: a daemon names the services that it cannot reach in each message to the others, and hands a request for such a service whole to another daemon, which processes it as its own caller's: placement, reservations, retries, moves and the stream. One hop, never two. The route, service and workspace are those of the first daemon, where the key was checked. The other daemon's word decides whether a request has run: its response names the outcome, ends with a length or the last chunk, and a broken exchange counts as 'may have run'. A caller that leaves ends the exchange, and the run with it. The request counts for the retry budget where it is sent to targets; an attempt that reached no target costs no unit of it.

Ruled out: readiness, which takes two misses, is void where more than half of a data centre says so, and leaves open connections; more attempts at targets, as none answers.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -79,6 +79,9 @@
     X(PermitsAnswered, 1225, "permits.answered")                                                   \
     X(ServiceUnreachable, 1226, "service.unreachable")                                             \
     X(ServiceReachable, 1227, "service.reachable")                                                 \
+    X(RelayForwarded, 1932, "relay.forwarded")                                                     \
+    X(RelayForwardEnded, 1933, "relay.forward_ended")                                              \
+    X(ForwardRefused, 1934, "forward.refused")                                                     \
     X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RetryGranted, 1930, "retry.granted")                                                         \
     X(RetryRefused, 1931, "retry.refused")                                                         \
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -185,6 +185,11 @@
     return m_stream ? m_stream->unsentBytes() : 0;
 }
 
+QByteArray CallerConnection::callerAddress() const
+{
+    return m_stream ? m_stream->peerAddress().split(':').first() : QByteArray();
+}
+
 void CallerConnection::completeResponse()
 {
     m_onCallerGone = {};
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -63,6 +63,7 @@
     /// @p callback is called once if the connection ends before the response is complete.
     void onCallerGone(std::function<void()> callback) { m_onCallerGone = std::move(callback); }
     qsizetype unsentBytes() const;
+    QByteArray callerAddress() const;
 
 private:
     enum class State {
--- a/src/http/CallerReply.cpp
+++ b/src/http/CallerReply.cpp
@@ -53,6 +53,12 @@
         open->onCallerGone(std::move(callback));
 }
 
+QByteArray CallerReply::callerAddress() const
+{
+    const auto open = connection();
+    return open ? open->callerAddress() : QByteArray();
+}
+
 qsizetype CallerReply::unsentBytes() const
 {
     const auto open = connection();
--- a/src/http/CallerReply.h
+++ b/src/http/CallerReply.h
@@ -30,6 +30,8 @@
     void abort();
     /// @p callback is called once if the caller disconnects before the response is complete.
     void onCallerGone(std::function<void()> callback);
+    /// The address of the caller, without its port; empty once it has disconnected.
+    QByteArray callerAddress() const;
     /// Bytes of the response that are not yet passed to the system's socket buffer.
     qsizetype unsentBytes() const;
 
--- a/src/relay/Peer.h
+++ b/src/relay/Peer.h
@@ -4,6 +4,8 @@
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
+#include <QSet>
+
 namespace cranberry {
 
 /// Another daemon of the fleet.
@@ -22,6 +24,8 @@
     qint64 configurationVersion = 0;
     /// The daemon is about to end and no longer acts for others.
     bool isDraining = false;
+    /// Services that the daemon cannot reach.
+    QSet<ServiceId> unreachable;
 };
 
 } // namespace cranberry
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 
 #include <QCborArray>
+#include <QList>
 
 #include <array>
 #include <functional>
@@ -62,6 +63,10 @@
     /// when another daemon has a newer one.
     void setVersionCallbacks(std::function<qint64()> version,
                              std::function<void(const Peer &from, qint64 version)> newer);
+    /// Adds the services that @p unreachable returns, which this daemon cannot reach, to every
+    /// message, and calls @p reported when another daemon names one that it has not named before.
+    void setUnreachableCallbacks(std::function<QList<ServiceId>()> unreachable,
+                                 std::function<void(const Peer &from)> reported);
     /// Sets the handler of one kind of messages. Precondition: called before listenOn().
     void onMessage(DatagramKind kind, Handler handler);
     /// Passes a message that was contained in another one to its handler.
@@ -76,6 +81,8 @@
     std::array<Handler, DatagramKindCount> m_handlers;
     std::function<qint64()> m_version = [] { return 0; };
     std::function<void(const Peer &, qint64)> m_onNewerVersion;
+    std::function<QList<ServiceId>()> m_unreachable = [] { return QList<ServiceId>(); };
+    std::function<void(const Peer &)> m_onUnreachable = [](const Peer &) {};
 };
 
 } // namespace cranberry
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -199,6 +199,7 @@
     if (known != m_peers.cend()) {
         peer.isDraining = known->isDraining;
         peer.configurationVersion = known->configurationVersion;
+        peer.unreachable = known->unreachable;
     }
     recordPeer(peer);
 }
@@ -227,6 +228,12 @@
     }));
 }
 
+const Peer *PeerDirectory::find(const VmId &vm) const
+{
+    const auto known = m_peers.constFind(vm);
+    return known == m_peers.cend() ? nullptr : &*known;
+}
+
 bool PeerDirectory::precedesSelf(const Peer &peer) const
 {
     return stableHash(peer.vm.text()) < stableHash(m_self.vm.text());
@@ -266,13 +273,16 @@
                  {{"vm", peer.vm.text()}, {"data_centre", peer.dataCentre.text()}});
 }
 
+bool PeerDirectory::sendsToSelf(const Peer &peer) const
+{
+    return peer.dataCentre == m_self.dataCentre || m_peers.size() <= MaxSmallFleetPeers;
+}
+
 bool PeerDirectory::isGone(const Peer &peer) const
 {
     const MonotonicTime now = m_timers.now();
-    const bool sendsToSelf =
-        peer.dataCentre == m_self.dataCentre || m_peers.size() <= MaxSmallFleetPeers;
     return now - peer.lastSeen > UnseenTimeout
-        || (sendsToSelf && now - std::max(peer.lastMessage, peer.firstSeen) > SilenceTimeout);
+        || (sendsToSelf(peer) && now - std::max(peer.lastMessage, peer.firstSeen) > SilenceTimeout);
 }
 
 QList<Peer> PeerDirectory::peers() const
--- a/src/relay/PeerDirectory.h
+++ b/src/relay/PeerDirectory.h
@@ -63,6 +63,8 @@
     /// The number of daemons of the data centre that precede this one in the common order. Daemons
     /// that were not heard for some seconds do not count.
     int localRank() const { return rankAmong(localPeers()); }
+    /// Null if the daemon is not known.
+    const Peer *find(const VmId &vm) const;
     /// Whether @p peer precedes this daemon in the common order.
     bool precedesSelf(const Peer &peer) const;
     /// The number of recently heard daemons of @p peers that precede this one in the common order;
@@ -71,6 +73,9 @@
     /// Whether a message of @p peer arrived within the last few seconds and the peer is not about
     /// to end.
     bool isRecentlyHeard(const Peer &peer) const;
+    /// Whether @p peer sends this daemon a message every few seconds: in a small fleet each does,
+    /// in a large one those of the same data centre.
+    bool sendsToSelf(const Peer &peer) const;
     /// The data centres of the other daemons except this daemon's own; sorted.
     QList<DataCentreId> otherDataCentres() const;
     /// Whether the store has listed the daemons at least once.
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -15,6 +15,7 @@
 class EngineReports;
 class HttpClient;
 class OutputForecast;
+class PeerForwarding;
 class ReachMonitor;
 class TargetDirectory;
 class TargetAnnouncements;
@@ -30,6 +31,7 @@
     TargetDirectory &targets;
     TargetLimits &limits;
     ReachMonitor &reach;
+    PeerForwarding &forwarding;
     TargetAnnouncements &news;
     EngineReports &reports;
     WaitingRequests &waiting;
@@ -40,6 +42,8 @@
     RelayCounters &counters;
     const CallerProtocol &callerProtocol;
     const TargetProtocol &targetProtocol;
+    /// This daemon.
+    VmId vm;
     DataCentreId dataCentre;
     /// Other daemons report their placements, so that engines need not be asked for their load.
     std::function<bool()> hasPeers;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -4,6 +4,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "relay/ColdPace.h"
+#include "relay/ForwardMessage.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelayParts.h"
 
@@ -41,6 +42,8 @@
 constexpr int FewDaemonsLimit = 40;
 /// Fleet size assumed by a daemon that does not know it yet: the maximum size of a fleet.
 constexpr int AssumedFleetSize = 770;
+/// Size of a forwarded request beyond that of the caller's.
+constexpr Bytes ForwardOverhead{64 * 1024};
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -54,6 +57,15 @@
         : DistanceCosts{LargeFleetRemotePenalty, UnreportedPenalty, MaxRemoteCandidates};
 }
 
+/// Forwarded requests contain those of callers.
+CallerLimits peerLimits(const CallerLimits &callers)
+{
+    const CallerLimits defaults;
+    CallerLimits limits = defaults;
+    limits.body = std::max(defaults.body, callers.body + callers.headers + ForwardOverhead);
+    return limits;
+}
+
 qint64 configurationVersion(const RelayParts &parts)
 {
     const auto &configuration = parts.gateway.configuration();
@@ -137,6 +149,7 @@
     , peers(timers, client, startSettings.store, protocols.store, counters,
             {startSettings.vm, startSettings.dataCentre, startSettings.peer, {}, {}, {}, 0, false})
     , datagrams(peers)
+    , forwarding(peers)
     , heads(timers, peers, datagrams)
     , loads(timers, peers, heads, datagrams, targets)
     , limitExchange(timers, peers, heads, datagrams, limits,
@@ -150,6 +163,7 @@
               targets,
               limits,
               reach,
+              forwarding,
               news,
               reports,
               waiting,
@@ -160,6 +174,7 @@
               counters,
               protocols.callers,
               protocols.targets,
+              startSettings.vm,
               startSettings.dataCentre,
               [this] { return peers.fleetSize() > 1; },
               [this] { return distanceCosts(*this); },
@@ -186,7 +201,10 @@
     , peerListener(
           timers,
           [this](const HttpRequest &request, const std::shared_ptr<CallerReply> &reply) {
-              peerState.handle(request, reply);
+              if (request.path == ForwardPath)
+                  gateway.handleForwarded(request, reply);
+              else
+                  peerState.handle(request, reply);
           },
           [this](ErrorKind kind) { return rejection(protocols.callers, kind); })
 {
@@ -214,6 +232,16 @@
     parts.datagrams.setVersionCallbacks(
         [this] { return configurationVersion(*m_parts); },
         [this](const Peer &from, qint64 version) { newerVersionAnnounced(from, version); });
+    parts.datagrams.setUnreachableCallbacks([this] { return m_parts->reach.unreachable(); },
+                                            [this](const Peer &from) {
+                                                for (const ServiceId &service : from.unreachable)
+                                                    m_parts->reach.verify(service);
+                                            });
+    parts.reach.onChanged([this] {
+        // Other daemons must know before they forward requests to this one.
+        m_parts->loads.sendHello(m_parts->peers.directReceivers());
+        m_parts->waiting.roomChanged();
+    });
     parts.targets.onLeaving(
         [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
     parts.targets.onLeavingDirect(
@@ -359,6 +387,7 @@
     m_parts->gateway.setConfiguration(read.value(), m_parts->configuration.changedBy(),
                                       m_parts->configuration.age(), value.size());
     m_parts->callers.setLimits(read.value().limits);
+    m_parts->peerListener.setLimits(peerLimits(read.value().limits));
 }
 
 void RelayDaemon::drain(std::function<void()> done)
@@ -382,7 +411,8 @@
     if (m_parts->timers.now() - m_drainBegan < BalancerRemovalDelay)
         return;
     m_parts->callers.closeIdle();
-    const bool busy = m_parts->gateway.running() > 0 || m_parts->callers.busyConnections() > 0;
+    const bool busy = m_parts->gateway.running() > 0 || m_parts->callers.busyConnections() > 0
+        || m_parts->peerListener.busyConnections() > 0;
     if (busy)
         return;
     m_drainTimer.reset();
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -5,6 +5,10 @@
 #include "base/TimerService.h"
 #include "http/CallerReply.h"
 #include "relay/EngineReports.h"
+#include "relay/ForwardMessage.h"
+#include "relay/ForwardOutcome.h"
+#include "relay/PeerForwarding.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRun.h"
 
@@ -29,6 +33,7 @@
 /// That lasts for seconds, and callers retry once or twice: with 0.3 s they were refused again and
 /// gave up. An answer after 1 s is still within an objective of 1.5 s.
 constexpr Milliseconds RetryAfterNotConfigured{1000};
+constexpr int StatusUnavailable = 503;
 
 Error errorOf(ErrorKind kind, const QString &detail)
 {
@@ -198,10 +203,76 @@
          {"prompt", QString::number(task.request.promptTokens.value())},
          {"most", QString::number(task.request.maxOutput.value())},
          {"expected", QString::number(task.request.expectedOutput.value_or(Tokens(0)).value())}});
-    const auto run = std::make_shared<RelayRun>(
-        m_context, std::move(task), reply, [this](const RelayRun *ended) { m_runs.remove(ended); });
+    start(std::move(task), reply);
+}
+
+void RelayGateway::start(RelayTask task, const std::shared_ptr<CallerReply> &reply)
+{
+    const bool isForwarded = !task.forwardedBy.isEmpty();
+    if (isForwarded)
+        m_context.forwarding.taken();
+    const auto run = std::make_shared<RelayRun>(m_context, std::move(task), reply,
+                                                [this, isForwarded](const RelayRun *ended) {
+                                                    if (isForwarded)
+                                                        m_context.forwarding.takenEnded();
+                                                    m_runs.remove(ended);
+                                                });
     m_runs.insert(run.get(), run);
     run->start();
 }
 
+QString RelayGateway::forwardFault(const std::optional<ForwardMessage> &message,
+                                   const CallerReply &reply) const
+{
+    if (!message)
+        return QStringLiteral("the message cannot be decoded");
+    if (!m_context.forwarding.isPeer(message->from, reply.callerAddress()))
+        return QStringLiteral("the sender is not a known daemon");
+    if (!m_configuration || !m_configuration->services.contains(message->service))
+        return QStringLiteral("the service is not known");
+    if (m_drainUntil)
+        return QStringLiteral("this daemon is shutting down");
+    if (m_context.reach.isUnreachable(message->service))
+        return QStringLiteral("the service is unreachable from here as well");
+    if (!m_context.forwarding.hasRoom())
+        return QStringLiteral("this daemon processes too many requests of others");
+    return {};
+}
+
+void RelayGateway::handleForwarded(const HttpRequest &request,
+                                   const std::shared_ptr<CallerReply> &reply)
+{
+    const std::optional<ForwardMessage> message = decodeForward(request.body);
+    const QString fault = forwardFault(message, *reply);
+    if (!fault.isEmpty()) {
+        m_context.forwarding.refused();
+        logEvent(LogLevel::Info, EventId::ForwardRefused,
+                 {{"request", message ? message->request.id.text() : QString()},
+                  {"from", message ? message->from.text() : QString()},
+                  {"reason", fault}});
+        reply->send({StatusUnavailable, withForwardOutcome({}, ForwardOutcome::NotTaken), {}});
+        return;
+    }
+    RelayTask task;
+    task.service = message->service;
+    task.workspace = message->workspace;
+    task.engine = m_configuration->services.value(message->service).engine;
+    task.request = message->request;
+    task.fingerprint = requestFingerprint(
+        task.workspace, task.request.method + ' ' + task.request.target, task.request.body);
+    task.route = message->route;
+    task.arrived = m_context.timers.now() - message->age;
+    task.forwardedBy = message->from;
+    task.isCountedElsewhere = message->isCounted;
+    logEvent(LogLevel::Info, EventId::RelayArrived,
+             {{"request", task.request.id.text()},
+              {"route", task.route.name},
+              {"service", task.service.text()},
+              {"workspace", task.workspace.text()},
+              {"from", task.forwardedBy.text()},
+              {"age_ms", QString::number(message->age.count())},
+              {"left_ms", QString::number(message->left.count())}});
+    start(std::move(task), reply);
+}
+
 } // namespace cranberry
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -19,7 +19,9 @@
 struct Error;
 struct HttpRequest;
 struct RelayContext;
+struct ForwardMessage;
 struct RelayRequest;
+struct RelayTask;
 
 /// Admits callers' requests and starts their runs.
 /// Thread safety: only from the thread of the event loop.
@@ -32,6 +34,8 @@
     ~RelayGateway();
 
     void handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
+    /// Processes a request that another daemon forwards because it cannot reach the service.
+    void handleForwarded(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
 
     /// Applies @p configuration; a version that is not newer than the current one is ignored. @p
     /// source: where it came from; @p age: the maximum age of the copy that it replaces; @p
@@ -63,6 +67,10 @@
                 const std::shared_ptr<CallerReply> &reply);
     void startRun(RelayRequest request, const RelayRoute &route,
                   const std::shared_ptr<CallerReply> &reply);
+    void start(RelayTask task, const std::shared_ptr<CallerReply> &reply);
+    /// Why @p message is not taken; empty if it is.
+    QString forwardFault(const std::optional<ForwardMessage> &message,
+                         const CallerReply &reply) const;
 
     RelayContext &m_context;
     std::function<bool()> m_isCurrent;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -80,10 +80,19 @@
     return text;
 }
 
-QByteArray reachText(const RelayParts &parts)
+QByteArray forwardingText(const RelayParts &parts)
 {
+    const PeerForwarding &forwarding = parts.forwarding;
+    QByteArray text = "# TYPE cranberry_relay_forwarded_total counter\n";
+    for (std::size_t outcome = 0; outcome < ForwardOutcomeCount; ++outcome)
+        text += QByteArray("cranberry_relay_forwarded_total{outcome=\"")
+            + forwardOutcomeName(ForwardOutcome(outcome)) + "\"} "
+            + QByteArray::number(forwarding.outcomes()[outcome]) + '\n';
+    text += counterText("cranberry_relay_forwards_taken_total", forwarding.takenTotal());
+    text += counterText("cranberry_relay_forwards_refused_total", forwarding.refusedTotal());
+    text += gaugeText("cranberry_relay_forwards_running", forwarding.running());
     const ReachMonitor::Counters &reach = parts.reach.counters();
-    QByteArray text = counterText("cranberry_relay_reach_probes_total", reach.probes);
+    text += counterText("cranberry_relay_reach_probes_total", reach.probes);
     text += counterText("cranberry_relay_services_lost_total", reach.lost);
     text += counterText("cranberry_relay_services_regained_total", reach.regained);
     return text
@@ -127,7 +136,7 @@
     text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
     text += limitsText(parts);
     text += retryUnitsText(parts);
-    text += reachText(parts);
+    text += forwardingText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -11,6 +11,7 @@
 #include "relay/OutputForecast.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
+#include "relay/PeerForwarding.h"
 #include "relay/PeerState.h"
 #include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
@@ -49,6 +50,7 @@
     RoomForecast roomForecast;
     PeerDirectory peers;
     PeerDatagrams datagrams;
+    PeerForwarding forwarding;
     DataCentreHeads heads;
     LoadExchange loads;
     LimitExchange limitExchange;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -8,6 +8,8 @@
 #include "relay/AttemptPlan.h"
 #include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
+#include "relay/ForwardOutcome.h"
+#include "relay/ForwardedExchange.h"
 #include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
@@ -78,7 +80,11 @@
             run->callerGone();
     });
     m_deadlineTimer = m_context.timers.after(timeLeft(), [this] { deadlinePassed(); });
-    m_context.retryBudget.countRequest(m_task.service, m_context.timers.now());
+    // The daemon that sends the request needs the credit for its retries.
+    if (!m_task.isCountedElsewhere && !shouldForward()) {
+        m_context.retryBudget.countRequest(m_task.service, m_context.timers.now());
+        m_isCounted = true;
+    }
     place();
 }
 
@@ -198,7 +204,8 @@
         const std::chrono::duration<double, std::milli> taken = m_firstEventAt - m_task.arrived;
         m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
         m_context.targets.recordSuccess(m_target);
-        m_reply->startStream(m_streamHead.status, m_streamHead.headers);
+        m_reply->startStream(m_streamHead.status,
+                             answerHeaders(m_streamHead.headers, ForwardOutcome::Answered));
     }
     const bool isFirstEvent = m_ran != Ran::Yes;
     m_ran = Ran::Yes;
@@ -249,7 +256,8 @@
     }
     const std::chrono::duration<double, std::milli> taken = m_context.timers.now() - m_task.arrived;
     m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
-    m_reply->send({result.head.status, result.head.headers, result.body});
+    m_reply->send({result.head.status, answerHeaders(result.head.headers, ForwardOutcome::Answered),
+                   result.body});
     ++m_context.counters.of(m_task.route.kind).answered;
     finish("answered");
 }
@@ -259,7 +267,7 @@
     const auto self = shared_from_this();
     if (m_phase == Phase::Over)
         return;
-    if (m_phase == Phase::Sent || m_phase == Phase::Moving)
+    if (m_phase == Phase::Sent || m_phase == Phase::Moving || m_phase == Phase::Forwarded)
         m_ran = std::max(m_ran, Ran::Maybe);
     if (m_phase == Phase::Sent && !hasBegun())
         m_context.targets.recordFailure(m_target, "deadline passed");
@@ -301,8 +309,10 @@
     m_ran == Ran::No ? ++counters.refused : ++counters.failed;
     if (m_ran == Ran::No)
         m_retryAfter = retryAfter();
-    m_reply->send(m_context.callerProtocol.failure(
-        error, m_ran == Ran::No ? std::optional<Milliseconds>(m_retryAfter) : std::nullopt));
+    HttpResponse failure = m_context.callerProtocol.failure(
+        error, m_ran == Ran::No ? std::optional<Milliseconds>(m_retryAfter) : std::nullopt);
+    failure.headers = answerHeaders(failure.headers, failureOutcome());
+    m_reply->send(failure);
     finish(errorAnswer(kind).name);
 }
 
@@ -341,6 +351,7 @@
     leaveTarget();
     returnRetry();
     m_phase = Phase::Over;
+    leaveForwardPeer(ForwardOutcome::Abandoned);
     abandonMove();
     m_takeover.reset();
     m_takeoverTimer.reset();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -22,14 +22,17 @@
 class CallerReply;
 class GenerationBackup;
 class GenerationMove;
+class ForwardedExchange;
 class RelayAttempt;
 enum class RelayAttemptEnd;
 class RoomReservation;
+enum class ForwardOutcome;
 enum class RetryPurpose;
 class TargetPlace;
 class TimerSubscription;
 struct AttemptPlan;
 struct CopyReference;
+struct ForwardResult;
 struct MoveOutcome;
 struct RelayContext;
 struct RelayAttemptCallbacks;
@@ -46,6 +49,10 @@
     WorkspaceId workspace;
     RequestFingerprint fingerprint;
     MonotonicTime arrived;
+    /// The daemon that forwarded the request; empty if the caller sent it to this one.
+    VmId forwardedBy;
+    /// Another daemon counts the request for the retry budget.
+    bool isCountedElsewhere = false;
 };
 
 /// Processes one caller's request from arrival to answer. Chooses a target, sends the request,
@@ -54,7 +61,9 @@
 /// bytes were sent, or the target said that it did not run it.
 /// RelayRunPlacement.cpp decides when and where to send the request, RelayRunRetries.cpp evaluates
 /// the end of an attempt and decides whether to retry, RelayRunMoves.cpp moves a generation to
-/// another engine, and RelayRunBackup.cpp keeps a backup of a generation and resumes from it.
+/// another engine, RelayRunBackup.cpp keeps a backup of a generation and resumes from it, and
+/// RelayRunForwarding.cpp forwards the request to another daemon if this one cannot reach its
+/// service.
 /// Thread safety: only from the thread of the event loop.
 class RelayRun : public std::enable_shared_from_this<RelayRun>
 {
@@ -101,6 +110,8 @@
         Sent,
         /// The generation is stopped at its target and being moved to another.
         Moving,
+        /// Another daemon processes the request.
+        Forwarded,
         Over,
     };
 
@@ -163,6 +174,19 @@
     void deadlinePassed();
     void callerGone();
 
+    /// Whether another daemon should process the request, as this one cannot reach its service.
+    bool shouldForward() const;
+    void forward();
+    void forwardEnded(const ForwardResult &result);
+    /// Ends the exchange with the other daemon, if any.
+    void leaveForwardPeer(ForwardOutcome outcome);
+    /// Another daemon did not complete the request; @p ran: whether it may have run there.
+    void forwardFailed(const ForwardResult &result, Ran ran);
+    /// Headers for the caller, or for the daemon that forwarded the request.
+    HttpHeaders answerHeaders(const HttpHeaders &headers, ForwardOutcome outcome) const;
+    /// What a failure tells a daemon that forwarded the request.
+    ForwardOutcome failureOutcome() const;
+
     void moveFrom(const TargetId &target);
     void beginMove();
     /// Spends the unit that was taken when the copy began, or takes one now.
@@ -209,6 +233,15 @@
     int m_sends = 0;
     /// Attempts after which the request may have run.
     int m_possibleRuns = 0;
+    /// Attempts that may have reached a target.
+    int m_arrivals = 0;
+    /// Counted for the retry budget by this daemon.
+    bool m_isCounted = false;
+    std::unique_ptr<ForwardedExchange> m_forward;
+    VmId m_forwardPeer;
+    MonotonicTime m_forwardedAt;
+    /// Daemons that did not complete the request.
+    QSet<VmId> m_excludedPeers;
     QSet<TargetId> m_excluded;
     TargetId m_target;
     HttpEndpoint m_endpoint;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -143,7 +143,7 @@
              QStringLiteral("the request is quarantined because it crashed targets"));
         return;
     }
-    if (!m_task.engine || m_context.hasPeers()) {
+    if (!m_task.engine || m_context.hasPeers() || shouldForward()) {
         if (!tryPlace())
             waitForRoom();
         return;
@@ -191,6 +191,10 @@
 
 bool RelayRun::tryPlace()
 {
+    if (shouldForward()) {
+        forward();
+        return true;
+    }
     const MonotonicTime now = m_context.timers.now();
     requestPermits(m_phase == Phase::Placing);
     TargetNeed wanted = need();
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "relay/CrashGuard.h"
+#include "relay/ForwardedExchange.h"
 #include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
@@ -63,6 +64,8 @@
     m_ran = std::max(m_ran, ranAfter(result.kind));
     if (ranAfter(result.kind) != Ran::No)
         ++m_possibleRuns;
+    if (result.kind != SendResult::Kind::NotConnected)
+        ++m_arrivals;
     m_attemptEnd = attemptEndOf(result.kind);
     updateTargetHealth(result);
     if (hasBegun() && continueAtBackup(result))
@@ -187,7 +190,9 @@
 {
     if (!canRetry(result))
         return false;
-    if (!takeRetry("retry", retryPurpose()))
+    // The budget limits what targets receive.
+    const bool isFree = m_arrivals == 0 && shouldForward();
+    if (!isFree && !takeRetry("retry", retryPurpose()))
         return false;
     if (result.kind == SendResult::Kind::Answered)
         m_fallback = result;
@@ -207,6 +212,12 @@
 
 void RelayRun::silenceTimedOut()
 {
+    if (m_phase == Phase::Forwarded) {
+        ForwardResult silent;
+        silent.reason = QStringLiteral("silent");
+        forwardEnded(silent);
+        return;
+    }
     if (m_phase != Phase::Sent)
         return;
     SendResult silence;
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -11,6 +11,8 @@
 #include "relay/OutputForecast.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
+#include "relay/PeerForwarding.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayRun.h"
@@ -112,9 +114,11 @@
     TargetProtocol targetProtocol;
     TargetDirectory targets{timers};
     TargetLimits limits{timers};
+    ReachMonitor reach{timers, client, targets, [](const ServiceId &) { return HttpRequest(); }};
     Peer self;
     PeerDirectory peers{timers, client, {}, storeProtocol, counters, self};
     PeerDatagrams datagrams{peers};
+    PeerForwarding forwarding{peers};
     DataCentreHeads heads{timers, peers, datagrams};
     TargetAnnouncements news{timers, peers, heads, datagrams, targets, [] { return true; }};
     EngineReports reports{timers, client, targets, targetProtocol, counters};
@@ -128,6 +132,8 @@
                          client,
                          targets,
                          limits,
+                         reach,
+                         forwarding,
                          news,
                          reports,
                          waiting,
@@ -138,6 +144,7 @@
                          counters,
                          callerProtocol,
                          targetProtocol,
+                         self.vm,
                          DataCentreId(QStringLiteral("hall")),
                          [] { return true; },
                          [] { return DistanceCosts(); },
