A silent second of all targets is no partition

Probes waited 400 ms for an answer. A probe now waits 400 ms for the connection, which the kernel of a live target accepts, and 1 s for the answer.

--- a/src/relay/ReachMonitor.cpp
+++ b/src/relay/ReachMonitor.cpp
@@ -148,9 +148,8 @@
     probe.targets = probe.pending = int(targets.size());
     m_counters.probes += targets.size();
     HttpExchangeOptions options;
-    options.connectTimeout = ProbeTimeout;
-    options.stallTimeout = ProbeTimeout;
-    options.timeout = ProbeTimeout;
+    options.connectTimeout = ProbeConnectTimeout;
+    options.timeout = ProbeAnswerTimeout;
     options.keepConnection = true;
     for (const TargetRecord *target : targets) {
         HttpExchangeCallbacks callbacks;
--- a/src/relay/ServiceReach.h
+++ b/src/relay/ServiceReach.h
@@ -18,8 +18,10 @@
 /// Number of targets that are probed at a time: several failed targets are unlikely to be chosen
 /// together, and answers of one show that the service is reachable.
 constexpr int TargetsPerProbe = 3;
-/// Time for a probe to connect, and then for its answer to begin.
-constexpr Milliseconds ProbeTimeout{400};
+/// Time for a probe to connect; the kernel of a live target accepts within a few ms.
+constexpr Milliseconds ProbeConnectTimeout{400};
+/// Time from the connection to the answer of a probe. A sound target may be silent for a second.
+constexpr Milliseconds ProbeAnswerTimeout{1000};
 /// Interval between probes while the service is unreachable; callers are served by other daemons.
 constexpr Milliseconds UnreachableProbeInterval{500};
 
