--- a/test/failure/PartitionedDaemons.cpp
+++ b/test/failure/PartitionedDaemons.cpp
@@ -255,10 +255,5 @@
         BOOST_TEST_MESSAGE("daemon " << daemon << " found a service unreachable "
                                      << site.site().log(daemon).count("name=service.unreachable")
                                      << " times");
-    for (int daemon = 0; daemon < DaemonCount; ++daemon) {
-        QFile f(QStringLiteral("/tmp/part-%1.log").arg(daemon));
-        (void)f.open(QIODevice::WriteOnly);
-        f.write(site.site().log(daemon));
-    }
     BOOST_TEST(site.checks().broken().join(u'\n').toStdString() == "");
 }
