Soak: daemons are partitioned from all targets

Each target gets a PartitionProxy; about every 2.5 s half of the daemons are partitioned from all targets in one of five forms, or none is, beside the faults of before, with random numbers of its own.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -1,6 +1,7 @@
 #include "soak/SoakRun.h"
 
 #include "http/CallerReply.h"
+#include "support/ConnectionOwner.h"
 #include "support/EventLoop.h"
 
 #include <QElapsedTimer>
@@ -20,6 +21,8 @@
 constexpr int LimitIntervalMs = 2500;
 /// Average interval between changes of refusals.
 constexpr int RefusalIntervalMs = 1200;
+/// Average interval between changes of partitions; a daemon finds out within a second.
+constexpr int PartitionIntervalMs = 2500;
 constexpr Milliseconds EngineRestartTime{700};
 constexpr int MaxOutputTokens = 120;
 constexpr int PromptTokens = 500;
@@ -34,6 +37,7 @@
     , m_limitRandom(options.seed)
     , m_refusalRandom(options.seed)
     , m_tearRandom(options.seed)
+    , m_partitionRandom(options.seed)
 {
     m_checks.expectStreams(test::PlatformSite::events(EventsPerStream));
     m_site.configure(m_version);
@@ -41,6 +45,9 @@
         addEngine();
     for (int i = 0; i < 2; ++i) {
         m_plainTargets.push_back(&m_site.addRunner("plain-" + QByteArray::number(i), "plain"));
+        m_plainTargets.back()->setAnnounced(
+            addPartitionProxy(m_plainTargets.back()->endpoint()).endpoint());
+        m_site.announce(*m_plainTargets.back(), "plain", "ready");
         watchArrivals(*m_plainTargets.back(), false);
         m_plainTargets.back()->onRan([this, i](const HttpRequest &request) {
             recordRun("plain-" + QByteArray::number(i), request);
@@ -65,13 +72,39 @@
     m_engines.push_back(&engine);
     m_engineProxies.push_back(nullptr);
     engine.setLosesMoveAnswers(m_tearRandom() % 4 == 0);
-    if (m_tearRandom() % 2 == 0)
-        return;
-    m_engineProxies.back() = std::make_unique<standin::CloseDelimitedProxy>(engine.endpoint());
-    engine.setAnnounced(m_engineProxies.back()->endpoint());
+    HttpEndpoint endpoint = engine.endpoint();
+    if (m_tearRandom() % 2 != 0) {
+        m_engineProxies.back() = std::make_unique<standin::CloseDelimitedProxy>(endpoint);
+        endpoint = m_engineProxies.back()->endpoint();
+    }
+    m_enginePartitionProxies.push_back(&addPartitionProxy(endpoint));
+    engine.setAnnounced(m_enginePartitionProxies.back()->endpoint());
     m_site.announce(engine, "model", "ready");
 }
 
+standin::PartitionProxy &SoakRun::addPartitionProxy(const HttpEndpoint &endpoint)
+{
+    m_partitionProxies.push_back(
+        std::make_unique<standin::PartitionProxy>(endpoint, [this](quint16 port) {
+            return test::connectionOwner(port, m_site.processes());
+        }));
+    m_partitionProxies.back()->partition(m_partitioned, m_partitionForm);
+    return *m_partitionProxies.back();
+}
+
+void SoakRun::changePartition()
+{
+    m_partitioned.clear();
+    m_partitionForm = standin::PartitionForm(m_partitionRandom() % standin::PartitionFormCount);
+    const bool isPartition = m_partitionRandom() % 3 != 0;
+    for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
+        if (isPartition && m_partitionRandom() % 2 == 0)
+            m_partitioned.insert(daemon);
+    }
+    for (const auto &proxy : m_partitionProxies)
+        proxy->partition(m_partitioned, m_partitionForm);
+}
+
 void SoakRun::crashEngine(std::size_t index)
 {
     if (standin::CloseDelimitedProxy *proxy = m_engineProxies[index].get()) {
@@ -79,8 +112,10 @@
         const qsizetype tornBytes = qsizetype(m_tearRandom() % quint32(event.size()));
         proxy->setTornBytes(event.left(tornBytes));
         // No byte shows a stream that was torn between two events; the end of the process does.
-        if (tornBytes == 0 || m_tearRandom() % 2 == 0)
+        if (tornBytes == 0 || m_tearRandom() % 2 == 0) {
             proxy->stopListeningFor(EngineRestartTime);
+            m_enginePartitionProxies[index]->stopListeningFor(EngineRestartTime);
+        }
     }
     m_engines[index]->crash();
 }
@@ -148,6 +183,7 @@
     qint64 nextFaultMs = FaultIntervalMs;
     qint64 nextLimitMs = LimitIntervalMs / 2;
     qint64 nextRefusalMs = RefusalIntervalMs;
+    qint64 nextPartitionMs = PartitionIntervalMs / 2;
     const qint64 endMs = std::chrono::milliseconds(m_options.duration).count();
     test::waitFor(
         [&] {
@@ -167,6 +203,10 @@
                 changeRefusals();
                 nextRefusalMs += 1 + m_refusalRandom() % (2 * RefusalIntervalMs);
             }
+            while (nextPartitionMs <= elapsed.elapsed()) {
+                changePartition();
+                nextPartitionMs += 1 + m_partitionRandom() % (2 * PartitionIntervalMs);
+            }
             collectAnswers();
             return elapsed.elapsed() > endMs;
         },
@@ -311,6 +351,8 @@
     m_site.store().cutWatches(false);
     m_areEnginesRefusing = false;
     m_arePlainTargetsRefusing = false;
+    for (const auto &proxy : m_partitionProxies)
+        proxy->heal();
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
         m_proxies[size_t(daemon)]->setFault(LinkFault::None);
         if (m_paused[size_t(daemon)])
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -4,6 +4,7 @@
 #include "soak/FaultProxy.h"
 #include "standins/users/CloseDelimitedProxy.h"
 #include "standins/users/LimitChecks.h"
+#include "standins/users/PartitionProxy.h"
 #include "standins/users/PromiseChecks.h"
 #include "standins/users/RetryChecks.h"
 #include "support/PlatformSite.h"
@@ -57,6 +58,10 @@
     void injectDaemonFault();
     void injectStoreFault();
     void injectEngineFault();
+    /// Some daemons are partitioned from all targets, or none.
+    void changePartition();
+    /// Puts a proxy before a target that is reached at @p endpoint.
+    standin::PartitionProxy &addPartitionProxy(const HttpEndpoint &endpoint);
     /// A target names a rate limit, another one, or none.
     void changeLimit();
     void recordRun(const QByteArray &target, const HttpRequest &request);
@@ -75,6 +80,7 @@
     std::mt19937 m_limitRandom;
     std::mt19937 m_refusalRandom;
     std::mt19937 m_tearRandom;
+    std::mt19937 m_partitionRandom;
     QtTimerService m_timers;
     standin::PromiseChecks m_checks;
     standin::LimitChecks m_limits;
@@ -88,6 +94,12 @@
     std::vector<std::unique_ptr<standin::CloseDelimitedProxy>> m_engineProxies;
     std::vector<standin::RunnerEmulator *> m_plainTargets;
     std::vector<std::unique_ptr<FaultProxy>> m_proxies;
+    /// Before all targets.
+    std::vector<std::unique_ptr<standin::PartitionProxy>> m_partitionProxies;
+    /// Of each engine.
+    std::vector<standin::PartitionProxy *> m_enginePartitionProxies;
+    QSet<int> m_partitioned;
+    standin::PartitionForm m_partitionForm = standin::PartitionForm::Hang;
     std::vector<PendingRequest> m_pending;
     std::vector<bool> m_paused;
     int m_requestCount = 0;
--- a/test/standins/users/PartitionProxy.cpp
+++ b/test/standins/users/PartitionProxy.cpp
@@ -2,9 +2,31 @@
 
 #include <QPointer>
 #include <QTcpSocket>
+#include <QTimer>
+
+#include <sys/socket.h>
 
 namespace cranberry::standin {
 
+namespace {
+
+bool isUsable(const QTcpSocket &socket)
+{
+    return socket.state() == QAbstractSocket::ConnectedState
+        || socket.state() == QAbstractSocket::ConnectingState;
+}
+
+/// QTcpSocket::abort() alone closes in order.
+void reset(QTcpSocket &socket)
+{
+    const linger abortive{1, 0};
+    (void)::setsockopt(int(socket.socketDescriptor()), SOL_SOCKET, SO_LINGER, &abortive,
+                       sizeof(abortive));
+    socket.abort();
+}
+
+} // namespace
+
 struct PartitionProxy::Link {
     QPointer<QTcpSocket> client;
     QPointer<QTcpSocket> target;
@@ -35,6 +57,7 @@
     , m_ownerOf(std::move(ownerOf))
 {
     m_server.listen(QHostAddress::LocalHost);
+    m_endpoint = {QStringLiteral("127.0.0.1"), m_server.serverPort()};
     QObject::connect(&m_server, &QTcpServer::newConnection, &m_server, [this] { accept(); });
 }
 
@@ -47,9 +70,13 @@
     }
 }
 
-HttpEndpoint PartitionProxy::endpoint() const
+void PartitionProxy::stopListeningFor(Milliseconds time)
 {
-    return {QStringLiteral("127.0.0.1"), m_server.serverPort()};
+    m_server.close();
+    QTimer::singleShot(time, &m_server, [this] {
+        if (!m_server.isListening())
+            m_server.listen(QHostAddress::LocalHost, m_endpoint.port);
+    });
 }
 
 void PartitionProxy::partition(const QSet<int> &daemons, PartitionForm form)
@@ -64,7 +91,7 @@
         if (form == PartitionForm::Hang)
             link->isSilent = true;
         else if (form == PartitionForm::Reset)
-            link->client->abort();
+            reset(*link->client);
     }
 }
 
@@ -81,7 +108,7 @@
         QObject::connect(client, &QTcpSocket::disconnected, client, &QObject::deleteLater);
         const bool isReset = m_form == PartitionForm::Reset || m_form == PartitionForm::ResetNew;
         if (isPartitioned && isReset) {
-            client->abort();
+            reset(*client);
             continue;
         }
         if (isPartitioned && m_form == PartitionForm::CloseNew) {
@@ -97,18 +124,24 @@
         m_links.append(link);
         QObject::connect(client, &QTcpSocket::readyRead, link->target, [link] {
             const QByteArray data = link->client->readAll();
-            if (!link->isSilent)
+            if (!link->isSilent && isUsable(*link->target))
                 link->target->write(data);
         });
         QObject::connect(link->target, &QTcpSocket::readyRead, client, [link] {
             const QByteArray data = link->target->readAll();
-            if (!link->isSilent)
+            if (!link->isSilent && isUsable(*link->client))
                 link->client->write(data);
         });
-        QObject::connect(link->target, &QTcpSocket::disconnected, client, [link] {
-            if (!link->isSilent)
-                link->client->disconnectFromHost();
-        });
+        QObject::connect(link->target, &QTcpSocket::errorOccurred, client,
+                         [link](QAbstractSocket::SocketError error) {
+                             if (link->isSilent)
+                                 return;
+                             // Only an orderly close of the target is passed on as one.
+                             if (error == QAbstractSocket::RemoteHostClosedError)
+                                 link->client->disconnectFromHost();
+                             else
+                                 reset(*link->client);
+                         });
         link->target->connectToHost(m_target.address, m_target.port);
     }
 }
--- a/test/standins/users/PartitionProxy.h
+++ b/test/standins/users/PartitionProxy.h
@@ -1,6 +1,7 @@
 // Defines PartitionProxy, which partitions a target from some daemons and not from others.
 #pragma once
 
+#include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
 #include <QList>
@@ -44,9 +45,11 @@
     PartitionProxy(const HttpEndpoint &target, OwnerLookup ownerOf);
     ~PartitionProxy();
 
-    HttpEndpoint endpoint() const;
+    HttpEndpoint endpoint() const { return m_endpoint; }
     /// Partitions the target from @p daemons, and from no others, from now on.
     void partition(const QSet<int> &daemons, PartitionForm form);
+    /// Closes the listening socket for @p time, as the end of the target's process does.
+    void stopListeningFor(Milliseconds time);
     void heal() { partition({}, PartitionForm::Hang); }
 
 private:
@@ -56,6 +59,7 @@
     void removeClosedLinks();
 
     HttpEndpoint m_target;
+    HttpEndpoint m_endpoint;
     OwnerLookup m_ownerOf;
     QSet<int> m_partitioned;
     PartitionForm m_form = PartitionForm::Hang;
