--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -49,7 +49,7 @@
     QJsonObject json{{"service", QString::fromLatin1(service)},
                      {"address", QString::fromLatin1(address())},
                      {"zone", m_dataCentre},
-                     {"slots", 8},
+                     {"slots", m_slots},
                      {"state", QString::fromLatin1(state)},
                      {"coldLeftMs", 0}};
     if (m_born)
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -36,6 +36,8 @@
 
     /// The data centre that its entry names.
     void setDataCentre(const QString &name) { m_dataCentre = name; }
+    /// The number of slots that its entry names.
+    void setSlots(int slotCount) { m_slots = slotCount; }
     /// Events of a generation and the time between two.
     void setGeneration(int events, Milliseconds interval);
     /// Generations for which it grants room at a time, running ones included.
@@ -92,6 +94,7 @@
     QtTimerService m_timers;
     HttpEndpoint m_endpoint;
     std::optional<HttpEndpoint> m_announced;
+    int m_slots = 8;
     int m_events = 3;
     Milliseconds m_interval{5};
     int m_room = 1000;
