Daemons keep to their parts of the room of brittle targets

What callers saw: targets that fail if they reject more than N requests a second fell over within 0.2 s of each other, as daemons chose the same target at the same time, and 80 to 94% of the requests failed from then on.

Cause, the class of the incident: each daemon knows its own requests at a target and takes them for all. Loads of plain services are not exchanged, and any exchange is later than a burst.

Change: Server-Brittle is read in platform/; a daemon that has an answer with it keeps to its part of the room: the slots of all targets of the service are dealt to the daemons in turn, in an order that is the same at all (brittleShare). The parts are disjoint without a message; what finds no room waits here and is rejected here. Engines exchange loads and have too little memory to be dealt out: they are filled to 0.8 instead of 1.04. That part was not measured.

Ruled out: backing off after rejections, as a burst rejects more than N before the first answer arrives; permits by rate, which need the time of a request.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -82,6 +82,8 @@
     X(RelayForwarded, 1932, "relay.forwarded")                                                     \
     X(RelayForwardEnded, 1933, "relay.forward_ended")                                              \
     X(ForwardRefused, 1934, "forward.refused")                                                     \
+    X(ServiceBrittle, 1228, "service.brittle")                                                     \
+    X(ServiceRobust, 1229, "service.robust")                                                       \
     X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RetryGranted, 1930, "retry.granted")                                                         \
     X(RetryRefused, 1931, "retry.refused")                                                         \
--- a/src/relay/AnswerHead.h
+++ b/src/relay/AnswerHead.h
@@ -22,6 +22,9 @@
     /// Requests per second that the target takes from all daemons together, if the answer names a
     /// limit; finite and not negative.
     std::optional<double> requestsPerSecond;
+    /// Set if the target says that it is brittle: it fails if it rejects more requests than this in
+    /// a second; finite and not negative.
+    std::optional<double> rejectionsPerSecond;
     /// The limit that the answer names, if it cannot be read.
     QByteArray unreadableLimit;
     /// Names of headers that the protocol does not know.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -3,6 +3,7 @@
 #include "base/TimerService.h"
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
+#include "relay/BrittleServices.h"
 #include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
@@ -121,6 +122,7 @@
     m_hasHead = true;
     m_context.reach.recordAnswer(m_target, m_exchange->isNewConnection());
     m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
+    m_context.brittle.recordAnswer(m_target, m_head, m_sentAt);
     m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable;
     if (!m_isStream)
         return;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -11,6 +11,7 @@
 
 namespace cranberry {
 
+class BrittleServices;
 class CrashGuard;
 class EngineReports;
 class HttpClient;
@@ -30,6 +31,7 @@
     HttpClient &client;
     TargetDirectory &targets;
     TargetLimits &limits;
+    BrittleServices &brittle;
     ReachMonitor &reach;
     PeerForwarding &forwarding;
     TargetAnnouncements &news;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -138,6 +138,7 @@
     , client(timers)
     , targets(timers)
     , limits(timers)
+    , brittle(timers, targets, [this] { return fleetPosition(*this); })
     , reach(timers, client, targets,
             [this](const ServiceId &service) { return probeRequest(*this, service); })
     , reports(timers, client, targets, protocols.targets, counters)
@@ -162,6 +163,7 @@
               client,
               targets,
               limits,
+              brittle,
               reach,
               forwarding,
               news,
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -3,6 +3,7 @@
 #include "base/QtTimerService.h"
 #include "http/HttpClient.h"
 #include "http/HttpListener.h"
+#include "relay/BrittleServices.h"
 #include "relay/CrashGuard.h"
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
@@ -42,6 +43,7 @@
     HttpClient client;
     TargetDirectory targets;
     TargetLimits limits;
+    BrittleServices brittle;
     ReachMonitor reach;
     EngineReports reports;
     WaitingRequests waiting;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -3,6 +3,7 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/BrittleServices.h"
 #include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
 #include "relay/GenerationMove.h"
@@ -37,6 +38,8 @@
 /// Maximum load at which an engine accepts a generation without output. It exceeds 1 because
 /// forecasts count the full length of answers, of which on average half has been generated.
 constexpr double BaseMaxLoad = 1.04;
+/// As above, for engines that fail if they reject too much.
+constexpr double BrittleMaxLoad = 0.8;
 /// Reduction of the maximum load per fraction of the engine's memory that the answer will occupy.
 /// Long answers hold memory for longer than their value justifies: under overload, three answers of
 /// four times the mean length together earn a quarter of what short answers earn in the same
@@ -76,6 +79,9 @@
     need.engine = m_task.engine;
     need.distance = m_context.distanceCosts();
     need.excluded = m_excluded + m_context.limits.withoutPermit();
+    // Engines exchange their loads, and their memory is too small to be dealt out.
+    if (!m_task.engine)
+        need.excluded += m_context.brittle.withoutRoom(m_task.service);
     return need;
 }
 
@@ -186,7 +192,8 @@
     if (isOverdue(now) && m_expectedOutput > ShortOutputLimit)
         return OverdueMaxLoad;
     const double memory = std::max(double(m_task.engine->memory.value()), 1.0);
-    return BaseMaxLoad - LengthDiscount * double(m_expectedOutput.value()) / memory;
+    const double base = m_context.brittle.isBrittle(m_task.service) ? BrittleMaxLoad : BaseMaxLoad;
+    return base - LengthDiscount * double(m_expectedOutput.value()) / memory;
 }
 
 bool RelayRun::tryPlace()
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -5,6 +5,7 @@
 
 #include "http/CallerReply.h"
 #include "http/HttpClient.h"
+#include "relay/BrittleServices.h"
 #include "relay/CrashGuard.h"
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
@@ -114,6 +115,7 @@
     TargetProtocol targetProtocol;
     TargetDirectory targets{timers};
     TargetLimits limits{timers};
+    BrittleServices brittle{timers, targets, [] { return FleetPosition(); }};
     ReachMonitor reach{timers, client, targets, [](const ServiceId &) { return HttpRequest(); }};
     Peer self;
     PeerDirectory peers{timers, client, {}, storeProtocol, counters, self};
@@ -132,6 +134,7 @@
                          client,
                          targets,
                          limits,
+                         brittle,
                          reach,
                          forwarding,
                          news,
