A live peer that does not read for seconds keeps its connection

Cause: TCP_USER_TIMEOUT (3 s) also counts while the peer's window is full, and the system does not distinguish a live peer that does not read from a dead one. A caller that paused for 3 s lost its answer. While data cannot be written, the limit is 10 s; it is 3 s again once all is written.

Ruled out: no limit at all, as a dead peer with a full window would hold its connection for minutes; it is found after 10 s now.

--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace cranberry {
 
@@ -22,6 +23,10 @@
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbeCount = 2;
 
+/// Time limit for a peer that has no room for more data. The system's limit does not distinguish a
+/// live peer that does not read for some seconds from a dead one.
+constexpr Milliseconds BlockedPeerTimeout{10000};
+
 void setOption(int descriptor, int level, int option, int value)
 {
     // Best effort: if the system rejects an option, a dead peer is only detected later.
@@ -182,9 +187,12 @@
             continue;
         }
         // The read notifier also detects a broken connection and reports it outside this call.
-        m_writeNotifier->setEnabled(isTransient(errno));
+        const bool isBlocked = isTransient(errno);
+        m_writeNotifier->setEnabled(isBlocked);
+        setBlocked(isBlocked);
         return;
     }
+    setBlocked(false);
     m_writeNotifier->setEnabled(false);
     m_outgoing.clear();
     m_sentBytes = 0;
@@ -195,6 +203,14 @@
         callback();
 }
 
+void TcpStream::setBlocked(bool isBlocked)
+{
+    if (std::exchange(m_isBlocked, isBlocked) == isBlocked)
+        return;
+    const Milliseconds timeout = isBlocked ? BlockedPeerTimeout : PeerTimeout;
+    setOption(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, int(timeout.count()));
+}
+
 void TcpStream::handleReadable()
 {
     QByteArray data(ReadBufferBytes, Qt::Uninitialized);
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -36,7 +36,8 @@
 /// A TCP connection over a non-blocking socket on the Qt event loop. QTcpSocket reports a reset as
 /// an orderly close, so that a truncated response without a length would look complete. TcpStream
 /// reports the two differently. A peer that disappears without closing the connection is detected
-/// within PeerTimeout, by keep-alive probes and by the timeout for unacknowledged data.
+/// within PeerTimeout, by keep-alive probes and by the timeout for unacknowledged data, and later
+/// if it has no room for more data.
 /// Thread safety: only from the thread of its event loop. A callback may destroy the stream.
 class TcpStream
 {
@@ -84,12 +85,16 @@
     void handleReadable();
     void flush();
     void end(TcpEnd end);
+    /// Adapts the time limit for unacknowledged data when the peer begins or ceases to have no
+    /// room.
+    void setBlocked(bool isBlocked);
     void scheduleNotConnected();
     void closeDescriptor(bool reset);
 
     int m_descriptor;
     State m_state;
     bool m_shutDownRequested = false;
+    bool m_isBlocked = false;
     QByteArray m_outgoing;
     qsizetype m_sentBytes = 0;
     TcpStreamCallbacks m_callbacks;
