A daemon that does not know forwarding has not run the request

A complete response without an outcome counted as 'may have run', so that during a roll an at-most-once request forwarded to a daemon of the version before was answered 502. Such a daemon answers 503 for the path and runs nothing; so do rejections of the message itself. Found by reading; not run beside the old version.

--- a/src/relay/ForwardedExchange.cpp
+++ b/src/relay/ForwardedExchange.cpp
@@ -46,7 +46,9 @@
 {
     m_result.status = status;
     m_result.headers = callerHeadersOf(headers);
-    m_result.outcome = forwardOutcomeOf(headers).value_or(ForwardOutcome::Broken);
+    // All that a request leads to names its outcome. Daemons of earlier versions, and rejections of
+    // the message itself, do not.
+    m_result.outcome = forwardOutcomeOf(headers).value_or(ForwardOutcome::NotTaken);
     m_isStream = m_expectsStream && m_result.outcome == ForwardOutcome::Answered
         && m_exchange->framing() == BodyFraming::Chunks;
     if (!m_isStream)
