--- a/test/failure/ForwardedRequests.cpp
+++ b/test/failure/ForwardedRequests.cpp
@@ -67,8 +67,8 @@
     {
         for (Runner *runner : runners)
             runner->setGeneration(LongStream, EventInterval);
-        const auto call = site.send(Partitioned, "POST", "/model/a", id,
-                                    test::PlatformSite::generation(100, LongStream));
+        std::shared_ptr<test::ClientCall> call = site.send(
+            Partitioned, "POST", "/model/a", id, test::PlatformSite::generation(100, LongStream));
         BOOST_REQUIRE(test::waitFor([&] { return call->response.body.contains("id: 5\n"); }));
         return call;
     }
--- a/test/support/ConnectionOwner.cpp
+++ b/test/support/ConnectionOwner.cpp
@@ -27,7 +27,7 @@
         const qsizetype begin = rows.lastIndexOf('\n', at) + 1;
         const QList<QByteArray> fields =
             rows.mid(begin, rows.indexOf('\n', at) - begin).simplified().split(' ');
-        const QByteArray inode = fields.value(FieldsBeforeInode);
+        QByteArray inode = fields.value(FieldsBeforeInode);
         // A connection that is closed has none.
         if (!inode.isEmpty() && inode != "0")
             return inode;
