--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -54,6 +54,8 @@
     X(QuarantineSuspect, 1701, "quarantine.suspect")                                               \
     X(QuarantineAdded, 1702, "quarantine.added")                                                   \
     X(QuarantineReleased, 1703, "quarantine.released")                                             \
+    X(CrashEvidence, 1704, "crash.evidence")                                                       \
+    X(CrashNews, 1705, "crash.news")                                                               \
     X(OrderIssued, 1801, "order.issued")                                                           \
     X(OrderRefused, 1802, "order.refused")                                                         \
     X(IssuerGained, 1803, "issuer.gained")                                                         \
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -34,6 +34,13 @@
 class CrashGuard
 {
 public:
+    struct Counters {
+        qint64 attemptsBroken = 0;
+        qint64 attemptsEnded = 0;
+        qint64 targetsDisappeared = 0;
+        qint64 newsReceived = 0;
+    };
+
     /// Precondition: all arguments outlive the object.
     CrashGuard(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams);
     ~CrashGuard();
@@ -44,6 +51,7 @@
                       const TargetId &target, RelayAttemptEnd end);
     /// The entry of @p target ended without prior notice that it leaves.
     void targetDisappeared(const TargetId &target);
+    const Counters &counters() const { return m_counters; }
 
 private:
     struct BrokenAttempt {
@@ -57,6 +65,7 @@
     void removeExpired();
 
     TimerService &m_timers;
+    Counters m_counters;
     Quarantine m_quarantine;
     QList<BrokenAttempt> m_brokenAttempts;
     QHash<TargetId, MonotonicTime> m_disappeared;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -99,6 +99,15 @@
         + gaugeText("cranberry_relay_unreachable_services", parts.reach.unreachable().size());
 }
 
+QByteArray crashesText(const RelayParts &parts)
+{
+    const CrashGuard::Counters &counters = parts.crashGuard.counters();
+    QByteArray text = counterText("cranberry_relay_attempts_broken_total", counters.attemptsBroken);
+    text += counterText("cranberry_relay_attempts_ended_total", counters.attemptsEnded);
+    text += counterText("cranberry_relay_targets_disappeared_total", counters.targetsDisappeared);
+    return text + counterText("cranberry_relay_crash_news_total", counters.newsReceived);
+}
+
 } // namespace
 
 QByteArray relayMetricsText(RelayParts &parts)
@@ -137,6 +146,7 @@
     text += limitsText(parts);
     text += retryUnitsText(parts);
     text += forwardingText(parts);
+    text += crashesText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
