--- a/test/standins/users/PartitionProxy.h
+++ b/test/standins/users/PartitionProxy.h
@@ -46,6 +46,8 @@
     ~PartitionProxy();
 
     HttpEndpoint endpoint() const { return m_endpoint; }
+    /// Forwards new connections to @p target, a process that replaced the former one.
+    void setTarget(const HttpEndpoint &target) { m_target = target; }
     /// Partitions the target from @p daemons, and from no others, from now on.
     void partition(const QSet<int> &daemons, PartitionForm form);
     /// Closes the listening socket for @p time, as the end of the target's process does.
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -255,13 +255,20 @@
 std::shared_ptr<ClientCall> PlatformSite::callWithBody(int daemon, const QByteArray &path,
                                                        const QByteArray &id, const QByteArray &body)
 {
-    HttpRequest request = requestOf("POST", path, id, {});
-    request.body = body;
-    std::shared_ptr<ClientCall> sent = sendRequest(callers(daemon), request);
+    std::shared_ptr<ClientCall> sent = sendWithBody(daemon, path, id, body);
     finish(sent);
     return sent;
 }
 
+std::shared_ptr<ClientCall> PlatformSite::sendWithBody(int daemon, const QByteArray &path,
+                                                       const QByteArray &id, const QByteArray &body,
+                                                       const HttpHeaders &more)
+{
+    HttpRequest request = requestOf("POST", path, id, more);
+    request.body = body;
+    return sendRequest(callers(daemon), request);
+}
+
 std::shared_ptr<ClientCall> PlatformSite::callWithKey(int daemon, const QByteArray &path,
                                                       const QByteArray &id, const QByteArray &key)
 {
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -76,6 +76,10 @@
                                      const QByteArray &id, const HttpHeaders &more = {});
     std::shared_ptr<ClientCall> callWithBody(int daemon, const QByteArray &path,
                                              const QByteArray &id, const QByteArray &body);
+    /// As callWithBody(), without waiting.
+    std::shared_ptr<ClientCall> sendWithBody(int daemon, const QByteArray &path,
+                                             const QByteArray &id, const QByteArray &body,
+                                             const HttpHeaders &more = {});
     std::shared_ptr<ClientCall> callWithKey(int daemon, const QByteArray &path,
                                             const QByteArray &id, const QByteArray &key);
     static bool finish(const std::shared_ptr<ClientCall> &call);
