--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -41,9 +41,12 @@
         options.daemons = int(FLAGS_daemons);
         cranberry::soak::SoakRun run(options);
         const cranberry::standin::PromiseChecks &checks = run.run();
-        const QStringList broken = checks.broken() + run.limits().broken() + run.brokenBudgets();
-        std::printf("seed %u: %d answers, %d whole, %d promises broken\n", seed, checks.answers(),
-                    checks.wholeAnswers(), int(broken.size()));
+        const QStringList broken =
+            checks.broken() + run.limits().broken() + run.brokenBudgets() + run.brokenCrashBounds();
+        std::printf("seed %u: %d answers, %d whole, %d targets crashed by %d requests, %d promises "
+                    "broken\n",
+                    seed, checks.answers(), checks.wholeAnswers(), run.crashedTargets(),
+                    run.harmfulRequests(), int(broken.size()));
         for (const QString &line : broken)
             std::printf("  %s\n", qPrintable(line));
         std::fflush(stdout);
--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -24,6 +24,13 @@
 /// Average interval between changes of partitions; a daemon finds out within a second.
 constexpr int PartitionIntervalMs = 2500;
 constexpr Milliseconds EngineRestartTime{700};
+constexpr int FragileTargets = 6;
+/// Interval between requests of callers that repeat a harmful request; another one follows later.
+constexpr int FragileIntervalMs = 150;
+constexpr int HarmfulRequestMs = 6000;
+/// A harmful request may be sent this often later than StableTime after the third crash.
+constexpr int MaxLateRuns = 3;
+constexpr Milliseconds StableTime{3000};
 constexpr int MaxOutputTokens = 120;
 constexpr int PromptTokens = 500;
 /// Time for the pending requests to end after the last fault; their deadline is 15 s.
@@ -38,7 +45,10 @@
     , m_refusalRandom(options.seed)
     , m_tearRandom(options.seed)
     , m_partitionRandom(options.seed)
+    , m_fragileRandom(options.seed)
+    , m_fragile(m_site, options.seed, "fragile")
 {
+    m_site.setFragileService();
     m_checks.expectStreams(test::PlatformSite::events(EventsPerStream));
     m_site.configure(m_version);
     for (int i = 0; i < options.engines; ++i)
@@ -53,6 +63,10 @@
             recordRun("plain-" + QByteArray::number(i), request);
         });
     }
+    m_fragile.onRan([this](const QByteArray &target, const HttpRequest &request) {
+        recordRun(target, request);
+    });
+    m_fragile.add(FragileTargets, options.daemons);
     for (int i = 0; i < options.daemons; ++i) {
         const int daemon = m_site.startDaemon();
         m_proxies.push_back(std::make_unique<FaultProxy>(m_site.callers(daemon)));
@@ -103,6 +117,7 @@
     }
     for (const auto &proxy : m_partitionProxies)
         proxy->partition(m_partitioned, m_partitionForm);
+    m_fragile.partition(m_partitioned, m_partitionForm);
 }
 
 void SoakRun::crashEngine(std::size_t index)
@@ -175,6 +190,44 @@
     return broken;
 }
 
+void SoakRun::sendFragile()
+{
+    const int daemon = int(m_fragileRandom() % quint32(m_options.daemons));
+    const bool isHarmful = m_fragileRandom() % 2 == 0;
+    const bool isSafe = m_fragileRandom() % 2 == 0;
+    const bool leaves = isHarmful && m_fragileRandom() % 3 == 0;
+    if (m_site.hasEnded(daemon))
+        return;
+    const QByteArray id =
+        "f" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
+    const QByteArray body = isHarmful
+        ? standin::CrashingTargets::HarmfulPrefix + QByteArray::number(m_harmfulBodies)
+        : "body of " + id;
+    m_limits.sent(id, daemon);
+    m_pending.push_back(
+        {id,
+         m_site.sendWithBody(daemon, isSafe ? "/fragile-safe/a" : "/fragile-unsafe/a", id, body),
+         daemon, false});
+    if (leaves)
+        m_pending.pop_back();
+}
+
+QStringList SoakRun::brokenCrashBounds() const
+{
+    QStringList broken;
+    for (const auto &[body, runs] : m_fragile.harmful()) {
+        const int late = runs.lateRuns(StableTime);
+        if (late > MaxLateRuns)
+            broken.append(QStringLiteral("%1 ran %2 times later than 3 s after the third crash, "
+                                         "allowed are %3; it crashed %4 targets")
+                              .arg(QString::fromLatin1(body))
+                              .arg(late)
+                              .arg(MaxLateRuns)
+                              .arg(runs.crashes.size()));
+    }
+    return broken;
+}
+
 const standin::PromiseChecks &SoakRun::run()
 {
     QElapsedTimer elapsed;
@@ -184,6 +237,8 @@
     qint64 nextLimitMs = LimitIntervalMs / 2;
     qint64 nextRefusalMs = RefusalIntervalMs;
     qint64 nextPartitionMs = PartitionIntervalMs / 2;
+    qint64 nextFragileMs = FragileIntervalMs;
+    qint64 nextHarmfulMs = 0;
     const qint64 endMs = std::chrono::milliseconds(m_options.duration).count();
     test::waitFor(
         [&] {
@@ -207,6 +262,17 @@
                 changePartition();
                 nextPartitionMs += 1 + m_partitionRandom() % (2 * PartitionIntervalMs);
             }
+            while (nextHarmfulMs <= elapsed.elapsed()) {
+                ++m_harmfulBodies;
+                m_fragile.setBehaviour(
+                    {standin::CrashForm(m_fragileRandom() % standin::CrashFormCount),
+                     Milliseconds(1500 + m_fragileRandom() % 3500), m_fragileRandom() % 2 == 0});
+                nextHarmfulMs += HarmfulRequestMs;
+            }
+            while (nextFragileMs <= elapsed.elapsed()) {
+                sendFragile();
+                nextFragileMs += FragileIntervalMs;
+            }
             collectAnswers();
             return elapsed.elapsed() > endMs;
         },
@@ -353,6 +419,7 @@
     m_arePlainTargetsRefusing = false;
     for (const auto &proxy : m_partitionProxies)
         proxy->heal();
+    m_fragile.partition({}, standin::PartitionForm::Hang);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
         m_proxies[size_t(daemon)]->setFault(LinkFault::None);
         if (m_paused[size_t(daemon)])
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -3,6 +3,7 @@
 #include "base/QtTimerService.h"
 #include "soak/FaultProxy.h"
 #include "standins/users/CloseDelimitedProxy.h"
+#include "standins/users/CrashingTargets.h"
 #include "standins/users/LimitChecks.h"
 #include "standins/users/PartitionProxy.h"
 #include "standins/users/PromiseChecks.h"
@@ -40,6 +41,12 @@
     /// A line for each service that received more repeats than allowed. Precondition: run() has
     /// returned.
     QStringList brokenBudgets() const;
+    /// A line for each request that crashed targets and went on being sent. Precondition: run() has
+    /// returned.
+    QStringList brokenCrashBounds() const;
+    /// Targets that harmful requests crashed, and the requests.
+    int crashedTargets() const { return m_fragile.crashed(); }
+    int harmfulRequests() const { return m_harmfulBodies; }
 
 private:
     struct PendingRequest {
@@ -67,6 +74,8 @@
     void recordRun(const QByteArray &target, const HttpRequest &request);
     /// All targets of a service begin to refuse requests, or stop.
     void changeRefusals();
+    /// Sends a request that crashes its targets, or an ordinary one to the same service.
+    void sendFragile();
     /// Counts a request that a target receives; refuses it if its service does so now.
     void watchArrivals(standin::RunnerEmulator &target, bool isEngine);
     /// An engine crashes. Streams without a length are torn inside an event, or between two events
@@ -100,6 +109,9 @@
     std::vector<standin::PartitionProxy *> m_enginePartitionProxies;
     QSet<int> m_partitioned;
     standin::PartitionForm m_partitionForm = standin::PartitionForm::Hang;
+    std::mt19937 m_fragileRandom;
+    standin::CrashingTargets m_fragile;
+    int m_harmfulBodies = 0;
     std::vector<PendingRequest> m_pending;
     std::vector<bool> m_paused;
     int m_requestCount = 0;
--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -55,7 +55,9 @@
     X(QuarantineAdded, 1702, "quarantine.added")                                                   \
     X(QuarantineReleased, 1703, "quarantine.released")                                             \
     X(CrashEvidence, 1704, "crash.evidence")                                                       \
-    X(CrashNews, 1705, "crash.news")                                                               \
+    X(CrashTrial, 1705, "crash.trial")                                                             \
+    X(CrashHeld, 1706, "crash.held")                                                               \
+    X(CrashRecordsRead, 1707, "crash.records_read")                                                \
     X(OrderIssued, 1801, "order.issued")                                                           \
     X(OrderRefused, 1802, "order.refused")                                                         \
     X(IssuerGained, 1803, "issuer.gained")                                                         \
--- /dev/null
+++ b/src/quarantine/CrashLedger.cpp
@@ -0,0 +1,440 @@
+#include "quarantine/CrashLedger.h"
+
+#include "membership/RendezvousHash.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+/// Daemons that vote on a trial, of which the majority must agree.
+constexpr int VoterCount = 3;
+constexpr Milliseconds AskRepeatInterval{60};
+/// A trial is given up after this time. If nobody refused it and only one suspicion is known, it is
+/// made all the same: ordinary requests that were on a target that ended must not depend on other
+/// daemons.
+constexpr Milliseconds AskTimeout{200};
+constexpr Milliseconds CompareInterval{1000};
+constexpr int CompareCount = 2;
+constexpr int PullCount = 5;
+constexpr qsizetype MaxRecords = 4096;
+constexpr qsizetype MaxCompletedRequests = 4096;
+constexpr Milliseconds CompletedLifetime{60'000};
+
+bool isWithdrawn(const CrashRecord &record)
+{
+    return std::all_of(
+        record.suspicions.begin(), record.suspicions.end(),
+        [](const CrashSuspicion &run) { return run.state == SuspicionState::Withdrawn; });
+}
+
+} // namespace
+
+CrashLedger::CrashLedger(VmId self, Callbacks callbacks)
+    : m_self(std::move(self))
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+RunVerdict CrashLedger::verdict(const RequestFingerprint &request, MonotonicTime now) const
+{
+    const auto record = m_records.constFind(request);
+    return record == m_records.cend() ? RunVerdict::Free
+                                      : runVerdict(*record, m_self, SuspicionId(), now);
+}
+
+CrashSuspicion *CrashLedger::find(const RequestFingerprint &request, SuspicionId id)
+{
+    const auto record = m_records.find(request);
+    if (record == m_records.end())
+        return nullptr;
+    for (CrashSuspicion &run : record->suspicions) {
+        if (run.id == id)
+            return &run;
+    }
+    return nullptr;
+}
+
+SuspicionId CrashLedger::addRun(const RequestFingerprint &request, const WorkspaceId &workspace,
+                                const TargetId &target, MonotonicTime now)
+{
+    CrashSuspicion run;
+    run.id = SuspicionId(qint64(m_callbacks.random() >> 1) | 1);
+    run.daemon = m_self;
+    run.target = target;
+    run.changedAt = now;
+    CrashRecord added;
+    added.fingerprint = request;
+    added.workspace = workspace;
+    added.suspicions.append(run);
+    makeRoom();
+    CrashRecord &record = m_records[request];
+    record.fingerprint = request;
+    merge(record, added);
+    addCompletions(record, now);
+    m_unpublished.insert(run.id.value());
+    m_digest.reset();
+    return run.id;
+}
+
+bool CrashLedger::makeRoom()
+{
+    if (m_records.size() < MaxRecords)
+        return true;
+    for (auto record = m_records.begin(); record != m_records.end(); ++record) {
+        if (isWithdrawn(*record)) {
+            m_records.erase(record);
+            m_digest.reset();
+            return true;
+        }
+    }
+    return false;
+}
+
+void CrashLedger::publish(const RequestFingerprint &request)
+{
+    const auto record = m_records.constFind(request);
+    if (record == m_records.cend())
+        return;
+    for (const CrashSuspicion &run : record->suspicions)
+        m_unpublished.remove(run.id.value());
+    CrashMessage message;
+    message.records.append(*record);
+    m_callbacks.broadcast(message);
+}
+
+void CrashLedger::removeRun(const RequestFingerprint &request, SuspicionId id)
+{
+    m_unpublished.remove(id.value());
+    m_digest.reset();
+    const auto record = m_records.find(request);
+    if (record == m_records.end())
+        return;
+    record->suspicions.removeIf([id](const CrashSuspicion &run) { return run.id == id; });
+    if (record->suspicions.isEmpty())
+        m_records.erase(record);
+}
+
+void CrashLedger::setTarget(const RequestFingerprint &request, SuspicionId id,
+                            const TargetId &target)
+{
+    if (CrashSuspicion *run = find(request, id))
+        run->target = target;
+}
+
+void CrashLedger::setState(const RequestFingerprint &request, SuspicionId id, SuspicionState state,
+                           MonotonicTime now)
+{
+    CrashSuspicion *run = find(request, id);
+    if (!run || run->state >= state)
+        return;
+    run->state = state;
+    run->changedAt = now;
+    m_digest.reset();
+    m_callbacks.changed(m_records.value(request), CrashSuspicion(*run));
+}
+
+void CrashLedger::suspect(const RequestFingerprint &request, SuspicionId id, MonotonicTime now)
+{
+    setState(request, id, SuspicionState::Suspected, now);
+    publish(request);
+}
+
+void CrashLedger::withdraw(const RequestFingerprint &request, SuspicionId id, MonotonicTime now)
+{
+    if (!isPublished(id)) {
+        removeRun(request, id);
+        return;
+    }
+    setState(request, id, SuspicionState::Withdrawn, now);
+    publish(request);
+}
+
+bool CrashLedger::addCompletions(CrashRecord &record, MonotonicTime now) const
+{
+    const auto completed = m_completed.constFind(record.fingerprint);
+    if (completed == m_completed.cend() || now - completed->lastAt > CompletedLifetime)
+        return false;
+    CrashRecord own;
+    own.completions.insert(m_self, completed->count);
+    return merge(record, own);
+}
+
+void CrashLedger::recordCompleted(const RequestFingerprint &request, MonotonicTime now)
+{
+    if (m_completed.size() >= MaxCompletedRequests && !m_completed.contains(request)) {
+        // Requests that complete once are many and need no entry for long.
+        m_completed.removeIf([now](const auto &entry) {
+            return now - entry.value().lastAt > CompletedLifetime / 2;
+        });
+        if (m_completed.size() >= MaxCompletedRequests)
+            m_completed.clear();
+    }
+    CompletedRuns &completed = m_completed[request];
+    if (now - completed.lastAt > CompletedLifetime)
+        completed.count = 0;
+    completed.count = std::min(completed.count + 1, MaxCompletionsPerDaemon);
+    completed.lastAt = now;
+    const auto record = m_records.find(request);
+    if (record == m_records.end())
+        return;
+    const RunVerdict before = verdict(request, now);
+    if (addCompletions(*record, now) && before != RunVerdict::Free)
+        publish(request);
+}
+
+bool CrashLedger::isAsking(const RequestFingerprint &request) const
+{
+    return std::any_of(m_asking.begin(), m_asking.end(),
+                       [&](const Asking &asking) { return asking.request == request; });
+}
+
+void CrashLedger::askTrial(const RequestFingerprint &request, const WorkspaceId &workspace,
+                           MonotonicTime now)
+{
+    const SuspicionId id = addRun(request, workspace, TargetId(), now);
+    Asking asking;
+    asking.request = request;
+    asking.id = id;
+    asking.since = now;
+    asking.voters =
+        rendezvousOrder(request.text(), m_callbacks.members() + QList<VmId>{m_self}, VoterCount);
+    // This daemon has no other run of the request, or the verdict would not be Trial.
+    if (asking.voters.contains(m_self))
+        asking.granted.insert(m_self);
+    m_asking.push_back(asking);
+    sendAsk(m_asking.back(), now);
+    countVotes(id, now);
+}
+
+void CrashLedger::sendAsk(Asking &asking, MonotonicTime now)
+{
+    asking.sentAt = now;
+    m_unpublished.remove(asking.id.value());
+    CrashMessage message;
+    message.kind = CrashMessageKind::Ask;
+    message.id = asking.id;
+    message.records.append(m_records.value(asking.request));
+    for (const VmId &voter : std::as_const(asking.voters)) {
+        if (!asking.granted.contains(voter) && !asking.refused.contains(voter))
+            m_callbacks.send(voter, message);
+    }
+}
+
+void CrashLedger::countVotes(SuspicionId id, MonotonicTime now)
+{
+    const auto asking = std::find_if(m_asking.begin(), m_asking.end(),
+                                     [id](const Asking &other) { return other.id == id; });
+    if (asking == m_asking.end())
+        return;
+    const qsizetype majority = asking->voters.size() / 2 + 1;
+    if (asking->granted.size() >= majority)
+        endAsking(id, true, now);
+    else if (asking->refused.size() > asking->voters.size() - majority)
+        endAsking(id, false, now);
+}
+
+void CrashLedger::endAsking(SuspicionId id, bool isGranted, MonotonicTime now)
+{
+    const auto found = std::find_if(m_asking.begin(), m_asking.end(),
+                                    [id](const Asking &asking) { return asking.id == id; });
+    const Asking asking = *found;
+    m_asking.erase(found);
+    // What was learned while asking may forbid the run.
+    const auto record = m_records.constFind(asking.request);
+    const RunVerdict verdict =
+        record == m_records.cend() ? RunVerdict::Free : runVerdict(*record, m_self, id, now);
+    const bool isAllowed =
+        isGranted && (verdict == RunVerdict::Trial || verdict == RunVerdict::Free);
+    if (isAllowed)
+        publish(asking.request);
+    else
+        withdraw(asking.request, id, now);
+    m_callbacks.trialDecided(asking.request, id, isAllowed);
+}
+
+void CrashLedger::vote(const VmId &from, const CrashMessage &message, MonotonicTime now)
+{
+    const CrashRecord &asked = message.records.first();
+    CrashRecord others = asked;
+    others.suspicions.removeIf([&](const CrashSuspicion &run) { return run.id == message.id; });
+    if (!others.suspicions.isEmpty())
+        mergeRecord(from, others, now);
+    const auto known = m_records.constFind(asked.fingerprint);
+    const RunVerdict verdict =
+        known == m_records.cend() ? RunVerdict::Free : runVerdict(*known, m_self, message.id, now);
+    CrashMessage answer;
+    answer.id = message.id;
+    // A daemon that does not know the records yet cannot vote for a run.
+    const bool isGranted =
+        m_isSynchronised && (verdict == RunVerdict::Trial || verdict == RunVerdict::Free);
+    answer.kind = isGranted ? CrashMessageKind::Grant : CrashMessageKind::Refuse;
+    if (isGranted)
+        mergeRecord(from, asked, now);
+    CrashRecord record = m_records.value(asked.fingerprint);
+    record.fingerprint = asked.fingerprint;
+    answer.records.append(record);
+    if (m_isSynchronised)
+        m_callbacks.send(from, answer);
+}
+
+void CrashLedger::mergeRecord(const VmId &from, const CrashRecord &record, MonotonicTime now)
+{
+    const bool isEmpty = record.suspicions.isEmpty();
+    if (isEmpty || (!m_records.contains(record.fingerprint) && !makeRoom()))
+        return;
+    CrashRecord &known = m_records[record.fingerprint];
+    known.fingerprint = record.fingerprint;
+    const QList<CrashSuspicion> before = known.suspicions;
+    if (!merge(known, record))
+        return;
+    m_digest.reset();
+    for (const CrashSuspicion &run : std::as_const(known.suspicions)) {
+        const bool isKnown =
+            std::any_of(before.begin(), before.end(), [&](const CrashSuspicion &other) {
+                return other.id == run.id && other.state == run.state;
+            });
+        if (!isKnown)
+            m_callbacks.changed(known, run);
+    }
+    const bool isSuspected =
+        std::any_of(known.suspicions.begin(), known.suspicions.end(),
+                    [](const auto &run) { return run.state == SuspicionState::Suspected; });
+    // The sender tells the others; one message of each daemon that has completed the request to all
+    // would be too many.
+    if (isSuspected && addCompletions(known, now)) {
+        CrashMessage message;
+        message.records.append(known);
+        m_callbacks.send(from, message);
+    }
+}
+
+void CrashLedger::handle(const VmId &from, const CrashMessage &message, MonotonicTime now)
+{
+    switch (message.kind) {
+    case CrashMessageKind::PullAnswer:
+        m_isSynchronised = true;
+        [[fallthrough]];
+    case CrashMessageKind::Records:
+        for (const CrashRecord &record : message.records) {
+            const RunVerdict before = verdict(record.fingerprint, now);
+            mergeRecord(from, record, now);
+            // Daemons that have completed the request tell only the one that suspected it.
+            const bool isOwn =
+                std::any_of(record.suspicions.begin(), record.suspicions.end(),
+                            [this](const CrashSuspicion &run) { return run.daemon == m_self; });
+            if (isOwn && before != RunVerdict::Free
+                && verdict(record.fingerprint, now) == RunVerdict::Free)
+                publish(record.fingerprint);
+        }
+        break;
+    case CrashMessageKind::Ask:
+        vote(from, message, now);
+        break;
+    case CrashMessageKind::Grant:
+    case CrashMessageKind::Refuse:
+        mergeRecord(from, message.records.first(), now);
+        for (Asking &asking : m_asking) {
+            if (asking.id != message.id || !asking.voters.contains(from))
+                continue;
+            (message.kind == CrashMessageKind::Grant ? asking.granted : asking.refused)
+                .insert(from);
+        }
+        countVotes(message.id, now);
+        break;
+    case CrashMessageKind::Digest:
+        if (message.digest != digest()) {
+            CrashMessage pull;
+            pull.kind = CrashMessageKind::Pull;
+            m_callbacks.send(from, pull);
+        }
+        break;
+    case CrashMessageKind::Pull:
+        sendAll(from);
+        break;
+    }
+}
+
+void CrashLedger::sendAll(const VmId &to) const
+{
+    CrashMessage message;
+    message.kind = CrashMessageKind::PullAnswer;
+    // Those that matter first: the receiver goes on after the first message.
+    QList<const CrashRecord *> records;
+    for (const CrashRecord &record : m_records)
+        records.append(&record);
+    std::stable_partition(records.begin(), records.end(),
+                          [](const CrashRecord *record) { return !isWithdrawn(*record); });
+    for (const CrashRecord *record : std::as_const(records)) {
+        message.records.append(*record);
+        if (message.records.size() < MaxRecordsPerMessage)
+            continue;
+        m_callbacks.send(to, message);
+        message.records.clear();
+    }
+    m_callbacks.send(to, message);
+}
+
+void CrashLedger::tick(MonotonicTime now)
+{
+    QList<SuspicionId> timedOut;
+    for (Asking &asking : m_asking) {
+        if (now - asking.since >= AskTimeout)
+            timedOut.append(asking.id);
+        else if (now - asking.sentAt >= AskRepeatInterval)
+            sendAsk(asking, now);
+    }
+    for (const SuspicionId id : std::as_const(timedOut)) {
+        const auto asking = std::find_if(m_asking.begin(), m_asking.end(),
+                                         [id](const Asking &other) { return other.id == id; });
+        const int suspicions = suspicionCount(m_records.value(asking->request), m_self, now);
+        endAsking(id, asking->refused.isEmpty() && suspicions <= 1, now);
+    }
+    if (now - m_comparedAt >= CompareInterval) {
+        m_comparedAt = now;
+        dropExpired(now);
+        compareDigests();
+    }
+}
+
+void CrashLedger::compareDigests()
+{
+    if (m_records.isEmpty())
+        return;
+    CrashMessage message;
+    message.kind = CrashMessageKind::Digest;
+    message.digest = digest();
+    QList<VmId> members = m_callbacks.members();
+    for (int sent = 0; sent < CompareCount && !members.isEmpty(); ++sent)
+        m_callbacks.send(members.takeAt(qsizetype(m_callbacks.random() % quint64(members.size()))),
+                         message);
+}
+
+void CrashLedger::pull()
+{
+    CrashMessage message;
+    message.kind = CrashMessageKind::Pull;
+    QList<VmId> members = m_callbacks.members();
+    for (int sent = 0; sent < PullCount && !members.isEmpty(); ++sent)
+        m_callbacks.send(members.takeAt(qsizetype(m_callbacks.random() % quint64(members.size()))),
+                         message);
+}
+
+void CrashLedger::dropExpired(MonotonicTime now)
+{
+    if (m_records.removeIf([now](const auto &entry) { return isExpired(entry.value(), now); }) > 0)
+        m_digest.reset();
+}
+
+quint64 CrashLedger::digest()
+{
+    if (!m_digest) {
+        m_digest = 0;
+        for (const CrashRecord &record : std::as_const(m_records))
+            *m_digest ^= digestOf(record);
+    }
+    return *m_digest;
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/AttemptMonitor.cpp
@@ -0,0 +1,334 @@
+#include "relay/AttemptMonitor.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "http/HttpClient.h"
+#include "quarantine/CrashLedger.h"
+#include "relay/RelayAttemptEnd.h"
+#include "relay/TargetDirectory.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+namespace {
+
+constexpr Milliseconds CheckInterval{50};
+/// Other daemons are told of a run if its target has not answered for this time after its end; a
+/// target that survived answers a probe within a few ms.
+constexpr Milliseconds PublishDelay{50};
+/// A running attempt makes this daemon probe the target if nothing arrived from it for this time.
+constexpr Milliseconds QuietTime{300};
+/// A target that has not answered a probe within this time may have crashed...
+constexpr Milliseconds SilenceTime{300};
+/// ...unless it answers the same probe later.
+constexpr Milliseconds ProbeTimeout{1000};
+/// Targets close connections that are idle for longer.
+constexpr Milliseconds MaxIdleTime{2000};
+/// An entry ends three missed heartbeats of 1.2 s after a crash, and the change takes a few ms to
+/// arrive.
+constexpr Milliseconds DisappearanceWindow{6000};
+
+Milliseconds elapsed(MonotonicTime since, MonotonicTime now)
+{
+    return std::chrono::duration_cast<Milliseconds>(now - since);
+}
+
+} // namespace
+
+AttemptMonitor::AttemptMonitor(TimerService &timers, HttpClient &client,
+                               const TargetDirectory &targets, CrashLedger &ledger,
+                               ProbeRequest probeRequest, IsOther isOther)
+    : m_timers(timers)
+    , m_client(client)
+    , m_targets(targets)
+    , m_ledger(ledger)
+    , m_probeRequest(std::move(probeRequest))
+    , m_isOther(std::move(isOther))
+{
+}
+
+AttemptMonitor::~AttemptMonitor() = default;
+
+int AttemptMonitor::started(const RequestFingerprint &request, const WorkspaceId &workspace,
+                            const TargetId &target, std::optional<SuspicionId> trial)
+{
+    Attempt attempt;
+    attempt.request = request;
+    attempt.workspace = workspace;
+    attempt.target = target;
+    attempt.startedAt = m_timers.now();
+    attempt.run = trial;
+    if (trial)
+        m_ledger.setTarget(request, *trial, target);
+    if (const TargetRecord *record = m_targets.find(target)) {
+        Probed &probed = m_probed[target];
+        probed.endpoint = record->entry.endpoint;
+        probed.service = record->entry.service;
+    }
+    m_attempts.emplace(++m_lastNumber, attempt);
+    startTimer();
+    return m_lastNumber;
+}
+
+void AttemptMonitor::startTimer()
+{
+    if (m_checkTimer)
+        return;
+    m_checkedAt = m_timers.now();
+    scheduleCheck();
+}
+
+void AttemptMonitor::scheduleCheck()
+{
+    m_checkTimer = m_timers.after(CheckInterval, [this] { check(); });
+}
+
+void AttemptMonitor::ended(int number, RelayAttemptEnd end)
+{
+    const auto found = m_attempts.find(number);
+    if (found == m_attempts.end())
+        return;
+    Attempt &attempt = found->second;
+    const MonotonicTime now = m_timers.now();
+    const bool isUnexplained =
+        end == RelayAttemptEnd::Broken || end == RelayAttemptEnd::Unexplained;
+    if (!isUnexplained) {
+        withdraw(attempt);
+        if (end == RelayAttemptEnd::Completed)
+            m_ledger.recordCompleted(attempt.request, now);
+        m_attempts.erase(found);
+        return;
+    }
+    ++m_counters.unexplained;
+    attempt.endedAt = now;
+    if (attempt.isSuspected)
+        return;
+    if (!attempt.run)
+        attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
+    if (m_disappeared.contains(attempt.target)) {
+        suspect(attempt, "disappeared");
+        return;
+    }
+    const auto probed = m_probed.find(attempt.target);
+    if (probed != m_probed.end() && !probed->second.probe)
+        probe(attempt.target, probed->second);
+}
+
+void AttemptMonitor::answered(const TargetId &target, MonotonicTime sentAt)
+{
+    heard(target);
+    survived(target, sentAt, false);
+}
+
+void AttemptMonitor::heard(const TargetId &target)
+{
+    const auto probed = m_probed.find(target);
+    if (probed != m_probed.end())
+        probed->second.heardAt = m_timers.now();
+}
+
+void AttemptMonitor::lost(const TargetId &target)
+{
+    for (auto &[number, attempt] : m_attempts) {
+        if (attempt.target == target)
+            suspect(attempt, "started again");
+    }
+}
+
+void AttemptMonitor::disappeared(const TargetId &target)
+{
+    m_disappeared.insert(target, m_timers.now());
+    startTimer();
+    suspectEnded(target, m_timers.now(), "disappeared");
+}
+
+void AttemptMonitor::check()
+{
+    const MonotonicTime now = m_timers.now();
+    // While this daemon does not run, answers of targets are not read.
+    const Milliseconds awake = std::min(elapsed(m_checkedAt, now), 2 * CheckInterval);
+    m_checkedAt = now;
+    for (auto &[target, probed] : m_probed) {
+        if (!probed.probe)
+            continue;
+        probed.waited += awake;
+        if (probed.waited >= SilenceTime && !probed.isSilent) {
+            probed.isSilent = true;
+            suspectSilent(target, probed);
+        }
+    }
+    for (auto &[number, attempt] : m_attempts) {
+        const auto probed = m_probed.find(attempt.target);
+        if (probed != m_probed.end() && !probed->second.probe
+            && needsProbe(attempt, probed->second, now)) {
+            if (probed->second.failing.count() > 0)
+                probed->second.failing += awake;
+            probe(attempt.target, probed->second);
+        }
+        const bool isOpen = attempt.endedAt && attempt.run && !attempt.hasSurvived
+            && !m_ledger.isPublished(*attempt.run);
+        if (isOpen && elapsed(*attempt.endedAt, now) >= PublishDelay)
+            m_ledger.publish(attempt.request);
+    }
+    removeOld(now);
+    if (m_attempts.empty() && m_disappeared.isEmpty() && m_probed.empty())
+        m_checkTimer.reset();
+    else
+        scheduleCheck();
+}
+
+bool AttemptMonitor::needsProbe(const Attempt &attempt, const Probed &probed, MonotonicTime now)
+{
+    if (attempt.isSuspected || attempt.hasSurvived)
+        return false;
+    const MonotonicTime quietSince = std::max({attempt.startedAt, probed.heardAt, probed.probedAt});
+    return attempt.endedAt || elapsed(quietSince, now) >= QuietTime;
+}
+
+void AttemptMonitor::probe(const TargetId &target, Probed &probed)
+{
+    ++m_counters.probes;
+    probed.probedAt = m_timers.now();
+    probed.waited = Milliseconds(0);
+    probed.isSilent = false;
+    HttpExchangeOptions options;
+    options.connectTimeout = SilenceTime;
+    options.timeout = ProbeTimeout;
+    options.reuseConnection = true;
+    options.maxIdleTime = MaxIdleTime;
+    options.keepConnection = true;
+    HttpExchangeCallbacks callbacks;
+    callbacks.headers = [this, target](int status, const HttpHeaders &headers) {
+        probeAnswered(target, status, headers);
+    };
+    callbacks.finished = [this, target](HttpExchangeEnd end, const QString &) {
+        probeEnded(target, end);
+    };
+    probed.probe = m_client.send(probed.endpoint, m_probeRequest(probed.service, target), options,
+                                 std::move(callbacks));
+}
+
+void AttemptMonitor::probeAnswered(const TargetId &target, int status, const HttpHeaders &headers)
+{
+    if (m_isOther(target, status, headers)) {
+        lost(target);
+        return;
+    }
+    Probed &probed = m_probed[target];
+    probed.heardAt = m_timers.now();
+    probed.failing = Milliseconds(0);
+    survived(target, probed.probedAt, true);
+}
+
+void AttemptMonitor::probeEnded(const TargetId &target, HttpExchangeEnd end)
+{
+    Probed &probed = m_probed[target];
+    const std::unique_ptr<HttpExchange> probe = std::move(probed.probe);
+    const bool isSilent = std::exchange(probed.isSilent, false);
+    if (end == HttpExchangeEnd::Complete || end == HttpExchangeEnd::Malformed || isSilent)
+        return;
+    const bool isRefused = end == HttpExchangeEnd::NotConnected;
+    // A target with many connections resets further ones.
+    if (isRefused || probed.failing >= SilenceTime) {
+        probed.failing = Milliseconds(0);
+        suspectEnded(target, probed.probedAt, isRefused ? "refuses connections" : "resets");
+        if (isRefused && probed.waited >= SilenceTime)
+            suspectSilent(target, probed);
+    } else if (probed.failing.count() == 0) {
+        probed.failing = Milliseconds(1);
+    }
+}
+
+void AttemptMonitor::survived(const TargetId &target, MonotonicTime sentAt, bool isProbe)
+{
+    for (auto entry = m_attempts.begin(); entry != m_attempts.end();) {
+        Attempt &attempt = entry->second;
+        // After a suspicion, the target may have started again. Only the answer to the probe that
+        // it was too slow for still shows that it has not.
+        const bool isSlowAnswer = isProbe && attempt.silentProbe == sentAt;
+        const bool hasEnded = attempt.endedAt && *attempt.endedAt <= sentAt;
+        if (attempt.target != target || !(attempt.isSuspected ? isSlowAnswer : hasEnded)) {
+            ++entry;
+            continue;
+        }
+        ++m_counters.survived;
+        withdraw(attempt);
+        attempt.hasSurvived = attempt.endedAt.has_value();
+        entry = attempt.endedAt && !isProbe ? m_attempts.erase(entry) : std::next(entry);
+    }
+}
+
+void AttemptMonitor::suspect(Attempt &attempt, const char *reason)
+{
+    if (attempt.isSuspected)
+        return;
+    const MonotonicTime now = m_timers.now();
+    attempt.isSuspected = true;
+    if (attempt.hasSurvived || !attempt.run)
+        attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
+    attempt.hasSurvived = false;
+    ++m_counters.suspected;
+    logEvent(LogLevel::Info, EventId::CrashEvidence,
+             {{"fingerprint", attempt.request.text()},
+              {"target", attempt.target.text()},
+              {"end", attempt.endedAt ? QStringLiteral("ended") : QStringLiteral("running")},
+              {"reason", QLatin1String(reason)},
+              {"ran_ms",
+               QString::number(elapsed(attempt.startedAt, attempt.endedAt.value_or(now)).count())},
+              {"record", QString::number(attempt.run->value())}});
+    m_ledger.suspect(attempt.request, *attempt.run, now);
+}
+
+void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
+{
+    for (auto &[number, attempt] : m_attempts) {
+        if (attempt.target == target && attempt.endedAt && *attempt.endedAt <= before)
+            suspect(attempt, reason);
+    }
+}
+
+void AttemptMonitor::suspectSilent(const TargetId &target, const Probed &probed)
+{
+    for (auto &[number, attempt] : m_attempts) {
+        const bool isQuiet = attempt.endedAt
+            ? *attempt.endedAt <= probed.probedAt && !attempt.hasSurvived
+            : attempt.startedAt <= probed.probedAt && probed.heardAt < probed.probedAt;
+        if (attempt.target != target || !isQuiet || attempt.isSuspected)
+            continue;
+        attempt.silentProbe = probed.probedAt;
+        suspect(attempt, "silent");
+    }
+}
+
+void AttemptMonitor::withdraw(Attempt &attempt)
+{
+    if (attempt.run)
+        m_ledger.withdraw(attempt.request, *attempt.run, m_timers.now());
+    attempt.run.reset();
+    attempt.silentProbe.reset();
+    attempt.isSuspected = false;
+}
+
+void AttemptMonitor::removeOld(MonotonicTime now)
+{
+    m_disappeared.removeIf(
+        [now](const auto &entry) { return elapsed(entry.value(), now) > DisappearanceWindow; });
+    QSet<TargetId> used;
+    for (auto entry = m_attempts.begin(); entry != m_attempts.end();) {
+        Attempt &attempt = entry->second;
+        const bool isOld = attempt.endedAt && elapsed(*attempt.endedAt, now) > DisappearanceWindow;
+        if (isOld && attempt.run && !attempt.hasSurvived)
+            suspect(attempt, "unknown");
+        if (!isOld)
+            used.insert(attempt.target);
+        entry = isOld ? m_attempts.erase(entry) : std::next(entry);
+    }
+    for (auto entry = m_probed.begin(); entry != m_probed.end();) {
+        const bool isUsed = entry->second.probe || used.contains(entry->first);
+        entry = isUsed ? std::next(entry) : m_probed.erase(entry);
+    }
+}
+
+} // namespace cranberry
--- /dev/null
+++ b/src/relay/AttemptMonitor.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "base/Ids.h"
+#include "base/Units.h"
+#include "http/HttpEndpoint.h"
+#include "quarantine/CrashSuspicion.h"
+#include "quarantine/RequestFingerprint.h"
+
+#include <QHash>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+
+namespace cranberry {
+
+class CrashLedger;
+class HttpClient;
+class HttpExchange;
+class HttpHeaders;
+class TargetDirectory;
+class TimerService;
+class TimerSubscription;
+enum class HttpExchangeEnd;
+enum class RelayAttemptEnd;
+struct HttpRequest;
+
+/// Finds out which attempts may have crashed their targets. An attempt that ended without an
+/// answer, for whatever reason, and one without a sign of its target for some time, make this
+/// daemon probe the target. A target that answers the probe has survived; one that refuses it, or
+/// is silent, may have been crashed by the request. Thread safety: only from the thread of the
+/// event loop.
+class AttemptMonitor
+{
+public:
+    /// Returns the request that probes @p target, of @p service, without running anything there.
+    using ProbeRequest =
+        std::function<HttpRequest(const ServiceId &service, const TargetId &target)>;
+    /// Whether the answer to a probe is that of another target, which has the same address now.
+    using IsOther =
+        std::function<bool(const TargetId &target, int status, const HttpHeaders &headers)>;
+
+    struct Counters {
+        qint64 unexplained = 0;
+        qint64 probes = 0;
+        qint64 survived = 0;
+        qint64 suspected = 0;
+    };
+
+    /// Precondition: everything passed outlives the monitor.
+    AttemptMonitor(TimerService &timers, HttpClient &client, const TargetDirectory &targets,
+                   CrashLedger &ledger, ProbeRequest probeRequest, IsOther isOther);
+    ~AttemptMonitor();
+
+    /// Records an attempt that is being sent and returns its number. @p trial: the run that was
+    /// permitted for it, if any.
+    int started(const RequestFingerprint &request, const WorkspaceId &workspace,
+                const TargetId &target, std::optional<SuspicionId> trial);
+    void ended(int attempt, RelayAttemptEnd end);
+
+    /// The target began to answer a request that was sent at @p sentAt.
+    void answered(const TargetId &target, MonotonicTime sentAt);
+    /// Other data of the target arrived.
+    void heard(const TargetId &target);
+    /// The target ended with everything that ran there.
+    void lost(const TargetId &target);
+    /// The entry of the target ended without prior notice that it leaves.
+    void disappeared(const TargetId &target);
+
+    const Counters &counters() const { return m_counters; }
+
+private:
+    struct Attempt {
+        RequestFingerprint request;
+        WorkspaceId workspace;
+        TargetId target;
+        MonotonicTime startedAt;
+        std::optional<MonotonicTime> endedAt;
+        /// The target answered a probe after the end.
+        bool hasSurvived = false;
+        std::optional<SuspicionId> run;
+        bool isSuspected = false;
+        /// When the probe was sent that the target has not answered in time.
+        std::optional<MonotonicTime> silentProbe;
+    };
+    struct Probed {
+        HttpEndpoint endpoint;
+        ServiceId service;
+        /// The last data of the target.
+        MonotonicTime heardAt;
+        std::unique_ptr<HttpExchange> probe;
+        MonotonicTime probedAt;
+        /// Time for which this daemon has waited for the answer of the probe.
+        Milliseconds waited{0};
+        bool isSilent = false;
+        /// Time for which probes have failed without a refusal.
+        Milliseconds failing{0};
+    };
+
+    void check();
+    void probe(const TargetId &target, Probed &probed);
+    void probeAnswered(const TargetId &target, int status, const HttpHeaders &headers);
+    void probeEnded(const TargetId &target, HttpExchangeEnd end);
+    static bool needsProbe(const Attempt &attempt, const Probed &probed, MonotonicTime now);
+    void survived(const TargetId &target, MonotonicTime sentAt, bool isProbe);
+    void suspect(Attempt &attempt, const char *reason);
+    void suspectEnded(const TargetId &target, MonotonicTime before, const char *reason);
+    void suspectSilent(const TargetId &target, const Probed &probed);
+    void withdraw(Attempt &attempt);
+    void removeOld(MonotonicTime now);
+    void startTimer();
+    void scheduleCheck();
+
+    TimerService &m_timers;
+    HttpClient &m_client;
+    const TargetDirectory &m_targets;
+    CrashLedger &m_ledger;
+    ProbeRequest m_probeRequest;
+    IsOther m_isOther;
+    Counters m_counters;
+    int m_lastNumber = 0;
+    std::map<int, Attempt> m_attempts;
+    std::map<TargetId, Probed> m_probed;
+    QHash<TargetId, MonotonicTime> m_disappeared;
+    MonotonicTime m_checkedAt;
+    std::unique_ptr<TimerSubscription> m_checkTimer;
+};
+
+} // namespace cranberry
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -3,127 +3,332 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "quarantine/QuarantineNews.h"
+#include "relay/CrashHold.h"
 #include "relay/Peer.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
+#include "relay/RelayAttemptEnd.h"
 
 #include <QCborArray>
+#include <QRandomGenerator>
 
 namespace cranberry {
 
 namespace {
 
-/// The entry of a crashed target expires after three missed heartbeats of 1.2 s each; the change
-/// takes a few ms to arrive.
-constexpr Milliseconds CrashCorrelationWindow{6000};
-constexpr Milliseconds SweepInterval{1000};
+constexpr Milliseconds TickInterval{50};
+/// A daemon waits for the records of others for at most this time, and for this time if the store
+/// has not listed the others yet.
+constexpr Milliseconds SynchroniseTimeout{500};
+constexpr Milliseconds ListTimeout{2000};
+/// A daemon that has not run for this time may have requests to read before it reads the messages
+/// that were sent meanwhile.
+constexpr Milliseconds StallTime{500};
+constexpr Milliseconds PeerCheckInterval{500};
+/// Daemons send a message at least every 1.5 s.
+constexpr Milliseconds HeardTimeout{4000};
 
-const char *nameOf(RelayAttemptEnd end)
+} // namespace
+
+const char *relayAttemptEndName(RelayAttemptEnd end)
 {
     switch (end) {
+    case RelayAttemptEnd::NotRun:
+        return "not_run";
     case RelayAttemptEnd::Answered:
         return "answered";
-    case RelayAttemptEnd::Ended:
-        return "ended";
+    case RelayAttemptEnd::Completed:
+        return "completed";
+    case RelayAttemptEnd::Stopped:
+        return "stopped";
     case RelayAttemptEnd::Broken:
         return "broken";
+    case RelayAttemptEnd::Unexplained:
+        return "unexplained";
     }
     return "unknown";
 }
 
-void logNews(const Peer &from, const QCborMap &body)
+CrashGuard::CrashGuard(TimerService &timers, HttpClient &client, PeerDirectory &peers,
+                       PeerDatagrams &datagrams, const TargetDirectory &targets,
+                       AttemptMonitor::ProbeRequest probeRequest, AttemptMonitor::IsOther isOther)
+    : m_timers(timers)
+    , m_peers(peers)
+    , m_datagrams(datagrams)
+    , m_ledger(peers.self().vm, callbacks())
+    , m_attempts(timers, client, targets, m_ledger, std::move(probeRequest), std::move(isOther))
+    , m_tickTimer(timers.every(TickInterval, [this] { tick(); }))
 {
-    const std::optional<QuarantineNews> news = quarantineNewsFromCbor(body);
-    if (!news)
+    datagrams.onMessage(DatagramKind::Crash,
+                        [this](const Peer &from, const QCborArray &body) { receive(from, body); });
+    m_tickedAt = timers.now();
+    desynchronise("start");
+}
+
+CrashGuard::~CrashGuard() = default;
+
+CrashLedger::Callbacks CrashGuard::callbacks()
+{
+    CrashLedger::Callbacks callbacks;
+    callbacks.send = [this](const VmId &daemon, const CrashMessage &message) {
+        if (const Peer *peer = m_peers.find(daemon))
+            send({*peer}, message);
+    };
+    callbacks.broadcast = [this](const CrashMessage &message) {
+        for (const CrashRecord &record : message.records)
+            m_unsent.insert(record.fingerprint, record);
+        if (!m_flushTimer)
+            m_flushTimer = m_timers.after(Milliseconds(0), [this] { flush(); });
+        scheduleDecisions();
+    };
+    callbacks.members = [this] { return members(); };
+    callbacks.random = [] { return QRandomGenerator::global()->generate64(); };
+    callbacks.trialDecided = [this](const RequestFingerprint &request, SuspicionId id,
+                                    bool isGranted) { trialDecided(request, id, isGranted); };
+    callbacks.changed = [this](const CrashRecord &record, const CrashSuspicion &run) {
+        logChange(record, run);
+        scheduleDecisions();
+    };
+    return callbacks;
+}
+
+QList<VmId> CrashGuard::members() const
+{
+    const MonotonicTime now = m_timers.now();
+    QList<VmId> members;
+    for (const Peer &peer : m_peers.peers()) {
+        const bool isSilent = m_peers.sendsToSelf(peer)
+            && now - std::max(peer.lastMessage, peer.firstSeen) > HeardTimeout;
+        if (!isSilent && !peer.isDraining)
+            members.append(peer.vm);
+    }
+    return members;
+}
+
+void CrashGuard::send(const QList<Peer> &receivers, const CrashMessage &message)
+{
+    m_counters.messagesSent += receivers.size();
+    m_datagrams.send(receivers, DatagramKind::Crash, crashMessageToCbor(message, m_timers.now()));
+}
+
+void CrashGuard::flush()
+{
+    m_flushTimer.reset();
+    const QList<Peer> receivers = m_peers.peers();
+    CrashMessage message;
+    for (const CrashRecord &record : std::exchange(m_unsent, {})) {
+        message.records.append(record);
+        if (message.records.size() < MaxRecordsPerMessage)
+            continue;
+        send(receivers, message);
+        message.records.clear();
+    }
+    if (!message.records.isEmpty())
+        send(receivers, message);
+}
+
+void CrashGuard::receive(const Peer &from, const QCborArray &body)
+{
+    const MonotonicTime now = m_timers.now();
+    const std::optional<CrashMessage> message = crashMessageFromCbor(body, now);
+    if (!message) {
+        logEvent(LogLevel::Warning, EventId::PeerFrameInvalid, {{"from", from.vm.text()}});
         return;
-    for (const RequestFingerprint &fingerprint : news->fingerprints)
-        logEvent(LogLevel::Info, EventId::CrashNews,
-                 {{"fingerprint", fingerprint.text()},
-                  {"from", from.vm.text()},
-                  {"kind", QString::number(int(news->kind))}});
+    }
+    ++m_counters.messagesReceived;
+    checkStall();
+    m_ledger.handle(from.vm, *message, now);
+    if (m_ledger.isSynchronised())
+        synchronise();
+    scheduleDecisions();
 }
 
-} // namespace
+void CrashGuard::logChange(const CrashRecord &record, const CrashSuspicion &run) const
+{
+    const MonotonicTime now = m_timers.now();
+    const int suspicions = suspicionCount(record, m_peers.self().vm, now);
+    const bool isWithdrawn = run.state == SuspicionState::Withdrawn;
+    const bool isRejected =
+        runVerdict(record, m_peers.self().vm, SuspicionId(), now) == RunVerdict::Reject;
+    const EventId event = isWithdrawn ? EventId::QuarantineReleased
+        : isRejected                  ? EventId::QuarantineAdded
+                                      : EventId::QuarantineSuspect;
+    logEvent(
+        LogLevel::Info, event,
+        {{"fingerprint", record.fingerprint.text()},
+         {"workspace", record.workspace.text()},
+         {"target", run.target.text()},
+         {"vm", run.daemon.text()},
+         {"state", QLatin1String(suspicionStateName(run.state))},
+         {"suspicions", QString::number(suspicions)},
+         {"age_ms",
+          QString::number(std::chrono::duration_cast<Milliseconds>(now - run.changedAt).count())}});
+}
 
-CrashGuard::CrashGuard(TimerService &timers, PeerDirectory &peers, PeerDatagrams &datagrams)
-    : m_timers(timers)
-    , m_sweepTimer(timers.every(SweepInterval, [this] { removeExpired(); }))
+RunVerdict CrashGuard::verdict(const RequestFingerprint &request)
+{
+    checkStall();
+    if (!m_ledger.isSynchronised())
+        return RunVerdict::Wait;
+    const RunVerdict verdict = m_ledger.verdict(request, m_timers.now());
+    if (verdict == RunVerdict::Reject)
+        ++m_counters.rejected;
+    return verdict;
+}
+
+bool CrashGuard::mayContinue(const RequestFingerprint &request)
 {
-    m_quarantine.onNews([&peers, &datagrams](const QCborMap &news) {
-        datagrams.send(peers.peers(), DatagramKind::Quarantine, QCborArray{news});
+    const auto record = m_ledger.records().constFind(request);
+    return record == m_ledger.records().cend()
+        || suspicionCount(*record, m_peers.self().vm, m_timers.now()) < MaxSuspicions - 1;
+}
+
+std::unique_ptr<CrashHold> CrashGuard::hold(const RequestFingerprint &request,
+                                            const WorkspaceId &workspace, Decided decided)
+{
+    const int number = ++m_lastHold;
+    m_holds.emplace(number, Hold{request, workspace, std::move(decided)});
+    ++m_counters.held;
+    scheduleDecisions();
+    return std::make_unique<CrashHold>([this, number] { m_holds.erase(number); });
+}
+
+void CrashGuard::returnTrial(const RequestFingerprint &request, SuspicionId trial)
+{
+    m_ledger.withdraw(request, trial, m_timers.now());
+    scheduleDecisions();
+}
+
+void CrashGuard::scheduleDecisions()
+{
+    if (m_holds.empty() || m_decisionTimer)
+        return;
+    m_decisionTimer = m_timers.after(Milliseconds(0), [this] {
+        m_decisionTimer.reset();
+        decideHolds();
     });
-    datagrams.onMessage(DatagramKind::Quarantine, [this](const Peer &from, const QCborArray &body) {
-        ++m_counters.newsReceived;
-        logNews(from, body.at(0).toMap());
-        m_quarantine.handleNews(body.at(0).toMap(), m_timers.now());
+}
+
+void CrashGuard::decideHolds()
+{
+    if (!m_ledger.isSynchronised())
+        return;
+    std::vector<int> numbers;
+    for (const auto &[number, hold] : m_holds)
+        numbers.push_back(number);
+    const MonotonicTime now = m_timers.now();
+    for (const int number : numbers) {
+        const auto found = m_holds.find(number);
+        if (found == m_holds.end())
+            continue;
+        const Hold hold = found->second;
+        switch (m_ledger.verdict(hold.request, now)) {
+        case RunVerdict::Free:
+            decide(number, true, std::nullopt);
+            break;
+        case RunVerdict::Reject:
+            ++m_counters.rejected;
+            decide(number, false, std::nullopt);
+            break;
+        case RunVerdict::Trial:
+            if (!m_ledger.isAsking(hold.request))
+                m_ledger.askTrial(hold.request, hold.workspace, now);
+            break;
+        case RunVerdict::Wait:
+            break;
+        }
+    }
+}
+
+void CrashGuard::trialDecided(const RequestFingerprint &request, SuspicionId id, bool isGranted)
+{
+    isGranted ? ++m_counters.trials : ++m_counters.trialsRefused;
+    logEvent(LogLevel::Info, EventId::CrashTrial,
+             {{"fingerprint", request.text()},
+              {"granted", isGranted ? QStringLiteral("yes") : QStringLiteral("no")}});
+    if (!isGranted)
+        return;
+    const auto first = std::find_if(m_holds.begin(), m_holds.end(), [&](const auto &entry) {
+        return entry.second.request == request;
     });
+    if (first != m_holds.end())
+        decide(first->first, true, id);
+    else
+        returnTrial(request, id);
 }
 
-CrashGuard::~CrashGuard() = default;
+void CrashGuard::decide(int number, bool isAllowed, std::optional<SuspicionId> trial)
+{
+    const auto found = m_holds.find(number);
+    const Decided decided = std::move(found->second.decided);
+    m_holds.erase(found);
+    decided(isAllowed, trial);
+}
 
-bool CrashGuard::isQuarantined(const RequestFingerprint &request)
+void CrashGuard::desynchronise(const char *reason)
 {
-    return m_quarantine.verdict(request, m_timers.now()) == QuarantineVerdict::Quarantined;
+    m_ledger.setSynchronised(false);
+    m_desynchronisedAt = m_timers.now();
+    m_desynchronisedBy = reason;
+    m_ledger.pull();
 }
 
-void CrashGuard::attemptEnded(const RequestFingerprint &request, const WorkspaceId &workspace,
-                              const TargetId &target, RelayAttemptEnd end)
+void CrashGuard::synchronise()
 {
-    if (end != RelayAttemptEnd::Answered) {
-        ++(end == RelayAttemptEnd::Broken ? m_counters.attemptsBroken : m_counters.attemptsEnded);
-        logEvent(LogLevel::Info, EventId::CrashEvidence,
-                 {{"fingerprint", request.text()},
-                  {"target", target.text()},
-                  {"end", QLatin1String(nameOf(end))},
-                  {"used",
-                   end == RelayAttemptEnd::Broken ? QStringLiteral("yes") : QStringLiteral("no")},
-                  {"disappeared",
-                   m_disappeared.contains(target) ? QStringLiteral("yes") : QStringLiteral("no")}});
+    if (!m_desynchronisedAt)
+        return;
+    const Milliseconds waited =
+        std::chrono::duration_cast<Milliseconds>(m_timers.now() - *m_desynchronisedAt);
+    const bool isAnswered = m_ledger.isSynchronised();
+    const bool isAlone = m_peers.hasListed() && members().isEmpty();
+    const bool isLate = waited >= (m_peers.hasListed() ? SynchroniseTimeout : ListTimeout);
+    if (!isAnswered && !isAlone && !isLate) {
+        m_ledger.pull();
+        return;
     }
-    if (end == RelayAttemptEnd::Broken)
-        attemptBroken(request, workspace, target);
-    const bool isCleared = end == RelayAttemptEnd::Answered
-        && m_quarantine.verdict(request, m_timers.now()) == QuarantineVerdict::Suspect;
-    if (isCleared)
-        m_quarantine.release(request);
+    m_ledger.setSynchronised(true);
+    m_desynchronisedAt.reset();
+    logEvent(LogLevel::Info, EventId::CrashRecordsRead,
+             {{"reason", QLatin1String(m_desynchronisedBy)},
+              {"answered", isAnswered ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"records", QString::number(m_ledger.records().size())},
+              {"ms", QString::number(waited.count())}});
+    scheduleDecisions();
 }
 
-void CrashGuard::attemptBroken(const RequestFingerprint &request, const WorkspaceId &workspace,
-                               const TargetId &target)
+void CrashGuard::checkStall()
 {
     const MonotonicTime now = m_timers.now();
-    m_quarantine.attemptStarted(request, workspace, target, now);
-    if (m_disappeared.contains(target))
-        m_quarantine.targetDied(target, TargetDeathCause::Crash, now);
-    else
-        m_brokenAttempts.append({request, target, now + CrashCorrelationWindow});
+    if (now - m_tickedAt < StallTime || m_desynchronisedAt)
+        return;
+    m_tickedAt = now;
+    desynchronise("stall");
 }
 
-void CrashGuard::targetDisappeared(const TargetId &target)
+void CrashGuard::checkPeers()
 {
     const MonotonicTime now = m_timers.now();
-    m_disappeared.insert(target, now + CrashCorrelationWindow);
-    const auto isAtTarget = [&](const BrokenAttempt &attempt) { return attempt.target == target; };
-    const qsizetype blamed = m_brokenAttempts.removeIf(isAtTarget);
-    ++m_counters.targetsDisappeared;
-    logEvent(LogLevel::Info, EventId::CrashEvidence,
-             {{"target", target.text()},
-              {"end", QStringLiteral("disappeared")},
-              {"used", QString::number(blamed)}});
-    if (blamed > 0)
-        m_quarantine.targetDied(target, TargetDeathCause::Crash, now);
+    if (now - m_peersCheckedAt < PeerCheckInterval)
+        return;
+    m_peersCheckedAt = now;
+    const QList<Peer> peers = m_peers.peers();
+    const bool isHeard = std::any_of(peers.begin(), peers.end(), [this](const Peer &peer) {
+        return m_peers.isRecentlyHeard(peer);
+    });
+    const bool wasCutOff = std::exchange(m_isCutOff, !isHeard && !peers.isEmpty());
+    if (wasCutOff && isHeard && !m_desynchronisedAt)
+        desynchronise("cut off");
 }
 
-void CrashGuard::removeExpired()
+void CrashGuard::tick()
 {
-    const MonotonicTime now = m_timers.now();
-    for (const BrokenAttempt &attempt : std::as_const(m_brokenAttempts)) {
-        if (attempt.until <= now)
-            m_quarantine.attemptFinished(attempt.request, attempt.target, false);
-    }
-    m_brokenAttempts.removeIf([now](const BrokenAttempt &attempt) { return attempt.until <= now; });
-    m_disappeared.removeIf([now](const auto &entry) { return entry.value() <= now; });
+    checkStall();
+    m_tickedAt = m_timers.now();
+    checkPeers();
+    synchronise();
+    m_ledger.tick(m_timers.now());
+    // A verdict also changes with time.
+    scheduleDecisions();
 }
 
 } // namespace cranberry
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -24,7 +24,7 @@
     StoreChange,
     /// The load at the targets of a data centre.
     Summary,
-    /// Requests that are suspected of crashing targets, or held back.
+    /// Sent by former versions.
     Quarantine,
     /// A target that is leaving.
     Leaving,
@@ -38,8 +38,10 @@
     Limit,
     /// Units of the retry budget; see RetryExchange.
     Retry,
+    /// Requests that may crash targets; see CrashLedger.
+    Crash,
 };
-constexpr std::size_t DatagramKindCount = 10;
+constexpr std::size_t DatagramKindCount = 11;
 
 /// Whether @p kind is the number of a DatagramKind. Thread-safe.
 bool isDatagramKind(qint64 kind);
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -4,7 +4,9 @@
 #include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
 #include "relay/BrittleServices.h"
+#include "relay/CrashGuard.h"
 #include "relay/ReachMonitor.h"
+#include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
 #include "relay/TargetLimits.h"
@@ -94,6 +96,22 @@
     return "unknown";
 }
 
+RelayAttemptEnd attemptEndOf(const SendResult &result)
+{
+    switch (result.kind) {
+    case SendResult::Kind::Answered:
+        return isSuccess(result.head) ? RelayAttemptEnd::Completed : RelayAttemptEnd::Answered;
+    case SendResult::Kind::NotConnected:
+    case SendResult::Kind::NotExecuted:
+    case SendResult::Kind::Misdirected:
+        return RelayAttemptEnd::NotRun;
+    case SendResult::Kind::Broken:
+    case SendResult::Kind::Invalid:
+        break;
+    }
+    return RelayAttemptEnd::Broken;
+}
+
 RelayAttempt::RelayAttempt(RelayContext &context, const RelayRequest &request,
                            const HttpEndpoint &endpoint, const AttemptPlan &plan,
                            Milliseconds maxIdle, RelayAttemptCallbacks callbacks)
@@ -123,6 +141,7 @@
     m_context.reach.recordAnswer(m_target, m_exchange->isNewConnection());
     m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
     m_context.brittle.recordAnswer(m_target, m_head, m_sentAt);
+    m_context.crashGuard.attempts().answered(m_target, m_sentAt);
     m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable;
     if (!m_isStream)
         return;
@@ -136,6 +155,7 @@
         m_body += data;
         return;
     }
+    m_context.crashGuard.attempts().heard(m_target);
     const std::weak_ptr<bool> alive = m_alive;
     const auto callback = m_callbacks.event;
     for (const ServerSentEvent &event : m_events.feed(data)) {
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -12,6 +12,7 @@
 namespace cranberry {
 
 struct AttemptPlan;
+enum class RelayAttemptEnd;
 struct RelayContext;
 struct RelayRequest;
 
@@ -24,6 +25,9 @@
     std::function<void(const SendResult &result)> ended;
 };
 
+/// What the end of an attempt says about its target. Thread-safe.
+RelayAttemptEnd attemptEndOf(const SendResult &result);
+
 /// One request to one target and its answer. Destroying it closes the connection, which tells the
 /// target that the answer is no longer needed.
 /// Thread safety: only from the thread of the event loop. A callback may destroy the attempt.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -158,7 +158,14 @@
     , retryExchange(timers, peers, datagrams, retryBudget,
                     [this](const ServiceId &service) { return isConfigured(*this, service); })
     , news(timers, peers, heads, datagrams, targets, [this] { return entries.hasSource(); })
-    , crashGuard(timers, peers, datagrams)
+    , crashGuard(
+          timers, client, peers, datagrams, targets,
+          [this](const ServiceId &service, const TargetId &target) {
+              HttpRequest probe = probeRequest(*this, service);
+              protocols.targets.expect(probe, target);
+              return probe;
+          },
+          protocols.targets.isOther)
     , context{timers,
               client,
               targets,
@@ -248,7 +255,10 @@
         [this](const TargetId &target) { m_parts->gateway.targetLeaving(target); });
     parts.targets.onLeavingDirect(
         [this](const TargetId &target) { m_parts->news.announceLeaving(target); });
-    parts.targets.onLost([this](const TargetId &target) { m_parts->gateway.targetLost(target); });
+    parts.targets.onLost([this](const TargetId &target) {
+        m_parts->crashGuard.attempts().lost(target);
+        m_parts->gateway.targetLost(target);
+    });
     parts.peers.onLocalPeersJoined([this](const QList<Peer> &joined) {
         // New peers learn of this daemon immediately instead of with their next listing.
         m_parts->loads.sendHello(joined);
@@ -262,7 +272,7 @@
     parts.targets.setColdPace(
         [this](const ServiceId &service) { return coldPaceOf(*m_parts, service); });
     parts.targets.onCrashed(
-        [this](const TargetId &target) { m_parts->crashGuard.targetDisappeared(target); });
+        [this](const TargetId &target) { m_parts->crashGuard.attempts().disappeared(target); });
     parts.targets.onCapacityFreed([this] { m_parts->waiting.roomChanged(); });
     parts.limits.onChanged([this] { m_parts->waiting.roomChanged(); });
 }
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -102,10 +102,20 @@
 QByteArray crashesText(const RelayParts &parts)
 {
     const CrashGuard::Counters &counters = parts.crashGuard.counters();
-    QByteArray text = counterText("cranberry_relay_attempts_broken_total", counters.attemptsBroken);
-    text += counterText("cranberry_relay_attempts_ended_total", counters.attemptsEnded);
-    text += counterText("cranberry_relay_targets_disappeared_total", counters.targetsDisappeared);
-    return text + counterText("cranberry_relay_crash_news_total", counters.newsReceived);
+    const AttemptMonitor::Counters &attempts = parts.crashGuard.attemptCounters();
+    QByteArray text =
+        counterText("cranberry_relay_attempts_unexplained_total", attempts.unexplained);
+    text += counterText("cranberry_relay_crash_probes_total", attempts.probes);
+    text += counterText("cranberry_relay_attempts_survived_total", attempts.survived);
+    text += counterText("cranberry_relay_attempts_suspected_total", attempts.suspected);
+    text += counterText("cranberry_relay_crash_held_total", counters.held);
+    text += counterText("cranberry_relay_crash_rejected_total", counters.rejected);
+    text += counterText("cranberry_relay_crash_trials_total", counters.trials);
+    text += counterText("cranberry_relay_crash_trials_refused_total", counters.trialsRefused);
+    text += counterText("cranberry_relay_crash_messages_sent_total", counters.messagesSent);
+    text += counterText("cranberry_relay_crash_messages_received_total", counters.messagesReceived);
+    text += gaugeText("cranberry_relay_crash_holding", parts.crashGuard.holding());
+    return text + gaugeText("cranberry_relay_crash_suspects", parts.crashGuard.suspects());
 }
 
 } // namespace
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -7,6 +7,7 @@
 #include "http/CallerReply.h"
 #include "relay/AttemptPlan.h"
 #include "relay/CrashGuard.h"
+#include "relay/CrashHold.h"
 #include "relay/EngineReports.h"
 #include "relay/ForwardOutcome.h"
 #include "relay/ForwardedExchange.h"
@@ -14,6 +15,7 @@
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
+#include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
@@ -145,7 +147,8 @@
         : isStream()                                         ? NoConnectionReuse
         : m_task.route.kind == RequestKind::Idempotent       ? MaxIdleIdempotent
                                                              : MaxIdleAtMostOnce;
-    m_attemptEnd = RelayAttemptEnd::Ended;
+    m_attemptEnd = RelayAttemptEnd::Unexplained;
+    attemptStarted(target);
     m_attempt = std::make_unique<RelayAttempt>(m_context, m_task.request, endpoint, plan, maxIdle,
                                                std::move(callbacks));
 }
@@ -166,9 +169,7 @@
     m_silenceTimer.reset();
     if (m_target.isEmpty())
         return;
-    if (m_attempt)
-        m_context.crashGuard.attemptEnded(m_task.fingerprint, m_task.workspace, m_target,
-                                          m_attemptEnd);
+    reportAttemptEnd(m_attemptEnd);
     m_attempt.reset();
     m_reservation.reset();
     recordPromptRead();
@@ -351,8 +352,11 @@
     leaveTarget();
     returnRetry();
     m_phase = Phase::Over;
+    m_hold.reset();
+    returnTrial();
     leaveForwardPeer(ForwardOutcome::Abandoned);
     abandonMove();
+    endTakeover(RelayAttemptEnd::Unexplained);
     m_takeover.reset();
     m_takeoverTimer.reset();
     m_nextBackup.reset();
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
+#include "quarantine/CrashSuspicion.h"
 #include "quarantine/RequestFingerprint.h"
 #include "relay/EngineTraits.h"
 #include "relay/RelayRequest.h"
@@ -25,6 +26,7 @@
 class ForwardedExchange;
 class RelayAttempt;
 enum class RelayAttemptEnd;
+class CrashHold;
 class RoomReservation;
 enum class ForwardOutcome;
 enum class RetryPurpose;
@@ -62,6 +64,7 @@
 /// RelayRunPlacement.cpp decides when and where to send the request, RelayRunRetries.cpp evaluates
 /// the end of an attempt and decides whether to retry, RelayRunMoves.cpp moves a generation to
 /// another engine, RelayRunBackup.cpp keeps a backup of a generation and resumes from it, and
+/// RelayRunTrials.cpp keeps it from crashing target after target, and
 /// RelayRunForwarding.cpp forwards the request to another daemon if this one cannot reach its
 /// service.
 /// Thread safety: only from the thread of the event loop.
@@ -105,6 +108,8 @@
     enum class Phase {
         Placing,
         Waiting,
+        /// Waiting for permission to run, as it may crash its target.
+        Held,
         /// Waiting for an engine to grant a reservation.
         Reserving,
         Sent,
@@ -135,6 +140,15 @@
     Milliseconds retryAfter() const;
 
     void place();
+    /// Returns whether the request must not be sent now; it is then rejected, or waits for
+    /// permission.
+    bool holdBack();
+    void holdEnded(bool isAllowed, std::optional<SuspicionId> trial);
+    void rejectQuarantined();
+    void returnTrial();
+    void attemptStarted(const TargetId &target);
+    void reportAttemptEnd(RelayAttemptEnd end);
+    void endTakeover(RelayAttemptEnd end);
     void waitForRoom();
     void waitTimedOut();
     /// Asks for permits for the targets with a rate limit. @p isFirst: the request has not asked
@@ -261,7 +275,13 @@
     std::unique_ptr<GenerationBackup> m_nextBackup;
     std::unique_ptr<TimerSubscription> m_takeoverTimer;
     std::unique_ptr<RelayAttempt> m_attempt;
+    /// Numbers in AttemptMonitor of the attempt and of the takeover; 0 if there is none.
+    int m_monitored = 0;
+    int m_monitoredTakeover = 0;
     RelayAttemptEnd m_attemptEnd{};
+    std::unique_ptr<CrashHold> m_hold;
+    /// Permission to run a suspected request, until it is sent.
+    std::optional<SuspicionId> m_trial;
     /// Failure answer of a target; sent to the caller if no retry succeeds.
     std::optional<SendResult> m_fallback;
     AnswerHead m_streamHead;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -9,6 +9,7 @@
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
+#include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
 #include "relay/TargetDirectory.h"
@@ -91,7 +92,7 @@
 
 bool RelayRun::tryTakeOver(const char *reason)
 {
-    if (!hasUsableBackup() || m_takeover || m_context.crashGuard.isQuarantined(m_task.fingerprint))
+    if (!hasUsableBackup() || m_takeover || !m_context.crashGuard.mayContinue(m_task.fingerprint))
         return false;
     if (!takeRetry("takeover", RetryPurpose::Continuation))
         return false;
@@ -112,6 +113,8 @@
               {"reason", QLatin1String(reason)},
               {"events", QString::number(m_lastEvent)}});
     ++m_sends;
+    m_monitoredTakeover = m_context.crashGuard.attempts().started(
+        m_task.fingerprint, m_task.workspace, plan.target, std::nullopt);
     m_takeover = std::make_unique<RelayAttempt>(m_context, m_task.request, m_backup->endpoint(),
                                                 plan, Milliseconds(0), takeoverCallbacks());
     m_takeoverTimer = m_context.timers.after(MaxOverlap, [this] { endOverlap(); });
@@ -176,6 +179,8 @@
     m_phase = Phase::Sent;
     m_endpoint = backup->endpoint();
     occupy(holder);
+    m_attemptEnd = RelayAttemptEnd::Unexplained;
+    m_monitored = std::exchange(m_monitoredTakeover, 0);
     m_attempt = std::move(m_takeover);
     const TargetRecord *record = m_context.targets.find(holder);
     if (record && record->isLeaving)
@@ -185,6 +190,7 @@
 void RelayRun::takeoverEnded(const SendResult &result)
 {
     logTakeover(sendResultName(result.kind), result.head.status);
+    endTakeover(attemptEndOf(result));
     const auto attempt = std::move(m_takeover);
     m_takeoverTimer.reset();
     m_backup.reset();
--- a/src/relay/RelayRunForwarding.cpp
+++ b/src/relay/RelayRunForwarding.cpp
@@ -46,6 +46,8 @@
         return;
     }
     returnRetry();
+    // The daemon that sends the request to a target needs the permission.
+    returnTrial();
     const std::optional<Peer> peer =
         m_context.forwarding.choosePeer(m_task.service, m_excludedPeers);
     const MonotonicTime now = m_context.timers.now();
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -5,11 +5,13 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "relay/AttemptPlan.h"
+#include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
 #include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
 #include "relay/MoveChoice.h"
 #include "relay/RelayAttempt.h"
+#include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/ReservationOutcome.h"
 #include "relay/TargetAnnouncements.h"
@@ -49,7 +51,7 @@
     const bool isThere = m_phase == Phase::Sent && m_target == target;
     if (!isThere || m_move || m_takeover || tryTakeOver("leaving"))
         return;
-    if (canMove)
+    if (canMove && m_context.crashGuard.mayContinue(m_task.fingerprint))
         beginMove();
 }
 
@@ -282,6 +284,7 @@
     ++m_moves;
     m_isFirstSinceMove = true;
     m_deferredResult.reset();
+    m_attemptEnd = RelayAttemptEnd::Stopped;
     leaveTarget();
     AttemptPlan plan;
     plan.target = holderId;
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -4,7 +4,6 @@
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "relay/BrittleServices.h"
-#include "relay/CrashGuard.h"
 #include "relay/EngineReports.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
@@ -142,13 +141,8 @@
 void RelayRun::place()
 {
     m_phase = Phase::Placing;
-    if (m_context.crashGuard.isQuarantined(m_task.fingerprint)) {
-        // After an attempt that may have run the request, Quarantined would wrongly say that it has
-        // not run.
-        fail(m_ran == Ran::No ? ErrorKind::Quarantined : ErrorKind::TargetFailed,
-             QStringLiteral("the request is quarantined because it crashed targets"));
+    if (holdBack())
         return;
-    }
     if (!m_task.engine || m_context.hasPeers() || shouldForward()) {
         if (!tryPlace())
             waitForRoom();
@@ -202,6 +196,9 @@
         forward();
         return true;
     }
+    // The request may have been suspected while it waited.
+    if (holdBack())
+        return true;
     const MonotonicTime now = m_context.timers.now();
     requestPermits(m_phase == Phase::Placing);
     TargetNeed wanted = need();
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -4,12 +4,12 @@
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
-#include "relay/CrashGuard.h"
 #include "relay/ForwardedExchange.h"
 #include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
+#include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayCounters.h"
 #include "relay/RoomReservation.h"
@@ -24,22 +24,6 @@
 constexpr int MaxSends = 4;
 constexpr int FirstServerFailure = 500;
 
-RelayAttemptEnd attemptEndOf(SendResult::Kind kind)
-{
-    switch (kind) {
-    case SendResult::Kind::Answered:
-        return RelayAttemptEnd::Answered;
-    case SendResult::Kind::Broken:
-    case SendResult::Kind::Invalid:
-        return RelayAttemptEnd::Broken;
-    case SendResult::Kind::NotConnected:
-    case SendResult::Kind::NotExecuted:
-    case SendResult::Kind::Misdirected:
-        break;
-    }
-    return RelayAttemptEnd::Ended;
-}
-
 } // namespace
 
 void RelayRun::attemptEnded(const SendResult &received)
@@ -66,7 +50,7 @@
         ++m_possibleRuns;
     if (result.kind != SendResult::Kind::NotConnected)
         ++m_arrivals;
-    m_attemptEnd = attemptEndOf(result.kind);
+    m_attemptEnd = attemptEndOf(result);
     updateTargetHealth(result);
     if (hasBegun() && continueAtBackup(result))
         return;
--- /dev/null
+++ b/src/relay/RelayRunTrials.cpp
@@ -0,0 +1,96 @@
+#include "relay/RelayRun.h"
+
+#include "base/EventLog.h"
+#include "base/TimerService.h"
+#include "base/TimerSubscription.h"
+#include "relay/CrashGuard.h"
+#include "relay/CrashHold.h"
+#include "relay/RelayAttempt.h"
+#include "relay/RelayAttemptEnd.h"
+#include "relay/RelayContext.h"
+
+#include <algorithm>
+
+namespace cranberry {
+
+bool RelayRun::holdBack()
+{
+    if (m_trial)
+        return false;
+    const RunVerdict verdict = m_context.crashGuard.verdict(m_task.fingerprint);
+    if (verdict == RunVerdict::Free)
+        return false;
+    if (verdict == RunVerdict::Reject) {
+        rejectQuarantined();
+        return true;
+    }
+    // The daemon that sends the request to a target holds it back.
+    if (shouldForward())
+        return false;
+    m_phase = Phase::Held;
+    logEvent(LogLevel::Info, EventId::CrashHeld,
+             {{"request", m_task.request.id.text()},
+              {"fingerprint", m_task.fingerprint.text()},
+              {"verdict", QLatin1String(runVerdictName(verdict))}});
+    m_hold = m_context.crashGuard.hold(m_task.fingerprint, m_task.workspace,
+                                       [this](bool isAllowed, std::optional<SuspicionId> trial) {
+                                           const auto self = shared_from_this();
+                                           holdEnded(isAllowed, trial);
+                                       });
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(waitsUntil() - m_context.timers.now());
+    m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
+        const auto self = shared_from_this();
+        if (m_phase == Phase::Held)
+            rejectQuarantined();
+    });
+    return true;
+}
+
+void RelayRun::holdEnded(bool isAllowed, std::optional<SuspicionId> trial)
+{
+    m_hold.reset();
+    m_waitTimer.reset();
+    m_trial = trial;
+    if (isAllowed)
+        place();
+    else
+        rejectQuarantined();
+}
+
+void RelayRun::rejectQuarantined()
+{
+    // After an attempt that may have run the request, Quarantined would wrongly say that it has not
+    // run.
+    if (m_fallback)
+        forwardAnswer(*m_fallback);
+    else
+        fail(m_ran == Ran::No ? ErrorKind::Quarantined : ErrorKind::TargetFailed,
+             QStringLiteral("the request is quarantined because it may crash targets"));
+}
+
+void RelayRun::returnTrial()
+{
+    if (const auto trial = std::exchange(m_trial, std::nullopt))
+        m_context.crashGuard.returnTrial(m_task.fingerprint, *trial);
+}
+
+void RelayRun::attemptStarted(const TargetId &target)
+{
+    m_monitored = m_context.crashGuard.attempts().started(
+        m_task.fingerprint, m_task.workspace, target, std::exchange(m_trial, std::nullopt));
+}
+
+void RelayRun::reportAttemptEnd(RelayAttemptEnd end)
+{
+    if (const int attempt = std::exchange(m_monitored, 0))
+        m_context.crashGuard.attempts().ended(attempt, end);
+}
+
+void RelayRun::endTakeover(RelayAttemptEnd end)
+{
+    if (const int attempt = std::exchange(m_monitoredTakeover, 0))
+        m_context.crashGuard.attempts().ended(attempt, end);
+}
+
+} // namespace cranberry
--- a/src/relay/TargetProtocol.h
+++ b/src/relay/TargetProtocol.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Ids.h"
 #include "base/Result.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponse.h"
@@ -25,6 +26,10 @@
     std::function<AnswerHead(const RelayRequest &, int status, const HttpHeaders &)> answerHead;
     /// Name of the header in which a target returns the id of the request.
     QByteArray echoHeader;
+    /// Makes a target that is not the given one refuse the request.
+    std::function<void(HttpRequest &, const TargetId &)> expect;
+    /// Whether the answer is that of another target, which has the same address now.
+    std::function<bool(const TargetId &, int status, const HttpHeaders &)> isOther;
     std::function<HttpRequest()> report;
     std::function<Result<EngineReport>(const HttpResponse &)> readReport;
     std::function<HttpRequest(const MoveOrder &)> move;
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -82,6 +82,8 @@
             return HttpRequest();
         };
         targetProtocol.report = [] { return HttpRequest(); };
+        // Without peers, a daemon holds requests until it gives up asking for their records.
+        timers.advance(3s);
     }
 
     RelayTask task(int number, Milliseconds objective, Tokens prompt, MonotonicTime arrived)
@@ -129,7 +131,13 @@
         RetryLimits(), {}, [] { return FleetPosition(); }, [] { return 0.0; }};
     OutputForecast outputForecast;
     RoomForecast roomForecast;
-    CrashGuard crashGuard{timers, peers, datagrams};
+    CrashGuard crashGuard{timers,
+                          client,
+                          peers,
+                          datagrams,
+                          targets,
+                          [](const ServiceId &, const TargetId &) { return HttpRequest(); },
+                          [](const TargetId &, int, const HttpHeaders &) { return false; }};
     RelayContext context{timers,
                          client,
                          targets,
--- a/test/standins/users/CrashingTargets.cpp
+++ b/test/standins/users/CrashingTargets.cpp
@@ -56,9 +56,10 @@
                              [bound](MonotonicTime time) { return time > bound; }));
 }
 
-CrashingTargets::CrashingTargets(test::PlatformSite &site, quint32 seed)
+CrashingTargets::CrashingTargets(test::PlatformSite &site, quint32 seed, QByteArray service)
     : m_site(site)
     , m_random(seed)
+    , m_service(std::move(service))
 {
 }
 
@@ -84,7 +85,7 @@
 {
     const QByteArray id =
         "crashing-" + QByteArray::number(target.number) + '-' + QByteArray::number(++m_starts);
-    RunnerEmulator &runner = m_site.addRunner(id, "plain");
+    RunnerEmulator &runner = m_site.addRunner(id, m_service);
     target.runner = &runner;
     runner.setOverride(
         [this, &target](const HttpRequest &request, const RunnerEmulator::Reply &reply) {
@@ -96,7 +97,7 @@
         });
     target.proxy->setTarget(runner.endpoint());
     runner.setAnnounced(target.proxy->endpoint());
-    m_site.announce(runner, "plain", "ready");
+    m_site.announce(runner, m_service, "ready");
 }
 
 bool CrashingTargets::handle(Target &target, const HttpRequest &request,
@@ -123,7 +124,9 @@
             target.crashTimer = m_timers.after(TimeToCrash, [this, &target] { crash(target); });
         return true;
     }
-    const HttpResponse answer{200, target.runner->answerHeaders(request), "answer"};
+    const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
+    const HttpResponse answer{200, target.runner->answerHeaders(request),
+                              "answer to body of " + id};
     QTimer::singleShot(m_serviceTime, &m_timerContext,
                        [&target, reply, answer, start = target.start] {
                            if (!target.isDown && target.start == start)
@@ -159,7 +162,7 @@
     ++target.start;
     target.pending.clear();
     if (m_behaviour.keepsId) {
-        m_site.announce(*target.runner, "plain", "ready");
+        m_site.announce(*target.runner, m_service, "ready");
     } else {
         // The entry of the former start still expires by itself.
         startRunner(target);
--- a/test/standins/users/CrashingTargets.h
+++ b/test/standins/users/CrashingTargets.h
@@ -48,19 +48,21 @@
     int lateRuns(Milliseconds stableTime) const;
 };
 
-/// Plain targets whose entries in the store expire as on the platform: three heartbeats after the
-/// last one. A request whose body begins with HarmfulPrefix crashes each target 50 ms after that
-/// has begun to run it. Thread safety: only from the thread of its event loop.
+/// Targets of a plain service whose entries in the store expire as on the platform: three
+/// heartbeats after the last one. A request whose body begins with HarmfulPrefix crashes each
+/// target 50 ms after that has begun to run it. Thread safety: only from the thread of its event
+/// loop.
 class CrashingTargets
 {
 public:
     static constexpr char HarmfulPrefix[] = "harmful";
 
     /// Precondition: @p site outlives the object.
-    CrashingTargets(test::PlatformSite &site, quint32 seed);
+    CrashingTargets(test::PlatformSite &site, quint32 seed, QByteArray service = "plain");
     ~CrashingTargets();
 
-    /// Adds targets of "plain". Daemons numbered up to @p maxDaemons can be partitioned from them.
+    /// Adds targets of the service. Daemons numbered up to @p maxDaemons can be partitioned from
+    /// them.
     void add(int count, int maxDaemons);
     void setBehaviour(const CrashBehaviour &behaviour) { m_behaviour = behaviour; }
     /// Time that a target takes for a request that is not harmful.
@@ -93,6 +95,7 @@
     test::PlatformSite &m_site;
     QtTimerService m_timers;
     std::mt19937 m_random;
+    QByteArray m_service;
     CrashBehaviour m_behaviour;
     Milliseconds m_serviceTime{40};
     bool m_isFaulty = false;
--- a/test/standins/users/PromiseChecks.cpp
+++ b/test/standins/users/PromiseChecks.cpp
@@ -25,7 +25,8 @@
 {
     const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
     Story &story = m_stories[id];
-    story.isIdempotent = request.method == "GET";
+    story.isIdempotent =
+        request.path.startsWith("/safe/") || request.path.startsWith("/fragile-safe/");
     // A generation that goes on from its own copy is the same run.
     const bool goesOn = request.headers.contains("Kv-From");
     if (!goesOn && !story.isIdempotent && !story.runs.isEmpty())
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -66,15 +66,20 @@
                       route("unsafe", "unsafe", "plain")};
     if (extraRoute)
         routes.append(route("extra", "safe", "plain"));
+    QJsonArray services{QJsonObject{{"name", "plain"}}};
+    if (m_hasFragileService) {
+        routes.append(route("fragile-safe", "safe", "fragile"));
+        routes.append(route("fragile-unsafe", "unsafe", "fragile"));
+        services.append(QJsonObject{{"name", "fragile"}});
+    }
     const QJsonObject engine{{"slots", 8},     {"kvCapacityTokens", 100000},
                              {"moves", true},  {"backups", true},
                              {"holdMs", 2000}, {"stride", 1}};
+    services.prepend(QJsonObject{{"name", "model"}, {"engine", engine}});
     const QJsonObject json{
         {"version", version},
         {"routes", routes},
-        {"services",
-         QJsonArray{QJsonObject{{"name", "model"}, {"engine", engine}},
-                    QJsonObject{{"name", "plain"}}}},
+        {"services", services},
         {"limits",
          QJsonObject{{"maxHeaderBytes", 4096},
                      {"maxBodyBytes", 10000},
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -41,6 +41,9 @@
     /// Writes a configuration with the routes /model/, /safe/ and /unsafe/ and the key "key".
     /// @p extraRoute: also /extra/, to the plain service.
     void configure(int version, bool extraRoute = false);
+    /// Adds the service "fragile" and the routes /fragile-safe/ and /fragile-unsafe/ to
+    /// configurations that are written from now on.
+    void setFragileService() { m_hasFragileService = true; }
     /// The operator evacuates a data centre, or takes that back.
     void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Daemons that are started from now on start with the whole system for the first time:
@@ -115,6 +118,7 @@
     std::vector<std::unique_ptr<standin::RunnerEmulator>> m_runners;
     std::vector<Daemon> m_daemons;
     bool m_isFirstStart = false;
+    bool m_hasFragileService = false;
 };
 
 } // namespace cranberry::test
