Only the voters of a trial are told of it

A run on trial was told to all daemons when it began and when its target had survived, beside the two messages that all need (the suspicion, and that the request completed). With 770 daemons that is twice the datagrams for each ordinary request that was on a target that ended. A daemon that does not know of the trial asks, and learns of it from the voters.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -200,9 +200,9 @@
         return;
     const QByteArray id =
         "f" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
-    const QByteArray body = isHarmful
-        ? standin::CrashingTargets::HarmfulPrefix + QByteArray::number(m_harmfulBodies)
-        : "body of " + id;
+    const QByteArray body = isHarmful ? standin::CrashingTargets::HarmfulPrefix
+            + QByteArray(isSafe ? "-safe-" : "-unsafe-") + QByteArray::number(m_harmfulBodies)
+                                      : "body of " + id;
     m_limits.sent(id, daemon);
     m_pending.push_back(
         {id,
--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -97,8 +97,10 @@
     const auto record = m_records.constFind(request);
     if (record == m_records.cend())
         return;
-    for (const CrashSuspicion &run : record->suspicions)
+    for (const CrashSuspicion &run : record->suspicions) {
         m_unpublished.remove(run.id.value());
+        m_votersOfTrial.remove(run.id.value());
+    }
     CrashMessage message;
     message.records.append(*record);
     m_callbacks.broadcast(message);
@@ -148,7 +150,17 @@
         return;
     }
     setState(request, id, SuspicionState::Withdrawn, now);
-    publish(request);
+    const auto voters = m_votersOfTrial.constFind(id.value());
+    if (voters == m_votersOfTrial.cend()) {
+        publish(request);
+        return;
+    }
+    CrashMessage message;
+    message.records.append(m_records.value(request));
+    for (const VmId &voter : m_votersOfTrial.take(id.value())) {
+        if (voter != m_self)
+            m_callbacks.send(voter, message);
+    }
 }
 
 bool CrashLedger::addCompletions(CrashRecord &record, MonotonicTime now) const
@@ -203,6 +215,7 @@
     // This daemon has no other run of the request, or the verdict would not be Trial.
     if (asking.voters.contains(m_self))
         asking.granted.insert(m_self);
+    m_votersOfTrial.insert(id.value(), asking.voters);
     m_asking.push_back(asking);
     sendAsk(m_asking.back(), now);
     countVotes(id, now);
@@ -247,9 +260,7 @@
         record == m_records.cend() ? RunVerdict::Free : runVerdict(*record, m_self, id, now);
     const bool isAllowed =
         isGranted && (verdict == RunVerdict::Trial || verdict == RunVerdict::Free);
-    if (isAllowed)
-        publish(asking.request);
-    else
+    if (!isAllowed)
         withdraw(asking.request, id, now);
     m_callbacks.trialDecided(asking.request, id, isAllowed);
 }
--- a/src/quarantine/CrashLedger.h
+++ b/src/quarantine/CrashLedger.h
@@ -112,6 +112,8 @@
     QHash<RequestFingerprint, CrashRecord> m_records;
     /// Runs that no other daemon was told of.
     QSet<qint64> m_unpublished;
+    /// Trials that only their voters were told of.
+    QHash<qint64, QList<VmId>> m_votersOfTrial;
     /// Unset after a change.
     std::optional<quint64> m_digest;
     QHash<RequestFingerprint, CompletedRuns> m_completed;
