The monitor of attempts visits open attempts only

Each answer of a target visited all attempts of the daemon. A target that is not known is not probed.

--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -62,8 +62,9 @@
     attempt.run = trial;
     if (trial)
         m_ledger.setTarget(request, *trial, target);
+    Probed &probed = m_probed[target];
+    ++probed.attempts;
     if (const TargetRecord *record = m_targets.find(target)) {
-        Probed &probed = m_probed[target];
         probed.endpoint = record->entry.endpoint;
         probed.service = record->entry.service;
     }
@@ -98,17 +99,18 @@
         withdraw(attempt);
         if (end == RelayAttemptEnd::Completed)
             m_ledger.recordCompleted(attempt.request, now);
-        m_attempts.erase(found);
+        remove(number);
         return;
     }
     ++m_counters.unexplained;
     attempt.endedAt = now;
+    m_open.insert(number);
     if (attempt.isSuspected)
         return;
     if (!attempt.run)
         attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
     if (m_disappeared.contains(attempt.target)) {
-        suspect(attempt, "disappeared");
+        suspect(number, attempt, "disappeared");
         return;
     }
     const auto probed = m_probed.find(attempt.target);
@@ -133,7 +135,7 @@
 {
     for (auto &[number, attempt] : m_attempts) {
         if (attempt.target == target)
-            suspect(attempt, "started again");
+            suspect(number, attempt, "started again");
     }
 }
 
@@ -160,6 +162,8 @@
         }
     }
     for (auto &[number, attempt] : m_attempts) {
+        if (!attempt.endedAt && elapsed(attempt.startedAt, now) < QuietTime)
+            continue;
         const auto probed = m_probed.find(attempt.target);
         if (probed != m_probed.end() && !probed->second.probe
             && needsProbe(attempt, probed->second, now)) {
@@ -189,6 +193,9 @@
 
 void AttemptMonitor::probe(const TargetId &target, Probed &probed)
 {
+    const bool isKnown = probed.endpoint.port != 0;
+    if (!isKnown)
+        return;
     ++m_counters.probes;
     probed.probedAt = m_timers.now();
     probed.waited = Milliseconds(0);
@@ -243,29 +250,39 @@
 
 void AttemptMonitor::survived(const TargetId &target, MonotonicTime sentAt, bool isProbe)
 {
-    for (auto entry = m_attempts.begin(); entry != m_attempts.end();) {
-        Attempt &attempt = entry->second;
+    for (const int number : std::vector<int>(m_open.begin(), m_open.end())) {
+        Attempt &attempt = m_attempts.at(number);
         // After a suspicion, the target may have started again. Only the answer to the probe that
         // it was too slow for still shows that it has not.
         const bool isSlowAnswer = isProbe && attempt.silentProbe == sentAt;
         const bool hasEnded = attempt.endedAt && *attempt.endedAt <= sentAt;
-        if (attempt.target != target || !(attempt.isSuspected ? isSlowAnswer : hasEnded)) {
-            ++entry;
+        if (attempt.target != target || !(attempt.isSuspected ? isSlowAnswer : hasEnded))
             continue;
-        }
         ++m_counters.survived;
         withdraw(attempt);
         attempt.hasSurvived = attempt.endedAt.has_value();
-        entry = attempt.endedAt && !isProbe ? m_attempts.erase(entry) : std::next(entry);
+        if (!attempt.endedAt)
+            m_open.erase(number);
+        else if (!isProbe)
+            remove(number);
     }
 }
 
-void AttemptMonitor::suspect(Attempt &attempt, const char *reason)
+void AttemptMonitor::remove(int number)
+{
+    const auto found = m_attempts.find(number);
+    --m_probed[found->second.target].attempts;
+    m_open.erase(number);
+    m_attempts.erase(found);
+}
+
+void AttemptMonitor::suspect(int number, Attempt &attempt, const char *reason)
 {
     if (attempt.isSuspected)
         return;
     const MonotonicTime now = m_timers.now();
     attempt.isSuspected = true;
+    m_open.insert(number);
     if (attempt.hasSurvived || !attempt.run)
         attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
     attempt.hasSurvived = false;
@@ -283,9 +300,10 @@
 
 void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
 {
-    for (auto &[number, attempt] : m_attempts) {
+    for (const int number : m_open) {
+        Attempt &attempt = m_attempts.at(number);
         if (attempt.target == target && attempt.endedAt && *attempt.endedAt <= before)
-            suspect(attempt, reason);
+            suspect(number, attempt, reason);
     }
 }
 
@@ -298,7 +316,7 @@
         if (attempt.target != target || !isQuiet || attempt.isSuspected)
             continue;
         attempt.silentProbe = probed.probedAt;
-        suspect(attempt, "silent");
+        suspect(number, attempt, "silent");
     }
 }
 
@@ -315,18 +333,16 @@
 {
     m_disappeared.removeIf(
         [now](const auto &entry) { return elapsed(entry.value(), now) > DisappearanceWindow; });
-    QSet<TargetId> used;
-    for (auto entry = m_attempts.begin(); entry != m_attempts.end();) {
-        Attempt &attempt = entry->second;
-        const bool isOld = attempt.endedAt && elapsed(*attempt.endedAt, now) > DisappearanceWindow;
-        if (isOld && attempt.run && !attempt.hasSurvived)
-            suspect(attempt, "unknown");
-        if (!isOld)
-            used.insert(attempt.target);
-        entry = isOld ? m_attempts.erase(entry) : std::next(entry);
+    for (const int number : std::vector<int>(m_open.begin(), m_open.end())) {
+        Attempt &attempt = m_attempts.at(number);
+        if (!attempt.endedAt || elapsed(*attempt.endedAt, now) <= DisappearanceWindow)
+            continue;
+        if (attempt.run && !attempt.hasSurvived)
+            suspect(number, attempt, "unknown");
+        remove(number);
     }
     for (auto entry = m_probed.begin(); entry != m_probed.end();) {
-        const bool isUsed = entry->second.probe || used.contains(entry->first);
+        const bool isUsed = entry->second.probe || entry->second.attempts > 0;
         entry = isUsed ? std::next(entry) : m_probed.erase(entry);
     }
 }
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -12,6 +12,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
+#include <vector>
 
 namespace cranberry {
 
@@ -87,6 +89,8 @@
     struct Probed {
         HttpEndpoint endpoint;
         ServiceId service;
+        /// Attempts at the target that are not removed.
+        int attempts = 0;
         /// The last data of the target.
         MonotonicTime heardAt;
         std::unique_ptr<HttpExchange> probe;
@@ -104,11 +108,12 @@
     void probeEnded(const TargetId &target, HttpExchangeEnd end);
     static bool needsProbe(const Attempt &attempt, const Probed &probed, MonotonicTime now);
     void survived(const TargetId &target, MonotonicTime sentAt, bool isProbe);
-    void suspect(Attempt &attempt, const char *reason);
+    void suspect(int number, Attempt &attempt, const char *reason);
     void suspectEnded(const TargetId &target, MonotonicTime before, const char *reason);
     void suspectSilent(const TargetId &target, const Probed &probed);
     void withdraw(Attempt &attempt);
     void removeOld(MonotonicTime now);
+    void remove(int number);
     void startTimer();
     void scheduleCheck();
 
@@ -121,6 +126,8 @@
     Counters m_counters;
     int m_lastNumber = 0;
     std::map<int, Attempt> m_attempts;
+    /// Those that have ended or are suspected; few beside those that run.
+    std::set<int> m_open;
     std::map<TargetId, Probed> m_probed;
     QHash<TargetId, MonotonicTime> m_disappeared;
     MonotonicTime m_checkedAt;
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -277,17 +277,22 @@
 {
     if (!m_desynchronisedAt)
         return;
-    const Milliseconds waited =
-        std::chrono::duration_cast<Milliseconds>(m_timers.now() - *m_desynchronisedAt);
+    const auto waited = m_timers.now() - *m_desynchronisedAt;
     const bool isAnswered = m_ledger.isSynchronised();
     const bool isAlone = m_peers.hasListed() && members().isEmpty();
     const bool isLate = waited >= (m_peers.hasListed() ? SynchroniseTimeout : ListTimeout);
-    if (!isAnswered && !isAlone && !isLate) {
+    if (isAnswered || isAlone || isLate)
+        endSynchronisation(isAnswered);
+    else
         m_ledger.pull();
-        return;
-    }
+}
+
+void CrashGuard::endSynchronisation(bool isAnswered)
+{
     m_ledger.setSynchronised(true);
+    const MonotonicTime since = m_desynchronisedAt.value_or(m_timers.now());
     m_desynchronisedAt.reset();
+    const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(m_timers.now() - since);
     logEvent(LogLevel::Info, EventId::CrashRecordsRead,
              {{"reason", QLatin1String(m_desynchronisedBy)},
               {"answered", isAnswered ? QStringLiteral("yes") : QStringLiteral("no")},
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -44,6 +44,8 @@
                AttemptMonitor::ProbeRequest probeRequest, AttemptMonitor::IsOther isOther);
     ~CrashGuard();
 
+    /// No other daemon has records, as the whole fleet starts for the first time.
+    void setFirstStart() { endSynchronisation(false); }
     /// Whether the request may run now. A request with verdict Trial or Wait is passed to hold().
     RunVerdict verdict(const RequestFingerprint &request);
     /// Calls @p decided later, once, unless the result is destroyed before.
@@ -80,6 +82,7 @@
     /// Holds all requests until other daemons have sent their records.
     void desynchronise(const char *reason);
     void synchronise();
+    void endSynchronisation(bool isAnswered);
     void checkStall();
     void checkPeers();
     void scheduleDecisions();
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -223,6 +223,8 @@
     : m_parts(std::make_unique<RelayParts>(settings, protocols))
 {
     RelayParts &parts = *m_parts;
+    if (settings.isFirstStart)
+        parts.crashGuard.setFirstStart();
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
         mirror->setMaxBackoff([this] { return m_parts->feed.maxBackoff(); });
     // The operator's keys have no leases, so that a missing key has been removed.
