--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -29,6 +29,7 @@
 /// An entry ends three missed heartbeats of 1.2 s after a crash, and the change takes a few ms to
 /// arrive.
 constexpr Milliseconds DisappearanceWindow{6000};
+constexpr Milliseconds RemovalInterval{500};
 
 Milliseconds elapsed(MonotonicTime since, MonotonicTime now)
 {
@@ -162,7 +163,8 @@
         }
     }
     for (auto &[number, attempt] : m_attempts) {
-        if (!attempt.endedAt && elapsed(attempt.startedAt, now) < QuietTime)
+        const bool isYoung = !attempt.endedAt && elapsed(attempt.startedAt, now) < QuietTime;
+        if (isYoung || attempt.isSuspected || attempt.hasSurvived)
             continue;
         const auto probed = m_probed.find(attempt.target);
         if (probed != m_probed.end() && !probed->second.probe
@@ -261,18 +263,32 @@
         ++m_counters.survived;
         withdraw(attempt);
         attempt.hasSurvived = attempt.endedAt.has_value();
-        if (!attempt.endedAt)
-            m_open.erase(number);
-        else if (!isProbe)
+        m_open.erase(number);
+        if (attempt.endedAt && isProbe)
+            m_settled.insert(number);
+        else if (attempt.endedAt)
             remove(number);
     }
 }
 
+void AttemptMonitor::removeOldOf(const std::set<int> &numbers, MonotonicTime now)
+{
+    for (const int number : std::vector<int>(numbers.begin(), numbers.end())) {
+        Attempt &attempt = m_attempts.at(number);
+        if (!attempt.endedAt || elapsed(*attempt.endedAt, now) <= DisappearanceWindow)
+            continue;
+        if (attempt.run && !attempt.hasSurvived)
+            suspect(number, attempt, "unknown");
+        remove(number);
+    }
+}
+
 void AttemptMonitor::remove(int number)
 {
     const auto found = m_attempts.find(number);
     --m_probed[found->second.target].attempts;
     m_open.erase(number);
+    m_settled.erase(number);
     m_attempts.erase(found);
 }
 
@@ -282,7 +298,13 @@
         return;
     const MonotonicTime now = m_timers.now();
     attempt.isSuspected = true;
-    m_open.insert(number);
+    // Only the probe that is still out can clear it.
+    if (attempt.silentProbe) {
+        m_open.insert(number);
+    } else {
+        m_open.erase(number);
+        m_settled.insert(number);
+    }
     if (attempt.hasSurvived || !attempt.run)
         attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
     attempt.hasSurvived = false;
@@ -300,7 +322,9 @@
 
 void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
 {
-    for (const int number : m_open) {
+    std::vector<int> numbers(m_open.begin(), m_open.end());
+    numbers.insert(numbers.end(), m_settled.begin(), m_settled.end());
+    for (const int number : numbers) {
         Attempt &attempt = m_attempts.at(number);
         if (attempt.target == target && attempt.endedAt && *attempt.endedAt <= before)
             suspect(number, attempt, reason);
@@ -333,14 +357,11 @@
 {
     m_disappeared.removeIf(
         [now](const auto &entry) { return elapsed(entry.value(), now) > DisappearanceWindow; });
-    for (const int number : std::vector<int>(m_open.begin(), m_open.end())) {
-        Attempt &attempt = m_attempts.at(number);
-        if (!attempt.endedAt || elapsed(*attempt.endedAt, now) <= DisappearanceWindow)
-            continue;
-        if (attempt.run && !attempt.hasSurvived)
-            suspect(number, attempt, "unknown");
-        remove(number);
-    }
+    if (elapsed(m_removedAt, now) < RemovalInterval)
+        return;
+    m_removedAt = now;
+    removeOldOf(m_open, now);
+    removeOldOf(m_settled, now);
     for (auto entry = m_probed.begin(); entry != m_probed.end();) {
         const bool isUsed = entry->second.probe || entry->second.attempts > 0;
         entry = isUsed ? std::next(entry) : m_probed.erase(entry);
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -114,6 +114,7 @@
     void withdraw(Attempt &attempt);
     void removeOld(MonotonicTime now);
     void remove(int number);
+    void removeOldOf(const std::set<int> &numbers, MonotonicTime now);
     void startTimer();
     void scheduleCheck();
 
@@ -126,8 +127,12 @@
     Counters m_counters;
     int m_lastNumber = 0;
     std::map<int, Attempt> m_attempts;
-    /// Those that have ended or are suspected; few beside those that run.
+    /// Attempts that have ended or are suspected, and may still be cleared by an answer of their
+    /// target.
     std::set<int> m_open;
+    /// Attempts that have ended, and may only be suspected if their target disappears.
+    std::set<int> m_settled;
+    MonotonicTime m_removedAt;
     std::map<TargetId, Probed> m_probed;
     QHash<TargetId, MonotonicTime> m_disappeared;
     MonotonicTime m_checkedAt;
