A target is judged 200 ms after a run began whose caller left

A caller that leaves while the request has run for less than the time in which it crashes its target made the daemon probe the target too early: the target answered, and crashed a moment later. A broken connection is judged at once, as before.

The monitor keeps attempts that wait for an answer by target, so that an answer visits those of its own target only.

--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -18,6 +18,8 @@
 /// Other daemons are told of a run if its target has not answered for this time after its end; a
 /// target that survived answers a probe within a few ms.
 constexpr Milliseconds PublishDelay{50};
+/// A request may crash its target this long after its begin, even if its caller has left meanwhile.
+constexpr Milliseconds SettleTime{200};
 /// A running attempt makes this daemon probe the target if nothing arrived from it for this time.
 constexpr Milliseconds QuietTime{300};
 /// A target that has not answered a probe within this time may have crashed...
@@ -105,7 +107,9 @@
     }
     ++m_counters.unexplained;
     attempt.endedAt = now;
-    m_open.insert(number);
+    attempt.judgedFrom =
+        end == RelayAttemptEnd::Broken ? now : std::max(now, attempt.startedAt + SettleTime);
+    m_probed[attempt.target].open.insert(number);
     if (attempt.isSuspected)
         return;
     if (!attempt.run)
@@ -115,7 +119,7 @@
         return;
     }
     const auto probed = m_probed.find(attempt.target);
-    if (probed != m_probed.end() && !probed->second.probe)
+    if (probed != m_probed.end() && !probed->second.probe && attempt.judgedFrom <= now)
         probe(attempt.target, probed->second);
 }
 
@@ -190,7 +194,7 @@
     if (attempt.isSuspected || attempt.hasSurvived)
         return false;
     const MonotonicTime quietSince = std::max({attempt.startedAt, probed.heardAt, probed.probedAt});
-    return attempt.endedAt || elapsed(quietSince, now) >= QuietTime;
+    return attempt.endedAt ? attempt.judgedFrom <= now : elapsed(quietSince, now) >= QuietTime;
 }
 
 void AttemptMonitor::probe(const TargetId &target, Probed &probed)
@@ -252,28 +256,33 @@
 
 void AttemptMonitor::survived(const TargetId &target, MonotonicTime sentAt, bool isProbe)
 {
-    for (const int number : std::vector<int>(m_open.begin(), m_open.end())) {
+    const auto probed = m_probed.find(target);
+    if (probed == m_probed.end() || probed->second.open.empty())
+        return;
+    const std::set<int> open = probed->second.open;
+    for (const int number : open) {
         Attempt &attempt = m_attempts.at(number);
         // After a suspicion, the target may have started again. Only the answer to the probe that
         // it was too slow for still shows that it has not.
         const bool isSlowAnswer = isProbe && attempt.silentProbe == sentAt;
-        const bool hasEnded = attempt.endedAt && *attempt.endedAt <= sentAt;
-        if (attempt.target != target || !(attempt.isSuspected ? isSlowAnswer : hasEnded))
+        const bool hasEnded = attempt.endedAt && attempt.judgedFrom <= sentAt;
+        if (!(attempt.isSuspected ? isSlowAnswer : hasEnded))
             continue;
         ++m_counters.survived;
         withdraw(attempt);
         attempt.hasSurvived = attempt.endedAt.has_value();
-        m_open.erase(number);
+        probed->second.open.erase(number);
         if (attempt.endedAt && isProbe)
-            m_settled.insert(number);
+            probed->second.settled.insert(number);
         else if (attempt.endedAt)
             remove(number);
     }
 }
 
-void AttemptMonitor::removeOldOf(const std::set<int> &numbers, MonotonicTime now)
+// NOLINTNEXTLINE(performance-unnecessary-value-param): remove() changes what it is copied from.
+void AttemptMonitor::removeOldOf(std::set<int> numbers, MonotonicTime now)
 {
-    for (const int number : std::vector<int>(numbers.begin(), numbers.end())) {
+    for (const int number : numbers) {
         Attempt &attempt = m_attempts.at(number);
         if (!attempt.endedAt || elapsed(*attempt.endedAt, now) <= DisappearanceWindow)
             continue;
@@ -286,9 +295,10 @@
 void AttemptMonitor::remove(int number)
 {
     const auto found = m_attempts.find(number);
-    --m_probed[found->second.target].attempts;
-    m_open.erase(number);
-    m_settled.erase(number);
+    Probed &probed = m_probed[found->second.target];
+    --probed.attempts;
+    probed.open.erase(number);
+    probed.settled.erase(number);
     m_attempts.erase(found);
 }
 
@@ -299,11 +309,12 @@
     const MonotonicTime now = m_timers.now();
     attempt.isSuspected = true;
     // Only the probe that is still out can clear it.
+    Probed &probed = m_probed[attempt.target];
     if (attempt.silentProbe) {
-        m_open.insert(number);
+        probed.open.insert(number);
     } else {
-        m_open.erase(number);
-        m_settled.insert(number);
+        probed.open.erase(number);
+        probed.settled.insert(number);
     }
     if (attempt.hasSurvived || !attempt.run)
         attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
@@ -322,11 +333,14 @@
 
 void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
 {
-    std::vector<int> numbers(m_open.begin(), m_open.end());
-    numbers.insert(numbers.end(), m_settled.begin(), m_settled.end());
+    const auto probed = m_probed.find(target);
+    if (probed == m_probed.end())
+        return;
+    std::set<int> numbers = probed->second.open;
+    numbers.insert(probed->second.settled.begin(), probed->second.settled.end());
     for (const int number : numbers) {
         Attempt &attempt = m_attempts.at(number);
-        if (attempt.target == target && attempt.endedAt && *attempt.endedAt <= before)
+        if (attempt.endedAt && attempt.judgedFrom <= before)
             suspect(number, attempt, reason);
     }
 }
@@ -335,7 +349,7 @@
 {
     for (auto &[number, attempt] : m_attempts) {
         const bool isQuiet = attempt.endedAt
-            ? *attempt.endedAt <= probed.probedAt && !attempt.hasSurvived
+            ? attempt.judgedFrom <= probed.probedAt && !attempt.hasSurvived
             : attempt.startedAt <= probed.probedAt && probed.heardAt < probed.probedAt;
         if (attempt.target != target || !isQuiet || attempt.isSuspected)
             continue;
@@ -360,8 +374,10 @@
     if (elapsed(m_removedAt, now) < RemovalInterval)
         return;
     m_removedAt = now;
-    removeOldOf(m_open, now);
-    removeOldOf(m_settled, now);
+    for (auto &[target, probed] : m_probed) {
+        removeOldOf(probed.open, now);
+        removeOldOf(probed.settled, now);
+    }
     for (auto entry = m_probed.begin(); entry != m_probed.end();) {
         const bool isUsed = entry->second.probe || entry->second.attempts > 0;
         entry = isUsed ? std::next(entry) : m_probed.erase(entry);
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -13,7 +13,6 @@
 #include <memory>
 #include <optional>
 #include <set>
-#include <vector>
 
 namespace cranberry {
 
@@ -79,6 +78,9 @@
         TargetId target;
         MonotonicTime startedAt;
         std::optional<MonotonicTime> endedAt;
+        /// Once it has ended: an answer to what was sent from this time on shows that its target
+        /// has survived.
+        MonotonicTime judgedFrom;
         /// The target answered a probe after the end.
         bool hasSurvived = false;
         std::optional<SuspicionId> run;
@@ -91,6 +93,10 @@
         ServiceId service;
         /// Attempts at the target that are not removed.
         int attempts = 0;
+        /// Those that have ended or are suspected, and may still be cleared by an answer.
+        std::set<int> open;
+        /// Those that have ended, and may only be suspected if the target disappears.
+        std::set<int> settled;
         /// The last data of the target.
         MonotonicTime heardAt;
         std::unique_ptr<HttpExchange> probe;
@@ -114,7 +120,7 @@
     void withdraw(Attempt &attempt);
     void removeOld(MonotonicTime now);
     void remove(int number);
-    void removeOldOf(const std::set<int> &numbers, MonotonicTime now);
+    void removeOldOf(std::set<int> numbers, MonotonicTime now);
     void startTimer();
     void scheduleCheck();
 
@@ -127,11 +133,6 @@
     Counters m_counters;
     int m_lastNumber = 0;
     std::map<int, Attempt> m_attempts;
-    /// Attempts that have ended or are suspected, and may still be cleared by an answer of their
-    /// target.
-    std::set<int> m_open;
-    /// Attempts that have ended, and may only be suspected if their target disappears.
-    std::set<int> m_settled;
     MonotonicTime m_removedAt;
     std::map<TargetId, Probed> m_probed;
     QHash<TargetId, MonotonicTime> m_disappeared;
