Log the prompt parts of requests that may have crashed targets

The lines of the incident cannot tell apart whether each crash is of another request, or the news of an earlier one did not arrive: no line says what the requests have in common.

relay.arrived and crash.evidence name the parts of the prompt that others may share; crash.evidence also says whether the request had begun to be answered and whether it was suspected before. cranberry_relay_attempts_suspected_again_total counts the latter. The attempt after a takeover has no parts, as its generation has begun.

No decision changes.

--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -56,6 +56,14 @@
     return nullptr;
 }
 
+bool CrashLedger::isSuspected(const RequestFingerprint &request) const
+{
+    const auto record = m_records.constFind(request);
+    return record != m_records.cend()
+        && std::any_of(record->suspicions.begin(), record->suspicions.end(),
+                       [](const auto &run) { return run.state == SuspicionState::Suspected; });
+}
+
 SuspicionId CrashLedger::addRun(const RequestFingerprint &request, const WorkspaceId &workspace,
                                 const TargetId &target, MonotonicTime now)
 {
--- a/src/quarantine/CrashLedger.h
+++ b/src/quarantine/CrashLedger.h
@@ -44,6 +44,9 @@
 
     RunVerdict verdict(const RequestFingerprint &request, MonotonicTime now) const;
 
+    /// Whether a run of the request is suspected.
+    bool isSuspected(const RequestFingerprint &request) const;
+
     /// Adds a run that may have crashed @p target. Other daemons are not told before publish() or a
     /// change of its state.
     SuspicionId addRun(const RequestFingerprint &request, const WorkspaceId &workspace,
--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -54,17 +54,16 @@
 
 AttemptMonitor::~AttemptMonitor() = default;
 
-int AttemptMonitor::started(const RequestFingerprint &request, const WorkspaceId &workspace,
-                            const TargetId &target, std::optional<SuspicionId> trial)
+int AttemptMonitor::started(const CrashSubject &subject, const TargetId &target,
+                            std::optional<SuspicionId> trial)
 {
     Attempt attempt;
-    attempt.request = request;
-    attempt.workspace = workspace;
+    attempt.subject = subject;
     attempt.target = target;
     attempt.startedAt = m_timers.now();
     attempt.run = trial;
     if (trial)
-        m_ledger.setTarget(request, *trial, target);
+        m_ledger.setTarget(subject.request.fingerprint, *trial, target);
     Probed &probed = m_probed[target];
     ++probed.attempts;
     if (const TargetRecord *record = m_targets.find(target)) {
@@ -76,6 +75,19 @@
     return m_lastNumber;
 }
 
+bool AttemptMonitor::progressed(int number)
+{
+    const auto found = m_attempts.find(number);
+    if (found == m_attempts.end())
+        return true;
+    Attempt &attempt = found->second;
+    const MonotonicTime now = m_timers.now();
+    if (!attempt.begunAt)
+        attempt.begunAt = now;
+    attempt.hasBegun = elapsed(*attempt.begunAt, now) >= SettleTime;
+    return attempt.hasBegun;
+}
+
 void AttemptMonitor::startTimer()
 {
     if (m_checkTimer)
@@ -101,7 +113,7 @@
     if (!isUnexplained) {
         withdraw(attempt);
         if (end == RelayAttemptEnd::Completed)
-            m_ledger.recordCompleted(attempt.request, now);
+            m_ledger.recordCompleted(attempt.subject.request.fingerprint, now);
         remove(number);
         return;
     }
@@ -113,7 +125,8 @@
     if (attempt.isSuspected)
         return;
     if (!attempt.run)
-        attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
+        attempt.run = m_ledger.addRun(attempt.subject.request.fingerprint,
+                                      attempt.subject.request.workspace, attempt.target, now);
     if (m_disappeared.contains(attempt.target)) {
         suspect(number, attempt, "disappeared");
         return;
@@ -180,7 +193,7 @@
         const bool isOpen = attempt.endedAt && attempt.run && !attempt.hasSurvived
             && !m_ledger.isPublished(*attempt.run);
         if (isOpen && elapsed(*attempt.endedAt, now) >= PublishDelay)
-            m_ledger.publish(attempt.request);
+            m_ledger.publish(attempt.subject.request.fingerprint);
     }
     removeOld(now);
     if (m_attempts.empty() && m_disappeared.isEmpty() && m_probed.empty())
@@ -317,18 +330,24 @@
         probed.settled.insert(number);
     }
     if (attempt.hasSurvived || !attempt.run)
-        attempt.run = m_ledger.addRun(attempt.request, attempt.workspace, attempt.target, now);
+        attempt.run = m_ledger.addRun(attempt.subject.request.fingerprint,
+                                      attempt.subject.request.workspace, attempt.target, now);
     attempt.hasSurvived = false;
     ++m_counters.suspected;
+    const bool isAgain = m_ledger.isSuspected(attempt.subject.request.fingerprint);
+    m_counters.suspectedAgain += isAgain ? 1 : 0;
     logEvent(LogLevel::Info, EventId::CrashEvidence,
-             {{"fingerprint", attempt.request.text()},
+             {{"fingerprint", attempt.subject.request.fingerprint.text()},
+              {"parts", partNames(attempt.subject.parts)},
+              {"begun", attempt.hasBegun ? QStringLiteral("yes") : QStringLiteral("no")},
+              {"again", isAgain ? QStringLiteral("yes") : QStringLiteral("no")},
               {"target", attempt.target.text()},
               {"end", attempt.endedAt ? QStringLiteral("ended") : QStringLiteral("running")},
               {"reason", QLatin1String(reason)},
               {"ran_ms",
                QString::number(elapsed(attempt.startedAt, attempt.endedAt.value_or(now)).count())},
               {"record", QString::number(attempt.run->value())}});
-    m_ledger.suspect(attempt.request, *attempt.run, now);
+    m_ledger.suspect(attempt.subject.request.fingerprint, *attempt.run, now);
 }
 
 void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
@@ -361,7 +380,7 @@
 void AttemptMonitor::withdraw(Attempt &attempt)
 {
     if (attempt.run)
-        m_ledger.withdraw(attempt.request, *attempt.run, m_timers.now());
+        m_ledger.withdraw(attempt.subject.request.fingerprint, *attempt.run, m_timers.now());
     attempt.run.reset();
     attempt.silentProbe.reset();
     attempt.isSuspected = false;
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -3,8 +3,8 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
+#include "quarantine/CrashSubject.h"
 #include "quarantine/CrashSuspicion.h"
-#include "quarantine/RequestFingerprint.h"
 
 #include <QHash>
 
@@ -47,6 +47,8 @@
         qint64 probes = 0;
         qint64 survived = 0;
         qint64 suspected = 0;
+        /// Suspected attempts of requests that had been suspected before.
+        qint64 suspectedAgain = 0;
     };
 
     /// Precondition: everything passed outlives the monitor.
@@ -56,8 +58,10 @@
 
     /// Records an attempt that is being sent and returns its number. @p trial: the run that was
     /// permitted for it, if any.
-    int started(const RequestFingerprint &request, const WorkspaceId &workspace,
-                const TargetId &target, std::optional<SuspicionId> trial);
+    int started(const CrashSubject &subject, const TargetId &target,
+                std::optional<SuspicionId> trial);
+    /// An event of the answer arrived. Returns whether further ones do not matter.
+    bool progressed(int attempt);
     void ended(int attempt, RelayAttemptEnd end);
 
     /// The target began to answer a request that was sent at @p sentAt.
@@ -73,10 +77,13 @@
 
 private:
     struct Attempt {
-        RequestFingerprint request;
-        WorkspaceId workspace;
+        CrashSubject subject;
         TargetId target;
         MonotonicTime startedAt;
+        /// When the first event of the answer arrived.
+        std::optional<MonotonicTime> begunAt;
+        /// The target survived the begin of the answer.
+        bool hasBegun = false;
         std::optional<MonotonicTime> endedAt;
         /// Once it has ended: an answer to what was sent from this time on shows that its target
         /// has survived.
--- a/src/relay/ForwardMessage.cpp
+++ b/src/relay/ForwardMessage.cpp
@@ -33,6 +33,7 @@
     Age,
     Left,
     IsCounted,
+    PromptParts,
 };
 
 QCborArray encodeHeaders(const HttpHeaders &headers)
@@ -101,6 +102,10 @@
                  {Age, qint64(message.age.count())},
                  {Left, qint64(message.left.count())},
                  {IsCounted, message.isCounted}};
+    QCborArray parts;
+    for (const QByteArray &part : request.promptParts)
+        parts.append(part);
+    map.insert(PromptParts, parts);
     if (request.expectedOutput)
         map.insert(ExpectedOutput, request.expectedOutput->value());
     HttpRequest encoded;
@@ -137,6 +142,8 @@
     request.maxOutput = decodeTokens(map.value(MaxOutput));
     if (map.contains(ExpectedOutput))
         request.expectedOutput = decodeTokens(map.value(ExpectedOutput));
+    for (const QCborValue part : map.value(PromptParts).toArray())
+        request.promptParts.append(part.toByteArray());
     request.callerTimeout = *age + *left;
     message.route.name = map.value(RouteName).toString();
     message.route.kind = *kind;
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -44,6 +44,18 @@
     return error;
 }
 
+CrashSubject crashSubject(const RelayRequest &request, const WorkspaceId &workspace,
+                          const ServiceId &service)
+{
+    CrashSubject subject;
+    subject.request.fingerprint =
+        requestFingerprint(workspace, request.method + ' ' + request.target, request.body);
+    subject.request.workspace = workspace;
+    for (const QByteArray &part : request.promptParts)
+        subject.parts.append({partFingerprint(service, part), {}, QString::fromLatin1(part)});
+    return subject;
+}
+
 } // namespace
 
 RelayGateway::RelayGateway(RelayContext &context, std::function<bool()> isCurrent)
@@ -188,8 +200,7 @@
     task.service = serviceFor(route, request.id);
     task.workspace = m_configuration->workspaceOfKey.value(request.key);
     task.engine = m_configuration->services.value(task.service).engine;
-    task.fingerprint =
-        requestFingerprint(task.workspace, request.method + ' ' + request.target, request.body);
+    task.subject = crashSubject(request, task.workspace, task.service);
     task.request = std::move(request);
     task.route = route;
     task.arrived = m_context.timers.now();
@@ -201,7 +212,8 @@
          {"service", task.service.text()},
          {"workspace", task.workspace.text()},
          {"version", QString::number(m_configuration->version.value())},
-         {"fingerprint", task.fingerprint.text()},
+         {"fingerprint", task.subject.request.fingerprint.text()},
+         {"parts", partNames(task.subject.parts)},
          {"prompt", QString::number(task.request.promptTokens.value())},
          {"most", QString::number(task.request.maxOutput.value())},
          {"expected", QString::number(task.request.expectedOutput.value_or(Tokens(0)).value())}});
@@ -263,8 +275,7 @@
     task.workspace = message->workspace;
     task.engine = m_configuration->services.value(message->service).engine;
     task.request = message->request;
-    task.fingerprint = requestFingerprint(
-        task.workspace, task.request.method + ' ' + task.request.target, task.request.body);
+    task.subject = crashSubject(task.request, task.workspace, task.service);
     task.route = message->route;
     task.arrived = m_context.timers.now() - message->age;
     task.forwardedBy = message->from;
@@ -274,7 +285,8 @@
               {"route", task.route.name},
               {"service", task.service.text()},
               {"workspace", task.workspace.text()},
-              {"fingerprint", task.fingerprint.text()},
+              {"fingerprint", task.subject.request.fingerprint.text()},
+              {"parts", partNames(task.subject.parts)},
               {"from", task.forwardedBy.text()},
               {"age_ms", QString::number(message->age.count())},
               {"left_ms", QString::number(message->left.count())}});
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -108,6 +108,7 @@
     text += counterText("cranberry_relay_crash_probes_total", attempts.probes);
     text += counterText("cranberry_relay_attempts_survived_total", attempts.survived);
     text += counterText("cranberry_relay_attempts_suspected_total", attempts.suspected);
+    text += counterText("cranberry_relay_attempts_suspected_again_total", attempts.suspectedAgain);
     text += counterText("cranberry_relay_crash_held_total", counters.held);
     text += counterText("cranberry_relay_crash_rejected_total", counters.rejected);
     text += counterText("cranberry_relay_crash_trials_total", counters.trials);
--- a/src/relay/RelayRequest.h
+++ b/src/relay/RelayRequest.h
@@ -4,6 +4,8 @@
 #include "base/Units.h"
 #include "http/HttpHeaders.h"
 
+#include <QList>
+
 #include <optional>
 
 namespace cranberry {
@@ -23,6 +25,9 @@
     /// Time that the caller waits, from the arrival of the request.
     std::optional<Milliseconds> callerTimeout;
     Tokens promptTokens;
+    /// Ids of the parts of the prompt, in order, without the last one, which no other request
+    /// shares. Empty if the caller names none.
+    QList<QByteArray> promptParts;
     Tokens maxOutput;
     /// Estimate of the caller: accurate at the median, but often far off.
     std::optional<Tokens> expectedOutput;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -213,6 +213,8 @@
     recordPromptRead();
     recordPause();
     m_lastEvent = id;
+    if (!m_isProgressKnown)
+        m_isProgressKnown = m_context.crashGuard.attempts().progressed(m_monitored);
     m_reply->write(event.raw);
     extendForecast();
     if (m_reply->unsentBytes() > MaxUnsentBytes) {
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -3,8 +3,8 @@
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
+#include "quarantine/CrashSubject.h"
 #include "quarantine/CrashSuspicion.h"
-#include "quarantine/RequestFingerprint.h"
 #include "relay/EngineTraits.h"
 #include "relay/RelayRequest.h"
 #include "relay/RelayRoute.h"
@@ -49,7 +49,7 @@
     ServiceId service;
     std::optional<EngineTraits> engine;
     WorkspaceId workspace;
-    RequestFingerprint fingerprint;
+    CrashSubject subject;
     MonotonicTime arrived;
     /// The daemon that forwarded the request; empty if the caller sent it to this one.
     VmId forwardedBy;
@@ -286,6 +286,8 @@
     std::optional<SendResult> m_fallback;
     AnswerHead m_streamHead;
     bool m_streamOpen = false;
+    /// AttemptMonitor needs no more events of the attempt.
+    bool m_isProgressKnown = false;
     qint64 m_lastEvent = 0;
     MonotonicTime m_firstEventAt;
     MonotonicTime m_lastEventAt;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -92,7 +92,8 @@
 
 bool RelayRun::tryTakeOver(const char *reason)
 {
-    if (!hasUsableBackup() || m_takeover || !m_context.crashGuard.mayContinue(m_task.fingerprint))
+    if (!hasUsableBackup() || m_takeover
+        || !m_context.crashGuard.mayContinue(m_task.subject.request.fingerprint))
         return false;
     if (!takeRetry("takeover", RetryPurpose::Continuation))
         return false;
@@ -113,8 +114,9 @@
               {"reason", QLatin1String(reason)},
               {"events", QString::number(m_lastEvent)}});
     ++m_sends;
-    m_monitoredTakeover = m_context.crashGuard.attempts().started(
-        m_task.fingerprint, m_task.workspace, plan.target, std::nullopt);
+    // The generation has begun, so that its prompt is not the reason if its target crashes.
+    m_monitoredTakeover = m_context.crashGuard.attempts().started({m_task.subject.request, {}},
+                                                                  plan.target, std::nullopt);
     m_takeover = std::make_unique<RelayAttempt>(m_context, m_task.request, m_backup->endpoint(),
                                                 plan, Milliseconds(0), takeoverCallbacks());
     m_takeoverTimer = m_context.timers.after(MaxOverlap, [this] { endOverlap(); });
--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -51,7 +51,7 @@
     const bool isThere = m_phase == Phase::Sent && m_target == target;
     if (!isThere || m_move || m_takeover || tryTakeOver("leaving"))
         return;
-    if (canMove && m_context.crashGuard.mayContinue(m_task.fingerprint))
+    if (canMove && m_context.crashGuard.mayContinue(m_task.subject.request.fingerprint))
         beginMove();
 }
 
--- a/src/relay/RelayRunTrials.cpp
+++ b/src/relay/RelayRunTrials.cpp
@@ -17,7 +17,7 @@
 {
     if (m_trial)
         return false;
-    const RunVerdict verdict = m_context.crashGuard.verdict(m_task.fingerprint);
+    const RunVerdict verdict = m_context.crashGuard.verdict(m_task.subject.request.fingerprint);
     if (verdict == RunVerdict::Free)
         return false;
     if (verdict == RunVerdict::Reject) {
@@ -30,9 +30,9 @@
     m_phase = Phase::Held;
     logEvent(LogLevel::Info, EventId::CrashHeld,
              {{"request", m_task.request.id.text()},
-              {"fingerprint", m_task.fingerprint.text()},
+              {"fingerprint", m_task.subject.request.fingerprint.text()},
               {"verdict", QLatin1String(runVerdictName(verdict))}});
-    m_hold = m_context.crashGuard.hold(m_task.fingerprint, m_task.workspace,
+    m_hold = m_context.crashGuard.hold(m_task.subject.request.fingerprint, m_task.workspace,
                                        [this](bool isAllowed, std::optional<SuspicionId> trial) {
                                            const auto self = shared_from_this();
                                            holdEnded(isAllowed, trial);
@@ -72,13 +72,14 @@
 void RelayRun::returnTrial()
 {
     if (const auto trial = std::exchange(m_trial, std::nullopt))
-        m_context.crashGuard.returnTrial(m_task.fingerprint, *trial);
+        m_context.crashGuard.returnTrial(m_task.subject.request.fingerprint, *trial);
 }
 
 void RelayRun::attemptStarted(const TargetId &target)
 {
-    m_monitored = m_context.crashGuard.attempts().started(
-        m_task.fingerprint, m_task.workspace, target, std::exchange(m_trial, std::nullopt));
+    m_monitored = m_context.crashGuard.attempts().started(m_task.subject, target,
+                                                          std::exchange(m_trial, std::nullopt));
+    m_isProgressKnown = false;
 }
 
 void RelayRun::reportAttemptEnd(RelayAttemptEnd end)
