Test of requests that share a harmful prompt part, failing

failure/HarmfulPromptParts: real daemons, requests of which no two are alike share one part of their prompts, and each target that begins to answer one of them crashes 50 ms after the head of its answer. 19 shapes: targets refuse, reset or fall silent, come back under a new or the same id; the part is the first or the second; callers leave; daemons are killed, stopped, partitioned; other targets crash; targets answer 500; the store is away; two parts; 16 daemons; sound requests are rare; a plain service. The bounds are the platform's: at most 3 runs later than 3 s after the fifth crash, and from 6 s after it sound requests begin at least half as often as before.

CrashingTargets serves generations, too.

--- a/test/standins/users/CrashingTargets.cpp
+++ b/test/standins/users/CrashingTargets.cpp
@@ -16,7 +16,12 @@
 constexpr Milliseconds TimeToCrash{50};
 constexpr int HeartbeatMs = 1200;
 constexpr int MissedHeartbeats = 3;
-constexpr std::size_t CrashesAllowed = 3;
+constexpr Milliseconds EventInterval{30};
+
+bool contains(const std::vector<QByteArray> &values, const QByteArray &value)
+{
+    return std::find(values.begin(), values.end(), value) != values.end();
+}
 
 } // namespace
 
@@ -47,11 +52,11 @@
     return "unknown";
 }
 
-int HarmfulRuns::lateRuns(Milliseconds stableTime) const
+int HarmfulRuns::lateRuns(Milliseconds stableTime, std::size_t crashesAllowed) const
 {
-    if (crashes.size() < CrashesAllowed)
+    if (crashes.size() < crashesAllowed)
         return 0;
-    const MonotonicTime bound = crashes[CrashesAllowed - 1] + stableTime;
+    const MonotonicTime bound = crashes[crashesAllowed - 1] + stableTime;
     return int(std::count_if(begun.begin(), begun.end(),
                              [bound](MonotonicTime time) { return time > bound; }));
 }
@@ -100,6 +105,20 @@
     m_site.announce(runner, m_service, "ready");
 }
 
+QByteArray CrashingTargets::harmOf(const HttpRequest &request)
+{
+    if (request.body.startsWith(HarmfulPrefix))
+        return request.body;
+    QList<QByteArray> parts = request.headers.value("Cranberryquay-Prompt-Prefix").split(',');
+    parts.removeLast();
+    for (const QByteArray &part : std::as_const(parts)) {
+        const QByteArray id = part.trimmed().split(':').first();
+        if (id.startsWith(HarmfulPart))
+            return id;
+    }
+    return {};
+}
+
 bool CrashingTargets::handle(Target &target, const HttpRequest &request,
                              const RunnerEmulator::Reply &reply)
 {
@@ -116,12 +135,24 @@
         reply->send({500, target.runner->answerHeaders(request), "failed"});
         return true;
     }
-    if (request.body.startsWith(HarmfulPrefix)) {
-        m_harmful[request.body].begun.push_back(m_timers.now());
-        target.harmful.push_back(request.body);
+    const bool isGeneration = request.headers.contains("Cranberryquay-Token-Usage");
+    const QByteArray harm = harmOf(request);
+    if (!harm.isEmpty()) {
+        m_harmful[harm].begun.push_back(m_timers.now());
+        const bool isPart = harm != request.body;
+        if (!isPart || !contains(target.harmful, harm))
+            target.harmful.push_back(harm);
         target.pending.push_back(reply);
+        if (isGeneration)
+            startAnswer(target, request, reply);
+        const Milliseconds delay = TimeToCrash + (isGeneration ? m_serviceTime : Milliseconds(0));
         if (!target.crashTimer)
-            target.crashTimer = m_timers.after(TimeToCrash, [this, &target] { crash(target); });
+            target.crashTimer = m_timers.after(delay, [this, &target] { crash(target); });
+        return true;
+    }
+    if (isGeneration) {
+        startAnswer(target, request, reply);
+        generate(target, reply, 1);
         return true;
     }
     const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
@@ -135,6 +166,33 @@
     return true;
 }
 
+void CrashingTargets::startAnswer(Target &target, const HttpRequest &request,
+                                  const RunnerEmulator::Reply &reply)
+{
+    QTimer::singleShot(m_serviceTime, &m_timerContext,
+                       [&target, request, reply, start = target.start] {
+                           if (target.isDown || target.start != start)
+                               return;
+                           HttpHeaders headers = target.runner->answerHeaders(request);
+                           headers.add("Content-Type", "text/event-stream");
+                           reply->startStream(200, headers);
+                       });
+}
+
+void CrashingTargets::generate(Target &target, const RunnerEmulator::Reply &reply, int event)
+{
+    const Milliseconds delay = event == 1 ? m_serviceTime + EventInterval : EventInterval;
+    QTimer::singleShot(delay, &m_timerContext, [this, &target, reply, event, start = target.start] {
+        if (target.isDown || target.start != start)
+            return;
+        reply->write(RunnerEmulator::event(event));
+        if (event < GeneratedEvents)
+            generate(target, reply, event + 1);
+        else
+            reply->end();
+    });
+}
+
 void CrashingTargets::crash(Target &target)
 {
     const MonotonicTime now = m_timers.now();
--- a/test/standins/users/CrashingTargets.h
+++ b/test/standins/users/CrashingTargets.h
@@ -37,25 +37,28 @@
     bool keepsId = false;
 };
 
-/// The runs of one harmful request.
+/// The runs of one harmful request, or of the requests with one harmful part.
 struct HarmfulRuns {
     /// When targets began to run it.
     std::vector<MonotonicTime> begun;
     /// When it crashed a target.
     std::vector<MonotonicTime> crashes;
 
-    /// The runs that began later than @p stableTime after the third crash.
-    int lateRuns(Milliseconds stableTime) const;
+    /// The runs that began later than @p stableTime after crash number @p crashesAllowed.
+    int lateRuns(Milliseconds stableTime, std::size_t crashesAllowed = 3) const;
 };
 
-/// Targets of a plain service whose entries in the store expire as on the platform: three
-/// heartbeats after the last one. A request whose body begins with HarmfulPrefix crashes each
-/// target 50 ms after that has begun to run it. Thread safety: only from the thread of its event
-/// loop.
+/// Targets whose entries in the store expire as on the platform: three heartbeats after the last
+/// one. A request whose body begins with HarmfulPrefix crashes each target 50 ms after that has
+/// begun to run it. One with a part whose id begins with HarmfulPart, other than the last part,
+/// crashes each target that begins to write an answer to it, between the head and the first event.
+/// Thread safety: only from the thread of its event loop.
 class CrashingTargets
 {
 public:
     static constexpr char HarmfulPrefix[] = "harmful";
+    static constexpr char HarmfulPart[] = "bad";
+    static constexpr int GeneratedEvents = 12;
 
     /// Precondition: @p site outlives the object.
     CrashingTargets(test::PlatformSite &site, quint32 seed, QByteArray service = "plain");
@@ -65,7 +68,8 @@
     /// them.
     void add(int count, int maxDaemons);
     void setBehaviour(const CrashBehaviour &behaviour) { m_behaviour = behaviour; }
-    /// Time that a target takes for a request that is not harmful.
+    /// Time that a target takes for a request that is not harmful, or to read the prompt of a
+    /// generation.
     void setServiceTime(Milliseconds time) { m_serviceTime = time; }
     /// Crashes @p count targets that are up, without a harmful request.
     void crashOthers(int count);
@@ -85,7 +89,14 @@
 private:
     struct Target;
 
+    /// What makes the request harmful; empty if nothing does.
+    static QByteArray harmOf(const HttpRequest &request);
     void startRunner(Target &target);
+    /// Sends the head of the answer to a generation once its prompt has been read.
+    void startAnswer(Target &target, const HttpRequest &request,
+                     const RunnerEmulator::Reply &reply);
+    /// Writes event number @p event and those that follow.
+    void generate(Target &target, const RunnerEmulator::Reply &reply, int event);
     bool handle(Target &target, const HttpRequest &request, const RunnerEmulator::Reply &reply);
     void crash(Target &target);
     void comeBack(Target &target);
