--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -11,9 +11,9 @@
 /// Daemons that vote on a trial, of which the majority must agree.
 constexpr int VoterCount = 3;
 constexpr Milliseconds AskRepeatInterval{60};
-/// A trial is given up after this time. If nobody refused it and only one suspicion is known, it is
-/// made all the same: ordinary requests that were on a target that ended must not depend on other
-/// daemons.
+/// A trial is given up after this time. If nobody refused it and little speaks against the request,
+/// it is made all the same: ordinary requests that were on a target that ended must not depend on
+/// other daemons.
 constexpr Milliseconds AskTimeout{200};
 constexpr Milliseconds CompareInterval{1000};
 constexpr int CompareCount = 2;
@@ -37,11 +37,19 @@
 {
 }
 
-RunVerdict CrashLedger::verdict(const RequestFingerprint &request, MonotonicTime now) const
+RunVerdict CrashLedger::verdict(const RequestFingerprint &request, SuspicionId except,
+                                MonotonicTime now) const
 {
     const auto record = m_records.constFind(request);
     return record == m_records.cend() ? RunVerdict::Free
-                                      : runVerdict(*record, m_self, SuspicionId(), now);
+                                      : runVerdict(*record, m_self, except, TrialKind::None, now);
+}
+
+PartStanding CrashLedger::standing(const RequestFingerprint &part, SuspicionId except,
+                                   MonotonicTime now) const
+{
+    const auto record = m_records.constFind(part);
+    return record == m_records.cend() ? PartStanding() : partStanding(*record, m_self, except, now);
 }
 
 CrashSuspicion *CrashLedger::find(const RequestFingerprint &request, SuspicionId id)
@@ -64,21 +72,26 @@
                        [](const auto &run) { return run.state == SuspicionState::Suspected; });
 }
 
-SuspicionId CrashLedger::addRun(const RequestFingerprint &request, const WorkspaceId &workspace,
-                                const TargetId &target, MonotonicTime now)
+SuspicionId CrashLedger::addRun(const CrashKey &key, const TargetId &target, MonotonicTime now)
+{
+    return addRun(key, target, TrialKind::None, now);
+}
+
+SuspicionId CrashLedger::addRun(const CrashKey &key, const TargetId &target, TrialKind kind,
+                                MonotonicTime now)
 {
     CrashSuspicion run;
     run.id = SuspicionId(qint64(m_callbacks.random() >> 1) | 1);
     run.daemon = m_self;
     run.target = target;
     run.changedAt = now;
+    run.trial = kind;
     CrashRecord added;
-    added.fingerprint = request;
-    added.workspace = workspace;
+    added.key = key;
     added.suspicions.append(run);
     makeRoom();
-    CrashRecord &record = m_records[request];
-    record.fingerprint = request;
+    CrashRecord &record = m_records[key.fingerprint];
+    record.key = key;
     merge(record, added);
     addCompletions(record, now);
     m_unpublished.insert(run.id.value());
@@ -171,9 +184,25 @@
     }
 }
 
+void CrashLedger::clearPart(const RequestFingerprint &part, MonotonicTime now)
+{
+    const auto record = m_records.constFind(part);
+    if (record == m_records.cend())
+        return;
+    QList<SuspicionId> suspected;
+    for (const CrashSuspicion &run : record->suspicions) {
+        if (isSuspicion(run, m_self, now))
+            suspected.append(run.id);
+    }
+    for (const SuspicionId id : std::as_const(suspected))
+        setState(part, id, SuspicionState::Withdrawn, now);
+    if (!suspected.isEmpty())
+        publish(part);
+}
+
 bool CrashLedger::addCompletions(CrashRecord &record, MonotonicTime now) const
 {
-    const auto completed = m_completed.constFind(record.fingerprint);
+    const auto completed = m_completed.constFind(record.key.fingerprint);
     if (completed == m_completed.cend() || now - completed->lastAt > CompletedLifetime)
         return false;
     CrashRecord own;
@@ -199,7 +228,7 @@
     const auto record = m_records.find(request);
     if (record == m_records.end())
         return;
-    const RunVerdict before = verdict(request, now);
+    const RunVerdict before = verdict(request, SuspicionId(), now);
     if (addCompletions(*record, now) && before != RunVerdict::Free)
         publish(request);
 }
@@ -210,16 +239,16 @@
                        [&](const Asking &asking) { return asking.request == request; });
 }
 
-void CrashLedger::askTrial(const RequestFingerprint &request, const WorkspaceId &workspace,
-                           MonotonicTime now)
+void CrashLedger::askTrial(const CrashKey &key, TrialKind kind, MonotonicTime now)
 {
-    const SuspicionId id = addRun(request, workspace, TargetId(), now);
+    const SuspicionId id = addRun(key, TargetId(), kind, now);
     Asking asking;
-    asking.request = request;
+    asking.request = key.fingerprint;
     asking.id = id;
+    asking.kind = kind;
     asking.since = now;
-    asking.voters =
-        rendezvousOrder(request.text(), m_callbacks.members() + QList<VmId>{m_self}, VoterCount);
+    asking.voters = rendezvousOrder(key.fingerprint.text(),
+                                    m_callbacks.members() + QList<VmId>{m_self}, VoterCount);
     // This daemon has no other run of the request, or the verdict would not be Trial.
     if (asking.voters.contains(m_self))
         asking.granted.insert(m_self);
@@ -264,8 +293,9 @@
     m_asking.erase(found);
     // What was learned while asking may forbid the run.
     const auto record = m_records.constFind(asking.request);
-    const RunVerdict verdict =
-        record == m_records.cend() ? RunVerdict::Free : runVerdict(*record, m_self, id, now);
+    const RunVerdict verdict = record == m_records.cend()
+        ? RunVerdict::Free
+        : runVerdict(*record, m_self, id, asking.kind, now);
     const bool isAllowed =
         isGranted && (verdict == RunVerdict::Trial || verdict == RunVerdict::Free);
     if (!isAllowed)
@@ -276,13 +306,19 @@
 void CrashLedger::vote(const VmId &from, const CrashMessage &message, MonotonicTime now)
 {
     const CrashRecord &asked = message.records.first();
+    TrialKind kind = TrialKind::None;
+    for (const CrashSuspicion &run : asked.suspicions) {
+        if (run.id == message.id)
+            kind = run.trial;
+    }
     CrashRecord others = asked;
     others.suspicions.removeIf([&](const CrashSuspicion &run) { return run.id == message.id; });
     if (!others.suspicions.isEmpty())
         mergeRecord(from, others, now);
-    const auto known = m_records.constFind(asked.fingerprint);
-    const RunVerdict verdict =
-        known == m_records.cend() ? RunVerdict::Free : runVerdict(*known, m_self, message.id, now);
+    const auto known = m_records.constFind(asked.key.fingerprint);
+    const RunVerdict verdict = known == m_records.cend()
+        ? RunVerdict::Free
+        : runVerdict(*known, m_self, message.id, kind, now);
     CrashMessage answer;
     answer.id = message.id;
     // A daemon that does not know the records yet cannot vote for a run.
@@ -291,8 +327,8 @@
     answer.kind = isGranted ? CrashMessageKind::Grant : CrashMessageKind::Refuse;
     if (isGranted)
         mergeRecord(from, asked, now);
-    CrashRecord record = m_records.value(asked.fingerprint);
-    record.fingerprint = asked.fingerprint;
+    CrashRecord record = m_records.value(asked.key.fingerprint);
+    record.key = asked.key;
     answer.records.append(record);
     if (m_isSynchronised)
         m_callbacks.send(from, answer);
@@ -301,10 +337,10 @@
 void CrashLedger::mergeRecord(const VmId &from, const CrashRecord &record, MonotonicTime now)
 {
     const bool isEmpty = record.suspicions.isEmpty();
-    if (isEmpty || (!m_records.contains(record.fingerprint) && !makeRoom()))
+    if (isEmpty || (!m_records.contains(record.key.fingerprint) && !makeRoom()))
         return;
-    CrashRecord &known = m_records[record.fingerprint];
-    known.fingerprint = record.fingerprint;
+    CrashRecord &known = m_records[record.key.fingerprint];
+    known.key.fingerprint = record.key.fingerprint;
     const QList<CrashSuspicion> before = known.suspicions;
     if (!merge(known, record))
         return;
@@ -337,15 +373,16 @@
         [[fallthrough]];
     case CrashMessageKind::Records:
         for (const CrashRecord &record : message.records) {
-            const RunVerdict before = verdict(record.fingerprint, now);
+            const RequestFingerprint &fingerprint = record.key.fingerprint;
+            const RunVerdict before = verdict(fingerprint, SuspicionId(), now);
             mergeRecord(from, record, now);
             // Daemons that have completed the request tell only the one that suspected it.
             const bool isOwn =
                 std::any_of(record.suspicions.begin(), record.suspicions.end(),
                             [this](const CrashSuspicion &run) { return run.daemon == m_self; });
             if (isOwn && before != RunVerdict::Free
-                && verdict(record.fingerprint, now) == RunVerdict::Free)
-                publish(record.fingerprint);
+                && verdict(fingerprint, SuspicionId(), now) == RunVerdict::Free)
+                publish(fingerprint);
         }
         break;
     case CrashMessageKind::Ask:
@@ -407,8 +444,8 @@
     for (const SuspicionId id : std::as_const(timedOut)) {
         const auto asking = std::find_if(m_asking.begin(), m_asking.end(),
                                          [id](const Asking &other) { return other.id == id; });
-        const int suspicions = suspicionCount(m_records.value(asking->request), m_self, now);
-        endAsking(id, asking->refused.isEmpty() && suspicions <= 1, now);
+        const bool mayRun = mayRunWithoutVotes(m_records.value(asking->request), m_self, now);
+        endAsking(id, asking->refused.isEmpty() && mayRun, now);
     }
     if (now - m_comparedAt >= CompareInterval) {
         m_comparedAt = now;
--- a/src/quarantine/CrashLedger.h
+++ b/src/quarantine/CrashLedger.h
@@ -12,8 +12,9 @@
 
 namespace cranberry {
 
-/// The records of a daemon about requests that may crash targets, and the protocol that keeps the
-/// records of all daemons alike and lets one daemon at a time run a suspected request. Messages may
+/// The records of a daemon about requests and parts of prompts that may crash targets, and the
+/// protocol that keeps the records of all daemons alike and lets one daemon at a time run a
+/// suspected request, or one with a suspected part. Messages may
 /// be lost, late, repeated or reordered: each carries whole records, which are merged, daemons
 /// compare digests at intervals, and one that starts asks for all records.
 ///
@@ -42,28 +43,32 @@
     /// Precondition: all callbacks are set.
     CrashLedger(VmId self, Callbacks callbacks);
 
-    RunVerdict verdict(const RequestFingerprint &request, MonotonicTime now) const;
+    /// The verdict on a request, apart from its parts. The run @p except does not count.
+    RunVerdict verdict(const RequestFingerprint &request, SuspicionId except,
+                       MonotonicTime now) const;
+    PartStanding standing(const RequestFingerprint &part, SuspicionId except,
+                          MonotonicTime now) const;
 
     /// Whether a run of the request is suspected.
     bool isSuspected(const RequestFingerprint &request) const;
 
     /// Adds a run that may have crashed @p target. Other daemons are not told before publish() or a
     /// change of its state.
-    SuspicionId addRun(const RequestFingerprint &request, const WorkspaceId &workspace,
-                       const TargetId &target, MonotonicTime now);
+    SuspicionId addRun(const CrashKey &key, const TargetId &target, MonotonicTime now);
     void publish(const RequestFingerprint &request);
     bool isPublished(SuspicionId id) const { return !m_unpublished.contains(id.value()); }
     /// Sets the target of a run that askTrial() added.
     void setTarget(const RequestFingerprint &request, SuspicionId id, const TargetId &target);
     void suspect(const RequestFingerprint &request, SuspicionId id, MonotonicTime now);
     void withdraw(const RequestFingerprint &request, SuspicionId id, MonotonicTime now);
+    /// An answer has begun to a request with the part, and its target has survived that.
+    void clearPart(const RequestFingerprint &part, MonotonicTime now);
     /// The request ran to its end, which outweighs a suspicion.
     void recordCompleted(const RequestFingerprint &request, MonotonicTime now);
 
     /// Asks the other daemons for permission to run the request. trialDecided() is called later, or
-    /// during the call. Precondition: verdict() is Trial.
-    void askTrial(const RequestFingerprint &request, const WorkspaceId &workspace,
-                  MonotonicTime now);
+    /// during the call. @p kind: None for a request. Precondition: the verdict is Trial.
+    void askTrial(const CrashKey &key, TrialKind kind, MonotonicTime now);
     bool isAsking(const RequestFingerprint &request) const;
 
     void handle(const VmId &from, const CrashMessage &message, MonotonicTime now);
@@ -82,6 +87,7 @@
     struct Asking {
         RequestFingerprint request;
         SuspicionId id;
+        TrialKind kind = TrialKind::None;
         QList<VmId> voters;
         QSet<VmId> granted;
         QSet<VmId> refused;
@@ -93,6 +99,8 @@
         MonotonicTime lastAt;
     };
 
+    SuspicionId addRun(const CrashKey &key, const TargetId &target, TrialKind kind,
+                       MonotonicTime now);
     CrashSuspicion *find(const RequestFingerprint &request, SuspicionId id);
     void setState(const RequestFingerprint &request, SuspicionId id, SuspicionState state,
                   MonotonicTime now);
--- a/src/quarantine/CrashMessage.cpp
+++ b/src/quarantine/CrashMessage.cpp
@@ -14,19 +14,25 @@
 QCborArray encodeRun(const CrashSuspicion &run, MonotonicTime now)
 {
     const auto age = std::chrono::duration_cast<Milliseconds>(now - run.changedAt);
-    return QCborArray{run.id.value(), run.daemon.text(), run.target.text(), int(run.state),
-                      qint64(std::max(age, Milliseconds(0)).count())};
+    return QCborArray{run.id.value(),
+                      run.daemon.text(),
+                      run.target.text(),
+                      int(run.state),
+                      qint64(std::max(age, Milliseconds(0)).count()),
+                      int(run.trial)};
 }
 
 std::optional<CrashSuspicion> decodeRun(const QCborArray &body, MonotonicTime now)
 {
     const qint64 state = body.at(3).toInteger(-1);
     const qint64 age = body.at(4).toInteger(-1);
+    const qint64 trial = body.at(5).toInteger(0);
     const QString daemon = body.at(1).toString();
     const QString target = body.at(2).toString();
     const bool isValid = body.at(0).isInteger() && state >= 0
-        && state <= qint64(SuspicionState::Withdrawn) && age >= 0 && age <= MaxAgeMs
-        && !daemon.isEmpty() && daemon.size() <= MaxNameLength && target.size() <= MaxNameLength;
+        && state <= qint64(SuspicionState::Withdrawn) && age >= 0 && age <= MaxAgeMs && trial >= 0
+        && trial <= qint64(TrialKind::Joint) && !daemon.isEmpty() && daemon.size() <= MaxNameLength
+        && target.size() <= MaxNameLength;
     if (!isValid)
         return std::nullopt;
     CrashSuspicion run;
@@ -35,6 +41,7 @@
     run.target = TargetId(target);
     run.state = SuspicionState(state);
     run.changedAt = now - Milliseconds(age);
+    run.trial = TrialKind(trial);
     return run;
 }
 
@@ -46,8 +53,8 @@
     QCborArray completions;
     for (auto entry = record.completions.begin(); entry != record.completions.end(); ++entry)
         completions.append(QCborArray{entry.key().text(), entry.value()});
-    return QCborArray{QByteArray::fromHex(record.fingerprint.text().toLatin1()),
-                      record.workspace.text(), runs, completions};
+    return QCborArray{QByteArray::fromHex(record.key.fingerprint.text().toLatin1()),
+                      record.key.workspace.text(), runs, completions, record.key.part};
 }
 
 std::optional<CrashRecord> decodeRecord(const QCborArray &body, MonotonicTime now)
@@ -56,12 +63,15 @@
     const QString workspace = body.at(1).toString();
     const QCborArray runs = body.at(2).toArray();
     const QCborArray completions = body.at(3).toArray();
+    const QString part = body.at(4).toString();
     if (fingerprint.size() != FingerprintBytes || workspace.size() > MaxNameLength
-        || runs.size() > MaxRunsPerRecord || completions.size() > MaxDaemonsPerRecord)
+        || part.size() > MaxNameLength || runs.size() > MaxRunsPerRecord
+        || completions.size() > MaxDaemonsPerRecord)
         return std::nullopt;
     CrashRecord record;
-    record.fingerprint = RequestFingerprint(QString::fromLatin1(fingerprint.toHex()));
-    record.workspace = WorkspaceId(workspace);
+    record.key.fingerprint = RequestFingerprint(QString::fromLatin1(fingerprint.toHex()));
+    record.key.part = part;
+    record.key.workspace = WorkspaceId(workspace);
     for (const QCborValue value : runs) {
         const std::optional<CrashSuspicion> run = decodeRun(value.toArray(), now);
         if (!run)
--- a/src/quarantine/CrashRules.cpp
+++ b/src/quarantine/CrashRules.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
+#include <tuple>
 
 namespace cranberry {
 
@@ -16,30 +17,52 @@
         && now - run.changedAt > RunLease;
 }
 
-bool counts(const CrashSuspicion &run, const VmId &self, MonotonicTime now)
-{
-    return run.state == SuspicionState::Suspected || isOverdue(run, self, now);
-}
-
 int completionCount(const CrashRecord &record)
 {
     return std::accumulate(record.completions.begin(), record.completions.end(), 0);
 }
 
-/// Makes room for one more run; returns false if all that are kept count.
-bool makeRoom(QList<CrashSuspicion> &runs)
+/// Makes room for @p added; returns false if all that are kept matter more.
+bool makeRoom(QList<CrashSuspicion> &runs, const CrashSuspicion &added)
 {
     if (runs.size() < MaxRunsPerRecord)
         return true;
-    const auto withdrawn = std::find_if(runs.begin(), runs.end(), [](const CrashSuspicion &run) {
-        return run.state == SuspicionState::Withdrawn;
-    });
-    if (withdrawn == runs.end())
+    auto dropped = runs.end();
+    for (auto run = runs.begin(); run != runs.end(); ++run) {
+        const bool isOldest = dropped == runs.end() || run->changedAt < dropped->changedAt;
+        if (run->state == SuspicionState::Withdrawn && isOldest)
+            dropped = run;
+    }
+    // All daemons keep the trials and, of the other runs, those with the lowest numbers.
+    const auto rank = [](const CrashSuspicion &run) {
+        return std::pair(run.trial == TrialKind::None, run.id.value());
+    };
+    if (dropped == runs.end() && added.state != SuspicionState::Withdrawn)
+        dropped =
+            std::max_element(runs.begin(), runs.end(), [&](const auto &one, const auto &other) {
+                return rank(one) < rank(other);
+            });
+    if (dropped == runs.end()
+        || (dropped->state != SuspicionState::Withdrawn && rank(*dropped) < rank(added)))
         return false;
-    runs.erase(withdrawn);
+    runs.erase(dropped);
     return true;
 }
 
+RunVerdict trialVerdict(const PartStanding &standing, bool isJoint, MonotonicTime now)
+{
+    const bool isCertain = standing.crashes >= CertainPartCrashes && standing.singleTrials > 0;
+    const int trials = isJoint ? standing.jointTrials : standing.singleTrials;
+    if (isCertain || standing.singleTrials >= MaxPartTrials || trials >= MaxPartTrials)
+        return RunVerdict::Reject;
+    if (standing.isRunning)
+        return RunVerdict::Wait;
+    const auto sinceCrash = now - standing.lastCrashAt;
+    if (trials > 0 && sinceCrash < SecondTrialDelay)
+        return RunVerdict::Reject;
+    return isJoint && sinceCrash < JointTrialDelay ? RunVerdict::Wait : RunVerdict::Trial;
+}
+
 } // namespace
 
 const char *suspicionStateName(SuspicionState state)
@@ -70,16 +93,76 @@
     return "unknown";
 }
 
+bool isSuspicion(const CrashSuspicion &run, const VmId &self, MonotonicTime now)
+{
+    return run.state == SuspicionState::Suspected || isOverdue(run, self, now);
+}
+
+PartStanding partStanding(const CrashRecord &record, const VmId &self, SuspicionId except,
+                          MonotonicTime now)
+{
+    QList<CrashSuspicion> crashes;
+    PartStanding standing;
+    for (const CrashSuspicion &run : record.suspicions) {
+        if (run.id == except || run.state == SuspicionState::Withdrawn)
+            continue;
+        if (!isSuspicion(run, self, now)) {
+            standing.isRunning = true;
+            continue;
+        }
+        standing.singleTrials += run.trial == TrialKind::Single ? 1 : 0;
+        standing.jointTrials += run.trial == TrialKind::Joint ? 1 : 0;
+        standing.lastCrashAt = std::max(standing.lastCrashAt, run.changedAt);
+        crashes.append(run);
+    }
+    // Several requests with the part may have been at one target.
+    std::sort(crashes.begin(), crashes.end(), [](const auto &one, const auto &other) {
+        return std::tie(one.target, one.changedAt) < std::tie(other.target, other.changedAt);
+    });
+    for (qsizetype i = 0; i < crashes.size(); ++i) {
+        const bool isSame = i > 0 && crashes[i].target == crashes[i - 1].target
+            && crashes[i].changedAt - crashes[i - 1].changedAt < CrashSpan;
+        standing.crashes += isSame ? 0 : 1;
+    }
+    return standing;
+}
+
+RunVerdict promptVerdict(const QList<PartStanding> &standings, MonotonicTime now)
+{
+    const auto suspected =
+        std::count_if(standings.begin(), standings.end(),
+                      [](const PartStanding &standing) { return standing.isSuspected(); });
+    RunVerdict verdict = RunVerdict::Free;
+    for (const PartStanding &standing : standings) {
+        if (standing.isSuspected())
+            verdict = std::max(verdict, trialVerdict(standing, suspected > 1, now));
+    }
+    return verdict;
+}
+
+bool mayRunWithoutVotes(const CrashRecord &record, const VmId &self, MonotonicTime now)
+{
+    if (!record.isPart())
+        return suspicionCount(record, self, now) <= 1;
+    const PartStanding standing = partStanding(record, self, SuspicionId(), now);
+    return standing.singleTrials + standing.jointTrials == 0;
+}
+
 RunVerdict runVerdict(const CrashRecord &record, const VmId &self, SuspicionId except,
-                      MonotonicTime now)
+                      TrialKind kind, MonotonicTime now)
 {
+    if (record.isPart()) {
+        const PartStanding standing = partStanding(record, self, except, now);
+        const bool isJoint = kind == TrialKind::Joint;
+        return standing.isSuspected() ? trialVerdict(standing, isJoint, now) : RunVerdict::Free;
+    }
     int suspicions = 0;
     int running = 0;
     MonotonicTime lastAt;
     for (const CrashSuspicion &run : record.suspicions) {
         if (run.id == except || run.state == SuspicionState::Withdrawn)
             continue;
-        if (!counts(run, self, now)) {
+        if (!isSuspicion(run, self, now)) {
             ++running;
             continue;
         }
@@ -102,7 +185,7 @@
 {
     const auto suspicions =
         std::count_if(record.suspicions.begin(), record.suspicions.end(),
-                      [&](const CrashSuspicion &run) { return counts(run, self, now); });
+                      [&](const CrashSuspicion &run) { return isSuspicion(run, self, now); });
     return std::max(int(suspicions) - completionCount(record), 0);
 }
 
@@ -113,7 +196,7 @@
         const auto known = std::find_if(into.suspicions.begin(), into.suspicions.end(),
                                         [&](const auto &other) { return other.id == run.id; });
         if (known == into.suspicions.end()) {
-            if (!makeRoom(into.suspicions))
+            if (!makeRoom(into.suspicions, run))
                 continue;
             into.suspicions.append(run);
             isChanged = true;
@@ -133,8 +216,10 @@
         into.completions.insert(entry.key(), entry.value());
         isChanged = true;
     }
-    if (into.workspace.isEmpty())
-        into.workspace = from.workspace;
+    if (into.key.workspace.isEmpty())
+        into.key.workspace = from.key.workspace;
+    if (into.key.part.isEmpty())
+        into.key.part = from.key.part;
     return isChanged;
 }
 
@@ -153,7 +238,7 @@
     quint64 digest = 0;
     for (const CrashSuspicion &run : record.suspicions) {
         QCryptographicHash hash(QCryptographicHash::Sha1);
-        hash.addData(record.fingerprint.text().toLatin1());
+        hash.addData(record.key.fingerprint.text().toLatin1());
         hash.addData(QByteArray::number(run.id.value()) + ':' + QByteArray::number(int(run.state)));
         digest ^= qFromBigEndian<quint64>(hash.result().constData());
     }
--- a/src/quarantine/CrashSuspicion.h
+++ b/src/quarantine/CrashSuspicion.h
@@ -19,6 +19,16 @@
     Withdrawn,
 };
 
+/// What a run shows if it crashes its target.
+enum class TrialKind {
+    /// Nothing about one part of its prompt: it was not known to be suspected.
+    None,
+    /// The run was made to test the part, and no other part of its prompt was suspected.
+    Single,
+    /// Other parts of its prompt were suspected as well.
+    Joint,
+};
+
 /// One run of a request that may have crashed its target.
 struct CrashSuspicion {
     SuspicionId id;
@@ -28,6 +38,8 @@
     SuspicionState state = SuspicionState::Running;
     /// When the state last changed.
     MonotonicTime changedAt;
+    /// Of a run in the record of a part.
+    TrialKind trial = TrialKind::None;
 };
 
 /// The name used in log lines. Thread-safe.
--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -55,15 +55,19 @@
 AttemptMonitor::~AttemptMonitor() = default;
 
 int AttemptMonitor::started(const CrashSubject &subject, const TargetId &target,
-                            std::optional<SuspicionId> trial)
+                            const QList<CrashTrial> &trials)
 {
     Attempt attempt;
     attempt.subject = subject;
     attempt.target = target;
     attempt.startedAt = m_timers.now();
-    attempt.run = trial;
-    if (trial)
-        m_ledger.setTarget(subject.request.fingerprint, *trial, target);
+    for (const CrashTrial &trial : trials) {
+        m_ledger.setTarget(trial.fingerprint, trial.id, target);
+        if (trial.fingerprint == subject.request.fingerprint)
+            attempt.run = trial.id;
+        else
+            attempt.partRuns.append(trial);
+    }
     Probed &probed = m_probed[target];
     ++probed.attempts;
     if (const TargetRecord *record = m_targets.find(target)) {
@@ -84,8 +88,11 @@
     const MonotonicTime now = m_timers.now();
     if (!attempt.begunAt)
         attempt.begunAt = now;
-    attempt.hasBegun = elapsed(*attempt.begunAt, now) >= SettleTime;
-    return attempt.hasBegun;
+    if (elapsed(*attempt.begunAt, now) < SettleTime)
+        return false;
+    attempt.hasBegun = true;
+    clearParts(attempt);
+    return true;
 }
 
 void AttemptMonitor::startTimer()
@@ -112,8 +119,10 @@
         end == RelayAttemptEnd::Broken || end == RelayAttemptEnd::Unexplained;
     if (!isUnexplained) {
         withdraw(attempt);
-        if (end == RelayAttemptEnd::Completed)
+        if (end == RelayAttemptEnd::Completed) {
             m_ledger.recordCompleted(attempt.subject.request.fingerprint, now);
+            clearParts(attempt);
+        }
         remove(number);
         return;
     }
@@ -125,8 +134,7 @@
     if (attempt.isSuspected)
         return;
     if (!attempt.run)
-        attempt.run = m_ledger.addRun(attempt.subject.request.fingerprint,
-                                      attempt.subject.request.workspace, attempt.target, now);
+        attempt.run = m_ledger.addRun(attempt.subject.request, attempt.target, now);
     if (m_disappeared.contains(attempt.target)) {
         suspect(number, attempt, "disappeared");
         return;
@@ -330,8 +338,7 @@
         probed.settled.insert(number);
     }
     if (attempt.hasSurvived || !attempt.run)
-        attempt.run = m_ledger.addRun(attempt.subject.request.fingerprint,
-                                      attempt.subject.request.workspace, attempt.target, now);
+        attempt.run = m_ledger.addRun(attempt.subject.request, attempt.target, now);
     attempt.hasSurvived = false;
     ++m_counters.suspected;
     const bool isAgain = m_ledger.isSuspected(attempt.subject.request.fingerprint);
@@ -348,6 +355,7 @@
                QString::number(elapsed(attempt.startedAt, attempt.endedAt.value_or(now)).count())},
               {"record", QString::number(attempt.run->value())}});
     m_ledger.suspect(attempt.subject.request.fingerprint, *attempt.run, now);
+    suspectParts(attempt, now);
 }
 
 void AttemptMonitor::suspectEnded(const TargetId &target, MonotonicTime before, const char *reason)
@@ -377,8 +385,35 @@
     }
 }
 
+void AttemptMonitor::suspectParts(Attempt &attempt, MonotonicTime now)
+{
+    // A target crashes when it begins to answer, if at all because of the prompt.
+    if (attempt.hasBegun)
+        return;
+    for (const CrashKey &part : std::as_const(attempt.subject.parts)) {
+        const bool isTrial =
+            std::any_of(attempt.partRuns.begin(), attempt.partRuns.end(),
+                        [&](const auto &run) { return run.fingerprint == part.fingerprint; });
+        if (!isTrial)
+            attempt.partRuns.append({part.fingerprint, m_ledger.addRun(part, attempt.target, now)});
+    }
+    for (const CrashTrial &run : std::as_const(attempt.partRuns))
+        m_ledger.suspect(run.fingerprint, run.id, now);
+}
+
+void AttemptMonitor::clearParts(Attempt &attempt)
+{
+    const MonotonicTime now = m_timers.now();
+    for (const CrashTrial &trial : std::exchange(attempt.partRuns, {}))
+        m_ledger.withdraw(trial.fingerprint, trial.id, now);
+    for (const CrashKey &part : std::as_const(attempt.subject.parts))
+        m_ledger.clearPart(part.fingerprint, now);
+}
+
 void AttemptMonitor::withdraw(Attempt &attempt)
 {
+    for (const CrashTrial &run : std::exchange(attempt.partRuns, {}))
+        m_ledger.withdraw(run.fingerprint, run.id, m_timers.now());
     if (attempt.run)
         m_ledger.withdraw(attempt.subject.request.fingerprint, *attempt.run, m_timers.now());
     attempt.run.reset();
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -4,7 +4,7 @@
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 #include "quarantine/CrashSubject.h"
-#include "quarantine/CrashSuspicion.h"
+#include "quarantine/CrashTrial.h"
 
 #include <QHash>
 
@@ -56,10 +56,10 @@
                    CrashLedger &ledger, ProbeRequest probeRequest, IsOther isOther);
     ~AttemptMonitor();
 
-    /// Records an attempt that is being sent and returns its number. @p trial: the run that was
-    /// permitted for it, if any.
+    /// Records an attempt that is being sent and returns its number. @p trials: the runs that were
+    /// permitted for it.
     int started(const CrashSubject &subject, const TargetId &target,
-                std::optional<SuspicionId> trial);
+                const QList<CrashTrial> &trials);
     /// An event of the answer arrived. Returns whether further ones do not matter.
     bool progressed(int attempt);
     void ended(int attempt, RelayAttemptEnd end);
@@ -91,6 +91,8 @@
         /// The target answered a probe after the end.
         bool hasSurvived = false;
         std::optional<SuspicionId> run;
+        /// Trials of its parts, and suspicions of them.
+        QList<CrashTrial> partRuns;
         bool isSuspected = false;
         /// When the probe was sent that the target has not answered in time.
         std::optional<MonotonicTime> silentProbe;
@@ -124,6 +126,8 @@
     void suspect(int number, Attempt &attempt, const char *reason);
     void suspectEnded(const TargetId &target, MonotonicTime before, const char *reason);
     void suspectSilent(const TargetId &target, const Probed &probed);
+    void suspectParts(Attempt &attempt, MonotonicTime now);
+    void clearParts(Attempt &attempt);
     void withdraw(Attempt &attempt);
     void removeOld(MonotonicTime now);
     void remove(int number);
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -12,6 +12,8 @@
 #include <QCborArray>
 #include <QRandomGenerator>
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -56,6 +58,7 @@
     , m_peers(peers)
     , m_datagrams(datagrams)
     , m_ledger(peers.self().vm, callbacks())
+    , m_admission(m_ledger)
     , m_attempts(timers, client, targets, m_ledger, std::move(probeRequest), std::move(isOther))
     , m_tickTimer(timers.every(TickInterval, [this] { tick(); }))
 {
@@ -76,7 +79,7 @@
     };
     callbacks.broadcast = [this](const CrashMessage &message) {
         for (const CrashRecord &record : message.records)
-            m_unsent.insert(record.fingerprint, record);
+            m_unsent.insert(record.key.fingerprint, record);
         if (!m_flushTimer)
             m_flushTimer = m_timers.after(Milliseconds(0), [this] { flush(); });
         scheduleDecisions();
@@ -115,8 +118,13 @@
 {
     m_flushTimer.reset();
     const QList<Peer> receivers = m_peers.peers();
+    // Those that come closest to a rejection first.
+    QList<CrashRecord> records = std::exchange(m_unsent, {}).values();
+    std::stable_sort(records.begin(), records.end(), [](const auto &one, const auto &other) {
+        return one.suspicions.size() > other.suspicions.size();
+    });
     CrashMessage message;
-    for (const CrashRecord &record : std::exchange(m_unsent, {})) {
+    for (const CrashRecord &record : std::as_const(records)) {
         message.records.append(record);
         if (message.records.size() < MaxRecordsPerMessage)
             continue;
@@ -146,17 +154,20 @@
 void CrashGuard::logChange(const CrashRecord &record, const CrashSuspicion &run) const
 {
     const MonotonicTime now = m_timers.now();
-    const int suspicions = suspicionCount(record, m_peers.self().vm, now);
+    const VmId &self = m_peers.self().vm;
+    const int suspicions = record.isPart() ? partStanding(record, self, SuspicionId(), now).crashes
+                                           : suspicionCount(record, self, now);
     const bool isWithdrawn = run.state == SuspicionState::Withdrawn;
     const bool isRejected =
-        runVerdict(record, m_peers.self().vm, SuspicionId(), now) == RunVerdict::Reject;
+        runVerdict(record, self, SuspicionId(), TrialKind::Single, now) == RunVerdict::Reject;
     const EventId event = isWithdrawn ? EventId::QuarantineReleased
         : isRejected                  ? EventId::QuarantineAdded
                                       : EventId::QuarantineSuspect;
     logEvent(
         LogLevel::Info, event,
-        {{"fingerprint", record.fingerprint.text()},
-         {"workspace", record.workspace.text()},
+        {{"fingerprint", record.key.fingerprint.text()},
+         {"workspace", record.key.workspace.text()},
+         {"part", record.key.part},
          {"target", run.target.text()},
          {"vm", run.daemon.text()},
          {"state", QLatin1String(suspicionStateName(run.state))},
@@ -165,15 +176,25 @@
           QString::number(std::chrono::duration_cast<Milliseconds>(now - run.changedAt).count())}});
 }
 
-RunVerdict CrashGuard::verdict(const RequestFingerprint &request)
+RunVerdict CrashGuard::verdict(const CrashSubject &subject)
 {
     checkStall();
-    if (!m_ledger.isSynchronised())
-        return RunVerdict::Wait;
-    const RunVerdict verdict = m_ledger.verdict(request, m_timers.now());
-    if (verdict == RunVerdict::Reject)
-        ++m_counters.rejected;
-    return verdict;
+    return m_admission.verdict(subject, m_timers.now());
+}
+
+std::optional<Milliseconds> CrashGuard::retryDelay(const CrashSubject &subject) const
+{
+    return m_admission.retryDelay(subject, m_timers.now());
+}
+
+qsizetype CrashGuard::suspectedParts() const
+{
+    const MonotonicTime now = m_timers.now();
+    const auto &records = m_ledger.records();
+    return std::count_if(records.begin(), records.end(), [&](const CrashRecord &record) {
+        return record.isPart()
+            && partStanding(record, m_peers.self().vm, SuspicionId(), now).isSuspected();
+    });
 }
 
 bool CrashGuard::mayContinue(const RequestFingerprint &request)
@@ -183,86 +204,38 @@
         || suspicionCount(*record, m_peers.self().vm, m_timers.now()) < MaxSuspicions - 1;
 }
 
-std::unique_ptr<CrashHold> CrashGuard::hold(const RequestFingerprint &request,
-                                            const WorkspaceId &workspace, Decided decided)
+std::unique_ptr<CrashHold> CrashGuard::hold(const CrashSubject &subject, Decided decided)
 {
-    const int number = ++m_lastHold;
-    m_holds.emplace(number, Hold{request, workspace, std::move(decided)});
-    ++m_counters.held;
+    const int number = m_admission.hold(subject, std::move(decided));
     scheduleDecisions();
-    return std::make_unique<CrashHold>([this, number] { m_holds.erase(number); });
+    return std::make_unique<CrashHold>(
+        [this, number] { m_admission.release(number, m_timers.now()); });
 }
 
-void CrashGuard::returnTrial(const RequestFingerprint &request, SuspicionId trial)
+void CrashGuard::returnTrials(const QList<CrashTrial> &trials)
 {
-    m_ledger.withdraw(request, trial, m_timers.now());
+    for (const CrashTrial &trial : trials)
+        m_ledger.withdraw(trial.fingerprint, trial.id, m_timers.now());
     scheduleDecisions();
 }
 
 void CrashGuard::scheduleDecisions()
 {
-    if (m_holds.empty() || m_decisionTimer)
+    if (m_admission.size() == 0 || m_decisionTimer)
         return;
     m_decisionTimer = m_timers.after(Milliseconds(0), [this] {
         m_decisionTimer.reset();
-        decideHolds();
+        m_admission.decide(m_timers.now());
     });
 }
 
-void CrashGuard::decideHolds()
-{
-    if (!m_ledger.isSynchronised())
-        return;
-    std::vector<int> numbers;
-    for (const auto &[number, hold] : m_holds)
-        numbers.push_back(number);
-    const MonotonicTime now = m_timers.now();
-    for (const int number : numbers) {
-        const auto found = m_holds.find(number);
-        if (found == m_holds.end())
-            continue;
-        const Hold hold = found->second;
-        switch (m_ledger.verdict(hold.request, now)) {
-        case RunVerdict::Free:
-            decide(number, true, std::nullopt);
-            break;
-        case RunVerdict::Reject:
-            ++m_counters.rejected;
-            decide(number, false, std::nullopt);
-            break;
-        case RunVerdict::Trial:
-            if (!m_ledger.isAsking(hold.request))
-                m_ledger.askTrial(hold.request, hold.workspace, now);
-            break;
-        case RunVerdict::Wait:
-            break;
-        }
-    }
-}
-
 void CrashGuard::trialDecided(const RequestFingerprint &request, SuspicionId id, bool isGranted)
 {
     isGranted ? ++m_counters.trials : ++m_counters.trialsRefused;
     logEvent(LogLevel::Info, EventId::CrashTrial,
              {{"fingerprint", request.text()},
               {"granted", isGranted ? QStringLiteral("yes") : QStringLiteral("no")}});
-    if (!isGranted)
-        return;
-    const auto first = std::find_if(m_holds.begin(), m_holds.end(), [&](const auto &entry) {
-        return entry.second.request == request;
-    });
-    if (first != m_holds.end())
-        decide(first->first, true, id);
-    else
-        returnTrial(request, id);
-}
-
-void CrashGuard::decide(int number, bool isAllowed, std::optional<SuspicionId> trial)
-{
-    const auto found = m_holds.find(number);
-    const Decided decided = std::move(found->second.decided);
-    m_holds.erase(found);
-    decided(isAllowed, trial);
+    m_admission.trialDecided({request, id}, isGranted, m_timers.now());
 }
 
 void CrashGuard::desynchronise(const char *reason)
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "base/Units.h"
+#include "quarantine/CrashAdmission.h"
 #include "quarantine/CrashLedger.h"
 #include "relay/AttemptMonitor.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 
@@ -19,24 +19,21 @@
 struct Peer;
 enum class RelayAttemptEnd;
 
-/// Bounds the number of targets that one request crashes over the fleet. AttemptMonitor finds out
-/// which attempts may have crashed their targets, CrashLedger shares this with all daemons and lets
-/// one daemon at a time run a suspected request, and this class connects both to the requests and
-/// the network.
-/// Thread safety: only from the thread of the event loop.
+/// Bounds the number of targets that one request, or requests with one part in their prompts, crash
+/// over the fleet. AttemptMonitor finds out which attempts may have crashed their targets,
+/// CrashLedger shares this with all daemons, CrashAdmission decides which requests may run, and
+/// this class connects them to the requests and the network. Thread safety: only from the thread of
+/// the event loop.
 class CrashGuard
 {
 public:
     struct Counters {
-        qint64 held = 0;
-        qint64 rejected = 0;
         qint64 trials = 0;
         qint64 trialsRefused = 0;
         qint64 messagesSent = 0;
         qint64 messagesReceived = 0;
     };
-    /// The request may run, as the trial @p trial if set; or it must not run.
-    using Decided = std::function<void(bool isAllowed, std::optional<SuspicionId> trial)>;
+    using Decided = CrashAdmission::Decided;
 
     /// Precondition: all arguments outlive the object.
     CrashGuard(TimerService &timers, HttpClient &client, PeerDirectory &peers,
@@ -47,12 +44,13 @@
     /// No other daemon has records, as the whole fleet starts for the first time.
     void setFirstStart() { endSynchronisation(false); }
     /// Whether the request may run now. A request with verdict Trial or Wait is passed to hold().
-    RunVerdict verdict(const RequestFingerprint &request);
+    RunVerdict verdict(const CrashSubject &subject);
+    /// Delay after which the caller should retry if the verdict is Reject.
+    std::optional<Milliseconds> retryDelay(const CrashSubject &subject) const;
     /// Calls @p decided later, once, unless the result is destroyed before.
-    std::unique_ptr<CrashHold> hold(const RequestFingerprint &request, const WorkspaceId &workspace,
-                                    Decided decided);
-    /// Gives up a trial for which nothing was sent.
-    void returnTrial(const RequestFingerprint &request, SuspicionId trial);
+    std::unique_ptr<CrashHold> hold(const CrashSubject &subject, Decided decided);
+    /// Gives up trials for which nothing was sent.
+    void returnTrials(const QList<CrashTrial> &trials);
     /// Whether a generation that has begun may continue at another target.
     bool mayContinue(const RequestFingerprint &request);
 
@@ -60,17 +58,14 @@
     const Counters &counters() const { return m_counters; }
     const AttemptMonitor::Counters &attemptCounters() const { return m_attempts.counters(); }
     /// Requests that wait for permission.
-    qsizetype holding() const { return qsizetype(m_holds.size()); }
-    /// Requests with a run that may have crashed its target.
+    qsizetype holding() const { return m_admission.size(); }
+    const CrashAdmission::Counters &admissionCounters() const { return m_admission.counters(); }
+    /// Requests with a run that may have crashed its target, and parts of prompts.
     qsizetype suspects() const { return m_ledger.records().size(); }
+    /// Parts of prompts that have crashed several targets.
+    qsizetype suspectedParts() const;
 
 private:
-    struct Hold {
-        RequestFingerprint request;
-        WorkspaceId workspace;
-        Decided decided;
-    };
-
     CrashLedger::Callbacks callbacks();
     QList<VmId> members() const;
     void send(const QList<Peer> &receivers, const CrashMessage &message);
@@ -86,17 +81,14 @@
     void checkStall();
     void checkPeers();
     void scheduleDecisions();
-    void decideHolds();
-    void decide(int number, bool isAllowed, std::optional<SuspicionId> trial);
 
     TimerService &m_timers;
     PeerDirectory &m_peers;
     PeerDatagrams &m_datagrams;
     Counters m_counters;
     CrashLedger m_ledger;
+    CrashAdmission m_admission;
     AttemptMonitor m_attempts;
-    int m_lastHold = 0;
-    std::map<int, Hold> m_holds;
     /// Records that are to be sent to all daemons.
     QHash<RequestFingerprint, CrashRecord> m_unsent;
     /// Set while the records of other daemons are awaited.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -103,19 +103,22 @@
 {
     const CrashGuard::Counters &counters = parts.crashGuard.counters();
     const AttemptMonitor::Counters &attempts = parts.crashGuard.attemptCounters();
+    const CrashAdmission::Counters &admission = parts.crashGuard.admissionCounters();
     QByteArray text =
         counterText("cranberry_relay_attempts_unexplained_total", attempts.unexplained);
     text += counterText("cranberry_relay_crash_probes_total", attempts.probes);
     text += counterText("cranberry_relay_attempts_survived_total", attempts.survived);
     text += counterText("cranberry_relay_attempts_suspected_total", attempts.suspected);
     text += counterText("cranberry_relay_attempts_suspected_again_total", attempts.suspectedAgain);
-    text += counterText("cranberry_relay_crash_held_total", counters.held);
-    text += counterText("cranberry_relay_crash_rejected_total", counters.rejected);
+    text += counterText("cranberry_relay_crash_held_total", admission.held);
+    text += counterText("cranberry_relay_crash_rejected_total", admission.rejected);
+    text += counterText("cranberry_relay_crash_rejected_for_part_total", admission.rejectedForPart);
     text += counterText("cranberry_relay_crash_trials_total", counters.trials);
     text += counterText("cranberry_relay_crash_trials_refused_total", counters.trialsRefused);
     text += counterText("cranberry_relay_crash_messages_sent_total", counters.messagesSent);
     text += counterText("cranberry_relay_crash_messages_received_total", counters.messagesReceived);
     text += gaugeText("cranberry_relay_crash_holding", parts.crashGuard.holding());
+    text += gaugeText("cranberry_relay_crash_suspected_parts", parts.crashGuard.suspectedParts());
     return text + gaugeText("cranberry_relay_crash_suspects", parts.crashGuard.suspects());
 }
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -355,7 +355,7 @@
     returnRetry();
     m_phase = Phase::Over;
     m_hold.reset();
-    returnTrial();
+    returnTrials();
     leaveForwardPeer(ForwardOutcome::Abandoned);
     abandonMove();
     endTakeover(RelayAttemptEnd::Unexplained);
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -4,7 +4,7 @@
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 #include "quarantine/CrashSubject.h"
-#include "quarantine/CrashSuspicion.h"
+#include "quarantine/CrashTrial.h"
 #include "relay/EngineTraits.h"
 #include "relay/RelayRequest.h"
 #include "relay/RelayRoute.h"
@@ -143,9 +143,9 @@
     /// Returns whether the request must not be sent now; it is then rejected, or waits for
     /// permission.
     bool holdBack();
-    void holdEnded(bool isAllowed, std::optional<SuspicionId> trial);
+    void holdEnded(bool isAllowed, const QList<CrashTrial> &trials);
     void rejectQuarantined();
-    void returnTrial();
+    void returnTrials();
     void attemptStarted(const TargetId &target);
     void reportAttemptEnd(RelayAttemptEnd end);
     void endTakeover(RelayAttemptEnd end);
@@ -280,8 +280,8 @@
     int m_monitoredTakeover = 0;
     RelayAttemptEnd m_attemptEnd{};
     std::unique_ptr<CrashHold> m_hold;
-    /// Permission to run a suspected request, until it is sent.
-    std::optional<SuspicionId> m_trial;
+    /// Permissions to run a suspected request, until it is sent.
+    QList<CrashTrial> m_trials;
     /// Failure answer of a target; sent to the caller if no retry succeeds.
     std::optional<SendResult> m_fallback;
     AnswerHead m_streamHead;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -115,8 +115,8 @@
               {"events", QString::number(m_lastEvent)}});
     ++m_sends;
     // The generation has begun, so that its prompt is not the reason if its target crashes.
-    m_monitoredTakeover = m_context.crashGuard.attempts().started({m_task.subject.request, {}},
-                                                                  plan.target, std::nullopt);
+    m_monitoredTakeover =
+        m_context.crashGuard.attempts().started({m_task.subject.request, {}}, plan.target, {});
     m_takeover = std::make_unique<RelayAttempt>(m_context, m_task.request, m_backup->endpoint(),
                                                 plan, Milliseconds(0), takeoverCallbacks());
     m_takeoverTimer = m_context.timers.after(MaxOverlap, [this] { endOverlap(); });
--- a/src/relay/RelayRunForwarding.cpp
+++ b/src/relay/RelayRunForwarding.cpp
@@ -47,7 +47,7 @@
     }
     returnRetry();
     // The daemon that sends the request to a target needs the permission.
-    returnTrial();
+    returnTrials();
     const std::optional<Peer> peer =
         m_context.forwarding.choosePeer(m_task.service, m_excludedPeers);
     const MonotonicTime now = m_context.timers.now();
--- a/src/relay/RelayRunTrials.cpp
+++ b/src/relay/RelayRunTrials.cpp
@@ -15,9 +15,9 @@
 
 bool RelayRun::holdBack()
 {
-    if (m_trial)
+    if (!m_trials.isEmpty())
         return false;
-    const RunVerdict verdict = m_context.crashGuard.verdict(m_task.subject.request.fingerprint);
+    const RunVerdict verdict = m_context.crashGuard.verdict(m_task.subject);
     if (verdict == RunVerdict::Free)
         return false;
     if (verdict == RunVerdict::Reject) {
@@ -32,10 +32,10 @@
              {{"request", m_task.request.id.text()},
               {"fingerprint", m_task.subject.request.fingerprint.text()},
               {"verdict", QLatin1String(runVerdictName(verdict))}});
-    m_hold = m_context.crashGuard.hold(m_task.subject.request.fingerprint, m_task.workspace,
-                                       [this](bool isAllowed, std::optional<SuspicionId> trial) {
+    m_hold = m_context.crashGuard.hold(m_task.subject,
+                                       [this](bool isAllowed, const QList<CrashTrial> &trials) {
                                            const auto self = shared_from_this();
-                                           holdEnded(isAllowed, trial);
+                                           holdEnded(isAllowed, trials);
                                        });
     const auto left =
         std::chrono::duration_cast<Milliseconds>(waitsUntil() - m_context.timers.now());
@@ -47,11 +47,11 @@
     return true;
 }
 
-void RelayRun::holdEnded(bool isAllowed, std::optional<SuspicionId> trial)
+void RelayRun::holdEnded(bool isAllowed, const QList<CrashTrial> &trials)
 {
     m_hold.reset();
     m_waitTimer.reset();
-    m_trial = trial;
+    m_trials = trials;
     if (isAllowed)
         place();
     else
@@ -60,6 +60,7 @@
 
 void RelayRun::rejectQuarantined()
 {
+    m_rejectionDelay = m_context.crashGuard.retryDelay(m_task.subject);
     // After an attempt that may have run the request, Quarantined would wrongly say that it has not
     // run.
     if (m_fallback)
@@ -69,16 +70,15 @@
              QStringLiteral("the request is quarantined because it may crash targets"));
 }
 
-void RelayRun::returnTrial()
+void RelayRun::returnTrials()
 {
-    if (const auto trial = std::exchange(m_trial, std::nullopt))
-        m_context.crashGuard.returnTrial(m_task.subject.request.fingerprint, *trial);
+    m_context.crashGuard.returnTrials(std::exchange(m_trials, {}));
 }
 
 void RelayRun::attemptStarted(const TargetId &target)
 {
     m_monitored = m_context.crashGuard.attempts().started(m_task.subject, target,
-                                                          std::exchange(m_trial, std::nullopt));
+                                                          std::exchange(m_trials, {}));
     m_isProgressKnown = false;
 }
 
--- a/test/support/CrashSimulation.cpp
+++ b/test/support/CrashSimulation.cpp
@@ -1,11 +1,12 @@
 #include "support/CrashSimulation.h"
 
+#include "quarantine/CrashAdmission.h"
 #include "quarantine/CrashLedger.h"
 
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <vector>
 
@@ -21,9 +22,21 @@
 constexpr Milliseconds HoldTime{1200};
 /// A trial that takes this long to be granted was granted without a majority.
 constexpr Milliseconds AskTimeout{200};
-const RequestFingerprint Request(QStringLiteral("00112233445566778899aabbccddeeff"));
+constexpr std::size_t CrashesAllowed = 5;
+constexpr Milliseconds StableTime{3000};
+constexpr int SecondParts = 12;
 const WorkspaceId Workspace(QStringLiteral("w"));
 
+CrashKey partKey(const QString &name)
+{
+    return {partFingerprint(ServiceId(QStringLiteral("s")), name.toLatin1()), {}, name};
+}
+
+CrashKey requestKey(const QString &name)
+{
+    return {requestFingerprint(Workspace, "POST /", name.toLatin1()), Workspace, {}};
+}
+
 class Simulation
 {
 public:
@@ -41,6 +54,7 @@
     CrashSimulationResult run()
     {
         MonotonicTime nextRequest = m_now + Milliseconds(100);
+        MonotonicTime nextSound = m_now;
         MonotonicTime nextKill = m_now + m_options.killInterval;
         const MonotonicTime cutAt = m_now + m_options.cutAt;
         const MonotonicTime end = m_now + m_options.duration;
@@ -53,29 +67,60 @@
             m_isCut = m_options.cutAt.count() > 0 && m_now >= cutAt && m_now < cutAt + CutTime;
             if (m_now >= nextRequest) {
                 nextRequest += m_options.requestInterval;
-                receiveRequest(int(m_random() % quint32(m_options.daemons)));
+                receiveRequest(randomDaemon(), harmfulSubject(), true);
+            }
+            if (m_options.soundInterval.count() > 0 && m_now >= nextSound) {
+                nextSound += m_options.soundInterval;
+                receiveRequest(randomDaemon(), soundSubject(), false);
             }
             if (m_options.killInterval.count() > 0 && m_now >= nextKill) {
                 nextKill += m_options.killInterval;
-                kill(int(m_random() % quint32(m_options.daemons)));
+                kill(randomDaemon());
             }
             for (int daemon = 0; daemon < m_options.daemons; ++daemon)
                 step(daemon);
         }
+        evaluate();
         return m_result;
     }
 
 private:
     struct Daemon {
         std::unique_ptr<CrashLedger> ledger;
+        std::unique_ptr<CrashAdmission> admission;
         /// Counts the starts, so that events of a former process do nothing.
         int process = 0;
-        std::vector<MonotonicTime> heldUntil;
         MonotonicTime nextTick;
         std::map<int, MonotonicTime> heardAt;
-        MonotonicTime askedAt;
+        /// When the trials that it makes were asked for.
+        std::map<qint64, MonotonicTime> askedAt;
+    };
+    struct Sound {
+        MonotonicTime at;
+        bool hasRun = false;
     };
 
+    int randomDaemon() { return int(m_random() % quint32(m_options.daemons)); }
+
+    CrashSubject subjectWith(const QString &second)
+    {
+        const int first = int(m_random() % quint32(m_options.firstParts));
+        return {requestKey(QString::number(++m_requests)),
+                {partKey(QStringLiteral("a%1").arg(first)), partKey(second)}};
+    }
+
+    CrashSubject harmfulSubject()
+    {
+        if (!m_options.isInPart)
+            return {requestKey(QStringLiteral("harmful")), {}};
+        return subjectWith(QStringLiteral("bad"));
+    }
+
+    CrashSubject soundSubject()
+    {
+        return subjectWith(QStringLiteral("b%1").arg(m_random() % SecondParts));
+    }
+
     static VmId vm(int daemon) { return VmId(QStringLiteral("vm%1").arg(daemon)); }
     static int number(const VmId &vm) { return vm.text().mid(2).toInt(); }
 
@@ -100,6 +145,8 @@
         Daemon &started = m_daemons[std::size_t(daemon)];
         CrashLedger::Callbacks callbacks;
         callbacks.send = [this, daemon](const VmId &to, const CrashMessage &message) {
+            if (message.kind == CrashMessageKind::Ask)
+                m_daemons[std::size_t(daemon)].askedAt.emplace(message.id.value(), m_now);
             send(daemon, number(to), message);
         };
         callbacks.broadcast = [this, daemon](const CrashMessage &message) {
@@ -110,14 +157,14 @@
         };
         callbacks.members = [this, daemon] { return members(daemon); };
         callbacks.random = [this] { return (quint64(m_random()) << 32) | m_random(); };
-        callbacks.trialDecided = [this, daemon](const RequestFingerprint &, SuspicionId id,
+        callbacks.trialDecided = [this, daemon](const RequestFingerprint &request, SuspicionId id,
                                                 bool isGranted) {
-            if (isGranted)
-                runTrial(daemon, id);
+            m_daemons[std::size_t(daemon)].admission->trialDecided({request, id}, isGranted, m_now);
         };
         callbacks.changed = [](const CrashRecord &, const CrashSuspicion &) {};
         started.ledger = std::make_unique<CrashLedger>(vm(daemon), callbacks);
-        started.heldUntil.clear();
+        started.admission = std::make_unique<CrashAdmission>(*started.ledger);
+        started.askedAt.clear();
         for (int other = 0; other < m_options.daemons; ++other)
             started.heardAt[other] = m_now;
         ++started.process;
@@ -147,14 +194,38 @@
 
     void kill(int daemon)
     {
+        m_daemons[std::size_t(daemon)].admission.reset();
         m_daemons[std::size_t(daemon)].ledger.reset();
         after(RestartTime, [this, daemon] { start(daemon); });
     }
 
-    void receiveRequest(int daemon)
+    void receiveRequest(int daemon, const CrashSubject &subject, bool isHarmful)
     {
-        if (m_daemons[std::size_t(daemon)].ledger)
-            m_daemons[std::size_t(daemon)].heldUntil.push_back(m_now + HoldTime);
+        Daemon &receiver = m_daemons[std::size_t(daemon)];
+        if (!receiver.ledger)
+            return;
+        if (!isHarmful)
+            m_sound.push_back({m_now});
+        const std::size_t number = m_sound.size();
+        switch (receiver.admission->verdict(subject, m_now)) {
+        case RunVerdict::Free:
+            run(daemon, subject, isHarmful ? 0 : number, {});
+            return;
+        case RunVerdict::Reject:
+            return;
+        case RunVerdict::Trial:
+        case RunVerdict::Wait:
+            break;
+        }
+        const int held =
+            receiver.admission->hold(subject,
+                                     [this, daemon, subject, isHarmful,
+                                      number](bool isAllowed, const QList<CrashTrial> &trials) {
+                                         if (isAllowed)
+                                             run(daemon, subject, isHarmful ? 0 : number, trials);
+                                     });
+        afterAt(daemon, HoldTime,
+                [this, held](Daemon &holder) { holder.admission->release(held, m_now); });
     }
 
     void step(int daemon)
@@ -174,51 +245,67 @@
                     stepped.heardAt[other] = m_now;
             }
         }
-        while (!stepped.heldUntil.empty() && stepped.heldUntil.front() <= m_now)
-            stepped.heldUntil.erase(stepped.heldUntil.begin());
-        if (stepped.heldUntil.empty() || !stepped.ledger->isSynchronised()
-            || stepped.ledger->isAsking(Request))
+        stepped.admission->decide(m_now);
+    }
+
+    /// Runs a request. @p sound: the number of a sound one; 0 for a harmful one.
+    void run(int daemon, const CrashSubject &subject, std::size_t sound,
+             const QList<CrashTrial> &trials)
+    {
+        if (sound > 0) {
+            m_sound[sound - 1].hasRun = true;
+            afterAt(daemon, m_options.clearTime, [this, subject, trials](Daemon &owner) {
+                for (const CrashTrial &trial : trials)
+                    owner.ledger->withdraw(trial.fingerprint, trial.id, m_now);
+                for (const CrashKey &part : subject.parts)
+                    owner.ledger->clearPart(part.fingerprint, m_now);
+            });
             return;
-        switch (stepped.ledger->verdict(Request, m_now)) {
-        case RunVerdict::Free:
-            stepped.heldUntil.erase(stepped.heldUntil.begin());
-            runUninformed(daemon);
-            break;
-        case RunVerdict::Trial:
-            stepped.askedAt = m_now;
-            stepped.ledger->askTrial(Request, Workspace, m_now);
-            break;
-        case RunVerdict::Reject:
-            stepped.heldUntil.erase(stepped.heldUntil.begin());
-            break;
-        case RunVerdict::Wait:
-            break;
         }
+        m_crashes.push_back(m_now);
+        m_result.uninformed += trials.isEmpty() ? 1 : 0;
+        const auto &askedAt = m_daemons[std::size_t(daemon)].askedAt;
+        const bool isWithoutVotes =
+            std::any_of(trials.begin(), trials.end(), [&](const CrashTrial &trial) {
+                const auto asked = askedAt.find(trial.id.value());
+                return asked != askedAt.end() && m_now - asked->second >= AskTimeout;
+            });
+        m_result.withoutVotes += isWithoutVotes ? 1 : 0;
+        // The run is recorded when its target does not answer.
+        afterAt(daemon, m_options.proofTime, [this, subject, trials](Daemon &owner) {
+            suspect(owner, subject.request, trials);
+            for (const CrashKey &part : subject.parts)
+                suspect(owner, part, trials);
+        });
     }
 
-    void runUninformed(int daemon)
+    void suspect(Daemon &owner, const CrashKey &key, const QList<CrashTrial> &trials)
     {
-        ++m_result.crashes;
-        ++m_result.uninformed;
-        // The run is recorded when its target does not answer.
-        afterAt(daemon, m_options.proofTime, [this](Daemon &owner) {
-            const auto id = owner.ledger->addRun(Request, Workspace, TargetId(), m_now);
-            owner.ledger->suspect(Request, id, m_now);
+        const auto trial = std::find_if(trials.begin(), trials.end(), [&](const auto &other) {
+            return other.fingerprint == key.fingerprint;
         });
+        const TargetId target(QStringLiteral("t%1").arg(++m_targets));
+        const SuspicionId id =
+            trial != trials.end() ? trial->id : owner.ledger->addRun(key, target, m_now);
+        owner.ledger->setTarget(key.fingerprint, id, target);
+        owner.ledger->suspect(key.fingerprint, id, m_now);
     }
 
-    void runTrial(int daemon, SuspicionId id)
+    void evaluate()
     {
-        Daemon &owner = m_daemons[std::size_t(daemon)];
-        if (owner.heldUntil.empty()) {
-            owner.ledger->withdraw(Request, id, m_now);
+        m_result.crashes = int(m_crashes.size());
+        if (m_crashes.empty())
             return;
+        const MonotonicTime fifth = m_crashes[std::min(m_crashes.size(), CrashesAllowed) - 1];
+        if (m_crashes.size() >= CrashesAllowed)
+            m_result.late = int(std::count_if(m_crashes.begin(), m_crashes.end(),
+                                              [&](auto at) { return at > fifth + StableTime; }));
+        for (const Sound &sound : m_sound) {
+            if (sound.at < fifth + 2 * StableTime)
+                continue;
+            ++m_result.soundLater;
+            m_result.soundRanLater += sound.hasRun ? 1 : 0;
         }
-        owner.heldUntil.erase(owner.heldUntil.begin());
-        ++m_result.crashes;
-        m_result.withoutVotes += m_now - owner.askedAt >= AskTimeout ? 1 : 0;
-        afterAt(daemon, m_options.proofTime,
-                [this, id](Daemon &suspecting) { suspecting.ledger->suspect(Request, id, m_now); });
     }
 
     const CrashSimulationOptions m_options;
@@ -227,6 +314,10 @@
     std::multimap<MonotonicTime, std::function<void()>> m_events;
     std::vector<Daemon> m_daemons;
     bool m_isCut = false;
+    int m_requests = 0;
+    int m_targets = 0;
+    std::vector<MonotonicTime> m_crashes;
+    std::vector<Sound> m_sound;
     CrashSimulationResult m_result;
 };
 
--- a/test/support/CrashSimulation.h
+++ b/test/support/CrashSimulation.h
@@ -1,4 +1,4 @@
-// Defines a simulation of daemons that receive a harmful request over and over.
+// Defines a simulation of daemons that receive harmful requests over and over.
 #pragma once
 
 #include "base/Units.h"
@@ -21,18 +21,32 @@
     /// Daemon 0 receives and sends nothing from this time on for 8 s, unless it is zero.
     Milliseconds cutAt{0};
     Milliseconds duration{30'000};
+    /// The harm is in a part that harmful requests share, instead of in one request that repeats.
+    bool isInPart = false;
+    /// Interval of sound requests; none if zero.
+    Milliseconds soundInterval{0};
+    /// Parts of which each prompt has one beside the second, which is the harmful one or sound.
+    int firstParts = 8;
+    /// Time from the begin of a sound run until its daemon knows that the target survived.
+    Milliseconds clearTime{400};
 };
 
 struct CrashSimulationResult {
-    /// Targets that the request crashed.
+    /// Targets that harmful requests crashed.
     int crashes = 0;
     /// Crashes by runs of daemons that knew of no other run.
     int uninformed = 0;
     /// Crashes by trials without the votes of a majority.
     int withoutVotes = 0;
+    /// Runs that began later than 3 s after the fifth crash.
+    int late = 0;
+    /// Sound requests, and those that ran, from 6 s after the fifth crash on, or the last one if
+    /// there were fewer.
+    int soundLater = 0;
+    int soundRanLater = 0;
 };
 
-/// Plays one request that crashes each target on CrashLedger, without a network.
+/// Plays requests that crash their targets on CrashLedger and CrashAdmission, without a network.
 CrashSimulationResult simulateCrashes(const CrashSimulationOptions &options);
 
 } // namespace cranberry::test
