A withdrawn run that was dropped from its record stays withdrawn

A record keeps 16 runs and drops withdrawn ones first. An old message of another daemon, or its answer to a pull, then brought the run back as running: requests waited for it, and after 10 s it counted as a crash, for a part as a trial that crashed its target.

The ledger remembers dropped runs for a minute (8192 at most) and takes none of them up again. A withdrawn run that it does not know is not added, only remembered. Digests leave withdrawn runs out: voters alone are told of most trials, and each such trial made all daemons pull all records.

Found by reading, while a simulation was traced that had another cause.

--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -21,6 +21,7 @@
 constexpr qsizetype MaxRecords = 4096;
 constexpr qsizetype MaxCompletedRequests = 4096;
 constexpr Milliseconds CompletedLifetime{60'000};
+constexpr qsizetype MaxDroppedRuns = 8192;
 
 bool isWithdrawn(const CrashRecord &record)
 {
@@ -92,7 +93,7 @@
     makeRoom();
     CrashRecord &record = m_records[key.fingerprint];
     record.key = key;
-    merge(record, added);
+    mergeKnown(record, added, now);
     addCompletions(record, now);
     m_unpublished.insert(run.id.value());
     m_digest.reset();
@@ -334,15 +335,56 @@
         m_callbacks.send(from, answer);
 }
 
-void CrashLedger::mergeRecord(const VmId &from, const CrashRecord &record, MonotonicTime now)
+void CrashLedger::rememberDropped(SuspicionId id, MonotonicTime now)
 {
+    if (m_dropped.size() >= MaxDroppedRuns)
+        m_dropped.removeIf(
+            [now](const auto &entry) { return now - entry.value() > WithdrawnLifetime / 2; });
+    if (m_dropped.size() >= MaxDroppedRuns)
+        m_dropped.clear();
+    m_dropped.insert(id.value(), now);
+}
+
+bool CrashLedger::mergeKnown(CrashRecord &known, const CrashRecord &added, MonotonicTime now)
+{
+    const QList<CrashSuspicion> before = known.suspicions;
+    const bool isChanged = merge(known, added);
+    for (const CrashSuspicion &run : before) {
+        const bool isKept = std::any_of(known.suspicions.begin(), known.suspicions.end(),
+                                        [&](const auto &other) { return other.id == run.id; });
+        if (!isKept && run.state == SuspicionState::Withdrawn)
+            rememberDropped(run.id, now);
+    }
+    return isChanged;
+}
+
+CrashRecord CrashLedger::withoutDropped(const CrashRecord &record, MonotonicTime now)
+{
+    CrashRecord kept = record;
+    const QList<CrashSuspicion> known = m_records.value(record.key.fingerprint).suspicions;
+    kept.suspicions.removeIf([&](const CrashSuspicion &run) {
+        if (m_dropped.contains(run.id.value()))
+            return true;
+        const bool isKnown = std::any_of(known.begin(), known.end(),
+                                         [&](const auto &other) { return other.id == run.id; });
+        if (isKnown || run.state != SuspicionState::Withdrawn)
+            return false;
+        rememberDropped(run.id, now);
+        return true;
+    });
+    return kept;
+}
+
+void CrashLedger::mergeRecord(const VmId &from, const CrashRecord &received, MonotonicTime now)
+{
+    const CrashRecord record = withoutDropped(received, now);
     const bool isEmpty = record.suspicions.isEmpty();
     if (isEmpty || (!m_records.contains(record.key.fingerprint) && !makeRoom()))
         return;
     CrashRecord &known = m_records[record.key.fingerprint];
     known.key.fingerprint = record.key.fingerprint;
     const QList<CrashSuspicion> before = known.suspicions;
-    if (!merge(known, record))
+    if (!mergeKnown(known, record, now))
         return;
     m_digest.reset();
     for (const CrashSuspicion &run : std::as_const(known.suspicions)) {
@@ -481,6 +523,8 @@
 {
     if (m_records.removeIf([now](const auto &entry) { return isExpired(entry.value(), now); }) > 0)
         m_digest.reset();
+    m_dropped.removeIf(
+        [now](const auto &entry) { return now - entry.value() > WithdrawnLifetime; });
 }
 
 quint64 CrashLedger::digest()
--- a/src/quarantine/CrashLedger.h
+++ b/src/quarantine/CrashLedger.h
@@ -107,7 +107,12 @@
     /// Adds the runs that this daemon has completed to the record; returns whether it changed.
     bool addCompletions(CrashRecord &record, MonotonicTime now) const;
     bool makeRoom();
-    void mergeRecord(const VmId &from, const CrashRecord &record, MonotonicTime now);
+    /// Merges @p added into @p known and remembers the withdrawn runs that are dropped for it.
+    bool mergeKnown(CrashRecord &known, const CrashRecord &added, MonotonicTime now);
+    /// @p record without runs that were withdrawn and dropped.
+    CrashRecord withoutDropped(const CrashRecord &record, MonotonicTime now);
+    void rememberDropped(SuspicionId id, MonotonicTime now);
+    void mergeRecord(const VmId &from, const CrashRecord &received, MonotonicTime now);
     void vote(const VmId &from, const CrashMessage &message, MonotonicTime now);
     void sendAsk(Asking &asking, MonotonicTime now);
     void countVotes(SuspicionId id, MonotonicTime now);
@@ -121,6 +126,9 @@
     const VmId m_self;
     Callbacks m_callbacks;
     QHash<RequestFingerprint, CrashRecord> m_records;
+    /// Withdrawn runs that are in no record, and when they were dropped. Other daemons may not know
+    /// yet that they were withdrawn.
+    QHash<qint64, MonotonicTime> m_dropped;
     /// Runs that no other daemon was told of.
     QSet<qint64> m_unpublished;
     /// Trials that only their voters were told of.
--- a/src/quarantine/CrashRules.cpp
+++ b/src/quarantine/CrashRules.cpp
@@ -237,6 +237,8 @@
 {
     quint64 digest = 0;
     for (const CrashSuspicion &run : record.suspicions) {
+        if (run.state == SuspicionState::Withdrawn)
+            continue;
         QCryptographicHash hash(QCryptographicHash::Sha1);
         hash.addData(record.key.fingerprint.text().toLatin1());
         hash.addData(QByteArray::number(run.id.value()) + ':' + QByteArray::number(int(run.state)));
--- a/src/quarantine/CrashRules.h
+++ b/src/quarantine/CrashRules.h
@@ -104,7 +104,7 @@
 /// Whether the record can be dropped.
 bool isExpired(const CrashRecord &record, MonotonicTime now);
 
-/// Equal for records with the same runs.
+/// Equal for records with the same runs, apart from withdrawn ones, which need not be kept.
 quint64 digestOf(const CrashRecord &record);
 
 } // namespace cranberry
--- a/test/correctness/CrashInterleavings.cpp
+++ b/test/correctness/CrashInterleavings.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE CrashInterleavings
 #include <boost/test/unit_test.hpp>
 
+#include "quarantine/CrashLedger.h"
 #include "quarantine/CrashRules.h"
 #include "support/CrashSimulation.h"
 
@@ -186,3 +187,40 @@
     options.requestInterval = Milliseconds(50);
     playParts("part, a sound request a second, one first part, silent, 20 a second", options);
 }
+
+BOOST_AUTO_TEST_CASE(AWithdrawnRunThatWasDroppedStaysWithdrawn)
+{
+    // Guards against a run that ended being taken for one that still runs, from an old message.
+    MonotonicTime now{std::chrono::hours(1)};
+    CrashLedger::Callbacks callbacks;
+    callbacks.send = [](const VmId &, const CrashMessage &) {};
+    callbacks.broadcast = [](const CrashMessage &) {};
+    callbacks.members = [] { return QList<VmId>(); };
+    callbacks.random = [] { return quint64(0); };
+    callbacks.trialDecided = [](const RequestFingerprint &, SuspicionId, bool) {};
+    callbacks.changed = [](const CrashRecord &, const CrashSuspicion &) {};
+    CrashLedger ledger(VmId(QStringLiteral("self")), callbacks);
+    const VmId owner(QStringLiteral("owner"));
+    const RequestFingerprint part = partFingerprint(ServiceId(QStringLiteral("s")), "a0");
+    const auto receive = [&](qint64 id, SuspicionState state, const VmId &from) {
+        CrashSuspicion run;
+        run.id = SuspicionId(id);
+        run.daemon = owner;
+        run.target = TargetId(QString::number(id));
+        run.state = state;
+        run.changedAt = now;
+        CrashMessage message;
+        message.records = {{{part, {}, QStringLiteral("a0")}, {run}, {}}};
+        ledger.handle(from, message, now);
+    };
+    constexpr qint64 Trial = 1;
+    receive(Trial, SuspicionState::Running, owner);
+    BOOST_TEST(ledger.standing(part, SuspicionId(), now).isRunning);
+    receive(Trial, SuspicionState::Withdrawn, owner);
+    for (qint64 id = Trial + 1; id <= Trial + MaxRunsPerRecord; ++id)
+        receive(id, SuspicionState::Suspected, owner);
+    receive(Trial, SuspicionState::Running, VmId(QStringLiteral("other")));
+    BOOST_TEST(!ledger.standing(part, SuspicionId(), now).isRunning);
+    now += RunLease + Milliseconds(1000);
+    BOOST_TEST(ledger.standing(part, SuspicionId(), now).crashes == int(MaxRunsPerRecord));
+}
