Soak: harmful parts of prompts

Half of the harmful requests to the fragile service are harmful by their first or second prompt part, no two alike; sound ones share the other parts. Bound: 3 runs later than 3 s after the fifth crash under a part.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -7,6 +7,7 @@
 #include <QElapsedTimer>
 
 #include <csignal>
+#include <iterator>
 
 namespace cranberry::soak {
 
@@ -28,8 +29,13 @@
 /// Interval between requests of callers that repeat a harmful request; another one follows later.
 constexpr int FragileIntervalMs = 150;
 constexpr int HarmfulRequestMs = 6000;
-/// A harmful request may be sent this often later than StableTime after the third crash.
+/// A harmful request, or requests with a harmful part, may be sent this often later than StableTime
+/// after the last crash allowed.
 constexpr int MaxLateRuns = 3;
+constexpr int CrashesAllowed = 3;
+constexpr int CrashesAllowedForPart = 5;
+/// First parts of prompts, and second ones, that requests share.
+constexpr int SharedParts = 4;
 constexpr Milliseconds StableTime{3000};
 constexpr int MaxOutputTokens = 120;
 constexpr int PromptTokens = 500;
@@ -200,13 +206,23 @@
         return;
     const QByteArray id =
         "f" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
-    const QByteArray body = isHarmful ? standin::CrashingTargets::HarmfulPrefix
+    const bool isPartHarmful = isHarmful && m_fragileRandom() % 2 == 0;
+    const QByteArray body = isHarmful && !isPartHarmful ? standin::CrashingTargets::HarmfulPrefix
             + QByteArray(isSafe ? "-safe-" : "-unsafe-") + QByteArray::number(m_harmfulBodies)
-                                      : "body of " + id;
+                                                        : "body of " + id;
+    QByteArray parts[] = {"a" + QByteArray::number(m_fragileRandom() % SharedParts),
+                          "b" + QByteArray::number(m_fragileRandom() % SharedParts)};
+    if (isPartHarmful)
+        parts[m_fragileRandom() % std::size(parts)] =
+            standin::CrashingTargets::HarmfulPart + QByteArray::number(m_harmfulBodies);
+    const HttpHeaders prompt{
+        {"Cranberryquay-Prompt-Prefix",
+         parts[0] + ":40," + parts[1] + ":30,c" + QByteArray::number(m_requestCount) + ":30"}};
     m_limits.sent(id, daemon);
     m_pending.push_back(
         {id,
-         m_site.sendWithBody(daemon, isSafe ? "/fragile-safe/a" : "/fragile-unsafe/a", id, body),
+         m_site.sendWithBody(daemon, isSafe ? "/fragile-safe/a" : "/fragile-unsafe/a", id, body,
+                             prompt),
          daemon, false});
     if (leaves)
         m_pending.pop_back();
@@ -216,12 +232,15 @@
 {
     QStringList broken;
     for (const auto &[body, runs] : m_fragile.harmful()) {
-        const int late = runs.lateRuns(StableTime);
+        const bool isPart = body.startsWith(standin::CrashingTargets::HarmfulPart);
+        const int allowed = isPart ? CrashesAllowedForPart : CrashesAllowed;
+        const int late = runs.lateRuns(StableTime, std::size_t(allowed));
         if (late > MaxLateRuns)
-            broken.append(QStringLiteral("%1 ran %2 times later than 3 s after the third crash, "
-                                         "allowed are %3; it crashed %4 targets")
+            broken.append(QStringLiteral("%1 ran %2 times later than 3 s after crash %3, "
+                                         "allowed are %4; it crashed %5 targets")
                               .arg(QString::fromLatin1(body))
                               .arg(late)
+                              .arg(allowed)
                               .arg(MaxLateRuns)
                               .arg(runs.crashes.size()));
     }
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -41,7 +41,7 @@
     /// A line for each service that received more repeats than allowed. Precondition: run() has
     /// returned.
     QStringList brokenBudgets() const;
-    /// A line for each request that crashed targets and went on being sent. Precondition: run() has
+    /// A line for each request, or part of prompts, that crashed targets and went on being sent. Precondition: run() has
     /// returned.
     QStringList brokenCrashBounds() const;
     /// Targets that harmful requests crashed, and the requests.
