A cleared part is told to all daemons once

A daemon that has completed a request tells only the daemon that suspected it, which tells all others. The suspicions of a part are withdrawn by a message to all, which the suspecting daemon sent to all once more. Found by reading; messages were not counted.

--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -422,7 +422,7 @@
             const bool isOwn =
                 std::any_of(record.suspicions.begin(), record.suspicions.end(),
                             [this](const CrashSuspicion &run) { return run.daemon == m_self; });
-            if (isOwn && before != RunVerdict::Free
+            if (isOwn && !record.isPart() && before != RunVerdict::Free
                 && verdict(fingerprint, SuspicionId(), now) == RunVerdict::Free)
                 publish(fingerprint);
         }
