A trial says nothing if another suspected part was at its target

A sound request that is a trial of its first part may be at the target that another request with the harmful part crashes at the same time. The trial counted against the first part, and one such trial after four crashes got all its requests rejected for ten minutes.

A trial of one part counts only if no other part that is suspected at least as much was at the same target.

correctness/CrashInterleavings now has 12 targets, which sound and harmful requests share, and suspects all requests that a crash takes along; hash seeds are fixed, so that a seed plays alike in each process.

--- a/src/quarantine/CrashLedger.cpp
+++ b/src/quarantine/CrashLedger.cpp
@@ -38,19 +38,31 @@
 {
 }
 
-RunVerdict CrashLedger::verdict(const RequestFingerprint &request, SuspicionId except,
-                                MonotonicTime now) const
+RunVerdict CrashLedger::verdict(const RequestFingerprint &key, SuspicionId except,
+                                MonotonicTime now, TrialKind kind) const
 {
-    const auto record = m_records.constFind(request);
-    return record == m_records.cend() ? RunVerdict::Free
-                                      : runVerdict(*record, m_self, except, TrialKind::None, now);
+    const auto record = m_records.constFind(key);
+    if (record == m_records.cend())
+        return RunVerdict::Free;
+    if (!record->isPart())
+        return runVerdict(*record, m_self, except, now);
+    const PartStanding part = standing(key, except, now);
+    return part.isSuspected() ? trialVerdict(part, kind, now) : RunVerdict::Free;
 }
 
 PartStanding CrashLedger::standing(const RequestFingerprint &part, SuspicionId except,
                                    MonotonicTime now) const
 {
-    const auto record = m_records.constFind(part);
-    return record == m_records.cend() ? PartStanding() : partStanding(*record, m_self, except, now);
+    return partStanding(m_records, part, m_self, except, now);
+}
+
+bool CrashLedger::mayRunWithoutVotes(const RequestFingerprint &key, MonotonicTime now) const
+{
+    const CrashRecord record = m_records.value(key);
+    if (!record.isPart())
+        return suspicionCount(record, m_self, now) <= 1;
+    const PartStanding part = standing(key, SuspicionId(), now);
+    return part.singleTrials + part.jointTrials == 0;
 }
 
 CrashSuspicion *CrashLedger::find(const RequestFingerprint &request, SuspicionId id)
@@ -293,10 +305,7 @@
     const Asking asking = *found;
     m_asking.erase(found);
     // What was learned while asking may forbid the run.
-    const auto record = m_records.constFind(asking.request);
-    const RunVerdict verdict = record == m_records.cend()
-        ? RunVerdict::Free
-        : runVerdict(*record, m_self, id, asking.kind, now);
+    const RunVerdict verdict = this->verdict(asking.request, id, now, asking.kind);
     const bool isAllowed =
         isGranted && (verdict == RunVerdict::Trial || verdict == RunVerdict::Free);
     if (!isAllowed)
@@ -316,10 +325,7 @@
     others.suspicions.removeIf([&](const CrashSuspicion &run) { return run.id == message.id; });
     if (!others.suspicions.isEmpty())
         mergeRecord(from, others, now);
-    const auto known = m_records.constFind(asked.key.fingerprint);
-    const RunVerdict verdict = known == m_records.cend()
-        ? RunVerdict::Free
-        : runVerdict(*known, m_self, message.id, kind, now);
+    const RunVerdict verdict = this->verdict(asked.key.fingerprint, message.id, now, kind);
     CrashMessage answer;
     answer.id = message.id;
     // A daemon that does not know the records yet cannot vote for a run.
@@ -486,7 +492,7 @@
     for (const SuspicionId id : std::as_const(timedOut)) {
         const auto asking = std::find_if(m_asking.begin(), m_asking.end(),
                                          [id](const Asking &other) { return other.id == id; });
-        const bool mayRun = mayRunWithoutVotes(m_records.value(asking->request), m_self, now);
+        const bool mayRun = mayRunWithoutVotes(asking->request, now);
         endAsking(id, asking->refused.isEmpty() && mayRun, now);
     }
     if (now - m_comparedAt >= CompareInterval) {
--- a/src/quarantine/CrashLedger.h
+++ b/src/quarantine/CrashLedger.h
@@ -43,9 +43,10 @@
     /// Precondition: all callbacks are set.
     CrashLedger(VmId self, Callbacks callbacks);
 
-    /// The verdict on a request, apart from its parts. The run @p except does not count.
-    RunVerdict verdict(const RequestFingerprint &request, SuspicionId except,
-                       MonotonicTime now) const;
+    /// The verdict on a request apart from its parts, or on one with the part @p key as a trial of
+    /// kind @p kind. The run @p except does not count.
+    RunVerdict verdict(const RequestFingerprint &key, SuspicionId except, MonotonicTime now,
+                       TrialKind kind = TrialKind::Single) const;
     PartStanding standing(const RequestFingerprint &part, SuspicionId except,
                           MonotonicTime now) const;
 
@@ -101,6 +102,8 @@
 
     SuspicionId addRun(const CrashKey &key, const TargetId &target, TrialKind kind,
                        MonotonicTime now);
+    /// Whether one more run may be made although no other daemon answers.
+    bool mayRunWithoutVotes(const RequestFingerprint &key, MonotonicTime now) const;
     CrashSuspicion *find(const RequestFingerprint &request, SuspicionId id);
     void setState(const RequestFingerprint &request, SuspicionId id, SuspicionState state,
                   MonotonicTime now);
--- a/src/quarantine/CrashRules.cpp
+++ b/src/quarantine/CrashRules.cpp
@@ -5,7 +5,7 @@
 
 #include <algorithm>
 #include <numeric>
-#include <tuple>
+#include <utility>
 
 namespace cranberry {
 
@@ -49,18 +49,41 @@
     return true;
 }
 
-RunVerdict trialVerdict(const PartStanding &standing, bool isJoint, MonotonicTime now)
+/// Whether both runs may have been at a target when it crashed.
+bool isSameCrash(const CrashSuspicion &one, const CrashSuspicion &other)
 {
-    const bool isCertain = standing.crashes >= CertainPartCrashes && standing.singleTrials > 0;
-    const int trials = isJoint ? standing.jointTrials : standing.singleTrials;
-    if (isCertain || standing.singleTrials >= MaxPartTrials || trials >= MaxPartTrials)
-        return RunVerdict::Reject;
-    if (standing.isRunning)
-        return RunVerdict::Wait;
-    const auto sinceCrash = now - standing.lastCrashAt;
-    if (trials > 0 && sinceCrash < SecondTrialDelay)
-        return RunVerdict::Reject;
-    return isJoint && sinceCrash < JointTrialDelay ? RunVerdict::Wait : RunVerdict::Trial;
+    const auto apart = one.changedAt - other.changedAt;
+    return one.target == other.target && apart < CrashSpan && -apart < CrashSpan;
+}
+
+/// The number of targets that crashed under the part.
+int crashCount(const CrashRecord &record, const VmId &self, SuspicionId except, MonotonicTime now)
+{
+    QList<CrashSuspicion> crashes;
+    for (const CrashSuspicion &run : record.suspicions) {
+        // Several requests with the part may have been at one target.
+        const bool isKnown = std::any_of(crashes.begin(), crashes.end(), [&](const auto &other) {
+            return isSameCrash(run, other);
+        });
+        if (run.id != except && isSuspicion(run, self, now) && !isKnown)
+            crashes.append(run);
+    }
+    return int(crashes.size());
+}
+
+/// Whether another part, with @p crashes or more, was at the target that @p run may have crashed.
+bool isExplained(const CrashSuspicion &run, const CrashRecords &records,
+                 const RequestFingerprint &part, int crashes, const VmId &self, MonotonicTime now)
+{
+    return std::any_of(records.begin(), records.end(), [&](const CrashRecord &record) {
+        if (!record.isPart() || record.key.fingerprint == part)
+            return false;
+        const bool wasThere = std::any_of(
+            record.suspicions.begin(), record.suspicions.end(), [&](const CrashSuspicion &other) {
+                return isSuspicion(other, self, now) && isSameCrash(run, other);
+            });
+        return wasThere && crashCount(record, self, SuspicionId(), now) >= crashes;
+    });
 }
 
 } // namespace
@@ -98,64 +121,63 @@
     return run.state == SuspicionState::Suspected || isOverdue(run, self, now);
 }
 
-PartStanding partStanding(const CrashRecord &record, const VmId &self, SuspicionId except,
-                          MonotonicTime now)
+PartStanding partStanding(const CrashRecords &records, const RequestFingerprint &part,
+                          const VmId &self, SuspicionId except, MonotonicTime now)
 {
-    QList<CrashSuspicion> crashes;
     PartStanding standing;
-    for (const CrashSuspicion &run : record.suspicions) {
+    const auto record = records.constFind(part);
+    if (record == records.cend())
+        return standing;
+    standing.crashes = crashCount(*record, self, except, now);
+    for (const CrashSuspicion &run : record->suspicions) {
         if (run.id == except || run.state == SuspicionState::Withdrawn)
             continue;
         if (!isSuspicion(run, self, now)) {
             standing.isRunning = true;
             continue;
         }
-        standing.singleTrials += run.trial == TrialKind::Single ? 1 : 0;
-        standing.jointTrials += run.trial == TrialKind::Joint ? 1 : 0;
         standing.lastCrashAt = std::max(standing.lastCrashAt, run.changedAt);
-        crashes.append(run);
-    }
-    // Several requests with the part may have been at one target.
-    std::sort(crashes.begin(), crashes.end(), [](const auto &one, const auto &other) {
-        return std::tie(one.target, one.changedAt) < std::tie(other.target, other.changedAt);
-    });
-    for (qsizetype i = 0; i < crashes.size(); ++i) {
-        const bool isSame = i > 0 && crashes[i].target == crashes[i - 1].target
-            && crashes[i].changedAt - crashes[i - 1].changedAt < CrashSpan;
-        standing.crashes += isSame ? 0 : 1;
+        if (run.trial == TrialKind::Joint)
+            ++standing.jointTrials;
+        if (run.trial == TrialKind::Single
+            && !isExplained(run, records, part, standing.crashes, self, now))
+            ++standing.singleTrials;
     }
     return standing;
 }
 
+RunVerdict trialVerdict(const PartStanding &standing, TrialKind kind, MonotonicTime now)
+{
+    const bool isJoint = kind == TrialKind::Joint;
+    const bool isCertain = standing.crashes >= CertainPartCrashes && standing.singleTrials > 0;
+    const int trials = isJoint ? standing.jointTrials : standing.singleTrials;
+    if (isCertain || standing.singleTrials >= MaxPartTrials || trials >= MaxPartTrials)
+        return RunVerdict::Reject;
+    if (standing.isRunning)
+        return RunVerdict::Wait;
+    const auto sinceCrash = now - standing.lastCrashAt;
+    if (trials > 0 && sinceCrash < SecondTrialDelay)
+        return RunVerdict::Reject;
+    return isJoint && sinceCrash < JointTrialDelay ? RunVerdict::Wait : RunVerdict::Trial;
+}
+
 RunVerdict promptVerdict(const QList<PartStanding> &standings, MonotonicTime now)
 {
     const auto suspected =
         std::count_if(standings.begin(), standings.end(),
                       [](const PartStanding &standing) { return standing.isSuspected(); });
+    const TrialKind kind = suspected > 1 ? TrialKind::Joint : TrialKind::Single;
     RunVerdict verdict = RunVerdict::Free;
     for (const PartStanding &standing : standings) {
         if (standing.isSuspected())
-            verdict = std::max(verdict, trialVerdict(standing, suspected > 1, now));
+            verdict = std::max(verdict, trialVerdict(standing, kind, now));
     }
     return verdict;
 }
 
-bool mayRunWithoutVotes(const CrashRecord &record, const VmId &self, MonotonicTime now)
-{
-    if (!record.isPart())
-        return suspicionCount(record, self, now) <= 1;
-    const PartStanding standing = partStanding(record, self, SuspicionId(), now);
-    return standing.singleTrials + standing.jointTrials == 0;
-}
-
 RunVerdict runVerdict(const CrashRecord &record, const VmId &self, SuspicionId except,
-                      TrialKind kind, MonotonicTime now)
+                      MonotonicTime now)
 {
-    if (record.isPart()) {
-        const PartStanding standing = partStanding(record, self, except, now);
-        const bool isJoint = kind == TrialKind::Joint;
-        return standing.isSuspected() ? trialVerdict(standing, isJoint, now) : RunVerdict::Free;
-    }
     int suspicions = 0;
     int running = 0;
     MonotonicTime lastAt;
--- a/src/quarantine/CrashRules.h
+++ b/src/quarantine/CrashRules.h
@@ -2,8 +2,12 @@
 
 #include "quarantine/CrashRecord.h"
 
+#include <QHash>
+
 namespace cranberry {
 
+using CrashRecords = QHash<RequestFingerprint, CrashRecord>;
+
 // The rules that decide whether a request may run, from its runs that may have crashed their
 // targets, and those that ran to their end. A completed run outweighs a suspicion; in what follows,
 // only suspicions beyond the completed runs count. The first run of a request needs no permission.
@@ -31,7 +35,7 @@
 constexpr Milliseconds SuspectedLifetime{600'000};
 constexpr Milliseconds WithdrawnLifetime{60'000};
 /// Bound the size of a record and of a message.
-constexpr qsizetype MaxRunsPerRecord = 16;
+constexpr qsizetype MaxRunsPerRecord = 32;
 constexpr qsizetype MaxDaemonsPerRecord = 16;
 /// Completed runs of a daemon that count. A request may begin to crash its targets.
 constexpr int MaxCompletionsPerDaemon = 8;
@@ -61,13 +65,13 @@
 /// The name used in log lines.
 const char *runVerdictName(RunVerdict verdict);
 
-/// Whether daemon @p self may run the request, or one with the part as a trial of kind @p kind. The
-/// run @p except does not count.
+/// Whether daemon @p self may run the request. The run @p except does not count.
+/// Precondition: the record is of a request.
 RunVerdict runVerdict(const CrashRecord &record, const VmId &self, SuspicionId except,
-                      TrialKind kind, MonotonicTime now);
+                      MonotonicTime now);
 
-/// Number of suspicions at @p now beyond the completed runs, runs with an expired lease included;
-/// not negative.
+/// Number of suspicions of a request at @p now beyond the completed runs, runs with an expired
+/// lease included; not negative.
 int suspicionCount(const CrashRecord &record, const VmId &self, MonotonicTime now);
 
 /// Whether @p run counts as a suspicion for daemon @p self: it is one, or nothing was heard of it
@@ -87,16 +91,19 @@
     bool isSuspected() const { return crashes >= MinPartCrashes; }
 };
 
-/// The standing of a part for daemon @p self. The run @p except does not count.
-PartStanding partStanding(const CrashRecord &record, const VmId &self, SuspicionId except,
-                          MonotonicTime now);
+/// The standing of part @p part for daemon @p self. The run @p except does not count. A trial
+/// of this part alone does not count if another part, which is suspected at least as much, was at
+/// the target as well.
+PartStanding partStanding(const CrashRecords &records, const RequestFingerprint &part,
+                          const VmId &self, SuspicionId except, MonotonicTime now);
+
+/// Whether a request may run as a trial of kind @p kind of a part. Precondition: the part is
+/// suspected.
+RunVerdict trialVerdict(const PartStanding &standing, TrialKind kind, MonotonicTime now);
 
 /// Whether a request whose prompt has the parts @p standings may run.
 RunVerdict promptVerdict(const QList<PartStanding> &standings, MonotonicTime now);
 
-/// Whether one more run may be made although no other daemon answers.
-bool mayRunWithoutVotes(const CrashRecord &record, const VmId &self, MonotonicTime now);
-
 /// Adds what @p from knows to @p into. The result does not depend on the order in which records are
 /// merged, nor on how often. Returns whether @p into changed.
 bool merge(CrashRecord &into, const CrashRecord &from);
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -155,11 +155,12 @@
 {
     const MonotonicTime now = m_timers.now();
     const VmId &self = m_peers.self().vm;
-    const int suspicions = record.isPart() ? partStanding(record, self, SuspicionId(), now).crashes
-                                           : suspicionCount(record, self, now);
+    const int suspicions = record.isPart()
+        ? m_ledger.standing(record.key.fingerprint, SuspicionId(), now).crashes
+        : suspicionCount(record, self, now);
     const bool isWithdrawn = run.state == SuspicionState::Withdrawn;
     const bool isRejected =
-        runVerdict(record, self, SuspicionId(), TrialKind::Single, now) == RunVerdict::Reject;
+        m_ledger.verdict(record.key.fingerprint, SuspicionId(), now) == RunVerdict::Reject;
     const EventId event = isWithdrawn ? EventId::QuarantineReleased
         : isRejected                  ? EventId::QuarantineAdded
                                       : EventId::QuarantineSuspect;
@@ -193,7 +194,7 @@
     const auto &records = m_ledger.records();
     return std::count_if(records.begin(), records.end(), [&](const CrashRecord &record) {
         return record.isPart()
-            && partStanding(record, m_peers.self().vm, SuspicionId(), now).isSuspected();
+            && m_ledger.standing(record.key.fingerprint, SuspicionId(), now).isSuspected();
     });
 }
 
--- a/test/correctness/CrashInterleavings.cpp
+++ b/test/correctness/CrashInterleavings.cpp
@@ -7,6 +7,8 @@
 #include "quarantine/CrashRules.h"
 #include "support/CrashSimulation.h"
 
+#include <QHashSeed>
+
 #include <algorithm>
 
 using namespace cranberry;
@@ -15,6 +17,11 @@
 
 namespace {
 
+/// Makes the simulations play alike in each process.
+struct DeterministicHashes {
+    DeterministicHashes() { QHashSeed::setDeterministicGlobalSeed(); }
+};
+
 constexpr quint32 Seeds = 40;
 constexpr Milliseconds SilentProofTime{650};
 
@@ -78,6 +85,8 @@
 
 } // namespace
 
+BOOST_TEST_GLOBAL_FIXTURE(DeterministicHashes);
+
 BOOST_AUTO_TEST_CASE(ThreeTargetsWhenProofIsFasterThanTheNextRequest)
 {
     CrashSimulationOptions options;
--- a/test/support/CrashSimulation.cpp
+++ b/test/support/CrashSimulation.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t CrashesAllowed = 5;
 constexpr Milliseconds StableTime{3000};
 constexpr int SecondParts = 12;
+constexpr Milliseconds DownTime{2500};
 const WorkspaceId Workspace(QStringLiteral("w"));
 
 CrashKey partKey(const QString &name)
@@ -99,6 +100,14 @@
         MonotonicTime at;
         bool hasRun = false;
     };
+    /// A run whose answer has not begun.
+    struct Flight {
+        int daemon = 0;
+        int process = 0;
+        int target = 0;
+        CrashSubject subject;
+        QList<CrashTrial> trials;
+    };
 
     int randomDaemon() { return int(m_random() % quint32(m_options.daemons)); }
 
@@ -252,14 +261,15 @@
     void run(int daemon, const CrashSubject &subject, std::size_t sound,
              const QList<CrashTrial> &trials)
     {
+        if (m_options.isInPart && !isAnyUp()) {
+            for (const CrashTrial &trial : trials)
+                m_daemons[std::size_t(daemon)].ledger->withdraw(trial.fingerprint, trial.id, m_now);
+            return;
+        }
+        const int flight = m_options.isInPart ? takeOff(daemon, subject, trials) : 0;
         if (sound > 0) {
             m_sound[sound - 1].hasRun = true;
-            afterAt(daemon, m_options.clearTime, [this, subject, trials](Daemon &owner) {
-                for (const CrashTrial &trial : trials)
-                    owner.ledger->withdraw(trial.fingerprint, trial.id, m_now);
-                for (const CrashKey &part : subject.parts)
-                    owner.ledger->clearPart(part.fingerprint, m_now);
-            });
+            after(m_options.clearTime, [this, flight] { begin(flight); });
             return;
         }
         m_crashes.push_back(m_now);
@@ -271,20 +281,92 @@
                 return asked != askedAt.end() && m_now - asked->second >= AskTimeout;
             });
         m_result.withoutVotes += isWithoutVotes ? 1 : 0;
+        if (m_options.isInPart) {
+            after(m_options.crashTime, [this, flight] {
+                const auto found = m_flights.find(flight);
+                if (found != m_flights.end())
+                    crash(found->second.target);
+            });
+            return;
+        }
         // The run is recorded when its target does not answer.
         afterAt(daemon, m_options.proofTime, [this, subject, trials](Daemon &owner) {
-            suspect(owner, subject.request, trials);
-            for (const CrashKey &part : subject.parts)
-                suspect(owner, part, trials);
+            suspect(owner, subject.request, trials,
+                    TargetId(QStringLiteral("t%1").arg(++m_targets)));
         });
     }
 
-    void suspect(Daemon &owner, const CrashKey &key, const QList<CrashTrial> &trials)
+    int takeOff(int daemon, const CrashSubject &subject, const QList<CrashTrial> &trials)
+    {
+        Flight flight;
+        flight.daemon = daemon;
+        flight.process = m_daemons[std::size_t(daemon)].process;
+        do {
+            flight.target = int(m_random() % quint32(m_options.targets));
+        } while (m_downUntil[flight.target] > m_now);
+        flight.subject = subject;
+        flight.trials = trials;
+        m_flights.emplace(++m_lastFlight, flight);
+        return m_lastFlight;
+    }
+
+    bool isAnyUp() const
+    {
+        const auto down = std::count_if(m_downUntil.begin(), m_downUntil.end(),
+                                        [this](const auto &entry) { return entry.second > m_now; });
+        return down < m_options.targets;
+    }
+
+    CrashLedger *ledgerOf(const Flight &flight)
+    {
+        const Daemon &daemon = m_daemons[std::size_t(flight.daemon)];
+        return daemon.process == flight.process ? daemon.ledger.get() : nullptr;
+    }
+
+    /// The answer of a sound request begins.
+    void begin(int number)
+    {
+        const auto found = m_flights.find(number);
+        if (found == m_flights.end())
+            return;
+        const Flight flight = found->second;
+        m_flights.erase(found);
+        CrashLedger *ledger = ledgerOf(flight);
+        if (!ledger)
+            return;
+        for (const CrashTrial &trial : flight.trials)
+            ledger->withdraw(trial.fingerprint, trial.id, m_now);
+        for (const CrashKey &part : flight.subject.parts)
+            ledger->clearPart(part.fingerprint, m_now);
+    }
+
+    void crash(int target)
+    {
+        m_downUntil[target] = m_now + DownTime;
+        const TargetId id(QStringLiteral("t%1-%2").arg(target).arg(++m_targets));
+        for (auto flight = m_flights.begin(); flight != m_flights.end();) {
+            if (flight->second.target != target) {
+                ++flight;
+                continue;
+            }
+            after(m_options.proofTime - m_options.crashTime, [this, lost = flight->second, id] {
+                if (!ledgerOf(lost))
+                    return;
+                Daemon &owner = m_daemons[std::size_t(lost.daemon)];
+                suspect(owner, lost.subject.request, lost.trials, id);
+                for (const CrashKey &part : lost.subject.parts)
+                    suspect(owner, part, lost.trials, id);
+            });
+            flight = m_flights.erase(flight);
+        }
+    }
+
+    void suspect(Daemon &owner, const CrashKey &key, const QList<CrashTrial> &trials,
+                 const TargetId &target)
     {
         const auto trial = std::find_if(trials.begin(), trials.end(), [&](const auto &other) {
             return other.fingerprint == key.fingerprint;
         });
-        const TargetId target(QStringLiteral("t%1").arg(++m_targets));
         const SuspicionId id =
             trial != trials.end() ? trial->id : owner.ledger->addRun(key, target, m_now);
         owner.ledger->setTarget(key.fingerprint, id, target);
@@ -316,6 +398,9 @@
     bool m_isCut = false;
     int m_requests = 0;
     int m_targets = 0;
+    int m_lastFlight = 0;
+    std::map<int, Flight> m_flights;
+    std::map<int, MonotonicTime> m_downUntil;
     std::vector<MonotonicTime> m_crashes;
     std::vector<Sound> m_sound;
     CrashSimulationResult m_result;
--- a/test/support/CrashSimulation.h
+++ b/test/support/CrashSimulation.h
@@ -25,6 +25,11 @@
     bool isInPart = false;
     /// Interval of sound requests; none if zero.
     Milliseconds soundInterval{0};
+    /// Targets that requests with a harmful part share with sound ones; each is down for 2.5 s
+    /// after a crash. All requests there that have not begun to be answered are suspected.
+    int targets = 12;
+    /// Time from the begin of a run with a harmful part until its target crashes.
+    Milliseconds crashTime{200};
     /// Parts of which each prompt has one beside the second, which is the harmful one or sound.
     int firstParts = 8;
     /// Time from the begin of a sound run until its daemon knows that the target survived.
