A generation that has begun is no evidence against its parts

A generation that continues at another target after a move had its parts suspected if that target crashed before its next events had come for 200 ms. Its prompt is not read again there. Runs whose target is not known are not taken for runs at one target.

--- a/src/quarantine/CrashAdmission.h
+++ b/src/quarantine/CrashAdmission.h
@@ -17,7 +17,7 @@
 /// Decides whether requests may run, from the records of each request and of the parts of its
 /// prompt, and holds those that have to wait. A request that may run if no other daemon runs one
 /// like it asks for a trial of each record that demands it, one after the other in the order of
-/// their fingerprints, so that requests that need the same trials never wait for each other.
+/// their fingerprints, so that no two requests wait for each other's trials.
 /// Thread safety: none; one thread.
 class CrashAdmission
 {
--- a/src/quarantine/CrashRules.cpp
+++ b/src/quarantine/CrashRules.cpp
@@ -49,11 +49,13 @@
     return true;
 }
 
-/// Whether both runs may have been at a target when it crashed.
+/// Whether both runs may have been at a target when it crashed. The target of a run that is only
+/// asked for is not known.
 bool isSameCrash(const CrashSuspicion &one, const CrashSuspicion &other)
 {
     const auto apart = one.changedAt - other.changedAt;
-    return one.target == other.target && apart < CrashSpan && -apart < CrashSpan;
+    return !one.target.isEmpty() && one.target == other.target && apart < CrashSpan
+        && -apart < CrashSpan;
 }
 
 /// The number of targets that crashed under the part.
--- a/src/relay/RelayRunTrials.cpp
+++ b/src/relay/RelayRunTrials.cpp
@@ -77,8 +77,12 @@
 
 void RelayRun::attemptStarted(const TargetId &target)
 {
-    m_monitored = m_context.crashGuard.attempts().started(m_task.subject, target,
-                                                          std::exchange(m_trials, {}));
+    // Once the generation has begun, its prompt is not the reason if its target crashes.
+    CrashSubject subject = m_task.subject;
+    if (hasBegun())
+        subject.parts.clear();
+    m_monitored =
+        m_context.crashGuard.attempts().started(subject, target, std::exchange(m_trials, {}));
     m_isProgressKnown = false;
 }
 
