--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -41,8 +41,8 @@
     /// A line for each service that received more repeats than allowed. Precondition: run() has
     /// returned.
     QStringList brokenBudgets() const;
-    /// A line for each request, or part of prompts, that crashed targets and went on being sent. Precondition: run() has
-    /// returned.
+    /// A line for each request, or part of prompts, that crashed targets and went on being sent.
+    /// Precondition: run() has returned.
     QStringList brokenCrashBounds() const;
     /// Targets that harmful requests crashed, and the requests.
     int crashedTargets() const { return m_fragile.crashed(); }
