--- a/src/quarantine/CrashAdmission.cpp
+++ b/src/quarantine/CrashAdmission.cpp
@@ -155,9 +155,8 @@
                                                 : TrialKind::Joint;
     if (m_ledger.isAsking(next->fingerprint))
         return;
-    const CrashKey key = *next;
-    m_askedFor.insert(key.fingerprint, number);
-    m_ledger.askTrial(key, kind, now);
+    m_askedFor.insert(next->fingerprint, number);
+    m_ledger.askTrial(*next, kind, now);
 }
 
 void CrashAdmission::trialDecided(const CrashTrial &trial, bool isGranted, MonotonicTime now)
