Stand-ins: the owner of a connection is asked of the kernel

Trace: the stand-ins' event loop was blocked for 10 s and more (48 to 108 harmful requests sent where 40 are due). Each new connection through a proxy read /proc/net/tcp, 11 ms for 420 rows, so that 60 connections a second keep the process busy; answers come too late, and the daemons open more.

The socket's inode is asked of the kernel by its four addresses (sock_diag, 4 us). The table is read only if the kernel does not answer.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -104,9 +104,9 @@
 
 standin::PartitionProxy &SoakRun::addPartitionProxy(const HttpEndpoint &endpoint)
 {
-    m_partitionProxies.push_back(
-        std::make_unique<standin::PartitionProxy>(endpoint, [this](quint16 port) {
-            return test::connectionOwner(port, m_site.processes());
+    m_partitionProxies.push_back(std::make_unique<standin::PartitionProxy>(
+        endpoint, [this](quint16 port, quint16 proxyPort) {
+            return test::connectionOwner(port, proxyPort, m_site.processes());
         }));
     m_partitionProxies.back()->partition(m_partitioned, m_partitionForm);
     return *m_partitionProxies.back();
--- a/test/failure/ForwardedRequests.cpp
+++ b/test/failure/ForwardedRequests.cpp
@@ -54,9 +54,10 @@
         runner.onRan([this](const HttpRequest &request) {
             ran.append(request.headers.value("Cranberryquay-Request-Id"));
         });
-        proxies.push_back(std::make_unique<PartitionProxy>(runner.endpoint(), [this](quint16 port) {
-            return test::connectionOwner(port, site.processes());
-        }));
+        proxies.push_back(std::make_unique<PartitionProxy>(
+            runner.endpoint(), [this](quint16 port, quint16 proxyPort) {
+                return test::connectionOwner(port, proxyPort, site.processes());
+            }));
         runner.setAnnounced(proxies.back()->endpoint());
         site.announce(runner, service, "ready");
     }
--- a/test/failure/PartitionedDaemons.cpp
+++ b/test/failure/PartitionedDaemons.cpp
@@ -154,9 +154,9 @@
         runner.setGeneration(EventsPerStream, Milliseconds(10));
         runner.setAnswersPerConnection(AnswersPerConnection);
         runner.onRan([this, id](const HttpRequest &request) { m_checks.ran(id, request); });
-        m_proxies.push_back(
-            std::make_unique<PartitionProxy>(runner.endpoint(), [this](quint16 port) {
-                return test::connectionOwner(port, m_site.processes());
+        m_proxies.push_back(std::make_unique<PartitionProxy>(
+            runner.endpoint(), [this](quint16 port, quint16 proxyPort) {
+                return test::connectionOwner(port, proxyPort, m_site.processes());
             }));
         runner.setAnnounced(m_proxies.back()->endpoint());
         m_site.announce(runner, service, "ready");
--- a/test/standins/users/CrashingTargets.cpp
+++ b/test/standins/users/CrashingTargets.cpp
@@ -97,9 +97,12 @@
             return handle(target, request, reply);
         });
     if (!target.proxy)
-        target.proxy = std::make_unique<PartitionProxy>(runner.endpoint(), [this](quint16 port) {
-            return m_partitioned.isEmpty() ? 0 : test::connectionOwner(port, m_site.processes());
-        });
+        target.proxy = std::make_unique<PartitionProxy>(
+            runner.endpoint(), [this](quint16 port, quint16 proxyPort) {
+                return m_partitioned.isEmpty()
+                    ? 0
+                    : test::connectionOwner(port, proxyPort, m_site.processes());
+            });
     target.proxy->setTarget(runner.endpoint());
     runner.setAnnounced(target.proxy->endpoint());
     m_site.announce(runner, m_service, "ready");
--- a/test/standins/users/PartitionProxy.cpp
+++ b/test/standins/users/PartitionProxy.cpp
@@ -103,7 +103,7 @@
 void PartitionProxy::accept()
 {
     while (QTcpSocket *client = m_server.nextPendingConnection()) {
-        const int daemon = m_ownerOf(client->peerPort());
+        const int daemon = m_ownerOf(client->peerPort(), client->localPort());
         const bool isPartitioned = m_partitioned.contains(daemon);
         QObject::connect(client, &QTcpSocket::disconnected, client, &QObject::deleteLater);
         const bool isReset = m_form == PartitionForm::Reset || m_form == PartitionForm::ResetNew;
--- a/test/standins/users/PartitionProxy.h
+++ b/test/standins/users/PartitionProxy.h
@@ -40,7 +40,7 @@
 {
 public:
     /// Returns the daemon whose connection has this local port; negative if there is none.
-    using OwnerLookup = std::function<int(quint16 port)>;
+    using OwnerLookup = std::function<int(quint16 port, quint16 proxyPort)>;
 
     PartitionProxy(const HttpEndpoint &target, OwnerLookup ownerOf);
     ~PartitionProxy();
--- a/test/support/ConnectionOwner.cpp
+++ b/test/support/ConnectionOwner.cpp
@@ -3,8 +3,14 @@
 #include <QByteArray>
 #include <QFile>
 
+#include <arpa/inet.h>
 #include <dirent.h>
+#include <linux/inet_diag.h>
+#include <linux/netlink.h>
+#include <linux/sock_diag.h>
 #include <memory>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace cranberry::test {
@@ -14,8 +20,46 @@
 /// Fields of a row of /proc/net/tcp before the inode.
 constexpr int FieldsBeforeInode = 9;
 
-/// The inode of the socket with a connection from @p localPort; empty if there is none.
-QByteArray inodeOf(quint16 localPort)
+/// The inode of the socket with a connection from @p localPort to @p remotePort, as the kernel
+/// tells it; empty if there is none, or the kernel does not answer such requests.
+QByteArray askForInode(quint16 localPort, quint16 remotePort)
+{
+    struct {
+        nlmsghdr header;
+        inet_diag_req_v2 body;
+    } request{};
+    request.header.nlmsg_len = sizeof(request);
+    request.header.nlmsg_type = SOCK_DIAG_BY_FAMILY;
+    request.header.nlmsg_flags = NLM_F_REQUEST;
+    request.body.sdiag_family = AF_INET;
+    request.body.sdiag_protocol = IPPROTO_TCP;
+    request.body.idiag_states = ~0U;
+    request.body.id.idiag_sport = htons(localPort);
+    request.body.id.idiag_dport = htons(remotePort);
+    request.body.id.idiag_src[0] = htonl(INADDR_LOOPBACK);
+    request.body.id.idiag_dst[0] = htonl(INADDR_LOOPBACK);
+    request.body.id.idiag_cookie[0] = INET_DIAG_NOCOOKIE;
+    request.body.id.idiag_cookie[1] = INET_DIAG_NOCOOKIE;
+    const int kernel = ::socket(AF_NETLINK, SOCK_DGRAM | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
+    struct {
+        nlmsghdr header;
+        inet_diag_msg body;
+        char rest[1024];
+    } answer{};
+    const bool isAnswered = kernel >= 0
+        && ::send(kernel, &request, sizeof(request), 0) == ssize_t(sizeof(request))
+        && ::recv(kernel, &answer, sizeof(answer), 0)
+            >= ssize_t(sizeof(answer.header) + sizeof(answer.body))
+        && answer.header.nlmsg_type == SOCK_DIAG_BY_FAMILY;
+    if (kernel >= 0)
+        ::close(kernel);
+    const quint32 inode = isAnswered ? answer.body.idiag_inode : 0;
+    return inode == 0 ? QByteArray() : QByteArray::number(inode);
+}
+
+/// The inode of the socket with a connection from @p localPort; empty if there is none. Takes some
+/// 10 ms, as the kernel writes a table of all connections.
+QByteArray findInode(quint16 localPort)
 {
     QFile table(QStringLiteral("/proc/net/tcp"));
     if (!table.open(QIODevice::ReadOnly))
@@ -53,9 +97,11 @@
 
 } // namespace
 
-int connectionOwner(quint16 localPort, const QList<qint64> &processes)
+int connectionOwner(quint16 localPort, quint16 remotePort, const QList<qint64> &processes)
 {
-    const QByteArray inode = inodeOf(localPort);
+    QByteArray inode = askForInode(localPort, remotePort);
+    if (inode.isEmpty())
+        inode = findInode(localPort);
     if (inode.isEmpty())
         return -1;
     const QByteArray link = "socket:[" + inode + ']';
--- a/test/support/ConnectionOwner.h
+++ b/test/support/ConnectionOwner.h
@@ -5,8 +5,8 @@
 
 namespace cranberry::test {
 
-/// Returns the index in @p processes of the process with a TCP connection from @p localPort;
-/// negative if there is none. Thread-safe.
-int connectionOwner(quint16 localPort, const QList<qint64> &processes);
+/// Returns the index in @p processes of the process with a TCP connection from @p localPort to
+/// @p remotePort; negative if there is none. Thread-safe.
+int connectionOwner(quint16 localPort, quint16 remotePort, const QList<qint64> &processes);
 
 } // namespace cranberry::test
