--- a/test/support/CrashSimulation.cpp
+++ b/test/support/CrashSimulation.cpp
@@ -101,7 +101,7 @@
         bool hasRun = false;
     };
     /// A run whose answer has not begun.
-    struct Flight {
+    struct PendingRun {
         int daemon = 0;
         int process = 0;
         int target = 0;
@@ -266,10 +266,10 @@
                 m_daemons[std::size_t(daemon)].ledger->withdraw(trial.fingerprint, trial.id, m_now);
             return;
         }
-        const int flight = m_options.isInPart ? takeOff(daemon, subject, trials) : 0;
+        const int number = m_options.isInPart ? startRun(daemon, subject, trials) : 0;
         if (sound > 0) {
             m_sound[sound - 1].hasRun = true;
-            after(m_options.clearTime, [this, flight] { begin(flight); });
+            after(m_options.clearTime, [this, number] { begin(number); });
             return;
         }
         m_crashes.push_back(m_now);
@@ -282,9 +282,9 @@
             });
         m_result.withoutVotes += isWithoutVotes ? 1 : 0;
         if (m_options.isInPart) {
-            after(m_options.crashTime, [this, flight] {
-                const auto found = m_flights.find(flight);
-                if (found != m_flights.end())
+            after(m_options.crashTime, [this, number] {
+                const auto found = m_pendingRuns.find(number);
+                if (found != m_pendingRuns.end())
                     crash(found->second.target);
             });
             return;
@@ -296,18 +296,18 @@
         });
     }
 
-    int takeOff(int daemon, const CrashSubject &subject, const QList<CrashTrial> &trials)
+    int startRun(int daemon, const CrashSubject &subject, const QList<CrashTrial> &trials)
     {
-        Flight flight;
-        flight.daemon = daemon;
-        flight.process = m_daemons[std::size_t(daemon)].process;
+        PendingRun run;
+        run.daemon = daemon;
+        run.process = m_daemons[std::size_t(daemon)].process;
         do {
-            flight.target = int(m_random() % quint32(m_options.targets));
-        } while (m_downUntil[flight.target] > m_now);
-        flight.subject = subject;
-        flight.trials = trials;
-        m_flights.emplace(++m_lastFlight, flight);
-        return m_lastFlight;
+            run.target = int(m_random() % quint32(m_options.targets));
+        } while (m_downUntil[run.target] > m_now);
+        run.subject = subject;
+        run.trials = trials;
+        m_pendingRuns.emplace(++m_lastRun, run);
+        return m_lastRun;
     }
 
     bool isAnyUp() const
@@ -317,26 +317,26 @@
         return down < m_options.targets;
     }
 
-    CrashLedger *ledgerOf(const Flight &flight)
+    CrashLedger *ledgerOf(const PendingRun &run)
     {
-        const Daemon &daemon = m_daemons[std::size_t(flight.daemon)];
-        return daemon.process == flight.process ? daemon.ledger.get() : nullptr;
+        const Daemon &daemon = m_daemons[std::size_t(run.daemon)];
+        return daemon.process == run.process ? daemon.ledger.get() : nullptr;
     }
 
     /// The answer of a sound request begins.
     void begin(int number)
     {
-        const auto found = m_flights.find(number);
-        if (found == m_flights.end())
+        const auto found = m_pendingRuns.find(number);
+        if (found == m_pendingRuns.end())
             return;
-        const Flight flight = found->second;
-        m_flights.erase(found);
-        CrashLedger *ledger = ledgerOf(flight);
+        const PendingRun run = found->second;
+        m_pendingRuns.erase(found);
+        CrashLedger *ledger = ledgerOf(run);
         if (!ledger)
             return;
-        for (const CrashTrial &trial : flight.trials)
+        for (const CrashTrial &trial : run.trials)
             ledger->withdraw(trial.fingerprint, trial.id, m_now);
-        for (const CrashKey &part : flight.subject.parts)
+        for (const CrashKey &part : run.subject.parts)
             ledger->clearPart(part.fingerprint, m_now);
     }
 
@@ -344,12 +344,12 @@
     {
         m_downUntil[target] = m_now + DownTime;
         const TargetId id(QStringLiteral("t%1-%2").arg(target).arg(++m_targets));
-        for (auto flight = m_flights.begin(); flight != m_flights.end();) {
-            if (flight->second.target != target) {
-                ++flight;
+        for (auto run = m_pendingRuns.begin(); run != m_pendingRuns.end();) {
+            if (run->second.target != target) {
+                ++run;
                 continue;
             }
-            after(m_options.proofTime - m_options.crashTime, [this, lost = flight->second, id] {
+            after(m_options.proofTime - m_options.crashTime, [this, lost = run->second, id] {
                 if (!ledgerOf(lost))
                     return;
                 Daemon &owner = m_daemons[std::size_t(lost.daemon)];
@@ -357,7 +357,7 @@
                 for (const CrashKey &part : lost.subject.parts)
                     suspect(owner, part, lost.trials, id);
             });
-            flight = m_flights.erase(flight);
+            run = m_pendingRuns.erase(run);
         }
     }
 
@@ -398,8 +398,8 @@
     bool m_isCut = false;
     int m_requests = 0;
     int m_targets = 0;
-    int m_lastFlight = 0;
-    std::map<int, Flight> m_flights;
+    int m_lastRun = 0;
+    std::map<int, PendingRun> m_pendingRuns;
     std::map<int, MonotonicTime> m_downUntil;
     std::vector<MonotonicTime> m_crashes;
     std::vector<Sound> m_sound;
