--- a/test/standins/users/CrashingTargets.cpp
+++ b/test/standins/users/CrashingTargets.cpp
@@ -115,7 +115,7 @@
     QList<QByteArray> parts = request.headers.value("Cranberryquay-Prompt-Prefix").split(',');
     parts.removeLast();
     for (const QByteArray &part : std::as_const(parts)) {
-        const QByteArray id = part.trimmed().split(':').first();
+        QByteArray id = part.trimmed().split(':').first();
         if (id.startsWith(HarmfulPart))
             return id;
     }
