--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -215,9 +215,8 @@
     if (isPartHarmful)
         parts[m_fragileRandom() % std::size(parts)] =
             standin::CrashingTargets::HarmfulPart + QByteArray::number(m_harmfulBodies);
-    const HttpHeaders prompt{
-        {"Cranberryquay-Prompt-Prefix",
-         parts[0] + ":40," + parts[1] + ":30,c" + QByteArray::number(m_requestCount) + ":30"}};
+    const HttpHeaders prompt = test::PlatformSite::promptParts(
+        {parts[0], parts[1], "c" + QByteArray::number(m_requestCount)});
     m_limits.sent(id, daemon);
     m_pending.push_back(
         {id,
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -307,6 +307,14 @@
              QByteArray::number(promptTokens) + ',' + QByteArray::number(mostOutput)}};
 }
 
+HttpHeaders PlatformSite::promptParts(const QList<QByteArray> &parts)
+{
+    QList<QByteArray> entries;
+    for (const QByteArray &part : parts)
+        entries.append(part + ":30");
+    return {{"Cranberryquay-Prompt-Prefix", entries.join(',')}};
+}
+
 QByteArray PlatformSite::events(int events)
 {
     QByteArray all;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -88,6 +88,8 @@
     static bool finish(const std::shared_ptr<ClientCall> &call);
     /// Headers of a generation.
     static HttpHeaders generation(int promptTokens = 100, int mostOutput = 100);
+    /// The header that names the parts of a prompt.
+    static HttpHeaders promptParts(const QList<QByteArray> &parts);
     /// The whole stream of a generation of @p events events.
     static QByteArray events(int events);
 
