Log what targets say about further requests in their answers

The logs could not tell apart whether a daemon does not read the pause that a target asks for, or reads it and forgets it: no line said what an answer asked for or what a daemon knew as it sent.

All that is sent to targets now goes through TargetClient, which decodes Retry-After of rejections and Server-Leaving of each answer (requests, reservations, moves, reports, probes) and records them in TargetAvailability. Logged: target.paused with what was asked and what was left of an earlier pause, target.pause_unreadable, target.said_leaving, and paused_ms in relay.sent. Counted: pauses, and calls while paused by purpose.

No decision changes: nothing asks TargetAvailability yet.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -88,6 +88,12 @@
     X(ForwardRefused, 1934, "forward.refused")                                                     \
     X(ServiceBrittle, 1228, "service.brittle")                                                     \
     X(ServiceRobust, 1229, "service.robust")                                                       \
+    X(TargetPaused, 1230, "target.paused")                                                         \
+    X(TargetResumed, 1231, "target.resumed")                                                       \
+    X(TargetPauseUnreadable, 1232, "target.pause_unreadable")                                      \
+    X(TargetSaidLeaving, 1233, "target.said_leaving")                                              \
+    X(CallWithheld, 1234, "call.withheld")                                                         \
+    X(RelayPaused, 1935, "relay.paused")                                                           \
     X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RetryGranted, 1930, "retry.granted")                                                         \
     X(RetryRefused, 1931, "retry.refused")                                                         \
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -15,6 +15,11 @@
                                                 const HttpRequest &request,
                                                 const HttpExchangeOptions &options,
                                                 ResponseCallback callback)
+{
+    return send(endpoint, request, options, collectingCallbacks(std::move(callback)));
+}
+
+HttpExchangeCallbacks collectingCallbacks(HttpClient::ResponseCallback callback)
 {
     auto response = std::make_shared<HttpResponse>();
     HttpExchangeCallbacks callbacks;
@@ -28,7 +33,7 @@
         Q_UNUSED(reason)
         callback(end, *response);
     };
-    return send(endpoint, request, options, std::move(callbacks));
+    return callbacks;
 }
 
 } // namespace cranberry
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -49,4 +49,7 @@
     HttpConnectionPool m_pool;
 };
 
+/// Returns callbacks that collect the response and pass it to @p callback. Thread-safe.
+HttpExchangeCallbacks collectingCallbacks(HttpClient::ResponseCallback callback);
+
 } // namespace cranberry
--- a/src/relay/AttemptMonitor.cpp
+++ b/src/relay/AttemptMonitor.cpp
@@ -3,9 +3,10 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "http/HttpClient.h"
 #include "quarantine/CrashLedger.h"
 #include "relay/RelayAttemptEnd.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 
 #include <algorithm>
@@ -40,7 +41,7 @@
 
 } // namespace
 
-AttemptMonitor::AttemptMonitor(TimerService &timers, HttpClient &client,
+AttemptMonitor::AttemptMonitor(TimerService &timers, TargetClient &client,
                                const TargetDirectory &targets, CrashLedger &ledger,
                                ProbeRequest probeRequest, IsOther isOther)
     : m_timers(timers)
@@ -240,8 +241,9 @@
     callbacks.finished = [this, target](HttpExchangeEnd end, const QString &) {
         probeEnded(target, end);
     };
-    probed.probe = m_client.send(probed.endpoint, m_probeRequest(probed.service, target), options,
-                                 std::move(callbacks));
+    probed.probe =
+        m_client.send({target, probed.endpoint, CallPurpose::CrashProbe},
+                      m_probeRequest(probed.service, target), options, std::move(callbacks));
 }
 
 void AttemptMonitor::probeAnswered(const TargetId &target, int status, const HttpHeaders &headers)
--- a/src/relay/AttemptMonitor.h
+++ b/src/relay/AttemptMonitor.h
@@ -17,9 +17,9 @@
 namespace cranberry {
 
 class CrashLedger;
-class HttpClient;
 class HttpExchange;
 class HttpHeaders;
+class TargetClient;
 class TargetDirectory;
 class TimerService;
 class TimerSubscription;
@@ -52,7 +52,7 @@
     };
 
     /// Precondition: everything passed outlives the monitor.
-    AttemptMonitor(TimerService &timers, HttpClient &client, const TargetDirectory &targets,
+    AttemptMonitor(TimerService &timers, TargetClient &client, const TargetDirectory &targets,
                    CrashLedger &ledger, ProbeRequest probeRequest, IsOther isOther);
     ~AttemptMonitor();
 
@@ -136,7 +136,7 @@
     void scheduleCheck();
 
     TimerService &m_timers;
-    HttpClient &m_client;
+    TargetClient &m_client;
     const TargetDirectory &m_targets;
     CrashLedger &m_ledger;
     ProbeRequest m_probeRequest;
--- a/src/relay/CrashGuard.cpp
+++ b/src/relay/CrashGuard.cpp
@@ -51,7 +51,7 @@
     return "unknown";
 }
 
-CrashGuard::CrashGuard(TimerService &timers, HttpClient &client, PeerDirectory &peers,
+CrashGuard::CrashGuard(TimerService &timers, TargetClient &client, PeerDirectory &peers,
                        PeerDatagrams &datagrams, const TargetDirectory &targets,
                        AttemptMonitor::ProbeRequest probeRequest, AttemptMonitor::IsOther isOther)
     : m_timers(timers)
--- a/src/relay/CrashGuard.h
+++ b/src/relay/CrashGuard.h
@@ -14,6 +14,7 @@
 class CrashHold;
 class PeerDatagrams;
 class PeerDirectory;
+class TargetClient;
 class TimerService;
 class TimerSubscription;
 struct Peer;
@@ -36,7 +37,7 @@
     using Decided = CrashAdmission::Decided;
 
     /// Precondition: all arguments outlive the object.
-    CrashGuard(TimerService &timers, HttpClient &client, PeerDirectory &peers,
+    CrashGuard(TimerService &timers, TargetClient &client, PeerDirectory &peers,
                PeerDatagrams &datagrams, const TargetDirectory &targets,
                AttemptMonitor::ProbeRequest probeRequest, AttemptMonitor::IsOther isOther);
     ~CrashGuard();
--- a/src/relay/EngineReports.cpp
+++ b/src/relay/EngineReports.cpp
@@ -3,8 +3,9 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "http/HttpClient.h"
 #include "relay/RelayCounters.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetProtocol.h"
 
@@ -30,7 +31,7 @@
     QList<std::shared_ptr<Waiter>> waiters;
 };
 
-EngineReports::EngineReports(TimerService &timers, HttpClient &client, TargetDirectory &targets,
+EngineReports::EngineReports(TimerService &timers, TargetClient &client, TargetDirectory &targets,
                              const TargetProtocol &protocol, RelayCounters &counters)
     : m_timers(timers)
     , m_client(client)
@@ -75,8 +76,8 @@
     options.timeout = ReportTimeout;
     options.reuseConnection = true;
     query->exchange = m_client.fetch(
-        m_targets.find(target)->entry.endpoint, m_protocol.report(), options,
-        [this, target](HttpExchangeEnd end, const HttpResponse &response) {
+        {target, m_targets.find(target)->entry.endpoint, CallPurpose::Report}, m_protocol.report(),
+        options, [this, target](HttpExchangeEnd end, const HttpResponse &response) {
             const bool isWhole = end == HttpExchangeEnd::Complete && response.status == StatusOk;
             const Result<EngineReport> report =
                 isWhole ? m_protocol.readReport(response) : Result<EngineReport>(Error());
--- a/src/relay/EngineReports.h
+++ b/src/relay/EngineReports.h
@@ -11,8 +11,8 @@
 
 namespace cranberry {
 
-class HttpClient;
 class HttpExchange;
+class TargetClient;
 class TargetDirectory;
 class TimerService;
 class TimerSubscription;
@@ -29,7 +29,7 @@
     using Done = std::function<void()>;
 
     /// Precondition: everything passed outlives the object.
-    EngineReports(TimerService &timers, HttpClient &client, TargetDirectory &targets,
+    EngineReports(TimerService &timers, TargetClient &client, TargetDirectory &targets,
                   const TargetProtocol &protocol, RelayCounters &counters);
     ~EngineReports();
 
@@ -46,7 +46,7 @@
     void finishQuery(const TargetId &target);
 
     TimerService &m_timers;
-    HttpClient &m_client;
+    TargetClient &m_client;
     TargetDirectory &m_targets;
     const TargetProtocol &m_protocol;
     RelayCounters &m_counters;
--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -2,9 +2,10 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "http/HttpClient.h"
 #include "relay/MoveOrder.h"
 #include "relay/RelayContext.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 
 namespace cranberry {
@@ -54,8 +55,9 @@
     // The callback owns the exchange, because nothing waits for the answer. If the request fails,
     // the engine frees the copy itself after a few seconds.
     const auto exchange = std::make_shared<std::unique_ptr<HttpExchange>>();
-    *exchange = m_context.client.fetch(
-        m_source, m_context.targetProtocol.freeCopy(std::exchange(m_handle, {})), options,
+    *exchange = m_context.targetClient.fetch(
+        {m_leaving, m_source, CallPurpose::Release},
+        m_context.targetProtocol.freeCopy(std::exchange(m_handle, {})), options,
         [exchange](HttpExchangeEnd, const HttpResponse &) { exchange->reset(); });
 }
 
@@ -67,11 +69,11 @@
     options.keepConnection = true;
     m_roundBegan = m_context.timers.now();
     const MoveOrder order{m_request, m_destination, isFinal};
-    m_exchange =
-        m_context.client.fetch(m_source, m_context.targetProtocol.move(order), options,
-                               [this, isFinal](HttpExchangeEnd end, const HttpResponse &response) {
-                                   answered(isFinal, readOutcome(end, response));
-                               });
+    m_exchange = m_context.targetClient.fetch(
+        {m_leaving, m_source, CallPurpose::Move}, m_context.targetProtocol.move(order), options,
+        [this, isFinal](HttpExchangeEnd end, const HttpResponse &response) {
+            answered(isFinal, readOutcome(end, response));
+        });
 }
 
 MoveOutcome GenerationMove::readOutcome(HttpExchangeEnd end, const HttpResponse &response) const
--- a/src/relay/ReachMonitor.cpp
+++ b/src/relay/ReachMonitor.cpp
@@ -3,7 +3,8 @@
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
-#include "http/HttpClient.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 
 #include <QRandomGenerator>
@@ -41,8 +42,8 @@
     std::vector<std::unique_ptr<HttpExchange>> exchanges;
 };
 
-ReachMonitor::ReachMonitor(TimerService &timers, HttpClient &client, const TargetDirectory &targets,
-                           ProbeRequest probeRequest)
+ReachMonitor::ReachMonitor(TimerService &timers, TargetClient &client,
+                           const TargetDirectory &targets, ProbeRequest probeRequest)
     : m_timers(timers)
     , m_client(client)
     , m_targets(targets)
@@ -159,8 +160,9 @@
         callbacks.finished = [this, service](HttpExchangeEnd, const QString &) {
             probeEnded(service);
         };
-        probe.exchanges.push_back(m_client.send(target->entry.endpoint, m_probeRequest(service),
-                                                options, std::move(callbacks)));
+        probe.exchanges.push_back(
+            m_client.send({target->entry.id, target->entry.endpoint, CallPurpose::ReachProbe},
+                          m_probeRequest(service), options, std::move(callbacks)));
     }
 }
 
--- a/src/relay/ReachMonitor.h
+++ b/src/relay/ReachMonitor.h
@@ -12,8 +12,8 @@
 
 namespace cranberry {
 
-class HttpClient;
 class HttpExchange;
+class TargetClient;
 class TargetDirectory;
 class TimerService;
 class TimerSubscription;
@@ -36,7 +36,7 @@
     };
 
     /// Precondition: everything passed outlives the monitor.
-    ReachMonitor(TimerService &timers, HttpClient &client, const TargetDirectory &targets,
+    ReachMonitor(TimerService &timers, TargetClient &client, const TargetDirectory &targets,
                  ProbeRequest probeRequest);
     ~ReachMonitor();
 
@@ -73,7 +73,7 @@
     void answered(const ServiceId &service, const TargetId &target, bool isNewConnection);
 
     TimerService &m_timers;
-    HttpClient &m_client;
+    TargetClient &m_client;
     const TargetDirectory &m_targets;
     ProbeRequest m_probeRequest;
     ChangedCallback m_changed;
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -1,7 +1,6 @@
 #include "relay/RelayAttempt.h"
 
 #include "base/TimerService.h"
-#include "http/HttpClient.h"
 #include "relay/AttemptPlan.h"
 #include "relay/BrittleServices.h"
 #include "relay/CrashGuard.h"
@@ -9,6 +8,8 @@
 #include "relay/RelayAttemptEnd.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRequest.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetLimits.h"
 
 namespace cranberry {
@@ -130,8 +131,10 @@
     };
     events.body = [this](const QByteArray &data) { bodyReceived(data); };
     events.finished = [this](HttpExchangeEnd end, const QString &reason) { finished(end, reason); };
-    m_exchange = context.client.send(endpoint, context.targetProtocol.attempt(request, plan),
-                                     optionsFor(context, request, maxIdle), std::move(events));
+    const CallPurpose purpose = plan.resumeFrom ? CallPurpose::Continuation : CallPurpose::Request;
+    m_exchange = context.targetClient.send(
+        {m_target, endpoint, purpose}, context.targetProtocol.attempt(request, plan),
+        optionsFor(context, request, maxIdle), std::move(events));
 }
 
 void RelayAttempt::headersReceived(int status, const HttpHeaders &headers)
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -20,6 +20,8 @@
 class ReachMonitor;
 class TargetDirectory;
 class TargetAnnouncements;
+class TargetAvailability;
+class TargetClient;
 class TargetLimits;
 class TimerService;
 class WaitingRequests;
@@ -28,8 +30,11 @@
 /// The services shared by all requests of a relay daemon. Every member outlives all requests.
 struct RelayContext {
     TimerService &timers;
+    /// For other daemons; everything for targets is sent with targetClient.
     HttpClient &client;
+    TargetClient &targetClient;
     TargetDirectory &targets;
+    TargetAvailability &availability;
     TargetLimits &limits;
     BrittleServices &brittle;
     ReachMonitor &reach;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -137,11 +137,13 @@
     , protocols(platformProtocols)
     , client(timers)
     , targets(timers)
+    , availability(timers)
+    , targetClient(client, protocols.targets, availability)
     , limits(timers)
     , brittle(timers, targets, [this] { return fleetPosition(*this); })
-    , reach(timers, client, targets,
+    , reach(timers, targetClient, targets,
             [this](const ServiceId &service) { return probeRequest(*this, service); })
-    , reports(timers, client, targets, protocols.targets, counters)
+    , reports(timers, targetClient, targets, protocols.targets, counters)
     , waiting(timers)
     , retryBudget(
           startSettings.retries, retryShareFrom(startSettings, timers.now()),
@@ -159,7 +161,7 @@
                     [this](const ServiceId &service) { return isConfigured(*this, service); })
     , news(timers, peers, heads, datagrams, targets, [this] { return entries.hasSource(); })
     , crashGuard(
-          timers, client, peers, datagrams, targets,
+          timers, targetClient, peers, datagrams, targets,
           [this](const ServiceId &service, const TargetId &target) {
               HttpRequest probe = probeRequest(*this, service);
               protocols.targets.expect(probe, target);
@@ -168,7 +170,9 @@
           protocols.targets.isOther)
     , context{timers,
               client,
+              targetClient,
               targets,
+              availability,
               limits,
               brittle,
               reach,
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -60,6 +60,21 @@
     return text;
 }
 
+QByteArray availabilityText(const RelayParts &parts)
+{
+    const TargetAvailability::Counters &counters = parts.availability.counters();
+    QByteArray text = gaugeText("cranberry_relay_paused_targets", parts.availability.paused());
+    text += counterText("cranberry_relay_pauses_total", counters.pauses);
+    text += counterText("cranberry_relay_pauses_unreadable_total", counters.unreadablePauses);
+    text += counterText("cranberry_relay_targets_said_leaving_total", counters.leaving);
+    text += "# TYPE cranberry_relay_sent_while_paused_total counter\n";
+    for (std::size_t purpose = 0; purpose < CallPurposeCount; ++purpose)
+        text += QByteArray("cranberry_relay_sent_while_paused_total{call=\"")
+            + callPurposeName(CallPurpose(purpose)) + "\"} "
+            + QByteArray::number(counters.sentWhilePaused[purpose]) + '\n';
+    return text;
+}
+
 QByteArray retryUnitsText(RelayParts &parts)
 {
     const RelayRetryBudget::Counters &counters = parts.retryBudget.counters();
@@ -158,6 +173,7 @@
     text += gaugeText("cranberry_relay_targets_age_ms", parts.entries.age().count());
     text += parts.entries.ages().prometheusText("cranberry_relay_targets_age_seconds");
     text += limitsText(parts);
+    text += availabilityText(parts);
     text += retryUnitsText(parts);
     text += forwardingText(parts);
     text += crashesText(parts);
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -25,6 +25,8 @@
 #include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetAnnouncements.h"
+#include "relay/TargetAvailability.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetEntries.h"
 #include "relay/TargetLimits.h"
@@ -42,6 +44,8 @@
     QtTimerService timers;
     HttpClient client;
     TargetDirectory targets;
+    TargetAvailability availability;
+    TargetClient targetClient;
     TargetLimits limits;
     BrittleServices brittle;
     ReachMonitor reach;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -19,6 +19,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
+#include "relay/TargetAvailability.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetPlace.h"
 #include "relay/WaitingRequests.h"
@@ -105,6 +106,7 @@
               {"load", QString::number(load, 'f', 2)},
               {"own", QString::number(record.ownRunning)},
               {"send", QString::number(m_sends + 1)},
+              {"paused_ms", QString::number(m_context.availability.untilResumed(entry.id).count())},
               {"left_ms", QString::number(timeLeft().count())}});
     AttemptPlan plan;
     plan.target = entry.id;
--- a/src/relay/RoomReservation.cpp
+++ b/src/relay/RoomReservation.cpp
@@ -1,10 +1,11 @@
 #include "relay/RoomReservation.h"
 
-#include "http/HttpClient.h"
 #include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayTarget.h"
 #include "relay/ReservationOrder.h"
+#include "relay/TargetCall.h"
+#include "relay/TargetClient.h"
 
 namespace cranberry {
 
@@ -59,8 +60,9 @@
 
 void RoomReservation::ask(const std::shared_ptr<State> &state, bool overKeptConnection)
 {
-    state->exchange = state->context.client.fetch(
-        state->endpoint, state->context.targetProtocol.reserve(state->order),
+    state->exchange = state->context.targetClient.fetch(
+        {state->order.target, state->endpoint, CallPurpose::Reservation},
+        state->context.targetProtocol.reserve(state->order),
         optionsWith(AnswerTimeout, overKeptConnection),
         [state, overKeptConnection](HttpExchangeEnd end, const HttpResponse &response) {
             // Some engines close idle connections without notice, which says nothing about their
@@ -105,8 +107,9 @@
     // Nothing waits for the answer: the engine releases the reservation itself when it expires.
     const HttpRequest request =
         state->context.targetProtocol.freeReservation(std::exchange(state->id, {}));
-    state->exchange = state->context.client.fetch(
-        state->endpoint, request, optionsWith(ReleaseTimeout, true),
+    state->exchange = state->context.targetClient.fetch(
+        {state->order.target, state->endpoint, CallPurpose::Release}, request,
+        optionsWith(ReleaseTimeout, true),
         [state](HttpExchangeEnd, const HttpResponse &) { state->exchange.reset(); });
 }
 
--- /dev/null
+++ b/src/relay/TargetClient.cpp
@@ -0,0 +1,38 @@
+#include "relay/TargetClient.h"
+
+#include "relay/TargetAvailability.h"
+#include "relay/TargetProtocol.h"
+
+namespace cranberry {
+
+TargetClient::TargetClient(HttpClient &client, const TargetProtocol &protocol,
+                           TargetAvailability &availability)
+    : m_client(client)
+    , m_protocol(protocol)
+    , m_availability(availability)
+{
+}
+
+std::unique_ptr<HttpExchange> TargetClient::send(const TargetCall &call, const HttpRequest &request,
+                                                 const HttpExchangeOptions &options,
+                                                 HttpExchangeCallbacks callbacks)
+{
+    m_availability.recordSent(call);
+    callbacks.headers = [this, call, forward = std::move(callbacks.headers)](
+                            int status, const HttpHeaders &headers) {
+        m_availability.recordAnswer(call, status, m_protocol.notice(call.target, status, headers));
+        if (forward)
+            forward(status, headers);
+    };
+    return m_client.send(call.endpoint, request, options, std::move(callbacks));
+}
+
+std::unique_ptr<HttpExchange> TargetClient::fetch(const TargetCall &call,
+                                                  const HttpRequest &request,
+                                                  const HttpExchangeOptions &options,
+                                                  HttpClient::ResponseCallback callback)
+{
+    return send(call, request, options, collectingCallbacks(std::move(callback)));
+}
+
+} // namespace cranberry
--- a/src/relay/TargetProtocol.h
+++ b/src/relay/TargetProtocol.h
@@ -5,6 +5,7 @@
 #include "http/HttpRequest.h"
 #include "http/HttpResponse.h"
 #include "relay/AnswerHead.h"
+#include "relay/AvailabilityNotice.h"
 #include "relay/EngineReport.h"
 #include "relay/MoveOutcome.h"
 #include "relay/ReservationOutcome.h"
@@ -30,6 +31,9 @@
     std::function<void(HttpRequest &, const TargetId &)> expect;
     /// Whether the answer is that of another target, which has the same address now.
     std::function<bool(const TargetId &, int status, const HttpHeaders &)> isOther;
+    /// What an answer says about further requests; @p status and the headers are those of any
+    /// answer that came from the address of the target.
+    std::function<AvailabilityNotice(const TargetId &, int status, const HttpHeaders &)> notice;
     std::function<HttpRequest()> report;
     std::function<Result<EngineReport>(const HttpResponse &)> readReport;
     std::function<HttpRequest(const MoveOrder &)> move;
--- a/test/correctness/PlatformNames.py
+++ b/test/correctness/PlatformNames.py
@@ -4,7 +4,7 @@
 import sys
 
 root = pathlib.Path(sys.argv[1])
-NAMES = r"Cranberryquay-|Server-Limit|kv-(txn|watch|range|move|lease|keep|handle)|/v1/report|/v1/readiness|hold-take|Kv-From|gapTargetMs|trafficSplit|CRANBERRYQUAY_BOOT|op/config|op/evacuate|coldPerS\b|coldLeftMs"
+NAMES = r"Cranberryquay-|Server-Limit|Server-Brittle|Server-Leaving|kv-(txn|watch|range|move|lease|keep|handle)|/v1/report|/v1/readiness|hold-take|Kv-From|gapTargetMs|trafficSplit|CRANBERRYQUAY_BOOT|op/config|op/evacuate|coldPerS\b|coldLeftMs"
 MOST_PART = 0.08
 
 
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -20,6 +20,8 @@
 #include "relay/RoomForecast.h"
 #include "relay/StoreProtocol.h"
 #include "relay/TargetAnnouncements.h"
+#include "relay/TargetAvailability.h"
+#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetLimits.h"
 #include "relay/WaitingRequests.h"
@@ -116,23 +118,26 @@
     CallerProtocol callerProtocol;
     TargetProtocol targetProtocol;
     TargetDirectory targets{timers};
+    TargetAvailability availability{timers};
+    TargetClient targetClient{client, targetProtocol, availability};
     TargetLimits limits{timers};
     BrittleServices brittle{timers, targets, [] { return FleetPosition(); }};
-    ReachMonitor reach{timers, client, targets, [](const ServiceId &) { return HttpRequest(); }};
+    ReachMonitor reach{timers, targetClient, targets,
+                       [](const ServiceId &) { return HttpRequest(); }};
     Peer self;
     PeerDirectory peers{timers, client, {}, storeProtocol, counters, self};
     PeerDatagrams datagrams{peers};
     PeerForwarding forwarding{peers};
     DataCentreHeads heads{timers, peers, datagrams};
     TargetAnnouncements news{timers, peers, heads, datagrams, targets, [] { return true; }};
-    EngineReports reports{timers, client, targets, targetProtocol, counters};
+    EngineReports reports{timers, targetClient, targets, targetProtocol, counters};
     WaitingRequests waiting{timers};
     RelayRetryBudget retryBudget{
         RetryLimits(), {}, [] { return FleetPosition(); }, [] { return 0.0; }};
     OutputForecast outputForecast;
     RoomForecast roomForecast;
     CrashGuard crashGuard{timers,
-                          client,
+                          targetClient,
                           peers,
                           datagrams,
                           targets,
@@ -140,7 +145,9 @@
                           [](const TargetId &, int, const HttpHeaders &) { return false; }};
     RelayContext context{timers,
                          client,
+                         targetClient,
                          targets,
+                         availability,
                          limits,
                          brittle,
                          reach,
