Test of targets that ask for pauses and say that they leave, failing

Real daemons before stand-ins, 60 requests a second. A target asks each daemon for a pause, rejects its requests meanwhile, and of three after a pause it serves one.

--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -96,6 +96,8 @@
 
 void RunnerEmulator::handle(const HttpRequest &request, const Reply &reply)
 {
+    if (request.path == "/v1/report" && m_overridesReports && m_override(request, reply))
+        return;
     if (request.path == "/v1/report") {
         QJsonObject report{
             {"queued", 0}, {"running", generating()}, {"kvUsed", 0}, {"kvTotal", 100000}};
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -43,6 +43,10 @@
     /// Generations for which it grants room at a time, running ones included.
     void setRoom(int generations) { m_room = generations; }
     void setOverride(Override override) { m_override = std::move(override); }
+    /// The override answers reports too.
+    void setOverridesReports(bool overrides) { m_overridesReports = overrides; }
+    /// Another target takes its address.
+    void setId(const QByteArray &id) { m_id = id; }
     /// @p callback is told of each request that it begins to run.
     void onRan(std::function<void(const HttpRequest &)> callback) { m_onRan = std::move(callback); }
 
@@ -105,6 +109,7 @@
     int m_mostGenerating = 0;
     QSet<QByteArray> m_reservations;
     Override m_override;
+    bool m_overridesReports = false;
     std::function<void(const HttpRequest &)> m_onRan;
     QList<HttpRequest> m_ran;
     QHash<QByteArray, std::shared_ptr<Run>> m_runs;
