A target that says in an answer that it leaves gets no new requests

Cause: Server-Leaving was not known to the adapter; only entries and reports said that a target leaves, and an entry that lapses while the store is away and returns, still ready, made a fresh record.

Any answer counts (requests of any status, heads of streams, reports, reservations, moves), but those of another target at the address. The target takes no new work, its generations are moved and the other daemons are told, as after a notice in its entry. It is kept by incarnation until 10 minutes after the target was last known, and put() asks for it.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -287,6 +287,10 @@
     parts.targets.onCapacityFreed([this] { m_parts->waiting.roomChanged(); });
     parts.limits.onChanged([this] { m_parts->waiting.roomChanged(); });
     parts.availability.onChanged([this] { m_parts->waiting.roomChanged(); });
+    parts.availability.onLeaving(
+        [this](const TargetId &target) { m_parts->targets.markLeaving(target, "answer"); });
+    parts.targets.setHasSaidLeaving(
+        [this](const TargetId &target) { return m_parts->availability.hasSaidLeaving(target); });
     m_forgetTimer = parts.timers.every(ForgetInterval, [this] {
         m_parts->availability.forgetGone(
             [this](const TargetId &target) { return m_parts->targets.find(target) != nullptr; });
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -122,7 +122,7 @@
     Milliseconds soonest = Milliseconds::max();
     for (const TargetRecord *target : m_context.targets.takingWork(m_task.service)) {
         const TargetId &id = target->entry.id;
-        if (m_excluded.contains(id))
+        if (m_excluded.contains(id) || m_context.availability.hasSaidLeaving(id))
             continue;
         if (!m_context.availability.isPaused(id))
             return std::nullopt;
--- a/src/relay/TargetAvailability.cpp
+++ b/src/relay/TargetAvailability.cpp
@@ -130,6 +130,9 @@
 
 bool TargetAvailability::mayCall(const TargetId &target, CallPurpose purpose) const
 {
+    const bool isStart = purpose == CallPurpose::Request || purpose == CallPurpose::Reservation;
+    if (isStart && hasSaidLeaving(target))
+        return false;
     const auto known = m_pauses.find(target);
     if (known == m_pauses.end())
         return true;
@@ -190,6 +193,8 @@
         if (!mayStart(entry.pause, now))
             targets.insert(target);
     }
+    for (const auto &[target, time] : m_leavingTargets)
+        targets.insert(target);
     return targets;
 }
 
--- a/src/relay/TargetAvailability.h
+++ b/src/relay/TargetAvailability.h
@@ -55,7 +55,7 @@
     /// Records the head of an answer of @p call.target.
     void recordAnswer(const TargetCall &call, int status, const AvailabilityNotice &notice);
     /// Whether @p call may be made now. While its target is paused, only a few calls may be made
-    /// that cannot wait.
+    /// that cannot wait; a target that is leaving starts no request.
     bool mayCall(const TargetCall &call) const { return mayCall(call.target, call.purpose); }
     bool mayCall(const TargetId &target, CallPurpose purpose) const;
     /// Records a call. Returns nothing if it may not be made; it must not be made then.
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -63,11 +63,11 @@
     if (known == m_targets.end()) {
         TargetRecord record;
         record.entry = entry;
-        record.isLeaving = entry.isLeaving;
+        record.isLeaving = entry.isLeaving || m_hasSaidLeaving(entry.id);
         record.firstUseAfter = m_timers.now() + randomFirstUseDelay();
         updateColdPeriod(record);
         m_targets.insert(entry.id, record);
-        logTarget(EventId::TargetJoined, record, entry.isLeaving ? "leaving" : "ready");
+        logTarget(EventId::TargetJoined, record, record.isLeaving ? "leaving" : "ready");
         notifyCapacity();
         scheduleCapacityNotice(record.firstUseAfter);
         return;
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -102,6 +102,11 @@
     void recordFailure(const TargetId &target, const char *how);
     void recordReport(const TargetId &target, const EngineReport &report);
 
+    /// Sets what decides whether a target has said that it leaves, before its entry was there.
+    void setHasSaidLeaving(std::function<bool(const TargetId &)> hasSaidLeaving)
+    {
+        m_hasSaidLeaving = std::move(hasSaidLeaving);
+    }
     /// Sets the pace for cold targets: @p pace returns the interval between two requests of this
     /// daemon to a cold target of a service; zero means no limit.
     void setColdPace(std::function<Milliseconds(const ServiceId &)> pace)
@@ -146,6 +151,7 @@
     OwnLoadCallback m_ownLoad;
     QHash<TargetId, bool> m_removed;
     QSet<DataCentreId> m_evacuated;
+    std::function<bool(const TargetId &)> m_hasSaidLeaving = [](const TargetId &) { return false; };
     std::function<Milliseconds(const ServiceId &)> m_coldPace = [](const ServiceId &) {
         return Milliseconds(0);
     };
--- a/test/correctness/TargetPauses.cpp
+++ b/test/correctness/TargetPauses.cpp
@@ -162,6 +162,25 @@
     BOOST_TEST(told == 1);
 }
 
+// Guards against a target that says that it leaves and is forgotten while its entry is missing.
+BOOST_FIXTURE_TEST_CASE(LeavingIsKeptWhileTheEntryIsMissing, Fixture)
+{
+    int told = 0;
+    availability.onLeaving([&](const TargetId &) { ++told; });
+    AvailabilityNotice notice;
+    notice.isLeaving = true;
+    for (int i = 0; i < 3; ++i)
+        availability.recordAnswer(callTo(First), StatusOk, notice);
+    BOOST_TEST(told == 1);
+    timers.advance(300'000ms);
+    availability.forgetGone([](const TargetId &) { return false; });
+    BOOST_TEST(!mayStart());
+    BOOST_TEST(availability.mayCall(First, CallPurpose::Continuation));
+    timers.advance(600'000ms);
+    availability.forgetGone([](const TargetId &) { return false; });
+    BOOST_TEST(mayStart());
+}
+
 // Guards against pauses that break the bound or cost callers, from 2 to 800 daemons.
 BOOST_AUTO_TEST_CASE(PausesAreKeptInFleetsOfAnySize)
 {
