A target that rejects requests without a time is chosen last for a moment

A rejection was taken as shown by the load figures, but a target that rejects at once has no load, and stays the best choice.

It is ordered after the others for 100 ms, doubled with each consecutive rejection up to 1.6 s, and still used if no other can be. Ruled out: exclude it, as a service whose targets are all full would lose capacity.

--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -101,7 +101,7 @@
     case SendResult::Kind::Withheld:
         break;
     case SendResult::Kind::NotExecuted:
-        // A full target has not failed; its load figures already reflect this.
+        m_context.targets.recordRejection(m_target);
         break;
     case SendResult::Kind::Misdirected:
         m_context.targets.markLeaving(m_target, "its address belongs to another target");
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -144,7 +144,7 @@
     QList<const TargetRecord *> remote;
     const bool samplesRemote = need.engine && need.distance.maxRemoteCandidates > 0;
     const auto consider = [&](const TargetRecord *target) {
-        all.append({target, target->suspectUntil > now, score(*target, need, now)});
+        all.append({target, target->isSuspect(now), score(*target, need, now)});
     };
     for (const TargetRecord *target : targets) {
         if (need.excluded.contains(target->entry.id) || !hasRoom(*target, need, now))
--- a/src/relay/TargetChoice.h
+++ b/src/relay/TargetChoice.h
@@ -41,7 +41,7 @@
 /// A candidate target; a lower score is better.
 struct ScoredTarget {
     const TargetRecord *target = nullptr;
-    /// It failed recently; it is selected only if all candidates are suspect.
+    /// It failed or rejected a request recently; it is selected only if all candidates are suspect.
     bool isSuspect = false;
     double score = 0;
 };
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -19,6 +19,10 @@
 /// A target is tried again after this time, doubled with each consecutive failure.
 constexpr Milliseconds MinSuspicionTime{250};
 constexpr Milliseconds MaxSuspicionTime{4000};
+/// Other targets are preferred to one that rejected a request for this time, doubled with each
+/// consecutive rejection.
+constexpr Milliseconds MinAvoidance{100};
+constexpr int MaxAvoidanceDoublings = 4;
 /// An engine that has no room is asked again after this time, in which the other daemons report
 /// what has ended there. With five generations of eight seconds in an engine, one ends every 1.6 s.
 constexpr Milliseconds FullRetryDelay{100};
@@ -395,6 +399,8 @@
         logTarget(EventId::TargetCleared, *known, "answered");
     known->consecutiveFailures = 0;
     known->suspectUntil = {};
+    known->consecutiveRejections = 0;
+    known->avoidedUntil = {};
 }
 
 void TargetDirectory::recordFailure(const TargetId &target, const char *how)
@@ -411,6 +417,15 @@
     logTarget(EventId::TargetSuspected, *known, how);
 }
 
+void TargetDirectory::recordRejection(const TargetId &target)
+{
+    const auto known = m_targets.find(target);
+    if (known == m_targets.end())
+        return;
+    const int doublings = std::min(known->consecutiveRejections++, MaxAvoidanceDoublings);
+    known->avoidedUntil = m_timers.now() + MinAvoidance * (1 << doublings);
+}
+
 void TargetDirectory::recordReport(const TargetId &target, const EngineReport &report)
 {
     const auto known = m_targets.find(target);
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -100,6 +100,8 @@
     /// Record the outcome of a request to the target, or a report of the target.
     void recordSuccess(const TargetId &target);
     void recordFailure(const TargetId &target, const char *how);
+    /// The target did not take a request, which its load figures may not show.
+    void recordRejection(const TargetId &target);
     void recordReport(const TargetId &target, const EngineReport &report);
 
     /// Sets what decides whether a target has said that it leaves, before its entry was there.
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -13,6 +13,8 @@
 /// What a daemon knows of one target.
 struct TargetRecord {
     bool isCold(MonotonicTime now) const { return now < coldUntil; }
+    /// Whether other targets are preferred, as the target failed or rejected requests.
+    bool isSuspect(MonotonicTime now) const { return now < suspectUntil || now < avoidedUntil; }
     /// Whether the requests sent to the target are paced.
     bool isPaced(MonotonicTime now) const { return isCold(now) || now < maybeColdUntil; }
 
@@ -50,6 +52,9 @@
     int consecutiveFailures = 0;
     /// The target takes no work before this time, unless no other target can.
     MonotonicTime suspectUntil;
+    int consecutiveRejections = 0;
+    /// The target rejected a request; it takes no work before this time, unless no other target can.
+    MonotonicTime avoidedUntil;
     /// This daemon sends no new prompt to the target before this time.
     MonotonicTime firstUseAfter;
     /// The target reported that it has no room and is asked again after this time.
