Answers that never end are cut off

Cause: nothing bounded what a target sends but the head of an answer: bodies were collected until the deadline, an event that never ends was detected and nobody acted on it, a chunk header, a response to another request and bytes on idle connections were read for as long as they came.

Bodies that are no stream: max_answer_bytes (4 MB), a setting; collected responses of the store and of peers: 16 MB; events: 1 MB, as the parser had it; responses to other requests: 1 MB; chunk headers: 128 KB. The connection is closed at once, the target's failure counts, and the caller gets 502. Data on an idle connection closes it. Blank lines without end took 0.1 s of processor time a MB in the event parser; they are taken at once.

--- a/src/delivery/ServerSentEventParser.cpp
+++ b/src/delivery/ServerSentEventParser.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr qsizetype MaxEventBytes = 1024 * 1024;
+/// "\n\r\n"
+constexpr qsizetype LongestBlankLine = 3;
 
 void applyLine(ServerSentEvent &event, QByteArray line)
 {
@@ -36,16 +38,24 @@
     return event;
 }
 
-/// Position and length of the first blank line; the length is 0 if there is none.
-QPair<qsizetype, qsizetype> firstBlankLine(const QByteArray &bytes)
+/// Position and length of the first blank line at or after @p from; the length is 0 if there is
+/// none.
+QPair<qsizetype, qsizetype> firstBlankLine(const QByteArray &bytes, qsizetype from)
 {
-    const qsizetype lf = bytes.indexOf("\n\n");
-    const qsizetype crlf = bytes.indexOf("\n\r\n");
-    if (lf < 0 && crlf < 0)
-        return {0, 0};
-    if (crlf < 0 || (lf >= 0 && lf < crlf))
-        return {lf, 2};
-    return {crlf, 3};
+    for (qsizetype end = bytes.indexOf('\n', from); end >= 0; end = bytes.indexOf('\n', end + 1)) {
+        const char *next = bytes.constData() + end + 1; // terminated by a zero byte
+        if (next[0] == '\n')
+            return {end, 2};
+        if (next[0] == '\r' && next[1] == '\n')
+            return {end, 3};
+    }
+    return {0, 0};
+}
+
+qsizetype leadingLineFeeds(const QByteArray &bytes)
+{
+    return std::find_if(bytes.cbegin(), bytes.cend(), [](char c) { return c != '\n'; })
+        - bytes.cbegin();
 }
 
 bool isBlankOrComment(QByteArray line)
@@ -76,9 +86,20 @@
         return events;
     m_pending += bytes;
     for (;;) {
-        const auto [position, length] = firstBlankLine(m_pending);
-        if (length == 0)
+        const auto [position, length] = firstBlankLine(m_pending, m_searchFrom);
+        if (length == 0) {
+            // A blank line may begin in the last bytes.
+            m_searchFrom = std::max<qsizetype>(m_pending.size() - LongestBlankLine + 1, 0);
             break;
+        }
+        m_searchFrom = 0;
+        if (position == 0) {
+            // Many blank lines are taken at once, as a malformed stream may consist of them.
+            const qsizetype blank = std::max(length, leadingLineFeeds(m_pending) / 2 * 2);
+            m_skipped += m_pending.left(blank);
+            m_pending.remove(0, blank);
+            continue;
+        }
         ServerSentEvent event = parseBlock(m_pending.left(position));
         m_skipped += m_pending.left(position + length);
         m_pending.remove(0, position + length);
--- a/src/delivery/ServerSentEventParser.h
+++ b/src/delivery/ServerSentEventParser.h
@@ -35,6 +35,8 @@
 
 private:
     QByteArray m_pending;
+    /// No blank line begins before this position of m_pending.
+    qsizetype m_searchFrom = 0;
     /// Complete blocks without data, which become part of the next event's raw bytes.
     QByteArray m_skipped;
     bool m_malformed = false;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -16,7 +16,15 @@
                                                 const HttpExchangeOptions &options,
                                                 ResponseCallback callback)
 {
-    return send(endpoint, request, options, collectingCallbacks(std::move(callback)));
+    return send(endpoint, request, collectingOptions(options),
+                collectingCallbacks(std::move(callback)));
+}
+
+HttpExchangeOptions collectingOptions(HttpExchangeOptions options)
+{
+    if (!options.maxBody)
+        options.maxBody = DefaultMaxCollected;
+    return options;
 }
 
 HttpExchangeCallbacks collectingCallbacks(HttpClient::ResponseCallback callback)
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -49,6 +49,12 @@
     HttpConnectionPool m_pool;
 };
 
+/// Maximum size of a collected response if the options set none.
+constexpr Bytes DefaultMaxCollected{16 * 1024 * 1024};
+
+/// Returns @p options with a maximum size of the response. Thread-safe.
+HttpExchangeOptions collectingOptions(HttpExchangeOptions options);
+
 /// Returns callbacks that collect the response and pass it to @p callback. Thread-safe.
 HttpExchangeCallbacks collectingCallbacks(HttpClient::ResponseCallback callback);
 
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -17,12 +17,10 @@
 } // namespace
 
 struct HttpConnectionPool::IdleConnection {
+    /// Null after data or the end of the connection was received while it was idle.
     std::unique_ptr<TcpStream> stream;
     MonotonicTime idleSince;
     MonotonicTime expiresAt;
-    /// True if data or the end of the connection was received while it was idle, so that it cannot
-    /// serve a further request.
-    bool isUnusable = false;
 };
 
 HttpConnectionPool::HttpConnectionPool(TimerService &timers)
@@ -35,7 +33,7 @@
 void HttpConnectionPool::removeUnusable(IdleList &list, MonotonicTime now)
 {
     list.remove_if([now](const std::shared_ptr<IdleConnection> &idle) {
-        return idle->isUnusable || idle->expiresAt <= now;
+        return !idle->stream || idle->expiresAt <= now;
     });
 }
 
@@ -73,12 +71,13 @@
     idle->expiresAt = now + keepAliveTimeout;
     TcpStreamCallbacks callbacks;
     const std::weak_ptr<IdleConnection> weak = idle;
-    const auto markUnusable = [weak] {
+    // Data after a response belongs to no request, and more may follow without end.
+    const auto close = [weak] {
         if (const auto connection = weak.lock())
-            connection->isUnusable = true;
+            connection->stream.reset();
     };
-    callbacks.received = [markUnusable](const QByteArray &) { markUnusable(); };
-    callbacks.ended = [markUnusable](TcpEnd) { markUnusable(); };
+    callbacks.received = [close](const QByteArray &) { close(); };
+    callbacks.ended = [close](TcpEnd) { close(); };
     stream->setCallbacks(std::move(callbacks));
     idle->stream = std::move(stream);
     list.push_back(std::move(idle));
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -19,6 +19,12 @@
 /// the connection.
 constexpr Milliseconds KeepAliveMargin{1000};
 
+/// Maximum size of a part that can only be parsed as a whole, such as the header of a chunk.
+constexpr qsizetype MaxUnparsed = 128 * 1024;
+
+/// Maximum size of responses to other requests on one connection.
+constexpr Bytes MaxSkipped{1024 * 1024};
+
 QByteArray serializeRequest(const HttpEndpoint &endpoint, const HttpRequest &request,
                             bool keepAlive)
 {
@@ -115,6 +121,12 @@
     if (!parse())
         return;
     const QByteArray body = m_parser->takeBody();
+    if (endIfTooLarge(body))
+        return;
+    if (m_incoming.size() > MaxUnparsed && !m_parser->is_done()) {
+        finish(HttpExchangeEnd::Malformed, QStringLiteral("a chunk header is too large"));
+        return;
+    }
     if (!m_isSkippingResponse && !body.isEmpty() && m_callbacks.body) {
         m_callbacks.body(body);
         if (*destroyed || m_finished)
@@ -124,6 +136,17 @@
         finish(HttpExchangeEnd::Complete, {});
 }
 
+bool HttpExchange::endIfTooLarge(const QByteArray &body)
+{
+    const std::optional<Bytes> limit = m_isSkippingResponse ? MaxSkipped : m_options.maxBody;
+    m_bodyBytes += Bytes(body.size());
+    if (!limit || m_bodyBytes <= *limit)
+        return false;
+    finish(HttpExchangeEnd::Malformed,
+           QStringLiteral("the body is larger than %1 bytes").arg(limit->value()));
+    return true;
+}
+
 /// Parses the received data; returns false if the exchange has finished or is destroyed.
 bool HttpExchange::parse()
 {
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -59,6 +59,8 @@
     void startStallTimer(Milliseconds delay);
     void handleData(const QByteArray &data);
     bool parse();
+    /// Ends the exchange and returns true if @p body makes the response too large.
+    bool endIfTooLarge(const QByteArray &body);
     bool processHeaders();
     void handleEnd(TcpEnd end);
     void confirmClose();
@@ -79,6 +81,8 @@
     MonotonicTime m_lastProgress;
     std::unique_ptr<TcpStream> m_stream;
     std::unique_ptr<EndpointCheck> m_closeCheck;
+    /// Bytes of all bodies received, of skipped responses too.
+    Bytes m_bodyBytes;
     bool m_connected = false;
     bool m_isNewConnection = false;
     /// True while the response being parsed belongs to another request.
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -16,6 +16,9 @@
     Milliseconds stallTimeout{0};
     /// Maximum time to establish the connection.
     Milliseconds connectTimeout{2000};
+    /// Maximum size of the response's body; a larger one ends the exchange as malformed. No limit
+    /// if unset.
+    std::optional<Bytes> maxBody;
     /// Use an idle connection if there is one, and return the connection to the pool when done. A
     /// reused connection may prove to be closed after bytes were written. Not for requests for
     /// which the caller must know that they did not run.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -176,6 +176,9 @@
 {
     if (!m_isStream) {
         m_body += data;
+        if (m_body.size() > m_context.maxAnswer.value())
+            cutOff(QStringLiteral("the body is larger than %1 bytes")
+                       .arg(m_context.maxAnswer.value()));
         return;
     }
     m_context.crashGuard.attempts().heard(m_target);
@@ -186,6 +189,17 @@
         if (alive.expired())
             return;
     }
+    if (m_events.isMalformed())
+        cutOff(QStringLiteral("an event is too large"));
+}
+
+void RelayAttempt::cutOff(const QString &reason)
+{
+    m_framing = m_exchange->framing();
+    // Closes the connection.
+    m_exchange.reset();
+    m_body.clear();
+    finished(HttpExchangeEnd::Malformed, reason);
 }
 
 SendResult::Kind RelayAttempt::classify(HttpExchangeEnd end, AnswerEnd answerEnd) const
@@ -210,7 +224,7 @@
     if (!m_hasHead)
         m_context.reach.recordNoAnswer(m_target, m_exchange->isNewConnection());
     SendResult result;
-    result.framing = m_exchange->framing();
+    result.framing = m_exchange ? m_exchange->framing() : m_framing;
     result.end = judgeAnswerEnd(end, m_isStream && m_events.isInsideEvent());
     result.kind = classify(end, result.end);
     result.head = m_head;
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -50,6 +50,8 @@
     void withheld();
     void headersReceived(int status, const HttpHeaders &headers);
     void bodyReceived(const QByteArray &data);
+    /// Ends an answer that is too large.
+    void cutOff(const QString &reason);
     void finished(HttpExchangeEnd end, const QString &reason);
     SendResult::Kind classify(HttpExchangeEnd end, AnswerEnd answerEnd) const;
 
@@ -62,6 +64,8 @@
     bool m_hasHead = false;
     bool m_isStream = false;
     QByteArray m_body;
+    /// Of an answer that was cut off.
+    BodyFraming m_framing = BodyFraming::Unknown;
     ServerSentEventParser m_events;
     /// Expires when the attempt is destroyed, which a callback may do.
     std::shared_ptr<bool> m_alive;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/Units.h"
 #include "relay/CallerProtocol.h"
 #include "relay/DistanceCosts.h"
 #include "relay/RelayCounters.h"
@@ -49,6 +50,8 @@
     RelayCounters &counters;
     const CallerProtocol &callerProtocol;
     const TargetProtocol &targetProtocol;
+    /// Maximum size of an answer of a target that is not a stream.
+    Bytes maxAnswer;
     /// This daemon.
     VmId vm;
     DataCentreId dataCentre;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -192,6 +192,7 @@
               counters,
               protocols.callers,
               protocols.targets,
+              startSettings.maxAnswer,
               startSettings.vm,
               startSettings.dataCentre,
               [this] { return peers.fleetSize() > 1; },
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -13,6 +13,7 @@
 
 constexpr qint64 MaxMilliseconds = 3'600'000;
 constexpr double MaxSlack = 1e6;
+constexpr qint64 MaxAnswerBytes = 1024 * 1024 * 1024;
 
 HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
 {
@@ -76,6 +77,8 @@
     settings.targetHeartbeat =
         readDuration(reader, QStringLiteral("target_heartbeat_ms"), settings.targetHeartbeat);
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
+    settings.maxAnswer = Bytes(reader.number(QStringLiteral("max_answer_bytes"), 1, MaxAnswerBytes,
+                                             settings.maxAnswer.value()));
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.addUnknownMembers();
     if (!faults.isEmpty())
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -23,6 +23,8 @@
     Milliseconds targetHeartbeat{0};
     /// The whole fleet starts for the first time, not only this daemon.
     bool isFirstStart = false;
+    /// Maximum size of an answer of a target that is not a stream.
+    Bytes maxAnswer{4 * 1024 * 1024};
     /// Time from the stop signal until the process is killed.
     Milliseconds grace{8000};
 };
--- a/src/relay/TargetClient.cpp
+++ b/src/relay/TargetClient.cpp
@@ -41,7 +41,8 @@
                                                   const HttpExchangeOptions &options,
                                                   HttpClient::ResponseCallback callback)
 {
-    return send(call, request, options, collectingCallbacks(std::move(callback)));
+    return send(call, request, collectingOptions(options),
+                collectingCallbacks(std::move(callback)));
 }
 
 } // namespace cranberry
--- a/test/failure/SortsWhileTimePasses.cpp
+++ b/test/failure/SortsWhileTimePasses.cpp
@@ -162,6 +162,7 @@
                          counters,
                          callerProtocol,
                          targetProtocol,
+                         Bytes(1024),
                          self.vm,
                          DataCentreId(QStringLiteral("hall")),
                          [] { return true; },
