Soak: targets that ask for pauses

One in two targets that are changed each second asks daemons for pauses of 0.3 to 4 s, with all other faults. PauseChecks counts what arrives.

--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -42,7 +42,8 @@
         cranberry::soak::SoakRun run(options);
         const cranberry::standin::PromiseChecks &checks = run.run();
         const QStringList broken =
-            checks.broken() + run.limits().broken() + run.brokenBudgets() + run.brokenCrashBounds();
+            checks.broken() + run.limits().broken() + run.pauses().broken()
+            + run.brokenBudgets() + run.brokenCrashBounds();
         std::printf("seed %u: %d answers, %d whole, %d targets crashed by %d requests, %d promises "
                     "broken\n",
                     seed, checks.answers(), checks.wholeAnswers(), run.crashedTargets(),
--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -20,6 +20,13 @@
 constexpr int FaultIntervalMs = 400;
 /// Average interval between changes of rate limits; a limit counts from 3 s after it was named.
 constexpr int LimitIntervalMs = 2500;
+/// Average interval between changes of pauses, and the bounds of their lengths.
+constexpr int PauseIntervalMs = 1000;
+constexpr int MinPauseMs = 300;
+constexpr int MaxPauseMs = 4000;
+/// Of three requests after a pause, a target takes one and asks for a pause in its answers to the
+/// others.
+constexpr int AnswersPerSuccess = 3;
 /// Average interval between changes of refusals.
 constexpr int RefusalIntervalMs = 1200;
 /// Average interval between changes of partitions; a daemon finds out within a second.
@@ -51,6 +58,7 @@
     , m_refusalRandom(options.seed)
     , m_tearRandom(options.seed)
     , m_partitionRandom(options.seed)
+    , m_pauseRandom(options.seed)
     , m_fragileRandom(options.seed)
     , m_fragile(m_site, options.seed, "fragile")
 {
@@ -112,8 +120,15 @@
     return *m_partitionProxies.back();
 }
 
+void SoakRun::disturbed(int daemon)
+{
+    m_pauses.disturbed(daemon, m_timers.now());
+}
+
 void SoakRun::changePartition()
 {
+    for (const int daemon : std::as_const(m_partitioned))
+        disturbed(daemon);
     m_partitioned.clear();
     m_partitionForm = standin::PartitionForm(m_partitionRandom() % standin::PartitionFormCount);
     const bool isPartition = m_partitionRandom() % 3 != 0;
@@ -121,6 +136,8 @@
         if (isPartition && m_partitionRandom() % 2 == 0)
             m_partitioned.insert(daemon);
     }
+    for (const int daemon : std::as_const(m_partitioned))
+        disturbed(daemon);
     for (const auto &proxy : m_partitionProxies)
         proxy->partition(m_partitioned, m_partitionForm);
     m_fragile.partition(m_partitioned, m_partitionForm);
@@ -160,17 +177,55 @@
                    m_timers.now());
 }
 
+void SoakRun::changePauses()
+{
+    const bool isPlain = m_pauseRandom() % 2 != 0;
+    const std::vector<standin::RunnerEmulator *> &targets = isPlain ? m_plainTargets : m_engines;
+    const QByteArray target = targets[m_pauseRandom() % targets.size()]->id();
+    const Milliseconds pause(MinPauseMs + int(m_pauseRandom() % (MaxPauseMs - MinPauseMs)));
+    if (m_pauseRandom() % 2 == 0)
+        m_pausing[target] = pause;
+    else
+        m_pausing.erase(target);
+}
+
+bool SoakRun::rejectForPause(const QByteArray &target, const QByteArray &id,
+                             const standin::RunnerEmulator::Reply &reply)
+{
+    const auto pausing = m_pausing.find(target);
+    const int daemon = m_pauses.daemonOf(id);
+    const MonotonicTime now = m_timers.now();
+    MonotonicTime &until = m_pausedUntil[{target, daemon}];
+    const bool isPaused = now < until;
+    const bool asks = !isPaused && pausing != m_pausing.end()
+        && m_pauseRandom() % AnswersPerSuccess != 0;
+    if (!isPaused && !asks)
+        return false;
+    HttpHeaders headers{{"Cranberryquay-Not-Executed", "1"}};
+    // The daemon of a caller that has left has closed the connection.
+    if (asks && !reply->callerAddress().isEmpty()) {
+        until = now + pausing->second;
+        headers.add("Retry-After", QByteArray::number(double(pausing->second.count()) / 1000));
+        m_pauses.paused(target, id, pausing->second, now);
+    }
+    reply->send({503, headers, {}});
+    return true;
+}
+
 void SoakRun::watchArrivals(standin::RunnerEmulator &target, bool isEngine)
 {
     target.setOverride(
-        [this, isEngine](const HttpRequest &request, const standin::RunnerEmulator::Reply &reply) {
+        [this, isEngine, &target](const HttpRequest &request,
+                                  const standin::RunnerEmulator::Reply &reply) {
             if (request.path.startsWith("/v1/"))
                 return false;
+            const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
+            m_pauses.received(target.id(), id, m_timers.now());
             (isEngine ? m_engineRetries : m_plainRetries).received(request, m_timers.now());
             const bool isRefusing = isEngine ? m_areEnginesRefusing : m_arePlainTargetsRefusing;
             if (isRefusing)
                 reply->send(standin::refusalAnswer());
-            return isRefusing;
+            return isRefusing || rejectForPause(target.id(), id, reply);
         });
 }
 
@@ -254,6 +309,7 @@
     qint64 nextFaultMs = FaultIntervalMs;
     qint64 nextLimitMs = LimitIntervalMs / 2;
     qint64 nextRefusalMs = RefusalIntervalMs;
+    qint64 nextPauseMs = PauseIntervalMs;
     qint64 nextPartitionMs = PartitionIntervalMs / 2;
     qint64 nextFragileMs = FragileIntervalMs;
     qint64 nextHarmfulMs = 0;
@@ -276,6 +332,10 @@
                 changeRefusals();
                 nextRefusalMs += 1 + m_refusalRandom() % (2 * RefusalIntervalMs);
             }
+            while (nextPauseMs <= elapsed.elapsed()) {
+                changePauses();
+                nextPauseMs += 1 + m_pauseRandom() % (2 * PauseIntervalMs);
+            }
             while (nextPartitionMs <= elapsed.elapsed()) {
                 changePartition();
                 nextPartitionMs += 1 + m_partitionRandom() % (2 * PartitionIntervalMs);
@@ -313,6 +373,7 @@
     const QByteArray id =
         "s" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
     m_limits.sent(id, daemon);
+    m_pauses.sent(id, daemon, m_timers.now());
     const HttpEndpoint endpoint = m_proxies[size_t(daemon)]->endpoint();
     const int kind = randomBelow(4);
     (kind == 0 ? m_engineRetries : m_plainRetries).sent(m_timers.now());
@@ -378,6 +439,7 @@
     const int daemon = randomBelow(m_options.daemons);
     const auto index = size_t(daemon);
     m_limits.disturbed(daemon, m_timers.now());
+    disturbed(daemon);
     if (m_site.hasEnded(daemon)) {
         // The process has exited; a new one replaces it.
         m_site.restart(daemon);
@@ -435,6 +497,7 @@
     m_site.store().cutWatches(false);
     m_areEnginesRefusing = false;
     m_arePlainTargetsRefusing = false;
+    m_pausing.clear();
     for (const auto &proxy : m_partitionProxies)
         proxy->heal();
     m_fragile.partition({}, standin::PartitionForm::Hang);
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -6,12 +6,15 @@
 #include "standins/users/CrashingTargets.h"
 #include "standins/users/LimitChecks.h"
 #include "standins/users/PartitionProxy.h"
+#include "standins/users/PauseChecks.h"
 #include "standins/users/PromiseChecks.h"
 #include "standins/users/RetryChecks.h"
 #include "support/PlatformSite.h"
 
+#include <map>
 #include <memory>
 #include <random>
+#include <utility>
 #include <vector>
 
 namespace cranberry::soak {
@@ -44,6 +47,8 @@
     /// A line for each request, or part of prompts, that crashed targets and went on being sent.
     /// Precondition: run() has returned.
     QStringList brokenCrashBounds() const;
+    /// The checks of what targets say in their answers. Precondition: run() has returned.
+    const standin::PauseChecks &pauses() const { return m_pauses; }
     /// Targets that harmful requests crashed, and the requests.
     int crashedTargets() const { return m_fragile.crashed(); }
     int harmfulRequests() const { return m_harmfulBodies; }
@@ -71,6 +76,13 @@
     standin::PartitionProxy &addPartitionProxy(const HttpEndpoint &endpoint);
     /// A target names a rate limit, another one, or none.
     void changeLimit();
+    /// A target begins to ask daemons for pauses, or stops.
+    void changePauses();
+    /// Answers the request with a rejection if its target wants none now.
+    bool rejectForPause(const QByteArray &target, const QByteArray &id,
+                        const standin::RunnerEmulator::Reply &reply);
+    /// @p daemon may not have read what targets said to it.
+    void disturbed(int daemon);
     void recordRun(const QByteArray &target, const HttpRequest &request);
     /// All targets of a service begin to refuse requests, or stop.
     void changeRefusals();
@@ -90,9 +102,15 @@
     std::mt19937 m_refusalRandom;
     std::mt19937 m_tearRandom;
     std::mt19937 m_partitionRandom;
+    std::mt19937 m_pauseRandom;
     QtTimerService m_timers;
     standin::PromiseChecks m_checks;
     standin::LimitChecks m_limits;
+    standin::PauseChecks m_pauses;
+    /// The pauses that targets ask for now.
+    std::map<QByteArray, Milliseconds> m_pausing;
+    /// Until when targets reject the requests of daemons.
+    std::map<std::pair<QByteArray, int>, MonotonicTime> m_pausedUntil;
     standin::RetryChecks m_engineRetries;
     standin::RetryChecks m_plainRetries;
     bool m_areEnginesRefusing = false;
