--- a/test/correctness/RelayChoices.cpp
+++ b/test/correctness/RelayChoices.cpp
@@ -241,3 +241,18 @@
     unknown.entry.dataCentre = need.daemonDataCentre;
     BOOST_TEST((chooseTarget({&unknown, &told}, need, Now).target == &unknown));
 }
+
+// Guards against a target that rejects requests at once and looks idle by its load.
+BOOST_AUTO_TEST_CASE(ATargetThatRejectedIsChosenLast)
+{
+    TargetRecord rejecting = engine("rejecting", "here", 0);
+    rejecting.avoidedUntil = Now + 100ms;
+    const TargetRecord busy = engine("busy", "here", 8000);
+    const TargetNeed need = needOf(100);
+    const auto chosen = [&](const QList<const TargetRecord *> &targets, MonotonicTime at) {
+        return chooseTarget(targets, need, at).target;
+    };
+    BOOST_TEST((chosen({&rejecting, &busy}, Now) == &busy));
+    BOOST_TEST((chosen({&rejecting}, Now) == &rejecting));
+    BOOST_TEST((chosen({&rejecting, &busy}, Now + 100ms) == &rejecting));
+}
--- a/test/correctness/TargetEntries.cpp
+++ b/test/correctness/TargetEntries.cpp
@@ -130,3 +130,35 @@
     entries.remove(Key);
     BOOST_TEST(crashed.isEmpty());
 }
+
+// Guards against a target that said that it leaves and is used again as its entry returns.
+BOOST_FIXTURE_TEST_CASE(AnEntryThatReturnsDoesNotEndLeaving, Fixture)
+{
+    const TargetId leaving(QStringLiteral("e@1"));
+    targets.setHasSaidLeaving([&](const TargetId &target) { return target == leaving; });
+    entries.put(Key, "1");
+    BOOST_TEST(usable().isEmpty());
+    entries.remove(Key);
+    entries.put(Key, "1");
+    BOOST_TEST(usable().isEmpty());
+    entries.put(Key, "2");
+    BOOST_TEST((usable() == QStringList{QStringLiteral("e@2")}));
+}
+
+// Guards against a target that rejects each request and is tried at the same rate all the time.
+BOOST_FIXTURE_TEST_CASE(RejectionsInARowAreAvoidedForLonger, Fixture)
+{
+    entries.put(Key, "1");
+    const TargetId target(QStringLiteral("e@1"));
+    const auto avoidedFor = [&] {
+        targets.recordRejection(target);
+        return std::chrono::duration_cast<Milliseconds>(targets.find(target)->avoidedUntil
+                                                        - timers.now())
+            .count();
+    };
+    for (const int expected : {100, 200, 400, 800, 1600, 1600})
+        BOOST_TEST(avoidedFor() == expected);
+    targets.recordSuccess(target);
+    BOOST_TEST(!targets.find(target)->isSuspect(timers.now()));
+    BOOST_TEST(avoidedFor() == 100);
+}
--- a/test/error/PlatformInput.cpp
+++ b/test/error/PlatformInput.cpp
@@ -28,6 +28,7 @@
     BOOST_TEST(faultOf(Good + R"(, "store": "here"})").contains("store"));
     BOOST_TEST(faultOf(Good + R"(, "retries": {"ratio": 7}})").contains("retries.ratio"));
     BOOST_TEST(faultOf(Good + R"(, "grace_ms": "long"})").contains("grace_ms"));
+    BOOST_TEST(faultOf(Good + R"(, "max_answer_bytes": 0})").contains("max_answer_bytes"));
     BOOST_TEST(faultOf(Good + R"(, "unknown": 1})").contains("unknown"));
 }
 
