A paused destination of a move is not taken for silent

While the store is away, a destination that refuses a copy is asked for a report and counted as failing if none arrives. A paused target is not asked at all, so that its silence says nothing.

--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -253,8 +253,9 @@
     m_context.reports.refresh(
         {destination}, RefusalReportMaxAge, [&context = m_context, destination] {
             const TargetRecord *record = context.targets.find(destination);
-            const bool isSilent =
-                record && context.timers.now() - record->reportedAt > RefusalReportMaxAge;
+            // A paused target is not asked for a report.
+            const bool isSilent = record && !context.availability.isPaused(destination)
+                && context.timers.now() - record->reportedAt > RefusalReportMaxAge;
             if (isSilent)
                 context.targets.recordFailure(destination,
                                               "refused a copy and sent no load report");
--- a/src/relay/TargetAvailability.h
+++ b/src/relay/TargetAvailability.h
@@ -27,6 +27,8 @@
 public:
     using ChangedCallback = std::function<void()>;
     using LeavingCallback = std::function<void(const TargetId &target)>;
+    /// Returns the number of requests of this daemon that run at a target.
+    using RunningCount = std::function<int(const TargetId &target)>;
     /// A request is counted in TargetPause::unanswered while it holds this. Null for other calls.
     using PendingAnswer = std::shared_ptr<void>;
 
@@ -40,9 +42,6 @@
         std::array<qint64, CallPurposeCount> withheld{};
     };
 
-    /// Returns the number of requests of this daemon that run at a target.
-    using RunningCount = std::function<int(const TargetId &target)>;
-
     /// Precondition: @p timers outlives the object.
     TargetAvailability(TimerService &timers, RunningCount running);
     ~TargetAvailability();
