--- a/test/failure/ForwardedRequests.cpp
+++ b/test/failure/ForwardedRequests.cpp
@@ -215,3 +215,29 @@
     BOOST_TEST(test::waitFor(
         [&] { return site.log(Partitioned).contains("name=relay.sent request=" + id + ' '); }));
 }
+
+// Guards against requests of a partitioned daemon that reach a target which asked the daemon that
+// sends them for a pause.
+BOOST_FIXTURE_TEST_CASE(APausedTargetGetsNoForwardedRequests, Fixture)
+{
+    int received = 0;
+    runners.front()->setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        if (request.path.startsWith("/v1/"))
+            return false;
+        ++received;
+        reply->send({503, {{"Cranberryquay-Not-Executed", "1"}, {"Retry-After", "20"}}, {}});
+        return true;
+    });
+    BOOST_REQUIRE(test::waitFor([&] {
+        site.call(Partitioned, "GET", "/safe/a", nextId());
+        return site.log(1).contains("name=target.paused target=plain-0")
+            && site.log(2).contains("name=target.paused target=plain-0");
+    }));
+    const int before = received;
+    constexpr int Requests = 40;
+    int served = 0;
+    for (int i = 0; i < Requests; ++i)
+        served += site.call(Partitioned, "GET", "/safe/a", nextId())->response.status == 200;
+    BOOST_TEST(served == Requests);
+    BOOST_TEST(received == before);
+}
--- a/test/failure/PlatformBackups.cpp
+++ b/test/failure/PlatformBackups.cpp
@@ -239,3 +239,28 @@
     BOOST_TEST(test::PlatformSite::finish(call));
     BOOST_TEST(isWhole());
 }
+
+// Guards against a stream that is lost although its backup is whole, as the runner that holds it
+// asked for a pause.
+BOOST_FIXTURE_TEST_CASE(AStreamContinuesAtAPausedHolder, Fixture)
+{
+    int calls = 0;
+    const bool isFirst = &holder() == &first;
+    holder().setOverride([&](const HttpRequest &request, const Runner::Reply &reply) {
+        ++calls;
+        if (request.path != "/v1/hold-take")
+            return false;
+        reply->send({503, {{"Retry-After", "20"}}, {}});
+        return true;
+    });
+    const auto other = site.send(daemon, "POST", "/model/a", "r2",
+                                 test::PlatformSite::generation(100, MaxOutputTokens));
+    const QByteArray paused =
+        QByteArray("name=target.paused target=") + (isFirst ? "model-1" : "model-2");
+    BOOST_REQUIRE(test::waitFor([&] { return site.log(daemon).contains(paused); }));
+    const int before = calls;
+    source().crash();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST(isWhole());
+    BOOST_TEST(calls - before <= 2);
+}
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -9,6 +9,8 @@
 
 #include <QTimer>
 
+#include <vector>
+
 using namespace cranberry;
 using Runner = standin::RunnerEmulator;
 
@@ -323,3 +325,30 @@
     BOOST_TEST(test::PlatformSite::finish(call));
     BOOST_TEST((call->end == HttpExchangeEnd::Complete));
 }
+
+// Guards against a generation that is moved to a runner that asked for a pause.
+BOOST_FIXTURE_TEST_CASE(AMoveAvoidsAPausedRunner, Fixture)
+{
+    Runner &third = site.addRunner("model-3", "model");
+    int calls = 0;
+    third.setOverride([&](const HttpRequest &, const Runner::Reply &reply) {
+        ++calls;
+        reply->send({503, {{"Retry-After", "20"}}, {}});
+        return true;
+    });
+    awaitEntriesApplied("marker");
+    // It has no load, so that one of the next generations is for it.
+    std::vector<std::shared_ptr<test::ClientCall>> others;
+    for (const char *id : {"r2", "r3", "r4"})
+        others.push_back(
+            site.send(daemon, "POST", "/model/a", id, test::PlatformSite::generation()));
+    BOOST_REQUIRE(test::waitFor(
+        [&] { return site.log(daemon).contains("name=target.paused target=model-3"); }));
+    const int before = calls;
+    drainSource();
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->response.body == test::PlatformSite::events(Events)));
+    BOOST_TEST(site.log(daemon).contains("name=move.begun request=r1"));
+    BOOST_TEST(!site.log(daemon).contains("destination=model-3"));
+    BOOST_TEST(calls == before);
+}
