--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -41,8 +41,7 @@
         options.daemons = int(FLAGS_daemons);
         cranberry::soak::SoakRun run(options);
         const cranberry::standin::PromiseChecks &checks = run.run();
-        const QStringList broken =
-            checks.broken() + run.limits().broken() + run.pauses().broken()
+        const QStringList broken = checks.broken() + run.limits().broken() + run.pauses().broken()
             + run.brokenBudgets() + run.brokenCrashBounds();
         std::printf("seed %u: %d answers, %d whole, %d targets crashed by %d requests, %d promises "
                     "broken\n",
--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -197,8 +197,8 @@
     const MonotonicTime now = m_timers.now();
     MonotonicTime &until = m_pausedUntil[{target, daemon}];
     const bool isPaused = now < until;
-    const bool asks = !isPaused && pausing != m_pausing.end()
-        && m_pauseRandom() % AnswersPerSuccess != 0;
+    const bool asks =
+        !isPaused && pausing != m_pausing.end() && m_pauseRandom() % AnswersPerSuccess != 0;
     if (!isPaused && !asks)
         return false;
     HttpHeaders headers{{"Cranberryquay-Not-Executed", "1"}};
@@ -214,19 +214,18 @@
 
 void SoakRun::watchArrivals(standin::RunnerEmulator &target, bool isEngine)
 {
-    target.setOverride(
-        [this, isEngine, &target](const HttpRequest &request,
-                                  const standin::RunnerEmulator::Reply &reply) {
-            if (request.path.startsWith("/v1/"))
-                return false;
-            const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
-            m_pauses.received(target.id(), id, m_timers.now());
-            (isEngine ? m_engineRetries : m_plainRetries).received(request, m_timers.now());
-            const bool isRefusing = isEngine ? m_areEnginesRefusing : m_arePlainTargetsRefusing;
-            if (isRefusing)
-                reply->send(standin::refusalAnswer());
-            return isRefusing || rejectForPause(target.id(), id, reply);
-        });
+    target.setOverride([this, isEngine, &target](const HttpRequest &request,
+                                                 const standin::RunnerEmulator::Reply &reply) {
+        if (request.path.startsWith("/v1/"))
+            return false;
+        const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
+        m_pauses.received(target.id(), id, m_timers.now());
+        (isEngine ? m_engineRetries : m_plainRetries).received(request, m_timers.now());
+        const bool isRefusing = isEngine ? m_areEnginesRefusing : m_arePlainTargetsRefusing;
+        if (isRefusing)
+            reply->send(standin::refusalAnswer());
+        return isRefusing || rejectForPause(target.id(), id, reply);
+    });
 }
 
 void SoakRun::changeRefusals()
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -53,7 +53,8 @@
     /// The target takes no work before this time, unless no other target can.
     MonotonicTime suspectUntil;
     int consecutiveRejections = 0;
-    /// The target rejected a request; it takes no work before this time, unless no other target can.
+    /// The target rejected a request; it takes no work before this time, unless no other target
+    /// can.
     MonotonicTime avoidedUntil;
     /// This daemon sends no new prompt to the target before this time.
     MonotonicTime firstUseAfter;
--- a/test/correctness/TargetPauses.cpp
+++ b/test/correctness/TargetPauses.cpp
@@ -216,7 +216,8 @@
             }
             BOOST_TEST_MESSAGE(fleet.daemons
                                << " daemons, " << fleet.inTrouble << " of " << fleet.targets
-                               << " targets, " << (doAllAsk ? "all ask, " : "") << test::pausePolicyName(policy) << ": served "
+                               << " targets, " << (doAllAsk ? "all ask, " : "")
+                               << test::pausePolicyName(policy) << ": served "
                                << double(sum.served) / sum.requests << ", " << sum.rejections
                                << " rejections, at most " << sum.mostInPause
                                << " in a pause, served after " << sum.servedAfter);
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -21,6 +21,7 @@
 constexpr qsizetype LogTailBytes = 4000;
 /// Longer than a stream takes to end.
 constexpr Milliseconds AnswerDelay{100};
+constexpr Milliseconds SendInterval{50};
 /// The answer of a runner to a move order when the destination holds the copied state.
 const QByteArray CopyHeld = R"({"handle":"copy","created":1})";
 
@@ -339,11 +340,17 @@
     awaitEntriesApplied("marker");
     // It has no load, so that one of the next generations is for it.
     std::vector<std::shared_ptr<test::ClientCall>> others;
-    for (const char *id : {"r2", "r3", "r4"})
-        others.push_back(
-            site.send(daemon, "POST", "/model/a", id, test::PlatformSite::generation()));
-    BOOST_REQUIRE(test::waitFor(
-        [&] { return site.log(daemon).contains("name=target.paused target=model-3"); }));
+    QtTimerService timers;
+    MonotonicTime next = timers.now();
+    BOOST_REQUIRE(test::waitFor([&] {
+        if (timers.now() >= next) {
+            const QByteArray id = "s" + QByteArray::number(others.size());
+            others.push_back(
+                site.send(daemon, "POST", "/model/a", id, test::PlatformSite::generation()));
+            next = timers.now() + SendInterval;
+        }
+        return site.log(daemon).contains("name=target.paused target=model-3");
+    }));
     const int before = calls;
     drainSource();
     BOOST_TEST(test::PlatformSite::finish(call));
