--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -201,14 +201,15 @@
         !isPaused && pausing != m_pausing.end() && m_pauseRandom() % AnswersPerSuccess != 0;
     if (!isPaused && !asks)
         return false;
-    HttpHeaders headers{{"Cranberryquay-Not-Executed", "1"}};
+    HttpResponse rejection = standin::refusalAnswer();
     // The daemon of a caller that has left has closed the connection.
     if (asks && !reply->callerAddress().isEmpty()) {
         until = now + pausing->second;
-        headers.add("Retry-After", QByteArray::number(double(pausing->second.count()) / 1000));
+        rejection.headers.add("Retry-After",
+                              QByteArray::number(double(pausing->second.count()) / 1000));
         m_pauses.paused(target, id, pausing->second, now);
     }
-    reply->send({503, headers, {}});
+    reply->send(rejection);
     return true;
 }
 
@@ -218,7 +219,7 @@
                                                  const standin::RunnerEmulator::Reply &reply) {
         if (request.path.startsWith("/v1/"))
             return false;
-        const QByteArray id = request.headers.value("Cranberryquay-Request-Id");
+        const QByteArray id = standin::requestIdOf(request);
         m_pauses.received(target.id(), id, m_timers.now());
         (isEngine ? m_engineRetries : m_plainRetries).received(request, m_timers.now());
         const bool isRefusing = isEngine ? m_areEnginesRefusing : m_arePlainTargetsRefusing;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -287,6 +287,12 @@
         [this](const TargetId &target) { m_parts->crashGuard.attempts().disappeared(target); });
     parts.targets.onCapacityFreed([this] { m_parts->waiting.roomChanged(); });
     parts.limits.onChanged([this] { m_parts->waiting.roomChanged(); });
+    connectAvailability();
+}
+
+void RelayDaemon::connectAvailability()
+{
+    RelayParts &parts = *m_parts;
     parts.availability.onChanged([this] { m_parts->waiting.roomChanged(); });
     parts.availability.onLeaving(
         [this](const TargetId &target) { m_parts->targets.markLeaving(target, "answer"); });
--- a/src/relay/RoomReservation.cpp
+++ b/src/relay/RoomReservation.cpp
@@ -86,11 +86,11 @@
     if (state->exchange)
         return;
     state->withheldTimer = state->context.timers.after(Milliseconds(0), [state] {
-        const std::shared_ptr<State> kept = state;
-        kept->withheldTimer.reset();
+        // Ends the cycle of references to the state.
+        const auto timer = std::move(state->withheldTimer);
         ReservationOutcome outcome;
         outcome.kind = ReservationOutcome::Kind::NoRoom;
-        answered(kept, outcome);
+        answered(state, outcome);
     });
 }
 
--- a/test/standins/users/RetryChecks.cpp
+++ b/test/standins/users/RetryChecks.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+QByteArray requestIdOf(const HttpRequest &request)
+{
+    return request.headers.value("Cranberryquay-Request-Id");
+}
+
 HttpResponse refusalAnswer()
 {
     return {503, {{"Cranberryquay-Not-Executed", "full"}}, {}};
--- a/test/standins/users/RetryChecks.h
+++ b/test/standins/users/RetryChecks.h
@@ -18,6 +18,9 @@
 /// The answer of a target that refuses a request and does not run it. Thread-safe.
 HttpResponse refusalAnswer();
 
+/// The id that the caller gave @p request. Thread-safe.
+QByteArray requestIdOf(const HttpRequest &request);
+
 /// The most repeats in one window compared with what is allowed there.
 struct RetryWindow {
     int repeats = 0;
