--- a/test/support/PauseSimulation.cpp
+++ b/test/support/PauseSimulation.cpp
@@ -50,7 +50,7 @@
     Simulation(const PauseScenario &scenario, unsigned seed)
         : m_scenario(scenario)
         , m_random(seed)
-        , m_known(std::size_t(scenario.daemons * scenario.targets))
+        , m_known(std::size_t(scenario.daemons) * std::size_t(scenario.targets))
         , m_running(std::size_t(scenario.targets))
         , m_budget(std::size_t(scenario.daemons), 1.0)
     {
@@ -87,7 +87,7 @@
 
     Knowledge &known(int daemon, int target)
     {
-        return m_known[std::size_t(daemon * m_scenario.targets + target)];
+        return m_known[std::size_t(daemon) * std::size_t(m_scenario.targets) + std::size_t(target)];
     }
 
     bool isTrouble() const
