--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -94,6 +94,9 @@
     X(TargetSaidLeaving, 1233, "target.said_leaving")                                              \
     X(CallWithheld, 1234, "call.withheld")                                                         \
     X(RelayPaused, 1935, "relay.paused")                                                           \
+    X(AdmissionRejected, 1936, "admission.rejected")                                               \
+    X(AdmissionHeld, 1937, "admission.held")                                                       \
+    X(AdmissionPressed, 1938, "admission.pressed")                                                 \
     X(RelayLimited, 1929, "relay.limited")                                                         \
     X(RetryGranted, 1930, "retry.granted")                                                         \
     X(RetryRefused, 1931, "retry.refused")                                                         \
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -6,6 +6,7 @@
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetSpeeds.h"
 
 #include <QCborArray>
 #include <QCborValue>
@@ -18,14 +19,19 @@
 /// meantime, and ends later.
 constexpr Milliseconds PlacedDelay{10};
 constexpr Milliseconds EndedDelay{100};
+/// Used while requests of other daemons wait for the room.
+constexpr Milliseconds ContendedEndedDelay{10};
 /// The totals are repeated at this interval, which limits how long a lost datagram misleads.
 constexpr Milliseconds RefreshInterval{1500};
+constexpr Milliseconds ContendedRefreshInterval{500};
 /// The load at the engines of a data centre is sent to the others at this interval. Without it the
 /// engines of another data centre look empty, and moves choose them in vain.
 constexpr Milliseconds SummaryInterval{500};
 /// Maximum number of targets in one datagram: with about 35 bytes each they stay below the 1,400
 /// bytes that every path carries.
 constexpr qsizetype MaxDatagramEntries = 30;
+/// Loads that are sent in one datagram with observed speeds and rates.
+constexpr qsizetype MaxLoadsBesideObservations = 8;
 /// Maximum number of a data centre's engines that are reported to others, those with the least
 /// load: two datagrams. Others rarely place there, and all engines of a large fleet would cost each
 /// daemon tens of KB a second.
@@ -34,13 +40,15 @@
 } // namespace
 
 LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, DataCentreHeads &heads,
-                           PeerDatagrams &datagrams, TargetDirectory &targets)
+                           PeerDatagrams &datagrams, TargetDirectory &targets, TargetSpeeds &speeds)
     : m_timers(timers)
     , m_peers(peers)
     , m_heads(heads)
     , m_datagrams(datagrams)
     , m_targets(targets)
+    , m_speeds(speeds)
     , m_refreshTimer(timers.every(RefreshInterval, [this] { refresh(); }))
+    , m_contendedTimer(timers.every(ContendedRefreshInterval, [this] { refreshContended(); }))
     , m_summaryTimer(timers.every(SummaryInterval, [this] { summarise(); }))
 {
     datagrams.onMessage(DatagramKind::Summary, [this](const Peer &from, const QCborArray &rows) {
@@ -53,6 +61,23 @@
 
 LoadExchange::~LoadExchange() = default;
 
+bool LoadExchange::isShared(const ServiceId &service) const
+{
+    return m_hasEngine(service) || m_isContended(service);
+}
+
+void LoadExchange::sendLoadsOf(const ServiceId &service)
+{
+    QSet<TargetId> targets;
+    for (const TargetId &target : m_targets.targetsInUse()) {
+        const TargetRecord *record = m_targets.find(target);
+        if (record && record->entry.service == service)
+            targets.insert(target);
+    }
+    if (!targets.isEmpty())
+        sendLoads(targets);
+}
+
 void LoadExchange::sendHello(const QList<Peer> &peers)
 {
     m_datagrams.send(peers, DatagramKind::Load, QCborArray{QCborArray()});
@@ -61,10 +86,12 @@
 void LoadExchange::handleLoadChange(const TargetId &target, bool isIncrease)
 {
     const TargetRecord *record = m_targets.find(target);
-    if (!record || !m_hasEngine(record->entry.service))
+    if (!record || !isShared(record->entry.service))
         return;
     m_changed.insert(target);
-    const Milliseconds delay = isIncrease ? PlacedDelay : EndedDelay;
+    const Milliseconds ended =
+        m_isContended(record->entry.service) ? ContendedEndedDelay : EndedDelay;
+    const Milliseconds delay = isIncrease ? PlacedDelay : ended;
     const MonotonicTime due = m_timers.now() + delay;
     if (m_sendTimer && m_due <= due)
         return;
@@ -80,10 +107,28 @@
     QSet<TargetId> targets;
     for (const TargetId &target : m_targets.targetsInUse()) {
         const TargetRecord *record = m_targets.find(target);
-        if (record && m_hasEngine(record->entry.service))
+        if (record && isShared(record->entry.service))
+            targets.insert(target);
+    }
+    // Many loads fill a datagram by themselves.
+    const bool areMany = targets.size() > MaxLoadsBesideObservations;
+    if (areMany)
+        sendLoads(targets);
+    else
+        sendToOwners(targets);
+    sendObservations(areMany ? QCborArray() : loadsOf(targets));
+}
+
+void LoadExchange::refreshContended()
+{
+    QSet<TargetId> targets;
+    for (const TargetId &target : m_targets.targetsInUse()) {
+        const TargetRecord *record = m_targets.find(target);
+        if (record && m_isContended(record->entry.service))
             targets.insert(target);
     }
-    sendLoads(targets);
+    if (!targets.isEmpty())
+        sendLoads(targets);
 }
 
 QCborArray LoadExchange::loadsOf(const QSet<TargetId> &targets) const
@@ -104,6 +149,25 @@
     sendToOwners(targets);
 }
 
+void LoadExchange::sendObservations(const QCborArray &loads)
+{
+    const QCborArray speeds = m_speeds.report();
+    const QCborArray rates = m_rates ? m_rates() : QCborArray();
+    QCborArray body{loads};
+    if (!speeds.isEmpty() || !rates.isEmpty()) {
+        body.append(speeds);
+        body.append(rates);
+    }
+    m_datagrams.send(m_peers.directReceivers(), DatagramKind::Load, body);
+}
+
+void LoadExchange::setRates(std::function<QCborArray()> rates,
+                            std::function<void(const VmId &, const QCborArray &)> receive)
+{
+    m_rates = std::move(rates);
+    m_receiveRates = std::move(receive);
+}
+
 void LoadExchange::sendToOwners(const QSet<TargetId> &targets)
 {
     // The daemons of the target's own data centre use it most, and must not wait for the summary.
@@ -175,6 +239,9 @@
     const QCborArray loads = body.at(0).toArray();
     for (const QCborValue value : loads)
         applyLoad(peer.vm, peer.dataCentre, value.toArray());
+    m_speeds.receive(peer.vm, body.at(1).toArray());
+    if (m_receiveRates && body.at(2).isArray())
+        m_receiveRates(peer.vm, body.at(2).toArray());
 }
 
 } // namespace cranberry
--- a/src/relay/PeerDatagrams.h
+++ b/src/relay/PeerDatagrams.h
@@ -40,8 +40,10 @@
     Retry,
     /// Requests that may crash targets; see CrashLedger.
     Crash,
+    /// What waits for room at a daemon, and promises to callers; see DemandMessage.
+    Demand,
 };
-constexpr std::size_t DatagramKindCount = 11;
+constexpr std::size_t DatagramKindCount = 12;
 
 /// Whether @p kind is the number of a DatagramKind. Thread-safe.
 bool isDatagramKind(qint64 kind);
--- a/src/relay/RelayConfiguration.h
+++ b/src/relay/RelayConfiguration.h
@@ -22,6 +22,8 @@
     /// Requests need a key, except on open routes.
     bool needsKey = false;
     QHash<QByteArray, WorkspaceId> workspaceOfKey;
+    /// Priorities of workspaces, which take precedence over those of routes.
+    QHash<WorkspaceId, int> priorityOfWorkspace;
 };
 
 /// Sorts each host's routes as findRoute() expects them.
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -15,15 +15,18 @@
 class BrittleServices;
 class CrashGuard;
 class EngineReports;
+class FleetAdmission;
 class HttpClient;
 class OutputForecast;
 class PeerForwarding;
 class ReachMonitor;
+class ServicePressure;
 class TargetDirectory;
 class TargetAnnouncements;
 class TargetAvailability;
 class TargetClient;
 class TargetLimits;
+class TargetSpeeds;
 class TimerService;
 class WaitingRequests;
 struct RoomForecast;
@@ -42,6 +45,9 @@
     PeerForwarding &forwarding;
     TargetAnnouncements &news;
     EngineReports &reports;
+    FleetAdmission &admission;
+    ServicePressure &pressure;
+    TargetSpeeds &speeds;
     WaitingRequests &waiting;
     RelayRetryBudget &retryBudget;
     OutputForecast &outputForecast;
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -3,6 +3,7 @@
 #include "base/LatencyHistogram.h"
 #include "http/BodyFraming.h"
 #include "relay/AnswerEnd.h"
+#include "relay/LateCause.h"
 #include "relay/RequestKind.h"
 
 #include <array>
@@ -21,6 +22,8 @@
     qint64 retried = 0;
     /// Time from arrival to the answer, or to the first event of a stream.
     LatencyHistogram toAnswer;
+    /// Answers by why they were late.
+    std::array<qint64, LateCauseCount> late{};
 };
 
 /// The metrics of a relay daemon.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -8,6 +8,7 @@
 #include "relay/RelayMetrics.h"
 #include "relay/RelayParts.h"
 
+#include <QCborArray>
 #include <QRandomGenerator>
 
 namespace cranberry {
@@ -149,7 +150,8 @@
     , reach(timers, targetClient, targets,
             [this](const ServiceId &service) { return probeRequest(*this, service); })
     , reports(timers, targetClient, targets, protocols.targets, counters)
-    , waiting(timers)
+    , pressure(timers)
+    , speeds(timers, targets)
     , retryBudget(
           startSettings.retries, retryShareFrom(startSettings, timers.now()),
           [this] { return fleetPosition(*this); },
@@ -158,8 +160,10 @@
             {startSettings.vm, startSettings.dataCentre, startSettings.peer, {}, {}, {}, 0, false})
     , datagrams(peers)
     , forwarding(peers)
+    , admission(timers, peers, datagrams, startSettings.admission)
+    , waiting(timers, admission)
     , heads(timers, peers, datagrams)
-    , loads(timers, peers, heads, datagrams, targets)
+    , loads(timers, peers, heads, datagrams, targets, speeds)
     , limitExchange(timers, peers, heads, datagrams, limits,
                     [this](const TargetId &target) { return targets.find(target) != nullptr; })
     , retryExchange(timers, peers, datagrams, retryBudget,
@@ -184,6 +188,9 @@
               forwarding,
               news,
               reports,
+              admission,
+              pressure,
+              speeds,
               waiting,
               retryBudget,
               outputForecast,
@@ -278,6 +285,7 @@
     });
     parts.loads.setHasEngine(
         [this](const ServiceId &service) { return hasEngine(*m_parts, service); });
+    connectAdmission();
     parts.targets.onOwnLoad([this](const TargetId &target, bool isIncrease) {
         m_parts->loads.handleLoadChange(target, isIncrease);
     });
@@ -290,6 +298,31 @@
     connectAvailability();
 }
 
+void RelayDaemon::connectAdmission()
+{
+    RelayParts &parts = *m_parts;
+    parts.loads.setIsContended([this](const ServiceId &service) {
+        return m_parts->settings.admission.order
+            && (m_parts->pressure.isPressed(service) || m_parts->admission.isBusy(service));
+    });
+    parts.pressure.onPressed([this](const ServiceId &service) {
+        if (m_parts->settings.admission.order && !hasEngine(*m_parts, service))
+            m_parts->loads.sendLoadsOf(service);
+    });
+    parts.admission.setIsKnown(
+        [this](const ServiceId &service) { return isConfigured(*m_parts, service); });
+    parts.admission.onDemand([this](const ServiceId &service) {
+        if (!hasEngine(*m_parts, service))
+            m_parts->pressure.recordDemand(service);
+    });
+    if (m_parts->settings.admission.order)
+        parts.loads.setRates([this] { return m_parts->admission.rates(); },
+                             [this](const VmId &peer, const QCborArray &rows) {
+                                 m_parts->admission.receiveRates(peer, rows);
+                             });
+    parts.admission.onChanged([this] { m_parts->waiting.roomChanged(); });
+}
+
 void RelayDaemon::connectAvailability()
 {
     RelayParts &parts = *m_parts;
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -32,6 +32,7 @@
     void drain(std::function<void()> done);
 
 private:
+    void connectAdmission();
     void connectAvailability();
     void handleReadiness(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply);
     void operatorKeyWritten(const QString &key, const QByteArray &value);
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelayGateway.h"
 
+#include "admission/Urgency.h"
 #include "base/EventLog.h"
 #include "base/StableSortByKey.h"
 #include "base/TimerService.h"
@@ -203,6 +204,10 @@
     task.subject = crashSubject(request, task.workspace, task.service);
     task.request = std::move(request);
     task.route = route;
+    const auto priority = m_configuration->priorityOfWorkspace.constFind(task.workspace);
+    const bool hasPriority = priority != m_configuration->priorityOfWorkspace.cend();
+    task.route.priority = combinedPriority(
+        hasPriority ? std::optional<int>(*priority) : std::nullopt, route.priority);
     task.arrived = m_context.timers.now();
     ++m_context.counters.of(route.kind).arrived;
     logEvent(
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -80,6 +80,77 @@
     return text;
 }
 
+QByteArray labelledCounter(const QByteArray &name, const QByteArray &label, const QByteArray &value,
+                           qint64 count)
+{
+    return name + '{' + label + "=\"" + value + "\"} " + QByteArray::number(count) + '\n';
+}
+
+QByteArray lateText(const RelayCounters &counters)
+{
+    QByteArray text = "# TYPE cranberry_relay_late_total counter\n";
+    for (std::size_t kind = 0; kind < RequestKindCount; ++kind) {
+        for (std::size_t cause = 0; cause < LateCauseCount; ++cause)
+            text += QByteArray("cranberry_relay_late_total{kind=\"") + KindNames[kind]
+                + "\",cause=\"" + lateCauseName(LateCause(cause)) + "\"} "
+                + QByteArray::number(counters.kinds[kind].late[cause]) + '\n';
+    }
+    return text;
+}
+
+QByteArray admissionText(RelayParts &parts)
+{
+    const FleetAdmission::Counters &counters = parts.admission.counters();
+    const QByteArray prefix = "cranberry_relay_admission_";
+    QByteArray text = "# TYPE " + prefix + "rejected_total counter\n";
+    for (const auto &[priority, count] : counters.rejected)
+        text += labelledCounter(prefix + "rejected_total", "priority", QByteArray::number(priority),
+                                count);
+    text += "# TYPE " + prefix + "returned_total counter\n";
+    for (std::size_t kind = 0; kind < ReturnKindCount; ++kind)
+        text += labelledCounter(prefix + "returned_total", "kind", returnKindName(ReturnKind(kind)),
+                                counters.returned[kind]);
+    text += counterText(prefix + "held_total", counters.held);
+    text += counterText(prefix + "out_of_turn_total", counters.outOfTurn);
+    text += counterText(prefix + "promises_total", counters.promises);
+    const DemandExchange::Counters &exchange = parts.admission.exchangeCounters();
+    text += counterText(prefix + "messages_sent_total", exchange.sent);
+    text += counterText(prefix + "messages_received_total", exchange.received);
+    text += counterText(prefix + "messages_unreadable_total", exchange.unreadable);
+    text += gaugeText(prefix + "pressed_services", parts.pressure.pressed());
+    QByteArray waiting = "# TYPE " + prefix + "fleet_waiting gauge\n";
+    QByteArray usage = "# TYPE " + prefix + "workspace_use gauge\n";
+    for (const FleetAdmission::Figures &figures : parts.admission.figures()) {
+        const QByteArray service = "{service=\"" + figures.service.text().toUtf8() + "\",";
+        for (const auto &[priority, room] : figures.fleetWaiting)
+            waiting += prefix + "fleet_waiting" + service + "priority=\""
+                + QByteArray::number(priority) + "\"} " + QByteArray::number(room) + '\n';
+        for (const WorkspaceRate &rate : figures.usage)
+            usage += prefix + "workspace_use" + service + "workspace=\""
+                + rate.workspace.text().toUtf8() + "\"} " + QByteArray::number(rate.workPerSecond)
+                + '\n';
+    }
+    return text + waiting + usage;
+}
+
+QByteArray speedsText(const RelayParts &parts)
+{
+    QByteArray text = "# TYPE cranberry_relay_target_speed gauge\n";
+    for (const TargetId &id : parts.targets.withSpeed(MaxTargetsInMetrics)) {
+        const TargetSpeed &speed = parts.targets.find(id)->speed;
+        const std::array<std::pair<const char *, ObservedMean>, 3> rows{
+            {{"service_ms", speed.service},
+             {"reading_tokens_per_ms", speed.reading},
+             {"pace_ms_per_token", speed.pace}}};
+        for (const auto &[name, mean] : rows) {
+            if (mean.samples > 0)
+                text += "cranberry_relay_target_speed{target=\"" + id.text().toUtf8()
+                    + "\",figure=\"" + name + "\"} " + QByteArray::number(mean.value) + '\n';
+        }
+    }
+    return text;
+}
+
 QByteArray retryUnitsText(RelayParts &parts)
 {
     const RelayRetryBudget::Counters &counters = parts.retryBudget.counters();
@@ -182,6 +253,9 @@
     text += retryUnitsText(parts);
     text += forwardingText(parts);
     text += crashesText(parts);
+    text += lateText(counters);
+    text += admissionText(parts);
+    text += speedsText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_configuration_fed", parts.configuration.isFed() ? 1 : 0);
     text += gaugeText("cranberry_relay_running", parts.gateway.running());
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -7,6 +7,7 @@
 #include "relay/CrashGuard.h"
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
+#include "relay/FleetAdmission.h"
 #include "relay/LimitExchange.h"
 #include "relay/LoadExchange.h"
 #include "relay/OutputForecast.h"
@@ -22,6 +23,7 @@
 #include "relay/RelaySettings.h"
 #include "relay/RetryExchange.h"
 #include "relay/RoomForecast.h"
+#include "relay/ServicePressure.h"
 #include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetAnnouncements.h"
@@ -30,6 +32,7 @@
 #include "relay/TargetDirectory.h"
 #include "relay/TargetEntries.h"
 #include "relay/TargetLimits.h"
+#include "relay/TargetSpeeds.h"
 #include "relay/WaitingRequests.h"
 
 namespace cranberry {
@@ -50,13 +53,16 @@
     BrittleServices brittle;
     ReachMonitor reach;
     EngineReports reports;
-    WaitingRequests waiting;
+    ServicePressure pressure;
+    TargetSpeeds speeds;
     RelayRetryBudget retryBudget;
     OutputForecast outputForecast;
     RoomForecast roomForecast;
     PeerDirectory peers;
     PeerDatagrams datagrams;
     PeerForwarding forwarding;
+    FleetAdmission admission;
+    WaitingRequests waiting;
     DataCentreHeads heads;
     LoadExchange loads;
     LimitExchange limitExchange;
--- a/src/relay/RelayRoute.h
+++ b/src/relay/RelayRoute.h
@@ -26,7 +26,9 @@
     Milliseconds timeout{0};
     /// Target time until the answer, or until the first event of a stream.
     Milliseconds objective{0};
-    /// 0 is the highest priority.
+    /// The longest pause between two events of a stream that is on time; zero if not bounded.
+    Milliseconds maxPause{0};
+    /// 0 is the highest priority; in a request, combined with that of its workspace.
     int priority = 0;
     QList<ServiceShare> services;
     /// Maximum number of attempts after which the request may have run.
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -9,6 +9,7 @@
 #include "relay/CrashGuard.h"
 #include "relay/CrashHold.h"
 #include "relay/EngineReports.h"
+#include "relay/FleetAdmission.h"
 #include "relay/ForwardOutcome.h"
 #include "relay/ForwardedExchange.h"
 #include "relay/GenerationBackup.h"
@@ -19,9 +20,11 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
+#include "relay/ServicePressure.h"
 #include "relay/TargetAvailability.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetPlace.h"
+#include "relay/TargetSpeeds.h"
 #include "relay/WaitingRequests.h"
 
 #include <QRandomGenerator>
@@ -46,6 +49,8 @@
 constexpr Milliseconds MaxReturnSpread{1000};
 /// Limit of unsent bytes for a caller; a stream produces about 10 KB per second.
 constexpr qsizetype MaxUnsentBytes = 1024 * 1024;
+/// Shorter streams say little about the pace of an engine.
+constexpr qint64 MinEventsForPace = 10;
 
 Milliseconds spread(Milliseconds longest)
 {
@@ -98,6 +103,9 @@
         m_context.retryBudget.countRequest(m_task.service, m_context.timers.now());
         m_isCounted = true;
     }
+    FleetAdmission &admission = m_context.admission;
+    m_level = admission.level(m_task.service, m_task.workspace, m_task.route.priority);
+    m_returns = admission.recordArrival(m_task.service, shortFingerprint(), timeout());
     place();
 }
 
@@ -125,6 +133,9 @@
     if (m_reservation)
         plan.reservation = m_reservation->use();
     m_backup = chooseBackup(plan);
+    m_context.admission.recordPlaced(m_task.service, urgency(m_context.timers.now()).level, work());
+    if (m_task.engine)
+        m_context.admission.recordUse(m_task.service, m_task.workspace, work().roomSeconds);
     open(entry.id, entry.endpoint, plan);
     if (m_task.route.kind == RequestKind::Idempotent) {
         const auto silence = std::chrono::duration_cast<Milliseconds>(SilenceTimeoutObjectives
@@ -143,6 +154,10 @@
     m_endpoint = endpoint;
     if (m_target != target)
         occupy(target);
+    m_openedAt = m_context.timers.now();
+    const PeerLoad load = m_context.targets.loadExcluding(target, {});
+    m_runningWhenSent = load.running;
+    m_unreadWhenSent = load.unread;
     RelayAttemptCallbacks callbacks;
     if (isStream()) {
         callbacks.began = [this](const AnswerHead &head) { m_streamHead = head; };
@@ -186,6 +201,10 @@
     m_reservation.reset();
     recordPromptRead();
     m_context.targets.requestEnded(m_target, m_reserved);
+    const std::chrono::duration<double, std::milli> occupied =
+        m_context.timers.now() - m_occupiedAt;
+    if (!m_task.engine)
+        m_context.admission.recordUse(m_task.service, m_task.workspace, occupied.count());
     if (m_task.engine && hasBegun()) {
         const auto held = m_context.timers.now() - m_occupiedAt;
         recordHolding(m_context.roomForecast, heldTokens(),
@@ -222,6 +241,10 @@
     }
     const bool isFirstEvent = m_ran != Ran::Yes;
     m_ran = Ran::Yes;
+    if (m_unread.value() > 0)
+        m_context.speeds.recordReading(
+            m_target, m_unreadWhenSent,
+            std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_openedAt));
     recordPromptRead();
     recordPause();
     m_lastEvent = id;
@@ -258,6 +281,35 @@
     m_lastEventAt = now;
 }
 
+void RelayRun::recordSpeed(const SendResult &result)
+{
+    const MonotonicTime now = m_context.timers.now();
+    if (m_task.engine) {
+        const auto span = std::chrono::duration_cast<Milliseconds>(m_lastEventAt - m_firstEventAt);
+        if (isWholeStream(result) && m_moves == 0 && m_lastEvent >= MinEventsForPace)
+            m_context.speeds.recordPace(
+                m_target, Tokens((m_lastEvent - 1) * m_task.engine->tokensPerEvent), span);
+        return;
+    }
+    const auto time = std::chrono::duration_cast<Milliseconds>(now - m_openedAt);
+    if (result.kind == SendResult::Kind::NotExecuted)
+        m_context.pressure.recordRejection(m_task.service);
+    if (result.kind != SendResult::Kind::Answered)
+        return;
+    m_context.pressure.recordAnswer(m_task.service, time, m_task.route.objective);
+    m_context.speeds.recordService(m_target, time, m_runningWhenSent);
+}
+
+const char *RelayRun::countLateness()
+{
+    const auto taken =
+        std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_task.arrived);
+    const Milliseconds toAnswer = isStream() ? Milliseconds(firstEventMilliseconds()) : taken;
+    const LateCause cause = lateCause(m_task.route, toAnswer, m_movePause, m_longestPause);
+    ++m_context.counters.of(m_task.route.kind).late[std::size_t(cause)];
+    return lateCauseName(cause);
+}
+
 void RelayRun::forwardAnswer(const SendResult &result)
 {
     // The caller would take a 503 from the target as a guarantee that the request has not run,
@@ -352,10 +404,12 @@
     if (m_phase == Phase::Over)
         return;
     const std::chrono::duration<double, std::milli> taken = m_context.timers.now() - m_task.arrived;
+    const bool isAnswered = QLatin1String(outcome) == QLatin1String("answered");
     logEvent(LogLevel::Info, EventId::RelayEnded,
              {{"request", m_task.request.id.text()},
               {"route", m_task.route.name},
               {"outcome", QLatin1String(outcome)},
+              {"late", QLatin1String(isAnswered ? countLateness() : "")},
               {"ran", QLatin1String(ranName(m_ran))},
               {"sends", QString::number(m_sends)},
               {"events", QString::number(m_lastEvent)},
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/FleetDemand.h"
 #include "base/Ids.h"
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
@@ -21,6 +22,7 @@
 namespace cranberry {
 
 class CallerReply;
+struct AdmissionEstimate;
 class GenerationBackup;
 class GenerationMove;
 class ForwardedExchange;
@@ -84,8 +86,18 @@
     /// Its stream is being generated at target().
     bool isGenerating() const { return m_phase == Phase::Sent && isStream(); }
     const TargetId &target() const { return m_target; }
-    /// Sends it if a target can take it; returns false if it must keep waiting.
-    bool tryPlace();
+    /// Sends it if a target can take it and it is its turn; returns false if it must keep waiting.
+    /// @p ownAhead: work of this daemon's requests that goes before it.
+    bool tryPlace(const Work &ownAhead);
+    /// Rejects it if it is not expected to get room in time; returns false if it can wait.
+    bool rejectIfHopeless(const Work &ownAhead);
+    const ServiceId &service() const { return m_task.service; }
+    /// Its place among the requests of all daemons at @p now.
+    Urgency urgency(MonotonicTime now) const;
+    /// The room that it takes, and for how long.
+    Work work() const;
+    /// Whether room is what it waits for, and not a pause, a permit or a reachable target.
+    bool waitsForRoom() const { return m_waitsForRoom; }
     /// Rejects it if pauses or rate limits keep it from all its targets until it would give up
     /// waiting; returns false if it can wait.
     bool rejectIfUnavailable();
@@ -140,6 +152,16 @@
     Milliseconds retryAfter() const;
 
     void place();
+    bool tryPlaceOnArrival();
+    /// Whether a target of @p targets could take it once it has room.
+    bool canUseRoom(const QList<const TargetRecord *> &targets) const;
+    quint64 shortFingerprint() const;
+    /// Counts the answer by why it was late, and returns the name of the cause.
+    const char *countLateness();
+    void recordSpeed(const SendResult &result);
+    /// Rejects a request that waits for room. @p estimate: when that is expected.
+    void rejectForRoom(const AdmissionEstimate &estimate, Milliseconds limit);
+    AdmissionEstimate estimate(const Work &ownAhead, Milliseconds limit) const;
     /// Returns whether the request must not be sent now; it is then rejected, or waits for
     /// permission.
     bool holdBack();
@@ -246,6 +268,9 @@
     const MonotonicTime m_deadline;
     /// Forecast output length; see OutputForecast.
     const Tokens m_expectedOutput;
+    /// See Urgency; fixed at the arrival.
+    int m_level = 0;
+    ReturnKind m_returns = ReturnKind::New;
 
     Phase m_phase = Phase::Placing;
     /// Execution state after all attempts so far; it never decreases.
@@ -267,6 +292,13 @@
     HttpEndpoint m_endpoint;
     Tokens m_reserved;
     MonotonicTime m_occupiedAt;
+    /// Requests of all daemons at the target, and unread tokens, when it was sent there.
+    int m_runningWhenSent = 0;
+    Tokens m_unreadWhenSent;
+    MonotonicTime m_openedAt;
+    bool m_waitsForRoom = false;
+    /// See FleetAdmission::mayPlace().
+    std::optional<MonotonicTime> m_roomLeftSince;
     /// Prompt tokens that the target is not known to have read yet.
     Tokens m_unread;
     /// Pays for the next send.
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -5,11 +5,14 @@
 #include "base/TimerSubscription.h"
 #include "relay/BrittleServices.h"
 #include "relay/EngineReports.h"
+#include "relay/FleetAdmission.h"
 #include "relay/GenerationMove.h"
 #include "relay/OutputForecast.h"
+#include "relay/ReachMonitor.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
+#include "relay/ServicePressure.h"
 #include "relay/TargetAvailability.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetLimits.h"
@@ -56,11 +59,18 @@
 constexpr Tokens ForecastStep{256};
 /// Fraction of the expected output that is reserved in addition to the prompt.
 constexpr double ReservedOutputFraction = 0.5;
+/// A request waits if it is expected to get room within this part of the time that it may wait.
+constexpr double AcceptedWaitFraction = 0.7;
+/// Time per token of an engine that runs many generations.
+constexpr double SecondsPerToken = 0.01;
 /// Number of targets with a rate limit whose permits one request asks for. In a large fleet many
 /// targets of a service may have one, and each ask is a message.
 constexpr int MaxPermitRequests = 4;
 /// The request is sent immediately after the grant, over the same connection.
 constexpr Milliseconds ReservationLifetime{500};
+/// The news that a request has ended at a target reaches the other daemons after this time. In the
+/// meantime its slot would be idle, so that targets under pressure take some requests more.
+constexpr double EndNewsMilliseconds = 20;
 
 } // namespace
 
@@ -80,6 +90,16 @@
     need.distance = m_context.distanceCosts();
     need.excluded =
         m_excluded + m_context.limits.withoutPermit() + m_context.availability.notStarting();
+    const AdmissionSettings &admission = m_context.admission.settings();
+    need.usesSpeed = admission.observedSpeed;
+    const bool isPlainContended = !m_task.engine && admission.order
+        && (m_context.pressure.isPressed(m_task.service)
+            || m_context.admission.isBusy(m_task.service));
+    if (admission.order && m_context.admission.contendedFor(m_task.service) >= ContentionKnownDelay)
+        need.loadTimeout = ContendedLoadTimeout;
+    if (isPlainContended)
+        need.slotOvercommit = EndNewsMilliseconds
+            / std::max(double(m_context.pressure.meanTime(m_task.service).count()), 1.0);
     // Engines exchange their loads, and their memory is too small to be dealt out.
     if (!m_task.engine)
         need.excluded += m_context.brittle.withoutRoom(m_task.service);
@@ -184,7 +204,7 @@
     if (holdBack())
         return;
     if (!m_task.engine || m_context.hasPeers() || shouldForward()) {
-        if (!tryPlace())
+        if (!tryPlaceOnArrival())
             waitForRoom();
         return;
     }
@@ -192,7 +212,7 @@
                                                m_context.timers.now(), EnginesPolled);
     m_context.reports.refresh(polled, ReportMaxAge, [weak = weak_from_this()] {
         const auto run = weak.lock();
-        if (run && run->m_phase == Phase::Placing && !run->tryPlace())
+        if (run && run->m_phase == Phase::Placing && !run->tryPlaceOnArrival())
             run->waitForRoom();
     });
 }
@@ -230,7 +250,47 @@
     return base - LengthDiscount * double(m_expectedOutput.value()) / memory;
 }
 
-bool RelayRun::tryPlace()
+Urgency RelayRun::urgency(MonotonicTime now) const
+{
+    return {isOverdue(now) ? OverdueLevel : m_level, m_returns, m_task.arrived};
+}
+
+Work RelayRun::work() const
+{
+    // Requests of a plain service are taken for equally long.
+    if (!m_task.engine)
+        return {1, 1};
+    const double tokens = std::max(double(expectedTokens().value()), 1.0);
+    const std::chrono::duration<double> reading = readingTime();
+    return {tokens,
+            tokens * (reading.count() + SecondsPerToken * double(m_expectedOutput.value()))};
+}
+
+quint64 RelayRun::shortFingerprint() const
+{
+    constexpr int HexDigits = 16;
+    constexpr int HexBase = 16;
+    return m_task.subject.request.fingerprint.text().left(HexDigits).toULongLong(nullptr, HexBase);
+}
+
+bool RelayRun::tryPlaceOnArrival()
+{
+    return tryPlace(m_context.waiting.workAhead(m_task.service, urgency(m_context.timers.now())));
+}
+
+bool RelayRun::canUseRoom(const QList<const TargetRecord *> &targets) const
+{
+    if (m_context.reach.isUnreachable(m_task.service))
+        return false;
+    const QSet<TargetId> notStarting = m_context.availability.notStarting();
+    return std::any_of(targets.begin(), targets.end(), [&](const TargetRecord *target) {
+        const TargetId &id = target->entry.id;
+        return !m_excluded.contains(id) && !notStarting.contains(id)
+            && !m_context.limits.isLimited(id);
+    });
+}
+
+bool RelayRun::tryPlace(const Work &ownAhead)
 {
     if (shouldForward()) {
         forward();
@@ -244,10 +304,32 @@
     TargetNeed wanted = need();
     if (m_task.engine)
         wanted.unreadLimit = unreadLimit(now);
-    const TargetPick pick = chooseTarget(m_context.targets.takingWork(m_task.service), wanted, now);
+    const QList<const TargetRecord *> targets = m_context.targets.takingWork(m_task.service);
+    m_waitsForRoom = canUseRoom(targets);
+    const TargetPick pick = chooseTarget(targets, wanted, now);
     const bool isFull = m_task.engine && pick.load > maxLoad(now);
-    if (!pick.target || isFull)
+    if (!pick.target || isFull) {
+        m_roomLeftSince.reset();
+        return false;
+    }
+    const Work ahead = ownAhead + m_context.admission.workAhead(m_task.service, urgency(now));
+    const auto room = [&] {
+        return roomFor(targets, wanted, m_task.engine ? maxLoad(now) : 0, now);
+    };
+    // A caller that returned early gets only what nobody waits for.
+    if (m_returns == ReturnKind::Early)
+        m_roomLeftSince.reset();
+    const bool isTurn = m_context.admission.mayPlace(ahead, work(), room, m_roomLeftSince);
+    if (!isTurn) {
+        if (m_phase == Phase::Placing)
+            logEvent(LogLevel::Info, EventId::AdmissionHeld,
+                     {{"request", m_task.request.id.text()},
+                      {"service", m_task.service.text()},
+                      {"level", QString::number(urgency(now).level)},
+                      {"work", QString::number(work().room, 'f', 0)},
+                      {"ahead", QString::number(ahead.room, 'f', 0)}});
         return false;
+    }
     if (reservesRoom(pick.target->entry.id))
         reserve(pick);
     else
@@ -310,7 +392,7 @@
         m_context.targets.recordFailure(target, "no answer to a reservation");
         break;
     }
-    if (!tryPlace())
+    if (!tryPlaceOnArrival())
         waitForRoom();
 }
 
@@ -341,8 +423,12 @@
         fail(ErrorKind::NoTarget, QStringLiteral("the data centres of all targets are evacuated"));
         return;
     }
-    if (rejectIfUnavailable())
+    const MonotonicTime now = m_context.timers.now();
+    if (rejectIfUnavailable()
+        || rejectIfHopeless(m_context.waiting.workAhead(m_task.service, urgency(now))))
         return;
+    if (!m_task.engine && m_waitsForRoom)
+        m_context.pressure.recordDemand(m_task.service);
     m_phase = Phase::Waiting;
     logEvent(LogLevel::Info, EventId::RelayWaiting,
              {{"request", m_task.request.id.text()},
@@ -350,8 +436,7 @@
               {"targets", QString::number(m_context.targets.count(m_task.service))},
               {"limited", QString::number(limitedTargets().size())}});
     m_context.waiting.add(shared_from_this());
-    const auto left =
-        std::chrono::duration_cast<Milliseconds>(waitsUntil() - m_context.timers.now());
+    const auto left = std::chrono::duration_cast<Milliseconds>(waitsUntil() - now);
     m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
         const auto self = shared_from_this();
         waitTimedOut();
@@ -370,9 +455,77 @@
     const QList<TargetId> limited = limitedTargets();
     if (!limited.isEmpty())
         m_rejectionDelay = m_context.limits.reject(limited);
+    const AdmissionSettings &settings = m_context.admission.settings();
+    const bool mayPromise = settings.order && settings.earlyRejection && limited.isEmpty()
+        && m_waitsForRoom && m_ran == Ran::No;
+    if (mayPromise) {
+        const AdmissionEstimate current = estimate({}, Milliseconds(0));
+        if (current.placedPerSecond)
+            rejectForRoom(current, Milliseconds(0));
+    }
     fail(ErrorKind::NoTarget, QStringLiteral("no target has room for the request"));
 }
 
+AdmissionEstimate RelayRun::estimate(const Work &ownAhead, Milliseconds limit) const
+{
+    const MonotonicTime now = m_context.timers.now();
+    return m_context.admission.estimate(m_task.service, urgency(now), ownAhead, work(), limit);
+}
+
+void RelayRun::rejectForRoom(const AdmissionEstimate &estimate, Milliseconds limit)
+{
+    const MonotonicTime now = m_context.timers.now();
+    const Urgency place = urgency(now);
+    const auto onTime = std::chrono::duration_cast<Milliseconds>(
+        m_task.arrived + m_task.route.objective - readingTime() - now);
+    const Milliseconds due = m_context.admission.untilDue(m_task.service, shortFingerprint());
+    const bool isEarly = m_returns == ReturnKind::Early && due.count() > 0;
+    m_rejectionDelay = isEarly
+        ? due
+        : m_context.admission.reject(m_task.service, place.level, work(), shortFingerprint(),
+                                     timeout(), onTime, estimate);
+    logEvent(LogLevel::Info, EventId::AdmissionRejected,
+             {{"request", m_task.request.id.text()},
+              {"service", m_task.service.text()},
+              {"level", QString::number(place.level)},
+              {"returns", QLatin1String(returnKindName(m_returns))},
+              {"work", QString::number(work().room, 'f', 0)},
+              {"ahead", QString::number(estimate.ahead.roomSeconds, 'f', 0)},
+              {"placed_per_s", QString::number(estimate.placedPerSecond.value_or(0), 'f', 1)},
+              {"expected_ms", QString::number(estimate.wait.value_or(Milliseconds(0)).count())},
+              {"limit_ms", QString::number(limit.count())},
+              {"retry_ms", QString::number(m_rejectionDelay->count())},
+              {"heard", QString::number(estimate.heard)},
+              {"age_ms", QString::number(estimate.oldestReport.count())}});
+}
+
+bool RelayRun::rejectIfHopeless(const Work &ownAhead)
+{
+    const MonotonicTime now = m_context.timers.now();
+    const AdmissionSettings &settings = m_context.admission.settings();
+    if (!settings.order || !settings.earlyRejection || !m_waitsForRoom || isOverdue(now))
+        return false;
+    const auto limit =
+        std::chrono::duration_cast<Milliseconds>(std::min(waitsUntil(), m_deadline) - now);
+    const AdmissionEstimate current = estimate(ownAhead, limit);
+    // Estimates are uncertain: a caller that is rejected now has more time left than one that has
+    // waited in vain.
+    const double accepted = m_phase == Phase::Waiting ? 1 : AcceptedWaitFraction;
+    const bool isHopeless = current.wait && *current.wait > accepted * limit;
+    if (!isHopeless && m_returns != ReturnKind::Early)
+        return false;
+    if (m_fallback) {
+        forwardAnswer(*m_fallback);
+        return true;
+    }
+    // The caller of a request that may have run is not told to retry.
+    if (m_ran == Ran::No)
+        rejectForRoom(current, limit);
+    fail(m_ran == Ran::No ? ErrorKind::NoTarget : ErrorKind::TargetFailed,
+         QStringLiteral("no room is expected in time"));
+    return true;
+}
+
 void RelayRun::extendForecast()
 {
     // An answer that exceeds its forecast is expected to continue for about as long as the excess.
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -53,6 +53,7 @@
         ++m_arrivals;
     m_attemptEnd = attemptEndOf(result);
     updateTargetHealth(result);
+    recordSpeed(result);
     if (hasBegun() && continueAtBackup(result))
         return;
     if (hasBegun()) {
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -4,6 +4,7 @@
 
 #include <QHostAddress>
 #include <QJsonDocument>
+#include <QJsonObject>
 
 #include <algorithm>
 
@@ -13,6 +14,8 @@
 
 constexpr qint64 MaxMilliseconds = 3'600'000;
 constexpr double MaxSlack = 1e6;
+constexpr double MinWeight = 0.01;
+constexpr double MaxWeight = 100;
 constexpr qint64 MaxAnswerBytes = 1024 * 1024 * 1024;
 
 HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
@@ -39,6 +42,27 @@
     return limits;
 }
 
+AdmissionSettings readAdmission(SettingsReader reader, const QJsonObject &weights)
+{
+    AdmissionSettings admission;
+    admission.order = reader.flag(QStringLiteral("order"), admission.order);
+    admission.earlyRejection =
+        reader.flag(QStringLiteral("early_rejection"), admission.earlyRejection);
+    admission.workspaceShares =
+        reader.flag(QStringLiteral("workspace_shares"), admission.workspaceShares);
+    admission.observedSpeed =
+        reader.flag(QStringLiteral("observed_speed"), admission.observedSpeed);
+    SettingsReader weightReader = reader.object(QStringLiteral("workspace_weights"));
+    // Requests without a workspace have no share that a weight could change.
+    if (weights.contains(QString()))
+        reader.fault(QStringLiteral("workspace_weights"),
+                     QStringLiteral("non-empty names of workspaces"));
+    for (auto entry = weights.begin(); entry != weights.end(); ++entry)
+        admission.weights.insert(WorkspaceId(entry.key()),
+                                 weightReader.decimal(entry.key(), MinWeight, MaxWeight, 1));
+    return admission;
+}
+
 StalenessBounds readBounds(SettingsReader &reader)
 {
     StalenessBounds bounds;
@@ -73,6 +97,12 @@
     settings.peer = readAddress(reader, QStringLiteral("peer"));
     settings.store = readAddress(reader, QStringLiteral("store"));
     settings.retries = readRetries(reader.object(QStringLiteral("retries")));
+    settings.admission = readAdmission(reader.object(QStringLiteral("admission")),
+                                       document.object()
+                                           .value(QStringLiteral("admission"))
+                                           .toObject()
+                                           .value(QStringLiteral("workspace_weights"))
+                                           .toObject());
     settings.staleness = readBounds(reader);
     settings.targetHeartbeat =
         readDuration(reader, QStringLiteral("target_heartbeat_ms"), settings.targetHeartbeat);
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Result.h"
 #include "http/HttpEndpoint.h"
+#include "relay/AdmissionSettings.h"
 #include "relay/RetryLimits.h"
 #include "relay/StalenessPlan.h"
 
@@ -17,6 +18,7 @@
     HttpEndpoint peer;
     HttpEndpoint store;
     RetryLimits retries;
+    AdmissionSettings admission;
     StalenessBounds staleness;
     /// Interval at which targets renew their entries; an entry expires after three intervals. 0 if
     /// unknown.
--- a/src/relay/TargetChoice.cpp
+++ b/src/relay/TargetChoice.cpp
@@ -22,6 +22,14 @@
 /// Unread prompt tokens that weigh as much as a full engine. An engine that also generates reads
 /// about 7 tokens per ms: reading 10,000 takes as long as the objective for the first event.
 constexpr double UnreadTokensPerLoad = 10000;
+/// Speeds of targets are compared if one is this much faster than another; less is chance.
+constexpr double MinSpeedRatio = 1.3;
+/// Fewer observations say little about a target.
+constexpr double MinSpeedSamples = 3;
+/// Tokens per ms that an engine of unknown speed reads; see UnreadTokensPerLoad.
+constexpr double AssumedReadingRate = 7;
+/// Weight of the load of a target beside the expected time there.
+constexpr double EqualTimeWeight = 0.1;
 /// Load reports older than this are ignored.
 constexpr Milliseconds ReportLifetime{2000};
 /// Random score component; it makes daemons with identical information choose different targets.
@@ -41,7 +49,8 @@
     int running = 0;
 };
 
-KnownLoad knownLoad(const TargetRecord &target, MonotonicTime now)
+KnownLoad knownLoad(const TargetRecord &target, MonotonicTime now,
+                    Milliseconds timeout = PeerLoadTimeout)
 {
     KnownLoad load;
     load.tokens = double(target.ownTokens.value());
@@ -49,7 +58,7 @@
     load.unread = double(target.ownUnread.value());
     load.running = target.ownRunning;
     for (const PeerLoad &peer : target.peers) {
-        if (now - peer.heardAt > PeerLoadTimeout)
+        if (now - peer.heardAt > timeout)
             continue;
         load.tokens += double(peer.tokens.value());
         load.backup += double(peer.backup.value());
@@ -65,7 +74,7 @@
                   bool withBackups)
 {
     const double capacity = std::max<double>(double(need.engine->memory.value()), 1);
-    const KnownLoad known = knownLoad(target, now);
+    const KnownLoad known = knownLoad(target, now, need.loadTimeout);
     double used = known.tokens + known.backup;
     int running = known.running;
     const bool hasReport = target.report && now - target.reportedAt < ReportLifetime;
@@ -83,16 +92,99 @@
     return std::max(memory, slots);
 }
 
+/// What is known of the speed of all targets of a choice.
+struct SpeedView {
+    /// Times of service, and rates of reading, of targets that are not known count as the mean.
+    double meanService = 0;
+    double meanReading = AssumedReadingRate;
+    bool differs = false;
+};
+
+SpeedView speedView(const QList<const TargetRecord *> &targets, const TargetNeed &need)
+{
+    SpeedView view;
+    if (!need.usesSpeed)
+        return view;
+    double sum = 0;
+    double lowest = 0;
+    double highest = 0;
+    int known = 0;
+    for (const TargetRecord *target : targets) {
+        const ObservedMean &mean = need.engine ? target->speed.reading : target->speed.service;
+        if (mean.samples < MinSpeedSamples)
+            continue;
+        lowest = known == 0 ? mean.value : std::min(lowest, mean.value);
+        highest = std::max(highest, mean.value);
+        sum += mean.value;
+        ++known;
+    }
+    if (known == 0)
+        return view;
+    (need.engine ? view.meanReading : view.meanService) = sum / known;
+    view.differs = known > 1 && highest > MinSpeedRatio * lowest;
+    return view;
+}
+
+/// How much longer than the mean a plain request takes at @p target.
+double slowness(const TargetRecord &target, const SpeedView &view)
+{
+    const ObservedMean &service = target.speed.service;
+    return view.differs && service.samples >= MinSpeedSamples ? service.value / view.meanService
+                                                              : 1;
+}
+
+double readingRate(const TargetRecord &target, const SpeedView &view)
+{
+    const ObservedMean &reading = target.speed.reading;
+    if (!view.differs)
+        return AssumedReadingRate;
+    return reading.samples >= MinSpeedSamples ? reading.value : view.meanReading;
+}
+
 /// Delay that unread prompts at the target cause, as a fraction of the objective for the first
-/// event.
-double readingDelay(const TargetRecord &target, MonotonicTime now)
+/// event. Includes the prompt of the request itself if targets differ in speed.
+double readingDelay(const TargetRecord &target, const TargetNeed &need, const SpeedView &view,
+                    MonotonicTime now)
 {
-    return knownLoad(target, now).unread / UnreadTokensPerLoad;
+    const double unread = knownLoad(target, now, need.loadTimeout).unread
+        + (view.differs ? double(need.prompt.value()) : 0);
+    return unread * (AssumedReadingRate / readingRate(target, view)) / UnreadTokensPerLoad;
 }
 
-double plainLoad(const TargetRecord &target)
+int plainRunning(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    return double(target.ownRunning + 1) / std::max(target.entry.slots, 1);
+    return need.slotOvercommit ? knownLoad(target, now, need.loadTimeout).running
+                               : target.ownRunning;
+}
+
+double plainLoad(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
+{
+    return double(plainRunning(target, need, now) + 1) / std::max(target.entry.slots, 1);
+}
+
+/// Requests of all daemons that a target of a plain service takes while the service is contended.
+int slotLimit(const TargetRecord &target, const TargetNeed &need)
+{
+    const int slotCount = std::max(target.entry.slots, 1);
+    const int beyond = int(std::lround(*need.slotOvercommit * slotCount));
+    return slotCount + std::clamp(beyond, 1, std::max(slotCount / 2, 1));
+}
+
+/// Without differences in speed, the load. With the loads of all daemons, the expected time in
+/// relation to the mean time of service; the load decides between equal ones. While daemons do not
+/// know each other's load, a random factor spreads their requests in proportion to what targets can
+/// do; otherwise all would choose the fastest.
+double plainScore(const TargetRecord &target, const TargetNeed &need, const SpeedView &view,
+                  MonotonicTime now)
+{
+    const double load = plainLoad(target, need, now);
+    if (!view.differs)
+        return load;
+    const double service = slowness(target, view);
+    if (need.slotOvercommit)
+        return expectedTime(service, plainRunning(target, need, now), target.entry.slots)
+            + EqualTimeWeight * load;
+    return -std::log1p(-QRandomGenerator::global()->generateDouble()) * load * service;
 }
 
 double distanceCost(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
@@ -104,12 +196,14 @@
         + (isKnown ? 0 : need.distance.unreported);
 }
 
-double score(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
+double score(const TargetRecord &target, const TargetNeed &need, const SpeedView &view,
+             MonotonicTime now)
 {
-    const double load = need.engine ? engineLoad(target, need, now, false) : plainLoad(target);
+    const double load =
+        need.engine ? engineLoad(target, need, now, false) : plainScore(target, need, view, now);
     double value = load + failurePenalty(target, now);
     if (need.engine)
-        value += readingDelay(target, now);
+        value += readingDelay(target, need, view, now);
     value += distanceCost(target, need, now);
     if (target.isCold(now))
         value += ColdPenalty;
@@ -117,22 +211,25 @@
 }
 
 /// Whether the request is allowed there, regardless of the scores.
-bool hasRoom(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
+bool hasRoom(const TargetRecord &target, const TargetNeed &need, const SpeedView &view,
+             MonotonicTime now)
 {
     if (target.isPaced(now) && target.nextColdSend > now)
         return false;
     if (!need.engine)
-        return true;
+        return !need.slotOvercommit
+            || knownLoad(target, now, need.loadTimeout).running < slotLimit(target, need);
     if (target.fullUntil > now)
         return false;
     if (!need.unreadLimit)
         return true;
     if (target.firstUseAfter > now)
         return false;
-    const double before = knownLoad(target, now).unread;
-    const double slowness = target.isCold(now) ? ColdReadSlowdown : 1;
+    const double before = knownLoad(target, now, need.loadTimeout).unread;
+    const double coldSlowdown = target.isCold(now) ? ColdReadSlowdown : 1;
+    const double slowdown = coldSlowdown * AssumedReadingRate / readingRate(target, view);
     const double unread = before + double(need.prompt.value());
-    return unread * slowness <= double(need.unreadLimit->value());
+    return unread * slowdown <= double(need.unreadLimit->value());
 }
 
 } // namespace
@@ -142,12 +239,13 @@
 {
     QList<ScoredTarget> all;
     QList<const TargetRecord *> remote;
+    const SpeedView view = speedView(targets, need);
     const bool samplesRemote = need.engine && need.distance.maxRemoteCandidates > 0;
     const auto consider = [&](const TargetRecord *target) {
-        all.append({target, target->isSuspect(now), score(*target, need, now)});
+        all.append({target, target->isSuspect(now), score(*target, need, view, now)});
     };
     for (const TargetRecord *target : targets) {
-        if (need.excluded.contains(target->entry.id) || !hasRoom(*target, need, now))
+        if (need.excluded.contains(target->entry.id) || !hasRoom(*target, need, view, now))
             continue;
         const DataCentreId &dataCentre = target->entry.dataCentre;
         if (samplesRemote && dataCentre != need.daemonDataCentre && dataCentre != need.dataCentre)
@@ -165,7 +263,34 @@
 
 double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now)
 {
-    return need.engine ? engineLoad(target, need, now, true) : plainLoad(target);
+    return need.engine ? engineLoad(target, need, now, true) : plainLoad(target, need, now);
+}
+
+double roomFor(const QList<const TargetRecord *> &targets, const TargetNeed &need, double maxLoad,
+               MonotonicTime now)
+{
+    const SpeedView view = speedView(targets, need);
+    TargetNeed nothing = need;
+    nothing.tokens = Tokens(0);
+    double room = 0;
+    for (const TargetRecord *target : targets) {
+        const bool isKnown = need.distance.maxRemoteCandidates == 0
+            || target->entry.dataCentre == need.daemonDataCentre;
+        if (!isKnown || need.excluded.contains(target->entry.id)
+            || !hasRoom(*target, need, view, now))
+            continue;
+        if (!need.engine) {
+            const int running = plainRunning(*target, need, now);
+            const int limit = need.slotOvercommit ? slotLimit(*target, need) : running + 1;
+            room += std::max(limit - running, 0);
+            continue;
+        }
+        const double size = std::max(double(need.tokens.value()), 1.0);
+        const double memory = std::max(double(need.engine->memory.value()), 1.0);
+        const double free = (maxLoad - engineLoad(*target, nothing, now, true)) * memory;
+        room += std::max(std::floor(free / size), 0.0) * size;
+    }
+    return room;
 }
 
 double meanLoad(const QList<const TargetRecord *> &targets, const EngineTraits &engine,
--- a/src/relay/TargetChoice.h
+++ b/src/relay/TargetChoice.h
@@ -4,6 +4,7 @@
 #include "base/Units.h"
 #include "relay/DistanceCosts.h"
 #include "relay/EngineTraits.h"
+#include "relay/PeerLoad.h"
 
 #include <QList>
 #include <QSet>
@@ -28,6 +29,13 @@
     /// still lets the request begin on time; unset for a request without a prompt.
     std::optional<Tokens> unreadLimit;
     Tokens prompt;
+    /// Requests of all daemons that a target of a plain service takes beyond its slots, as a
+    /// fraction of these; unset while daemons do not share the load of the service.
+    std::optional<double> slotOvercommit;
+    /// How long reports of peers are valid.
+    Milliseconds loadTimeout = PeerLoadTimeout;
+    /// Targets are compared by what was observed of their speed.
+    bool usesSpeed = false;
     DistanceCosts distance;
 };
 
@@ -54,6 +62,12 @@
 /// Thread-safe.
 double loadWith(const TargetRecord &target, const TargetNeed &need, MonotonicTime now);
 
+/// Returns the room that @p targets have for requests of the size of @p need: slots of a plain
+/// service, else expected tokens at engines with a load of at most @p maxLoad. Only targets whose
+/// load is known are counted. Thread-safe.
+double roomFor(const QList<const TargetRecord *> &targets, const TargetNeed &need, double maxLoad,
+               MonotonicTime now);
+
 /// Returns the forecast memory use of generations as a fraction of the memory of all @p targets,
 /// excluding backup copies. Thread-safe.
 double meanLoad(const QList<const TargetRecord *> &targets, const EngineTraits &engine,
--- a/src/relay/TargetDirectory.cpp
+++ b/src/relay/TargetDirectory.cpp
@@ -249,12 +249,32 @@
     if (known == m_targets.end())
         return;
     const PeerLoad before = known->peers.value(peer);
-    const bool isLess = load.tokens < before.tokens || load.unread < before.unread;
+    const bool isLess =
+        load.tokens < before.tokens || load.unread < before.unread || load.running < before.running;
     known->peers.insert(peer, load);
     if (isLess)
         notifyCapacity();
 }
 
+void TargetDirectory::setSpeed(const TargetId &target, const TargetSpeed &speed)
+{
+    const auto known = m_targets.find(target);
+    if (known != m_targets.end())
+        known->speed = speed;
+}
+
+QList<TargetId> TargetDirectory::withSpeed(qsizetype maxCount) const
+{
+    QList<TargetId> ids;
+    for (const TargetRecord &record : m_targets) {
+        const TargetSpeed &speed = record.speed;
+        const double samples = speed.service.samples + speed.reading.samples + speed.pace.samples;
+        if (samples > 0 && ids.size() < maxCount)
+            ids.append(record.entry.id);
+    }
+    return ids;
+}
+
 void TargetDirectory::copyOrdered(const TargetId &source, const TargetId &destination,
                                   Milliseconds duration)
 {
--- a/src/relay/TargetDirectory.h
+++ b/src/relay/TargetDirectory.h
@@ -78,6 +78,10 @@
     void promptRead(const TargetId &target, Tokens tokens);
     /// Sets the load that another daemon reports at @p target.
     void setPeerLoad(const TargetId &target, const VmId &peer, const PeerLoad &load);
+    /// Sets what was observed of the speed of @p target.
+    void setSpeed(const TargetId &target, const TargetSpeed &speed);
+    /// At most @p maxCount targets whose speed was observed, ordered by id.
+    QList<TargetId> withSpeed(qsizetype maxCount) const;
     /// Records that a copy of a generation from @p source to @p destination was ordered, by this
     /// daemon or a peer.
     void copyOrdered(const TargetId &source, const TargetId &destination, Milliseconds duration);
--- a/src/relay/TargetRecord.h
+++ b/src/relay/TargetRecord.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/TargetSpeed.h"
 #include "relay/EngineReport.h"
 #include "relay/PeerLoad.h"
 #include "relay/RelayTarget.h"
@@ -42,6 +43,8 @@
     Tokens ownBackup;
     /// Prompts of these requests that have not yielded a token yet.
     Tokens ownUnread;
+    /// What all daemons observed of it recently.
+    TargetSpeed speed;
     /// The loads that the other daemons report at the target.
     QHash<VmId, PeerLoad> peers;
     /// When the target's own data centre last reported its load; never set in a small fleet.
--- a/test/support/LoadFleet.cpp
+++ b/test/support/LoadFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "support/EventLoop.h"
 
+#include <QCborArray>
 #include <QUdpSocket>
 
 namespace cranberry::test {
@@ -45,16 +46,26 @@
     , peers(timers, client, {}, protocol, counters, self)
     , datagrams(peers)
     , heads(timers, peers, datagrams)
-    , loads(timers, peers, heads, datagrams, targets)
+    , speeds(timers, targets)
+    , loads(timers, peers, heads, datagrams, targets, speeds)
     , limits(timers)
     , limitExchange(timers, peers, heads, datagrams, limits,
                     [this](const TargetId &target) { return targets.find(target) != nullptr; })
+    , admission(timers, peers, datagrams, {})
 {
     loads.setHasEngine(
         [](const ServiceId &service) { return service.text() == QLatin1String("engine"); });
     targets.onOwnLoad([this](const TargetId &target, bool isIncrease) {
         loads.handleLoadChange(target, isIncrease);
     });
+    admission.setWaiting([this] { return waiting; });
+    admission.setIsKnown([](const ServiceId &service) {
+        return service.text() == QLatin1String("engine")
+            || service.text() == QLatin1String("plain");
+    });
+    loads.setRates(
+        [this] { return admission.rates(); },
+        [this](const VmId &peer, const QCborArray &rows) { admission.receiveRates(peer, rows); });
     datagrams.listenOn(self.endpoint);
 }
 
@@ -101,6 +112,11 @@
     });
 }
 
+void LoadFleet::kill(int dataCentre, int index)
+{
+    m_daemons.at(size_t(dataCentre) * size_t(m_each) + size_t(index)).reset();
+}
+
 void LoadFleet::killHeads(int dataCentre)
 {
     for (int i = 0; i < m_each; ++i) {
--- a/test/support/LoadFleet.h
+++ b/test/support/LoadFleet.h
@@ -4,6 +4,7 @@
 #include "base/QtTimerService.h"
 #include "http/HttpClient.h"
 #include "relay/DataCentreHeads.h"
+#include "relay/FleetAdmission.h"
 #include "relay/LimitExchange.h"
 #include "relay/LoadExchange.h"
 #include "relay/PeerDatagrams.h"
@@ -12,6 +13,7 @@
 #include "relay/StoreProtocol.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetLimits.h"
+#include "relay/TargetSpeeds.h"
 
 #include <functional>
 #include <memory>
@@ -19,7 +21,8 @@
 
 namespace cranberry::test {
 
-/// The parts of a daemon that exchange loads, with a socket of their own.
+/// The parts of a daemon that exchange loads and demand, with a socket of their own. Admission
+/// control knows the services of the targets.
 struct LoadDaemon {
     LoadDaemon(QtTimerService &timers, HttpClient &client, const Peer &self);
 
@@ -29,9 +32,13 @@
     PeerDirectory peers;
     PeerDatagrams datagrams;
     DataCentreHeads heads;
+    TargetSpeeds speeds;
     LoadExchange loads;
     TargetLimits limits;
     LimitExchange limitExchange;
+    FleetAdmission admission;
+    /// What admission control reports as waiting here.
+    QList<FleetAdmission::Waiting> waiting;
 };
 
 /// All know each other, as if the store had listed them, and the targets engine-N and plain-N of
@@ -48,6 +55,8 @@
     bool all(const std::function<bool(const LoadDaemon &daemon)> &condition) const;
     /// Each data centre's heads are known in all others.
     bool headsAreKnown() const;
+    /// Ends one daemon; daemon() must not be called for it after that.
+    void kill(int dataCentre, int index);
     /// Ends the heads of @p dataCentre.
     void killHeads(int dataCentre);
 
