--- a/test/error/PlatformInput.cpp
+++ b/test/error/PlatformInput.cpp
@@ -32,6 +32,58 @@
     BOOST_TEST(faultOf(Good + R"(, "unknown": 1})").contains("unknown"));
 }
 
+// A setting of admission control that is ignored or misread would change who is rejected under
+// overload, unseen until then.
+BOOST_AUTO_TEST_CASE(AdmissionFaultsNamePathAllowedAndFound)
+{
+    const auto admissionFault = [](const QByteArray &member) {
+        return faultOf(Good + ", \"admission\": " + member + '}').toStdString();
+    };
+    BOOST_TEST(admissionFault("3") == "admission: expected an object, got 3");
+    BOOST_TEST(admissionFault("null") == "admission: expected an object, got null");
+    for (const std::string name :
+         {"order", "early_rejection", "workspace_shares", "observed_speed"}) {
+        const QByteArray key = '"' + QByteArray::fromStdString(name) + "\": ";
+        BOOST_TEST(admissionFault('{' + key + "\"no\"}")
+                   == "admission." + name + ": expected true or false, got \"no\"");
+        BOOST_TEST(admissionFault('{' + key + "0}")
+                   == "admission." + name + ": expected true or false, got 0");
+    }
+    BOOST_TEST(admissionFault(R"({"ordre": true})")
+               == "admission.ordre: unknown member; remove it or correct its name");
+    BOOST_TEST(admissionFault(R"({"workspace_weights": [1]})")
+               == "admission.workspace_weights: expected an object, got [1]");
+    const std::string range =
+        "admission.workspace_weights.b: expected a number from 0.01 to 100, got ";
+    for (const std::string weight : {"0.009", "0", "-1", "100.5", "\"2\"", "null"})
+        BOOST_TEST(admissionFault(R"({"workspace_weights": {"a": 1, "b": )"
+                                  + QByteArray::fromStdString(weight) + "}}")
+                   == range + weight);
+    BOOST_TEST(admissionFault(R"({"workspace_weights": {"": 2}})")
+               == "admission.workspace_weights: expected non-empty names of workspaces, "
+                  "got {\"\":2}");
+}
+
+BOOST_AUTO_TEST_CASE(AdmissionSettingsAreRead)
+{
+    const Result<RelaySettings> defaults = parseRelaySettings(Good + "}");
+    BOOST_REQUIRE(defaults);
+    const AdmissionSettings &whole = defaults.value().admission;
+    BOOST_TEST(
+        (whole.order && whole.earlyRejection && whole.workspaceShares && whole.observedSpeed));
+    BOOST_TEST(whole.weights.isEmpty());
+    const Result<RelaySettings> off = parseRelaySettings(Good + R"(, "admission": {"order": false,
+        "early_rejection": false, "workspace_shares": false, "observed_speed": false,
+        "workspace_weights": {"a": 0.01, "b.c": 100, "d": 2.5}}})");
+    BOOST_REQUIRE(off);
+    const AdmissionSettings &read = off.value().admission;
+    BOOST_TEST(!(read.order || read.earlyRejection || read.workspaceShares || read.observedSpeed));
+    BOOST_TEST(read.weights.size() == 3);
+    BOOST_TEST(read.weights.value(WorkspaceId("a")) == 0.01);
+    BOOST_TEST(read.weights.value(WorkspaceId("b.c")) == 100);
+    BOOST_TEST(read.weights.value(WorkspaceId("d")) == 2.5);
+}
+
 BOOST_AUTO_TEST_CASE(RequestsOverTheLimitsAreNotSentOn)
 {
     test::PlatformSite site;
--- a/test/error/RelayMessages.cpp
+++ b/test/error/RelayMessages.cpp
@@ -8,6 +8,7 @@
 #include "delivery/ServerSentEventParser.h"
 #include "http/HttpClient.h"
 #include "relay/DataCentreHeads.h"
+#include "relay/DemandMessage.h"
 #include "relay/FeedMessage.h"
 #include "relay/LoadExchange.h"
 #include "relay/PeerDatagrams.h"
@@ -17,6 +18,7 @@
 #include "relay/StoreItemCompression.h"
 #include "relay/TargetAnnouncements.h"
 #include "relay/TargetDirectory.h"
+#include "relay/TargetRecord.h"
 #include "support/EventLoop.h"
 #include "support/LoadFleet.h"
 
@@ -27,6 +29,7 @@
 #include <QTcpServer>
 #include <QTcpSocket>
 
+#include <cmath>
 #include <limits>
 
 using namespace cranberry;
@@ -72,6 +75,30 @@
     }
 }
 
+/// Replaces one value, at any depth.
+QCborValue changedValue(const QCborValue &value, QRandomGenerator &random)
+{
+    QCborArray array = value.toArray();
+    if (array.isEmpty() || random.bounded(8) == 0)
+        return oddValue(random);
+    const int at = random.bounded(int(array.size()));
+    array[at] = changedValue(array.at(at), random);
+    return array;
+}
+
+DemandReport soundReport(const ServiceId &service, MonotonicTime now)
+{
+    DemandReport report;
+    report.service = service;
+    for (int level = 0; level < 6; ++level) {
+        report.demand.waiting.append({level * 70, ReturnKind::New, 3, {300, 20}, now});
+        report.demand.placed.append({level * 70, 12.5});
+    }
+    report.demand.placements = 9;
+    report.usage = {{WorkspaceId(QStringLiteral("a")), 5}, {WorkspaceId(QStringLiteral("b")), 1}};
+    return report;
+}
+
 QByteArray damaged(QByteArray bytes, QRandomGenerator &random)
 {
     for (int changes = 1 + random.bounded(6); changes > 0 && !bytes.isEmpty(); --changes)
@@ -194,6 +221,70 @@
     BOOST_TEST(test::waitFor([&] { return isOver; }));
 }
 
+// Guards against values of other types and damaged bytes in what daemons tell each other of demand,
+// rates and promises. What is decided from them stays within its range.
+BOOST_AUTO_TEST_CASE(DemandOfOtherTypes)
+{
+    test::ensureApplication();
+    test::LoadFleet fleet(1, 2);
+    test::LoadDaemon &daemon = fleet.daemon(0, 0);
+    const ServiceId service(QStringLiteral("engine"));
+    const WorkspaceId workspace(QStringLiteral("a"));
+    Peer peer;
+    peer.dataCentre = DataCentreId(QStringLiteral("hall0"));
+    qint64 damagedBodies = 0;
+    for (quint32 seed = 1; seed <= Seeds; ++seed) {
+        QRandomGenerator random(seed);
+        peer.vm = VmId(QString::number(seed % 50));
+        const MonotonicTime now = QtTimerService().now();
+        const QList<DemandReport> reports{soundReport(service, now)};
+        ReturnPromise promise;
+        promise.fingerprint = random.bounded(20);
+        promise.due = now + Milliseconds(random.bounded(200));
+        promise.callerTime = Milliseconds(6000);
+        promise.roomSeconds = 5;
+        promise.isFirm = true;
+        const QList<QCborArray> bodies{
+            encodeDemand({reports, {}, {}}, now), encodeDemand({{}, service, {promise}}, now),
+            QCborArray{QCborArray(),
+                       QCborArray{QCborArray{QStringLiteral("engine-0"), QCborArray{20000, 3},
+                                             QCborArray{7000, 3}, QCborArray{10000, 3}}},
+                       encodeRates(reports)}};
+        const int chosen = random.bounded(int(bodies.size()));
+        QCborValue body = bodies.at(chosen);
+        for (int changes = random.bounded(4); changes > 0; --changes)
+            body = changedValue(body, random);
+        if (random.bounded(4) == 0)
+            body = QCborValue::fromCbor(damaged(body.toCbor(), random));
+        damagedBodies += body.isArray() ? 0 : 1;
+        daemon.datagrams.deliver(peer, chosen < 2 ? DatagramKind::Demand : DatagramKind::Load,
+                                 body.toArray());
+        const Urgency urgency{4, ReturnKind::New, now};
+        const Work ahead = daemon.admission.workAhead(service, urgency);
+        BOOST_TEST(std::isfinite(ahead.room));
+        BOOST_TEST(ahead.room >= 0);
+        const AdmissionEstimate estimate =
+            daemon.admission.estimate(service, urgency, {}, {100, 5}, Milliseconds(1000));
+        BOOST_TEST(std::isfinite(estimate.placedPerSecond.value_or(0)));
+        BOOST_TEST(estimate.wait.value_or(Milliseconds(0)).count() >= 0);
+        const int level = daemon.admission.level(service, workspace, 1);
+        BOOST_TEST(level >= LevelsPerPriority);
+        BOOST_TEST(level < 2 * LevelsPerPriority);
+        (void)daemon.admission.recordArrival(service, random.bounded(20), Milliseconds(5000));
+        const Milliseconds delay =
+            daemon.admission.reject(service, level, {100, 5}, random.bounded(20),
+                                    Milliseconds(6000), Milliseconds(6000), estimate);
+        BOOST_TEST(delay.count() >= 100);
+        BOOST_TEST(delay.count() <= 12000);
+        const TargetRecord *target = daemon.targets.find(TargetId(QStringLiteral("engine-0")));
+        BOOST_REQUIRE(target);
+        BOOST_TEST(std::isfinite(target->speed.reading.value));
+    }
+    BOOST_TEST(damagedBodies > 0);
+    BOOST_TEST(daemon.admission.figures().size() <= 2);
+    BOOST_TEST(daemon.admission.exchangeCounters().unreadable > 0);
+}
+
 // Guards against answers that are truncated, announce gigabytes or contain damaged bytes.
 BOOST_AUTO_TEST_CASE(AnswersOnTheWire)
 {
--- a/test/failure/PlatformExplained.cpp
+++ b/test/failure/PlatformExplained.cpp
@@ -7,6 +7,8 @@
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
+#include <QTimer>
+
 #include <csignal>
 
 using namespace cranberry;
@@ -14,6 +16,9 @@
 
 namespace {
 
+/// Time that the overloaded target takes for a request.
+constexpr Milliseconds ServiceTime{100};
+
 struct Fixture {
     Fixture()
     {
@@ -86,6 +91,75 @@
     BOOST_TEST(explanation.contains("engines refused room, 0 sends"));
 }
 
+// More requests came than the target can answer. One was rejected on arrival by an estimate, and
+// its caller came back at once.
+BOOST_FIXTURE_TEST_CASE(RejectedUnderOverload, Fixture)
+{
+    plain.setSlots(1);
+    site.announce(plain, "plain", "ready");
+    // The target answers one request after the other.
+    plain.setOverride([this, busyUntil = std::chrono::steady_clock::now()](
+                          const HttpRequest &request, const Runner::Reply &reply) mutable {
+        const auto now = std::chrono::steady_clock::now();
+        busyUntil = std::max(busyUntil, now) + ServiceTime;
+        QTimer::singleShot(std::chrono::duration_cast<Milliseconds>(busyUntil - now),
+                           [reply, headers = plain.answerHeaders(request)] {
+                               reply->send({200, headers, "done"});
+                           });
+        return true;
+    });
+    // The daemon compares the times of later answers with those of the first eight.
+    for (int number = 0; number < 8; ++number)
+        site.call(daemon, "GET", "/safe/a", "a" + QByteArray::number(number));
+    std::vector<std::shared_ptr<test::ClientCall>> calls;
+    // Paths differ, as requests that are equal count as retries of each other.
+    const auto send = [&](const QByteArray &id, const QByteArray &path) {
+        calls.push_back(site.send(daemon, "GET", path, id));
+    };
+    for (int number = 0; number < 30; ++number)
+        send("b" + QByteArray::number(number), "/safe/b" + QByteArray::number(number));
+    int arrivals = 0;
+    QByteArray id;
+    const auto sendNext = [&] {
+        id = "n" + QByteArray::number(++arrivals);
+        send(id, "/safe/" + id);
+        test::waitFor([&] { return calls.back()->isOver; }, Milliseconds(50));
+    };
+    BOOST_TEST(test::waitFor([&] {
+        sendNext();
+        return site.metrics(daemon).contains(
+            "\ncranberry_relay_admission_fleet_waiting{service=\"plain\",priority=\"11\"} ");
+    }));
+    BOOST_REQUIRE(test::waitFor([&] {
+        sendNext();
+        return site.log(daemon).contains("name=admission.rejected request=" + id + ' ')
+            && !site.log(daemon).contains("name=relay.waiting request=" + id + ' ');
+    }));
+    const QByteArray metrics = site.metrics(daemon);
+    BOOST_TEST(calls.back()->response.status == 503);
+    // An early return is placed if there is room that nobody waits for.
+    for (int number = 0; number < 4; ++number)
+        send("f" + QByteArray::number(number), "/safe/f" + QByteArray::number(number));
+    test::waitFor([&] { return calls.back()->isOver; }, ServiceTime / 4);
+    send("again", "/safe/" + id);
+    const QByteArray explanation = explain(id, "relay.ended");
+    BOOST_TEST(explanation.contains("Ended as no_target"));
+    BOOST_TEST(explanation.contains("has run: no"));
+    BOOST_TEST(explanation.contains("Rejected by an estimate on arrival: expected wait "));
+    BOOST_TEST(explanation.contains("It had level 44 (combined priority 11, overuse level 0)"));
+    BOOST_TEST(explanation.contains("Its caller was told to retry after "));
+    BOOST_TEST(explain("again", "relay.ended").contains("Rejected as an early return"));
+    for (const QByteArray figure :
+         {"admission_rejected_total{priority=\"11\"} ", "admission_returned_total{kind=\"new\"} ",
+          "admission_pressed_services 1\n",
+          "admission_workspace_use{service=\"plain\",workspace=\"house\"} ",
+          "target_speed{target=\"plain-1\",figure=\"service_ms\"} ",
+          "late_total{kind=\"idempotent\",cause=\"on_time\"} "})
+        BOOST_TEST(metrics.contains("\ncranberry_relay_" + figure), figure.toStdString());
+    for (const auto &call : calls)
+        test::PlatformSite::finish(call);
+}
+
 // A request for an existing route got status 503: the store was unavailable, and the daemon could
 // not tell whether a newer configuration has the route.
 BOOST_FIXTURE_TEST_CASE(RefusalWithoutTheStore, Fixture)
