--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -13,12 +13,14 @@
 
 namespace {
 
-QJsonObject route(const QString &name, const QString &kind, const QString &service)
+QJsonObject route(const QString &name, const QString &kind, const QString &service,
+                  int priority = 1)
 {
-    return {{"name", name},       {"host", "site.example"}, {"prefix", "/" + name + "/"},
-            {"kind", kind},       {"timeoutMs", 20000},     {"aimMs", 2000},
-            {"priority", 1},      {"service", service},     {"maxAttempts", kind == "safe" ? 2 : 1},
-            {"anonymous", false}, {"gapTargetMs", 500}};
+    return {
+        {"name", name},         {"host", "site.example"}, {"prefix", "/" + name + "/"},
+        {"kind", kind},         {"timeoutMs", 20000},     {"aimMs", 2000},
+        {"priority", priority}, {"service", service},     {"maxAttempts", kind == "safe" ? 2 : 1},
+        {"anonymous", false},   {"gapTargetMs", 500}};
 }
 
 } // namespace
@@ -72,20 +74,29 @@
         routes.append(route("fragile-unsafe", "unsafe", "fragile"));
         services.append(QJsonObject{{"name", "fragile"}});
     }
+    QJsonArray tenants{QJsonObject{{"name", "house"}, {"apiKeys", QJsonArray{"key"}}}};
+    if (m_hasBusyService) {
+        routes.append(route("urgent", "unsafe", "busy", 0));
+        routes.append(route("usual", "unsafe", "busy", 2));
+        services.append(QJsonObject{{"name", "busy"}});
+        for (const char *name : {"large", "small0", "small1", "small2"})
+            tenants.append(QJsonObject{
+                {"name", name},
+                {"apiKeys", QJsonArray{QStringLiteral("key-%1").arg(QLatin1String(name))}}});
+    }
     const QJsonObject engine{{"slots", 8},     {"kvCapacityTokens", 100000},
                              {"moves", true},  {"backups", true},
                              {"holdMs", 2000}, {"stride", 1}};
     services.prepend(QJsonObject{{"name", "model"}, {"engine", engine}});
-    const QJsonObject json{
-        {"version", version},
-        {"routes", routes},
-        {"services", services},
-        {"limits",
-         QJsonObject{{"maxHeaderBytes", 4096},
-                     {"maxBodyBytes", 10000},
-                     {"headerTimeoutMs", 1000},
-                     {"idleTimeoutMs", 10000}}},
-        {"tenants", QJsonArray{QJsonObject{{"name", "house"}, {"apiKeys", QJsonArray{"key"}}}}}};
+    const QJsonObject json{{"version", version},
+                           {"routes", routes},
+                           {"services", services},
+                           {"limits",
+                            QJsonObject{{"maxHeaderBytes", 4096},
+                                        {"maxBodyBytes", 10000},
+                                        {"headerTimeoutMs", 1000},
+                                        {"idleTimeoutMs", 10000}}},
+                           {"tenants", tenants}};
     m_store.put(QStringLiteral("op/config"), QJsonDocument(json).toJson(QJsonDocument::Compact));
 }
 
@@ -274,6 +285,23 @@
     return sendRequest(callers(daemon), request);
 }
 
+std::shared_ptr<ClientCall> PlatformSite::sendWithKey(int daemon, const QByteArray &path,
+                                                      const QByteArray &id, const QByteArray &body,
+                                                      const QByteArray &key,
+                                                      const HttpHeaders &more)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = {{"Host", "site.example"},
+                       {"Cranberryquay-Request-Id", id},
+                       {"Authorization", "Bearer " + key}};
+    for (const HttpHeaders::Field &field : more.fields())
+        request.headers.add(field.first, field.second);
+    request.body = body;
+    return sendRequest(callers(daemon), request);
+}
+
 std::shared_ptr<ClientCall> PlatformSite::callWithKey(int daemon, const QByteArray &path,
                                                       const QByteArray &id, const QByteArray &key)
 {
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -44,6 +44,9 @@
     /// Adds the service "fragile" and the routes /fragile-safe/ and /fragile-unsafe/ to
     /// configurations that are written from now on.
     void setFragileService() { m_hasFragileService = true; }
+    /// As above, with the service "busy", its routes /urgent/ (priority 0) and /usual/ (2), and the
+    /// workspaces "large" and "small0" to "small2" with the keys "key-large" and so on.
+    void setBusyService() { m_hasBusyService = true; }
     /// The operator evacuates a data centre, or takes that back.
     void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Daemons that are started from now on start with the whole system for the first time:
@@ -83,6 +86,10 @@
     std::shared_ptr<ClientCall> sendWithBody(int daemon, const QByteArray &path,
                                              const QByteArray &id, const QByteArray &body,
                                              const HttpHeaders &more = {});
+    /// As sendWithBody(), with the key @p key.
+    std::shared_ptr<ClientCall> sendWithKey(int daemon, const QByteArray &path,
+                                            const QByteArray &id, const QByteArray &body,
+                                            const QByteArray &key, const HttpHeaders &more);
     std::shared_ptr<ClientCall> callWithKey(int daemon, const QByteArray &path,
                                             const QByteArray &id, const QByteArray &key);
     static bool finish(const std::shared_ptr<ClientCall> &call);
@@ -121,6 +128,7 @@
     std::vector<Daemon> m_daemons;
     bool m_isFirstStart = false;
     bool m_hasFragileService = false;
+    bool m_hasBusyService = false;
 };
 
 } // namespace cranberry::test
