--- a/apps/ctl/RequestTrace.cpp
+++ b/apps/ctl/RequestTrace.cpp
@@ -1,5 +1,7 @@
 #include "ctl/RequestTrace.h"
 
+#include "admission/Urgency.h"
+
 #include <QMap>
 #include <QSet>
 
@@ -114,13 +116,86 @@
     return text;
 }
 
+/// The urgency level that @p line names, with what it consists of; see urgencyLevel().
+QString levelText(const LogLine &line)
+{
+    bool isNumber = false;
+    const int level = field(line, "level").toInt(&isNumber);
+    if (!isNumber)
+        return QStringLiteral("unknown level");
+    if (level >= OverdueLevel)
+        return QStringLiteral("level %1 (it could no longer be on time)").arg(level);
+    return QStringLiteral("level %1 (combined priority %2, overuse level %3)")
+        .arg(level)
+        .arg(level / LevelsPerPriority)
+        .arg(level % LevelsPerPriority);
+}
+
+/// Explains which estimate of admission control rejected the request, from the "admission.rejected"
+/// line @p rejected.
+QString explainRejection(const RequestTrace &trace, const LogLine &rejected)
+{
+    const bool hasWaited = lastEvent(trace.lines, "relay.waiting");
+    const bool hasEstimate = field(rejected, "placed_per_s").toDouble() > 0;
+    QString cause;
+    // The daemon logs a limit of 0 when the time that the request might wait is over.
+    if (field(rejected, "limit_ms") == QLatin1String("0"))
+        cause = QStringLiteral("It got no room in the time that it might wait.");
+    else if (field(rejected, "returns") == QLatin1String("early"))
+        cause = QStringLiteral("Rejected as an early return: its caller came back before the time "
+                               "that an earlier rejection had named.");
+    else
+        cause =
+            QStringLiteral("Rejected by an estimate %1: expected wait %2 ms, and it might wait "
+                           "%3 ms.")
+                .arg(hasWaited ? QStringLiteral("while it waited") : QStringLiteral("on arrival"),
+                     field(rejected, "expected_ms"), field(rejected, "limit_ms"));
+    cause += QStringLiteral(" It had %1; work ahead %2 room seconds, its own room %3.")
+                 .arg(levelText(rejected), field(rejected, "ahead"), field(rejected, "work"));
+    if (hasEstimate)
+        cause += QStringLiteral(" The fleet placed %1 room seconds per second for this level, by "
+                                "the rates of this daemon and %2 others, the oldest %3 ms old.")
+                     .arg(field(rejected, "placed_per_s"), field(rejected, "heard"),
+                          field(rejected, "age_ms"));
+    else
+        cause += QStringLiteral(" The rate of placements was not known.");
+    return cause
+        + QStringLiteral(" Its caller was told to retry after %1 ms.")
+              .arg(field(rejected, "retry_ms"));
+}
+
+/// Explains an "admission.held" line.
+QString explainHeld(const LogLine &held)
+{
+    return QStringLiteral("It was held for others at first although a target had room: %1; its own "
+                          "room %2, room that those ahead needed %3.")
+        .arg(levelText(held), field(held, "work"), field(held, "ahead"));
+}
+
+/// Explains the field "late" of @p ended; empty if the answer was on time.
+QString explainLateness(const LogLine &ended)
+{
+    const QString cause = field(ended, "late");
+    if (cause == QLatin1String("answer"))
+        return QStringLiteral(" Late: the answer or its first event came after the objective.");
+    if (cause == QLatin1String("move_pause"))
+        return QStringLiteral(
+            " Late: a pause caused by a move exceeded the longest pause of the route.");
+    if (cause == QLatin1String("pause"))
+        return QStringLiteral(" Late: a pause that no move caused exceeded the longest "
+                              "pause of the route.");
+    return {};
+}
+
 QString explainNoTarget(const RequestTrace &trace)
 {
     const LogLine *waiting = lastEvent(trace.lines, "relay.waiting");
-    QString cause =
-        QStringLiteral("No target accepted the request: %1 engines refused room, %2 sends.")
-            .arg(countEvents(trace.lines, "reservation.refused"))
-            .arg(countEvents(trace.lines, "relay.sent"));
+    const LogLine *rejected = lastEvent(trace.lines, "admission.rejected");
+    QString cause = rejected ? explainRejection(trace, *rejected)
+                             : QStringLiteral("No target accepted the request:");
+    cause += QStringLiteral(" %1 engines refused room, %2 sends.")
+                 .arg(countEvents(trace.lines, "reservation.refused"))
+                 .arg(countEvents(trace.lines, "relay.sent"));
     if (waiting)
         cause += QStringLiteral(" The daemon knew %1 targets of its service.")
                      .arg(field(*waiting, "targets"));
@@ -133,7 +208,9 @@
     if (outcome == QLatin1String("answered"))
         return QStringLiteral(
                    "First event after %1 ms, longest pause %2 ms, of which moves caused %3 ms.")
-            .arg(field(ended, "first_ms"), field(ended, "pause_ms"), field(ended, "move_pause_ms"));
+                   .arg(field(ended, "first_ms"), field(ended, "pause_ms"),
+                        field(ended, "move_pause_ms"))
+            + explainLateness(ended);
     if (outcome == QLatin1String("broken off"))
         return explainLostStream(trace);
     if (outcome == QLatin1String("no_target"))
@@ -179,6 +256,8 @@
         trace.verdict.append(
             QStringLiteral("Ended as %1 after %2 ms; has run: %3.")
                 .arg(field(*ended, "outcome"), field(*ended, "ms"), field(*ended, "ran")));
+        if (const LogLine *held = lastEvent(requestLines, "admission.held"))
+            trace.verdict.append(explainHeld(*held));
         trace.verdict.append(explainOutcome(trace, *ended));
     } else if (const LogLine *refused = lastEvent(requestLines, "relay.refused")) {
         trace.verdict.append(explainRefusal(trace, *refused));
--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -63,6 +63,7 @@
     , m_fragile(m_site, options.seed, "fragile")
 {
     m_site.setFragileService();
+    m_site.setBusyService();
     m_checks.expectStreams(test::PlatformSite::events(EventsPerStream));
     m_site.configure(m_version);
     for (int i = 0; i < options.engines; ++i)
@@ -86,6 +87,7 @@
         m_proxies.push_back(std::make_unique<FaultProxy>(m_site.callers(daemon)));
         m_paused.push_back(false);
     }
+    m_competing = std::make_unique<CompetingLoad>(m_site, options.seed, options.daemons);
 }
 
 SoakRun::~SoakRun() = default;
@@ -352,14 +354,17 @@
                 nextFragileMs += FragileIntervalMs;
             }
             collectAnswers();
+            m_competing->step(m_paused);
             return elapsed.elapsed() > endMs;
         },
         m_options.duration + CompletionTimeout);
     clearFaults();
+    m_competing->stop();
     test::waitFor(
         [&] {
             collectAnswers();
-            return m_pending.empty();
+            m_competing->step(m_paused);
+            return m_pending.empty() && m_competing->isOver();
         },
         CompletionTimeout);
     return m_checks;
@@ -440,6 +445,7 @@
     const auto index = size_t(daemon);
     m_limits.disturbed(daemon, m_timers.now());
     disturbed(daemon);
+    m_competing->disturbed(daemon);
     if (m_site.hasEnded(daemon)) {
         // The process has exited; a new one replaces it.
         m_site.restart(daemon);
@@ -503,8 +509,10 @@
     m_fragile.partition({}, standin::PartitionForm::Hang);
     for (int daemon = 0; daemon < m_options.daemons; ++daemon) {
         m_proxies[size_t(daemon)]->setFault(LinkFault::None);
-        if (m_paused[size_t(daemon)])
+        if (m_paused[size_t(daemon)]) {
             m_site.signal(daemon, SIGCONT);
+            m_competing->disturbed(daemon);
+        }
     }
 }
 
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/QtTimerService.h"
+#include "soak/CompetingLoad.h"
 #include "soak/FaultProxy.h"
 #include "standins/users/CloseDelimitedProxy.h"
 #include "standins/users/CrashingTargets.h"
@@ -49,6 +50,8 @@
     QStringList brokenCrashBounds() const;
     /// The checks of what targets say in their answers. Precondition: run() has returned.
     const standin::PauseChecks &pauses() const { return m_pauses; }
+    /// The checks of callers that compete for room. Precondition: run() has returned.
+    const CompetingLoad &competing() const { return *m_competing; }
     /// Targets that harmful requests crashed, and the requests.
     int crashedTargets() const { return m_fragile.crashed(); }
     int harmfulRequests() const { return m_harmfulBodies; }
@@ -130,6 +133,8 @@
     std::mt19937 m_fragileRandom;
     standin::CrashingTargets m_fragile;
     int m_harmfulBodies = 0;
+    /// Begins once the daemons are ready.
+    std::unique_ptr<CompetingLoad> m_competing;
     std::vector<PendingRequest> m_pending;
     std::vector<bool> m_paused;
     int m_requestCount = 0;
