Brief requests wait for brief ones only

Its estimate counts what long ones place as room it may use. A priority still decides among requests of the same kind.

--- a/src/admission/DemandRecorder.cpp
+++ b/src/admission/DemandRecorder.cpp
@@ -20,7 +20,7 @@
     if (!recorder.isMeasuring)
         return;
     const double decay = std::exp(-elapsed.count() / DecaySeconds);
-    for (auto &[level, placed] : recorder.placed)
+    for (auto &[key, placed] : recorder.placed)
         placed *= decay;
     recorder.placements *= decay;
     recorder.busySeconds = recorder.busySeconds * decay + elapsed.count();
@@ -35,7 +35,8 @@
     recorder.isMeasuring = recorder.isMeasuring && isBusy;
 }
 
-void recordPlaced(DemandRecorder &recorder, int level, double roomSeconds, MonotonicTime now)
+void recordPlaced(DemandRecorder &recorder, const Urgency &urgency, double roomSeconds,
+                  MonotonicTime now)
 {
     advance(recorder, now);
     if (!recorder.isBusy)
@@ -43,7 +44,7 @@
     // The first placement begins the time that the others are counted in.
     if (!std::exchange(recorder.isMeasuring, true))
         return;
-    recorder.placed[level] += roomSeconds;
+    recorder.placed[{urgency.level, urgency.isBrief}] += roomSeconds;
     recorder.placements += 1;
 }
 
@@ -55,10 +56,10 @@
     if (recorder.busySeconds < MinBusySeconds)
         return;
     demand.placements = recorder.placements;
-    for (const auto &[level, placed] : recorder.placed) {
+    for (const auto &[key, placed] : recorder.placed) {
         const double rate = placed / recorder.busySeconds;
         if (rate >= MinPerSecond)
-            demand.placed.append({level, rate});
+            demand.placed.append({key.first, rate, key.second});
     }
 }
 
--- a/src/admission/DemandRecorder.h
+++ b/src/admission/DemandRecorder.h
@@ -3,6 +3,7 @@
 #include "admission/FleetDemand.h"
 
 #include <map>
+#include <utility>
 
 namespace cranberry {
 
@@ -10,8 +11,8 @@
 /// and decay, only while requests wait anywhere in the fleet: their rate is then the
 /// one at which room becomes free, and it is known at the start of the next overload.
 struct DemandRecorder {
-    /// Room seconds by level.
-    std::map<int, double> placed;
+    /// Room seconds by level and whether the requests are brief.
+    std::map<std::pair<int, bool>, double> placed;
     double placements = 0;
     double busySeconds = 0;
     bool isBusy = false;
@@ -24,8 +25,9 @@
 /// Records whether requests wait from @p now on. Thread safety: none.
 void recordBusy(DemandRecorder &recorder, bool isBusy, MonotonicTime now);
 
-/// Records that @p roomSeconds of @p level were placed. Thread safety: none.
-void recordPlaced(DemandRecorder &recorder, int level, double roomSeconds, MonotonicTime now);
+/// Records that @p roomSeconds of @p urgency were placed. Thread safety: none.
+void recordPlaced(DemandRecorder &recorder, const Urgency &urgency, double roomSeconds,
+                  MonotonicTime now);
 
 /// Sets the rates of @p demand to those of @p recorder at @p now. Levels without placements are
 /// left out. Thread safety: none.
--- a/src/admission/FleetDemand.cpp
+++ b/src/admission/FleetDemand.cpp
@@ -16,6 +16,8 @@
 /// The fraction of @p waiting that goes before @p urgency.
 double partAhead(const WaitingWork &waiting, const Urgency &urgency, MonotonicTime now)
 {
+    if (urgency.isBrief && !waiting.isBrief)
+        return 0;
     if (waiting.level != urgency.level)
         return waiting.level < urgency.level ? 1 : 0;
     if (waiting.returns != urgency.returns)
@@ -67,7 +69,8 @@
     return work;
 }
 
-std::optional<double> placedPerSecond(const FleetDemand &demand, int level, MonotonicTime now)
+std::optional<double> placedPerSecond(const FleetDemand &demand, const Urgency &urgency,
+                                      MonotonicTime now)
 {
     double placed = 0;
     double placements = 0;
@@ -76,7 +79,8 @@
         placements += daemon.placements;
         for (const LevelRate &rate : daemon.placed) {
             placed += rate.perSecond;
-            left += rate.level >= level ? rate.perSecond : 0;
+            const bool isLeft = rate.level >= urgency.level || (urgency.isBrief && !rate.isBrief);
+            left += isLeft ? rate.perSecond : 0;
         }
     };
     add(demand.own);
@@ -89,10 +93,10 @@
     return std::max(left, MinRateFraction * placed);
 }
 
-std::optional<Milliseconds> expectedWait(const FleetDemand &demand, int level, double roomSeconds,
-                                         MonotonicTime now)
+std::optional<Milliseconds> expectedWait(const FleetDemand &demand, const Urgency &urgency,
+                                         double roomSeconds, MonotonicTime now)
 {
-    const std::optional<double> rate = placedPerSecond(demand, level, now);
+    const std::optional<double> rate = placedPerSecond(demand, urgency, now);
     if (!rate)
         return std::nullopt;
     return Milliseconds(
--- a/src/admission/FleetDemand.h
+++ b/src/admission/FleetDemand.h
@@ -35,12 +35,15 @@
     Work work;
     /// Arrival of the oldest of them, on the clock of the daemon that holds this.
     MonotonicTime oldest;
+    /// See Urgency.
+    bool isBrief = false;
 };
 
 /// Room seconds of one level that are placed per second.
 struct LevelRate {
     int level = 0;
     double perSecond = 0;
+    bool isBrief = false;
 };
 
 /// What one daemon has to place for one service.
@@ -64,18 +67,22 @@
 bool hasWaiting(const FleetDemand &demand, MonotonicTime now);
 
 /// The work of all daemons that goes before a request of @p urgency. Requests of the same level and
-/// kind are assumed to have arrived evenly since the oldest of them. Thread-safe.
+/// kind are assumed to have arrived evenly since the oldest of them. Before brief requests go brief
+/// ones only: gaps that are too small for the others would stay unused until enough room is free
+/// at one target. Thread-safe.
 Work workAhead(const FleetDemand &demand, const Urgency &urgency, MonotonicTime now);
 
-/// The rate at which the fleet places work of @p level and less urgent work, in room seconds per
-/// second: what more urgent work leaves. At least a tenth of the rate of all work, as little work
-/// of that level may have come. Unset until a few placements have been seen. Thread-safe.
-std::optional<double> placedPerSecond(const FleetDemand &demand, int level, MonotonicTime now);
+/// The rate at which the fleet places work of the level of @p urgency and less urgent work, in room
+/// seconds per second: what more urgent work leaves. At least a tenth of the rate of all work, as
+/// little work of that level may have come. For brief requests also the rate of all others, whose
+/// gaps they use. Unset until a few placements have been seen. Thread-safe.
+std::optional<double> placedPerSecond(const FleetDemand &demand, const Urgency &urgency,
+                                      MonotonicTime now);
 
-/// Expected time until @p roomSeconds of @p level are placed, which include what goes before; at
+/// Expected time until @p roomSeconds of @p urgency are placed, which include what goes before; at
 /// most an hour. Unset while no rate is known. Thread-safe.
-std::optional<Milliseconds> expectedWait(const FleetDemand &demand, int level, double roomSeconds,
-                                         MonotonicTime now);
+std::optional<Milliseconds> expectedWait(const FleetDemand &demand, const Urgency &urgency,
+                                         double roomSeconds, MonotonicTime now);
 
 /// Room that other daemons leave unused for this long may be taken out of turn: a daemon that
 /// cannot use it, or has ended, must not block the others.
--- a/src/admission/Urgency.h
+++ b/src/admission/Urgency.h
@@ -47,6 +47,9 @@
     int level = 0;
     ReturnKind returns = ReturnKind::New;
     MonotonicTime arrived;
+    /// It takes its room for so short a time that it may use what longer requests cannot use yet;
+    /// see workAhead().
+    bool isBrief = false;
 };
 
 /// Strict weak ordering: by level, then by kind of return, then the older first. Thread-safe.
--- a/src/relay/DemandMessage.cpp
+++ b/src/relay/DemandMessage.cpp
@@ -78,7 +78,8 @@
         const QCborArray rate = value.toArray();
         if (!isBelow(rate.at(0), UrgencyLevels) || !isWork(rate.at(1)))
             return std::nullopt;
-        report.demand.placed.append({int(rate.at(0).toInteger()), rate.at(1).toDouble()});
+        report.demand.placed.append(
+            {int(rate.at(0).toInteger()), rate.at(1).toDouble(), rate.at(2).toBool()});
     }
     report.demand.placements = row.at(2).toDouble();
     report.usage = *usage;
@@ -92,7 +93,7 @@
         if (waiting.size() < MaxWaitingEntries)
             waiting.append(QCborArray{entry.level, int(entry.returns), entry.requests,
                                       rounded(entry.work.room), rounded(entry.work.roomSeconds),
-                                      milliseconds(now - entry.oldest)});
+                                      milliseconds(now - entry.oldest), entry.isBrief});
     }
     return {report.service.text(), waiting, encodeUsage(report.usage)};
 }
@@ -116,7 +117,8 @@
                                       ReturnKind(entry.at(1).toInteger()),
                                       int(entry.at(2).toInteger()),
                                       {entry.at(3).toDouble(), entry.at(4).toDouble()},
-                                      now - Milliseconds(entry.at(5).toInteger())});
+                                      now - Milliseconds(entry.at(5).toInteger()),
+                                      entry.at(6).toBool()});
     }
     report.usage = *usage;
     report.demand.reportedAt = now;
@@ -193,7 +195,7 @@
         QCborArray placed;
         for (const LevelRate &rate : report.demand.placed) {
             if (placed.size() < MaxReportedLevels)
-                placed.append(QCborArray{rate.level, rate.perSecond});
+                placed.append(QCborArray{rate.level, rate.perSecond, rate.isBrief});
         }
         rows.append(QCborArray{report.service.text(), placed, rounded(report.demand.placements),
                                encodeUsage(report.usage)});
--- a/src/relay/FleetAdmission.cpp
+++ b/src/relay/FleetAdmission.cpp
@@ -20,14 +20,15 @@
 /// Groups waiting requests by level and kind of return, most urgent first.
 QList<WaitingWork> grouped(const ServiceId &service, const QList<FleetAdmission::Waiting> &waiting)
 {
-    std::map<std::pair<int, ReturnKind>, WaitingWork> groups;
+    std::map<std::tuple<int, ReturnKind, bool>, WaitingWork> groups;
     for (const FleetAdmission::Waiting &request : waiting) {
         if (request.service != service)
             continue;
         const Urgency &urgency = request.urgency;
-        WaitingWork &group = groups[{urgency.level, urgency.returns}];
+        WaitingWork &group = groups[{urgency.level, urgency.returns, urgency.isBrief}];
         group.level = urgency.level;
         group.returns = urgency.returns;
+        group.isBrief = urgency.isBrief;
         group.oldest =
             group.requests == 0 ? urgency.arrived : std::min(group.oldest, urgency.arrived);
         ++group.requests;
@@ -73,11 +74,12 @@
     return kind;
 }
 
-void FleetAdmission::recordPlaced(const ServiceId &service, int level, const Work &work)
+void FleetAdmission::recordPlaced(const ServiceId &service, const Urgency &urgency,
+                                  const Work &work)
 {
     Service &known = m_services[service];
     updateBusy(known);
-    cranberry::recordPlaced(known.recorder, level, work.roomSeconds, m_timers.now());
+    cranberry::recordPlaced(known.recorder, urgency, work.roomSeconds, m_timers.now());
 }
 
 void FleetAdmission::recordUse(const ServiceId &service, const WorkspaceId &workspace, double work)
@@ -176,9 +178,9 @@
     if (urgency.returns == ReturnKind::New)
         estimate.ahead.roomSeconds +=
             promisedWork(known->second.promises, urgency.level, now, now + limit);
-    estimate.placedPerSecond = cranberry::placedPerSecond(demand, urgency.level, now);
+    estimate.placedPerSecond = cranberry::placedPerSecond(demand, urgency, now);
     estimate.wait =
-        expectedWait(demand, urgency.level, estimate.ahead.roomSeconds + work.roomSeconds, now);
+        expectedWait(demand, urgency, estimate.ahead.roomSeconds + work.roomSeconds, now);
     for (const DaemonDemand &peer : std::as_const(demand.peers)) {
         const auto age = std::chrono::duration_cast<Milliseconds>(now - peer.ratesAt);
         if (age > RateTimeout)
--- a/src/relay/FleetAdmission.h
+++ b/src/relay/FleetAdmission.h
@@ -81,7 +81,7 @@
     /// Records a request that arrives, and returns how it relates to an earlier rejection.
     ReturnKind recordArrival(const ServiceId &service, quint64 fingerprint,
                              Milliseconds callerTime);
-    void recordPlaced(const ServiceId &service, int level, const Work &work);
+    void recordPlaced(const ServiceId &service, const Urgency &urgency, const Work &work);
     /// Records what a request of @p workspace used; see WorkspaceUsage.
     void recordUse(const ServiceId &service, const WorkspaceId &workspace, double work);
     /// What waits at this daemon has changed.
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -133,7 +133,7 @@
     if (m_reservation)
         plan.reservation = m_reservation->use();
     m_backup = chooseBackup(plan);
-    m_context.admission.recordPlaced(m_task.service, urgency(m_context.timers.now()).level, work());
+    m_context.admission.recordPlaced(m_task.service, urgency(m_context.timers.now()), work());
     if (m_task.engine)
         m_context.admission.recordUse(m_task.service, m_task.workspace, work().roomSeconds);
     open(entry.id, entry.endpoint, plan);
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -252,7 +252,8 @@
 
 Urgency RelayRun::urgency(MonotonicTime now) const
 {
-    return {isOverdue(now) ? OverdueLevel : m_level, m_returns, m_task.arrived};
+    const bool isBrief = m_task.engine && m_expectedOutput <= ShortOutputLimit;
+    return {isOverdue(now) ? OverdueLevel : m_level, m_returns, m_task.arrived, isBrief};
 }
 
 Work RelayRun::work() const
--- a/src/relay/WaitingRequests.cpp
+++ b/src/relay/WaitingRequests.cpp
@@ -63,7 +63,8 @@
     for (const std::weak_ptr<RelayRun> &weak : m_waiting) {
         const std::shared_ptr<RelayRun> run = weak.lock();
         const bool isAhead = run && run->isWaiting() && run->service() == service
-            && run->waitsForRoom() && isMoreUrgent(run->urgency(now), urgency);
+            && run->waitsForRoom() && (!urgency.isBrief || run->urgency(now).isBrief)
+            && isMoreUrgent(run->urgency(now), urgency);
         if (isAhead)
             work = work + run->work();
     }
@@ -85,19 +86,25 @@
     else
         stableSortByKey(
             runs, [now](const auto &run) { return run->waitingRank(now); }, isServedBefore);
+    // Of brief requests, and of all; see workAhead() of FleetDemand.
+    QHash<ServiceId, Work> briefAhead;
     QHash<ServiceId, Work> ahead;
     QSet<ServiceId> services;
     for (const std::shared_ptr<RelayRun> &run : std::as_const(runs)) {
         if (!run->isWaiting())
             continue;
         services.insert(run->service());
-        Work &before = ahead[run->service()];
+        const bool isBrief = run->urgency(now).isBrief;
+        const Work before = isBrief ? briefAhead[run->service()] : ahead[run->service()];
         if (run->tryPlace(before) || run->rejectIfUnavailable()
             || (checksEstimates && run->rejectIfHopeless(before)))
             continue;
         m_waiting.append(run);
-        if (run->waitsForRoom())
-            before = before + run->work();
+        if (!run->waitsForRoom())
+            continue;
+        ahead[run->service()] = ahead[run->service()] + run->work();
+        if (isBrief)
+            briefAhead[run->service()] = briefAhead[run->service()] + run->work();
     }
     if (m_waiting.isEmpty())
         m_checkTimer.reset();
--- a/test/correctness/DemandExchange.cpp
+++ b/test/correctness/DemandExchange.cpp
@@ -122,7 +122,7 @@
     test::LoadFleet fleet(1, Daemons);
     test::LoadDaemon &daemon = fleet.daemon(0, 0);
     daemon.admission.recordArrival(Engines, Fingerprint, 6000ms);
-    daemon.admission.recordPlaced(Engines, 4, OneRequest);
+    daemon.admission.recordPlaced(Engines, {4}, OneRequest);
     daemon.admission.waitingChanged(Engines);
     pass(700ms);
     BOOST_TEST(sentBy(daemon) == 0);
@@ -178,7 +178,7 @@
     test::LoadDaemon &placing = fleet.daemon(0, 0);
     setWaiting(placing, 1);
     BOOST_TEST(test::waitFor([&] {
-        placing.admission.recordPlaced(Engines, 4, OneRequest);
+        placing.admission.recordPlaced(Engines, {4}, OneRequest);
         return holdsAtOthers(fleet, [](const auto &daemon) {
             const AdmissionEstimate estimate = daemon.admission.estimate(
                 Engines, {4, ReturnKind::New, QtTimerService().now()}, {}, OneRequest, 1000ms);
@@ -232,7 +232,7 @@
         for (int i = 0; i < 50; ++i) {
             timers.advance(100ms);
             beforeEach();
-            admission.recordPlaced(Engines, 4, OneRequest);
+            admission.recordPlaced(Engines, {4}, OneRequest);
         }
     }
 
@@ -273,7 +273,7 @@
     BOOST_TEST(before > 0);
     waiting.clear();
     timers.advance(10s);
-    admission.recordPlaced(Engines, 4, OneRequest);
+    admission.recordPlaced(Engines, {4}, OneRequest);
     BOOST_TEST(rate() > 0.85 * before);
 }
 
@@ -288,7 +288,7 @@
     BOOST_TEST(before > 0);
     deliver({});
     timers.advance(10s);
-    admission.recordPlaced(Engines, 4, OneRequest);
+    admission.recordPlaced(Engines, {4}, OneRequest);
     BOOST_TEST(rate() > 0.85 * before);
 }
 
@@ -301,7 +301,7 @@
     placeForFiveSeconds([&] { deliver({report}); });
     const double before = rate();
     timers.advance(10s);
-    admission.recordPlaced(Engines, 4, OneRequest);
+    admission.recordPlaced(Engines, {4}, OneRequest);
     // The time until the reports expire counts as busy.
     BOOST_TEST(rate() > 0.5 * before);
 }
--- a/test/correctness/FleetAdmission.cpp
+++ b/test/correctness/FleetAdmission.cpp
@@ -83,6 +83,23 @@
     BOOST_TEST(workAhead(demandOf(waitingOf(equal)), {2, ReturnKind::AsTold, Now}, Now).room == 0);
 }
 
+// Guards against short answers that wait, or are rejected, behind long ones that cannot use the
+// gap.
+BOOST_AUTO_TEST_CASE(OnlyBriefWorkGoesBeforeBriefRequests)
+{
+    Urgency brief{5, ReturnKind::New, Now};
+    brief.isBrief = true;
+    WaitingWork work{0, ReturnKind::New, 3, {30, 60}, Now - 1s};
+    BOOST_TEST(workAhead(demandOf(waitingOf(work)), brief, Now).room == 0);
+    work.isBrief = true;
+    BOOST_TEST(workAhead(demandOf(waitingOf(work)), brief, Now).room == 30);
+    FleetDemand demand;
+    demand.own.placements = 50;
+    demand.own.placed = {{0, 60, false}, {0, 20, true}, {5, 20, true}};
+    BOOST_TEST(*placedPerSecond(demand, brief, Now) == 80);
+    BOOST_TEST(*placedPerSecond(demand, {5}, Now) == 20);
+}
+
 // Guards against daemons that are gone and keep room from others.
 BOOST_AUTO_TEST_CASE(OldReportsDoNotCount)
 {
@@ -105,14 +122,14 @@
 {
     DemandRecorder recorder;
     recordBusy(recorder, false, Now);
-    recordPlaced(recorder, 0, 1000, Now + 10ms);
+    recordPlaced(recorder, {}, 1000, Now + 10ms);
     recordBusy(recorder, true, Now + 20ms);
     for (int i = 1; i <= 100; ++i)
-        recordPlaced(recorder, 0, 10, Now + 20ms + i * 100ms);
+        recordPlaced(recorder, {}, 10, Now + 20ms + i * 100ms);
     const MonotonicTime end = Now + 20ms + 10s;
     FleetDemand demand;
     setRates(demand.own, recorder, end);
-    const std::optional<Milliseconds> wait = expectedWait(demand, 0, 200, end);
+    const std::optional<Milliseconds> wait = expectedWait(demand, {}, 200, end);
     BOOST_REQUIRE(wait.has_value());
     BOOST_TEST(wait->count() > 1800);
     BOOST_TEST(wait->count() < 2200);
@@ -126,10 +143,10 @@
     recordBusy(recorder, true, Now);
     const MonotonicTime first = Now + 4s;
     for (int i = 0; i <= 10; ++i)
-        recordPlaced(recorder, 0, 1, first + i * 100ms);
+        recordPlaced(recorder, {}, 1, first + i * 100ms);
     FleetDemand demand;
     setRates(demand.own, recorder, first + 1s);
-    const std::optional<double> rate = placedPerSecond(demand, 0, first + 1s);
+    const std::optional<double> rate = placedPerSecond(demand, {0}, first + 1s);
     BOOST_REQUIRE(rate.has_value());
     BOOST_TEST(*rate > 9);
     BOOST_TEST(*rate < 11);
@@ -140,9 +157,9 @@
     FleetDemand demand;
     demand.own.placements = 50;
     demand.own.placed = {{0, 60}, {2, 30}, {4, 10}};
-    BOOST_TEST(*placedPerSecond(demand, 0, Now) == 100);
-    BOOST_TEST(*placedPerSecond(demand, 2, Now) == 40);
-    BOOST_TEST(*placedPerSecond(demand, 5, Now) == 10);
+    BOOST_TEST(*placedPerSecond(demand, {0}, Now) == 100);
+    BOOST_TEST(*placedPerSecond(demand, {2}, Now) == 40);
+    BOOST_TEST(*placedPerSecond(demand, {5}, Now) == 10);
 }
 
 // Guards against rejections by a daemon that has just started and knows no rates.
@@ -151,7 +168,7 @@
     FleetDemand demand;
     demand.own.placed = {{0, 100}};
     demand.own.placements = 2;
-    BOOST_TEST(!expectedWait(demand, 0, 1000, Now).has_value());
+    BOOST_TEST(!expectedWait(demand, {}, 1000, Now).has_value());
 }
 
 BOOST_AUTO_TEST_CASE(WorkspacesAreRankedByUseOverTheirPart)
@@ -228,7 +245,7 @@
     DemandMessage message;
     DemandReport report;
     report.service = ServiceId("model");
-    report.demand.waiting = {{2, ReturnKind::AsTold, 3, {300, 900}, Now - 250ms}};
+    report.demand.waiting = {{2, ReturnKind::AsTold, 3, {300, 900}, Now - 250ms, true}};
     report.demand.placed = {{2, 12.5}};
     report.demand.placements = 7;
     report.usage = {{WorkspaceId("house"), 3.5}};
@@ -239,6 +256,7 @@
     BOOST_TEST(demand.waiting.first().work.roomSeconds == 900);
     BOOST_TEST((demand.waiting.first().returns == ReturnKind::AsTold));
     BOOST_TEST((demand.waiting.first().oldest == Now - 240ms));
+    BOOST_TEST(demand.waiting.first().isBrief);
     BOOST_TEST(read->reports.first().usage.first().workPerSecond == 4);
     const QList<DemandReport> rates = decodeRates(encodeRates(message.reports));
     BOOST_REQUIRE(rates.size() == 1);
--- a/test/support/AdmissionSimulation.cpp
+++ b/test/support/AdmissionSimulation.cpp
@@ -399,7 +399,7 @@
             }
         }
         recordBusy(daemon, !daemon.waiting.empty());
-        recordPlaced(daemon.recorder, request.urgency.level, 1, m_now);
+        recordPlaced(daemon.recorder, request.urgency, 1, m_now);
         changeLoad(daemon, best, 1);
         if (m_targets[best].running.size() < SlotCount)
             start(best, request, m_now);
@@ -443,11 +443,11 @@
         double ahead = (ownAhead + workAhead(daemon.demand, urgency, m_now)).roomSeconds;
         if (urgency.returns == ReturnKind::New)
             ahead += promisedWork(daemon.promises, urgency.level, m_now, m_now + limit);
-        const auto wait = expectedWait(daemon.demand, urgency.level, ahead + 1, m_now);
+        const auto wait = expectedWait(daemon.demand, urgency, ahead + 1, m_now);
         const bool isHopeless = wait && *wait > accepted * limit;
         if (limit.count() > 0 && !isHopeless && urgency.returns != ReturnKind::Early)
             return false;
-        reject(daemon, request, ahead, placedPerSecond(daemon.demand, urgency.level, m_now));
+        reject(daemon, request, ahead, placedPerSecond(daemon.demand, urgency, m_now));
         return true;
     }
 
