Early rejection needs two seconds of contention

Change: requests are rejected by an estimate only after requests have waited without a break for 2 s. In a lasting overload nothing else changes.

--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -59,6 +59,9 @@
 constexpr Tokens ForecastStep{256};
 /// Fraction of the expected output that is reserved in addition to the prompt.
 constexpr double ReservedOutputFraction = 0.5;
+/// Nothing is rejected early until requests have waited without a break for this time: shortages of
+/// a second or so, as when engines leave, end before most of those that wait would be late.
+constexpr Milliseconds MinContentionForRejection{2000};
 /// A request waits if it is expected to get room within this part of the time that it may wait.
 constexpr double AcceptedWaitFraction = 0.7;
 /// Time per token of an engine that runs many generations.
@@ -512,7 +515,9 @@
     // Estimates are uncertain: a caller that is rejected now has more time left than one that has
     // waited in vain.
     const double accepted = m_phase == Phase::Waiting ? 1 : AcceptedWaitFraction;
-    const bool isHopeless = current.wait && *current.wait > accepted * limit;
+    const bool isMeasured =
+        m_context.admission.contendedFor(m_task.service) >= MinContentionForRejection;
+    const bool isHopeless = isMeasured && current.wait && *current.wait > accepted * limit;
     if (!isHopeless && m_returns != ReturnKind::Early)
         return false;
     if (m_fallback) {
