--- a/test/failure/WaitingRuns.cpp
+++ b/test/failure/WaitingRuns.cpp
@@ -172,6 +172,11 @@
     pressure.recordDemand(service);
     setRunningOfOthers(2);
     const auto run = start();
+    // Estimates decide only after requests have waited for 2 s.
+    for (int i = 0; i < 21; ++i) {
+        timers.advance(100ms);
+        setRunningOfOthers(2);
+    }
     BOOST_REQUIRE(run->isWaiting());
     reportRates();
     reportUrgent(1e9);
