--- a/src/relay/FleetAdmission.cpp
+++ b/src/relay/FleetAdmission.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-/// Services beyond this are not reported, as those of a configuration are few.
+/// Bounds the size of a scrape.
 constexpr int MaxUsageFigures = 100;
 
 /// Groups waiting requests by level and kind of return, most urgent first.
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -63,13 +63,13 @@
 /// evaluates the result, and either answers the caller or retries as the kind of the request
 /// permits. Reports that the request has not run only if no attempt can have run it: none of its
 /// bytes were sent, or the target said that it did not run it.
-/// RelayRunPlacement.cpp decides when and where to send the request, RelayRunRetries.cpp evaluates
-/// the end of an attempt and decides whether to retry, RelayRunMoves.cpp moves a generation to
-/// another engine, RelayRunBackup.cpp keeps a backup of a generation and resumes from it, and
-/// RelayRunTrials.cpp keeps it from crashing target after target, and
-/// RelayRunForwarding.cpp forwards the request to another daemon if this one cannot reach its
-/// service.
-/// Thread safety: only from the thread of the event loop.
+/// RelayRunPlacement.cpp decides when and where to send the request, RelayRunAdmission.cpp whether
+/// it is rejected as room is not expected in time, RelayRunRetries.cpp evaluates the end of an
+/// attempt and decides whether to retry, RelayRunMoves.cpp moves a generation to another engine,
+/// RelayRunBackup.cpp keeps a backup of a generation and resumes from it, and RelayRunTrials.cpp
+/// keeps it from crashing target after target, and RelayRunForwarding.cpp forwards the request to
+/// another daemon if this one cannot reach its service. Thread safety: only from the thread of the
+/// event loop.
 class RelayRun : public std::enable_shared_from_this<RelayRun>
 {
 public:
