--- a/src/relay/GenerationMove.cpp
+++ b/src/relay/GenerationMove.cpp
@@ -2,20 +2,17 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "http/HttpExchange.h"
+#include "relay/MoveCalls.h"
 #include "relay/MoveOrder.h"
 #include "relay/RelayContext.h"
 #include "relay/TargetCall.h"
-#include "relay/TargetClient.h"
 #include "relay/TargetDirectory.h"
 
 namespace cranberry {
 
 namespace {
 
-/// An engine ends within about two seconds of its notice; a copy that takes longer is lost.
-constexpr Milliseconds CopyTimeout{3000};
-constexpr Milliseconds ConnectTimeout{200};
-constexpr Milliseconds FreeTimeout{1000};
 /// Maximum duration of a round that did not wait for other copies; a stream may pause for 180 ms.
 constexpr Milliseconds ShortRoundLimit{60};
 /// Delay between rounds; few tokens are generated in this time.
@@ -48,42 +45,17 @@
 {
     if (m_handle.isEmpty())
         return;
-    HttpExchangeOptions options;
-    options.connectTimeout = ConnectTimeout;
-    options.timeout = FreeTimeout;
-    options.reuseConnection = true;
-    // The callback owns the exchange, because nothing waits for the answer. If the request fails,
-    // the engine frees the copy itself after a few seconds.
-    const auto exchange = std::make_shared<std::unique_ptr<HttpExchange>>();
-    *exchange = m_context.targetClient.fetch(
-        {m_leaving, m_source, CallPurpose::Release},
-        m_context.targetProtocol.freeCopy(std::exchange(m_handle, {})), options,
-        [exchange](HttpExchangeEnd, const HttpResponse &) { exchange->reset(); });
+    cranberry::freeCopy(m_context.targetClient, m_context.targetProtocol,
+                        {m_leaving, m_source, CallPurpose::Release}, std::exchange(m_handle, {}));
 }
 
 void GenerationMove::sendOrder(bool isFinal)
 {
-    HttpExchangeOptions options;
-    options.connectTimeout = ConnectTimeout;
-    options.timeout = CopyTimeout;
-    options.keepConnection = true;
     m_roundBegan = m_context.timers.now();
-    const MoveOrder order{m_request, m_destination, isFinal};
-    m_exchange = m_context.targetClient.fetch(
-        {m_leaving, m_source, CallPurpose::Move}, m_context.targetProtocol.move(order), options,
-        [this, isFinal](HttpExchangeEnd end, const HttpResponse &response) {
-            answered(isFinal, readOutcome(end, response));
-        });
-}
-
-MoveOutcome GenerationMove::readOutcome(HttpExchangeEnd end, const HttpResponse &response) const
-{
-    if (end == HttpExchangeEnd::Complete)
-        return m_context.targetProtocol.readMove(response);
-    MoveOutcome outcome;
-    if (end == HttpExchangeEnd::NotConnected)
-        outcome.kind = MoveOutcome::Kind::NotSent;
-    return outcome;
+    m_exchange = sendMoveOrder(
+        m_context.targetClient, m_context.targetProtocol, {m_leaving, m_source, CallPurpose::Move},
+        MoveOrder{m_request, m_destination, isFinal},
+        [this, isFinal](const MoveOutcome &outcome) { answered(isFinal, outcome); });
 }
 
 void GenerationMove::answered(bool isFinal, const MoveOutcome &outcome)
--- a/src/relay/GenerationMove.h
+++ b/src/relay/GenerationMove.h
@@ -12,8 +12,6 @@
 
 class HttpExchange;
 class TimerSubscription;
-enum class HttpExchangeEnd;
-struct HttpResponse;
 struct RelayContext;
 
 /// Copies one running generation to another engine. Copies the generation in rounds while it runs.
@@ -43,7 +41,6 @@
     void sendOrder(bool isFinal);
     bool isTimeToStop() const;
     Milliseconds nextRoundDelay() const;
-    MoveOutcome readOutcome(HttpExchangeEnd end, const HttpResponse &response) const;
     void answered(bool isFinal, const MoveOutcome &outcome);
     void freeCopy();
     void end(MoveOutcome outcome, bool stopped);
