A generation ends at the engine that it left

Cause: a takeover closed the connection to the first engine and took that for the end of the generation there. This holds for each takeover, whatever its reason (leaving, broken, silent), also if the caller leaves before the holder of the backup has answered.

Change: GenerationStops orders the engine to stop the generation, by the order that moves use for their final copy, 30 ms after the connection was closed, so that an engine that drops it answers that it runs no such generation and copies nothing. It repeats the order until the engine says that the generation does not run, frees the copy, does not depend on the request, and holds up the end of a process for two seconds at most. A holder that broke off its answer to a takeover is stopped too. A generation takes no engine that it left as holder or destination, so that an order cannot meet it where it continues.

Why it works: the order stops a run first and copies then, so that a queue of copies does not delay the stop, and only an answer that names the generation as ended ends the repetition.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -115,6 +115,8 @@
     X(BackupChosen, 1916, "backup.chosen")                                                         \
     X(TakeoverBegun, 1917, "takeover.begun")                                                       \
     X(TakeoverEnded, 1918, "takeover.ended")                                                       \
+    X(StopBegun, 1939, "stop.begun")                                                               \
+    X(StopEnded, 1940, "stop.ended")                                                               \
     X(ReservationRefused, 1913, "reservation.refused")                                             \
     X(PeersListed, 1927, "peers.listed")                                                           \
     X(PeerListFailed, 1914, "peers.list_failed")                                                   \
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -16,6 +16,7 @@
 class CrashGuard;
 class EngineReports;
 class FleetAdmission;
+class GenerationStops;
 class HttpClient;
 class OutputForecast;
 class PeerForwarding;
@@ -53,6 +54,7 @@
     OutputForecast &outputForecast;
     RoomForecast &roomForecast;
     CrashGuard &crashGuard;
+    GenerationStops &stops;
     RelayCounters &counters;
     const CallerProtocol &callerProtocol;
     const TargetProtocol &targetProtocol;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -177,6 +177,7 @@
               return probe;
           },
           protocols.targets.isOther)
+    , stops(timers, targetClient, protocols.targets, targets)
     , context{timers,
               client,
               targetClient,
@@ -196,6 +197,7 @@
               outputForecast,
               roomForecast,
               crashGuard,
+              stops,
               counters,
               protocols.callers,
               protocols.targets,
@@ -484,7 +486,7 @@
         return;
     m_parts->callers.closeIdle();
     const bool busy = m_parts->gateway.running() > 0 || m_parts->callers.busyConnections() > 0
-        || m_parts->peerListener.busyConnections() > 0;
+        || m_parts->peerListener.busyConnections() > 0 || m_parts->stops.hasRecent();
     if (busy)
         return;
     m_drainTimer.reset();
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -213,6 +213,20 @@
     return text + gaugeText("cranberry_relay_crash_suspects", parts.crashGuard.suspects());
 }
 
+QByteArray stopsText(const RelayParts &parts)
+{
+    const GenerationStops::Counters &counters = parts.stops.counters();
+    const QByteArray prefix = "cranberry_relay_stops_";
+    QByteArray text = counterText(prefix + "begun_total", counters.begun);
+    text += counterText(prefix + "orders_total", counters.orders);
+    text += "# TYPE " + prefix + "ended_total counter\n";
+    for (std::size_t outcome = 0; outcome < StopOutcomeCount; ++outcome)
+        text += labelledCounter(prefix + "ended_total", "outcome",
+                                stopOutcomeName(StopOutcome(outcome)), counters.ended[outcome]);
+    text += gaugeText(prefix + "pending", parts.stops.pending());
+    return text + counters.overlap.prometheusText("cranberry_relay_stop_overlap_seconds");
+}
+
 } // namespace
 
 QByteArray relayMetricsText(RelayParts &parts)
@@ -253,6 +267,7 @@
     text += retryUnitsText(parts);
     text += forwardingText(parts);
     text += crashesText(parts);
+    text += stopsText(parts);
     text += lateText(counters);
     text += admissionText(parts);
     text += speedsText(parts);
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -8,6 +8,7 @@
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
 #include "relay/FleetAdmission.h"
+#include "relay/GenerationStops.h"
 #include "relay/LimitExchange.h"
 #include "relay/LoadExchange.h"
 #include "relay/OutputForecast.h"
@@ -69,6 +70,7 @@
     RetryExchange retryExchange;
     TargetAnnouncements news;
     CrashGuard crashGuard;
+    GenerationStops stops;
     RelayContext context;
     /// All keys of the operator: the configuration and evacuations.
     StoreMirror configuration;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -211,6 +211,7 @@
                       std::chrono::duration_cast<Milliseconds>(held));
     }
     m_mayBeStopped = false;
+    m_isBeingStopped = false;
     m_target = TargetId();
 }
 
@@ -419,6 +420,11 @@
               {"pause_ms", QString::number(m_longestPause.count())},
               {"move_pause_ms", QString::number(m_movePause.count())},
               {"ms", QString::number(taken.count(), 'f', 0)}});
+    // The holder of the backup may have continued the generation.
+    if (m_takeover) {
+        m_attempt.reset();
+        stopAtTarget();
+    }
     leaveTarget();
     returnRetry();
     m_phase = Phase::Over;
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -242,6 +242,12 @@
     /// false if it cannot. @p result is evaluated later if the takeover fails.
     bool continueAtBackup(const SendResult &result);
     void endOverlap();
+    /// Stops the generation at target(), whose connection was closed, as it may continue at the
+    /// holder of its backup. Does nothing if that has been ordered.
+    void stopAtTarget();
+    /// Stops the generation at the holder of its backup, which may have continued it without an
+    /// answer.
+    void stopAtHolder();
     void takeoverBegan();
     void takeoverEnded(const SendResult &result);
     void logTakeover(const char *outcome, int status) const;
@@ -311,6 +317,10 @@
     /// Backup for the generation at the holder of the current backup, used after the takeover.
     std::unique_ptr<GenerationBackup> m_nextBackup;
     std::unique_ptr<TimerSubscription> m_takeoverTimer;
+    const char *m_takeoverReason = "";
+    MonotonicTime m_takeoverAskedAt;
+    /// The generation is being stopped at target(); see GenerationStops.
+    bool m_isBeingStopped = false;
     std::unique_ptr<RelayAttempt> m_attempt;
     /// Numbers in AttemptMonitor of the attempt and of the takeover; 0 if there is none.
     int m_monitored = 0;
--- a/src/relay/RelayRunBackup.cpp
+++ b/src/relay/RelayRunBackup.cpp
@@ -7,6 +7,7 @@
 #include "relay/CrashGuard.h"
 #include "relay/GenerationBackup.h"
 #include "relay/GenerationMove.h"
+#include "relay/GenerationStops.h"
 #include "relay/OutputForecast.h"
 #include "relay/RelayAttempt.h"
 #include "relay/RelayAttemptEnd.h"
@@ -102,6 +103,10 @@
     m_retryUnit.reset();
     // The end of the move would replace the backup while the takeover is in progress.
     abandonMove();
+    // An order to stop the generation there must not meet it when it is back.
+    m_excluded.insert(m_target);
+    m_takeoverReason = reason;
+    m_takeoverAskedAt = m_context.timers.now();
     AttemptPlan plan;
     plan.target = m_backup->holder();
     plan.workspace = m_task.workspace;
@@ -165,11 +170,30 @@
     ended.reason = QStringLiteral("closed after the takeover started");
     m_deferredResult = ended;
     m_attempt.reset();
+    // The holder may have continued the generation without an answer.
+    stopAtTarget();
+}
+
+void RelayRun::stopAtTarget()
+{
+    if (std::exchange(m_isBeingStopped, true))
+        return;
+    m_context.stops.begin({m_task.request.id, m_target, m_endpoint, m_backup->endpoint(),
+                           m_takeoverReason, m_takeoverAskedAt, m_deadline});
+}
+
+void RelayRun::stopAtHolder()
+{
+    m_excluded.insert(m_backup->holder());
+    m_context.stops.begin({m_task.request.id, m_backup->holder(), m_backup->endpoint(), m_endpoint,
+                           "takeover failed", m_takeoverAskedAt, m_deadline});
 }
 
 void RelayRun::takeoverBegan()
 {
     logTakeover("taken over", 0);
+    m_attempt.reset();
+    stopAtTarget();
     // Keeps the record of the holder until the generation is counted there.
     const auto backup = std::exchange(m_backup, std::move(m_nextBackup));
     const TargetId holder = backup->holder();
@@ -197,6 +221,8 @@
     endTakeover(attemptEndOf(result));
     const auto attempt = std::move(m_takeover);
     m_takeoverTimer.reset();
+    if (ranAfter(result.kind) != Ran::No)
+        stopAtHolder();
     m_backup.reset();
     m_nextBackup.reset();
     const TargetRecord *record = m_context.targets.find(m_target);
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -149,24 +149,49 @@
     const auto run = std::make_shared<Run>();
     run->request = request;
     run->reply = reply;
-    run->made = request.headers.value("Last-Event-Id").toInt();
+    run->made = run->sent = request.headers.value("Last-Event-Id").toInt();
     m_runs.insert(id, run);
     m_mostGenerating = std::max(m_mostGenerating, generating());
     HttpHeaders headers = answerHeaders(request);
     headers.add("Content-Type", "text/event-stream");
     reply->startStream(200, headers);
-    reply->onCallerGone([this, id] { m_runs.remove(id); });
+    reply->onCallerGone([this, id] { connectionClosed(id); });
     run->timer = m_timers.every(m_interval, [this, id] { step(id); });
 }
 
+void RunnerEmulator::connectionClosed(const QByteArray &id)
+{
+    if (m_worksOnAfterClose && m_runs.contains(id))
+        m_runs.value(id)->isConnected = false;
+    else
+        m_runs.remove(id);
+}
+
+void RunnerEmulator::breakStreams()
+{
+    const QHash<QByteArray, std::shared_ptr<Run>> runs = m_runs;
+    for (auto run = runs.cbegin(); run != runs.cend(); ++run) {
+        run.value()->reply->abort();
+        connectionClosed(run.key());
+    }
+}
+
 void RunnerEmulator::step(const QByteArray &id)
 {
     const std::shared_ptr<Run> run = m_runs.value(id);
-    run->reply->write(event(++run->made));
-    if (run->made < m_events)
+    if (run->made < m_events) {
+        ++run->made;
+        if (m_onWorked)
+            m_onWorked(run->request, run->made);
+    }
+    const bool isHeldBack = run->isConnected && m_isSilent;
+    while (run->isConnected && !isHeldBack && run->sent < run->made)
+        run->reply->write(event(++run->sent));
+    if (run->made < m_events || isHeldBack)
         return;
     m_runs.remove(id);
-    run->reply->end();
+    if (run->isConnected)
+        run->reply->end();
 }
 
 void RunnerEmulator::reserve(const Reply &reply)
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -66,6 +66,17 @@
     void setLosesMoveAnswers(bool loses) { m_losesMoveAnswers = loses; }
     /// Breaks all its connections off, as a crash does.
     void crash();
+    /// Goes on with a generation whose connection was closed.
+    void setWorksOnAfterClose(bool worksOn) { m_worksOnAfterClose = worksOn; }
+    /// Breaks the connections of its generations off and lives on.
+    void breakStreams();
+    /// Sends no events until further notice, but makes them and answers calls.
+    void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    /// @p callback is told of each event that it makes.
+    void onWorked(std::function<void(const HttpRequest &, int event)> callback)
+    {
+        m_onWorked = std::move(callback);
+    }
     /// The time of its start, which its entry and its reports name; none if it is not set.
     void setBorn(qint64 born) { m_born = born; }
     /// Starts again under its id at @p born and knows nothing; connections of before stay open and
@@ -81,6 +92,8 @@
         HttpRequest request;
         Reply reply;
         int made = 0;
+        int sent = 0;
+        bool isConnected = true;
         std::unique_ptr<TimerSubscription> timer;
     };
 
@@ -88,6 +101,7 @@
     void answer(const HttpRequest &request, const Reply &reply);
     void generate(const HttpRequest &request, const Reply &reply);
     void step(const QByteArray &id);
+    void connectionClosed(const QByteArray &id);
     void move(const HttpRequest &request, const Reply &reply);
     void reserve(const Reply &reply);
     bool takeReservation(const HttpRequest &request);
@@ -105,12 +119,15 @@
     QByteArray m_rateLimit;
     int m_answersPerConnection = 0;
     bool m_losesMoveAnswers = false;
+    bool m_worksOnAfterClose = false;
+    bool m_isSilent = false;
     int m_granted = 0;
     int m_mostGenerating = 0;
     QSet<QByteArray> m_reservations;
     Override m_override;
     bool m_overridesReports = false;
     std::function<void(const HttpRequest &)> m_onRan;
+    std::function<void(const HttpRequest &, int)> m_onWorked;
     QList<HttpRequest> m_ran;
     QHash<QByteArray, std::shared_ptr<Run>> m_runs;
     /// Of the start before.
--- a/test/support/RunFixture.h
+++ b/test/support/RunFixture.h
@@ -9,6 +9,7 @@
 #include "relay/DataCentreHeads.h"
 #include "relay/EngineReports.h"
 #include "relay/FleetAdmission.h"
+#include "relay/GenerationStops.h"
 #include "relay/OutputForecast.h"
 #include "relay/PeerDatagrams.h"
 #include "relay/PeerDirectory.h"
@@ -137,6 +138,7 @@
                           targets,
                           [](const ServiceId &, const TargetId &) { return HttpRequest(); },
                           [](const TargetId &, int, const HttpHeaders &) { return false; }};
+    GenerationStops stops{timers, targetClient, targetProtocol, targets};
     RelayContext context{timers,
                          client,
                          targetClient,
@@ -156,6 +158,7 @@
                          outputForecast,
                          roomForecast,
                          crashGuard,
+                         stops,
                          counters,
                          callerProtocol,
                          targetProtocol,
