A generation that was stopped for a move before its first event has run

What callers saw: a request that may run once only ran twice, or was answered with a promise that it has not run although it had.

Cause: a generation is known to have run from its first event. An engine begins it some tokens earlier, and may stop it for a move then. The end of the attempt is not evaluated while a move is in progress, so that nothing was recorded; a destination that refused the generation let the request start anew at another engine.

Change: a final copy that was answered shows that the generation has begun, and one without a usable answer that it may have.

Test: failure/PlatformMoves GenerationMovedBeforeItsFirstEventRunsOnce; on "check runs() == 1 has failed [2 != 1]", now it passes and the caller gets 502.

--- a/src/relay/RelayRunMoves.cpp
+++ b/src/relay/RelayRunMoves.cpp
@@ -205,6 +205,9 @@
     const CopyReference copy{m_endpoint, outcome.handle};
     const bool isHeld = !copy.handle.isEmpty();
     const bool isCopied = outcome.kind == MoveOutcome::Kind::Copied;
+    // An engine stops only a generation that has begun, even if no event of it has arrived.
+    if (mayHaveStopped(outcome.kind))
+        m_ran = std::max(m_ran, isHeld ? Ran::Yes : Ran::Maybe);
     if (isCopied && isHeld && !m_isDestinationLost) {
         resume(m_moveDestinationEndpoint, m_moveDestination, copy);
     } else if (isHeld && (isCopied || outcome.kind == MoveOutcome::Kind::NoRoom)) {
--- a/test/failure/PlatformMoves.cpp
+++ b/test/failure/PlatformMoves.cpp
@@ -126,6 +126,48 @@
     BOOST_TEST(!call->response.body.contains("failed"));
 }
 
+// Guards against a generation that runs twice: it was stopped for a move before its first event had
+// arrived, and its destination refused it.
+BOOST_AUTO_TEST_CASE(GenerationMovedBeforeItsFirstEventRunsOnce)
+{
+    constexpr Milliseconds LongInterval{5000};
+    test::PlatformSite site;
+    site.configure(1);
+    site.setFirstStart();
+    std::vector<Runner *> runners;
+    int takeovers = 0;
+    for (const QByteArray id : {"model-1", "model-2", "model-3"}) {
+        Runner &runner = site.addRunner(id, "model");
+        runner.setGeneration(Events, LongInterval);
+        runner.setOverride([&takeovers](const HttpRequest &request, const Runner::Reply &reply) {
+            const bool isResumed = request.headers.contains("Kv-From");
+            if (isResumed) {
+                ++takeovers;
+                reply->send({503, {{"Cranberryquay-Not-Executed", "1"}}, {}});
+            }
+            return isResumed;
+        });
+        runners.push_back(&runner);
+    }
+    const int daemon = site.startDaemon();
+    const auto call = site.send(daemon, "POST", "/model/a", "r1", test::PlatformSite::generation());
+    const auto runs = [&] {
+        qsizetype count = 0;
+        for (const Runner *runner : runners)
+            count += runner->ran().size();
+        return count;
+    };
+    BOOST_REQUIRE(test::waitFor([&] { return runs() == 1; }));
+    for (const Runner *runner : runners) {
+        if (runner->generating() == 1)
+            site.announce(*runner, "model", "draining");
+    }
+    BOOST_REQUIRE(test::waitFor([&] { return takeovers == 1; }));
+    BOOST_TEST(test::waitFor([&] { return call->isOver || runs() > 1; }));
+    BOOST_TEST(runs() == 1);
+    BOOST_TEST(call->response.status == 502);
+}
+
 // A move is retried if the destination has no capacity at first, and the stream is not lost.
 BOOST_FIXTURE_TEST_CASE(MoveWithoutRoomIsTriedAgain, Fixture)
 {
