Soak: engines that work on after their connections were closed

One engine of three goes on with a generation whose connection was closed. Some of these break their streams off and live on, or fall silent for a while and answer calls.

--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -42,12 +42,14 @@
         cranberry::soak::SoakRun run(options);
         const cranberry::standin::PromiseChecks &checks = run.run();
         const QStringList broken = checks.broken() + run.limits().broken() + run.pauses().broken()
-            + run.brokenBudgets() + run.brokenCrashBounds() + run.competing().broken();
+            + run.overlaps().broken() + run.brokenBudgets() + run.brokenCrashBounds()
+            + run.competing().broken();
         std::printf("seed %u: %d answers, %d whole, %d targets crashed by %d requests, %d of %d "
-                    "competing callers answered, %d rejected, %d promises broken\n",
+                    "competing callers answered, %d rejected, %d generations continued elsewhere, "
+                    "%d promises broken\n",
                     seed, checks.answers(), checks.wholeAnswers(), run.crashedTargets(),
                     run.harmfulRequests(), run.competing().answered(), run.competing().callers(),
-                    run.competing().rejected(), int(broken.size()));
+                    run.competing().rejected(), run.overlaps().continued(), int(broken.size()));
         for (const QString &line : broken)
             std::printf("  %s\n", qPrintable(line));
         std::fflush(stdout);
