Soak: streams whose engines work on, as a load of their own

AbandonedStreams adds a service whose engines leave, crash, break streams off and fall silent, of which one of two works on after its connections were closed; these engines are never cut off, so that OverlapChecks excuses only disturbed daemons.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -6,7 +6,6 @@
 
 #include <QElapsedTimer>
 
-#include <algorithm>
 #include <csignal>
 #include <iterator>
 
@@ -32,10 +31,6 @@
 constexpr int RefusalIntervalMs = 1200;
 /// Average interval between changes of partitions; a daemon finds out within a second.
 constexpr int PartitionIntervalMs = 2500;
-/// Average interval between faults of engines that work on after their connections were closed, and
-/// the number of engines of which one does.
-constexpr int AbandonIntervalMs = 600;
-constexpr int EnginesPerWorkingOn = 3;
 constexpr Milliseconds EngineRestartTime{700};
 constexpr int FragileTargets = 6;
 /// Interval between requests of callers that repeat a harmful request; another one follows later.
@@ -64,12 +59,12 @@
     , m_tearRandom(options.seed)
     , m_partitionRandom(options.seed)
     , m_pauseRandom(options.seed)
-    , m_abandonRandom(options.seed)
     , m_fragileRandom(options.seed)
     , m_fragile(m_site, options.seed, "fragile")
 {
     m_site.setFragileService();
     m_site.setBusyService();
+    m_site.setSteadyService();
     m_checks.expectStreams(test::PlatformSite::events(EventsPerStream));
     m_site.configure(m_version);
     for (int i = 0; i < options.engines; ++i)
@@ -94,6 +89,8 @@
         m_paused.push_back(false);
     }
     m_competing = std::make_unique<CompetingLoad>(m_site, options.seed, options.daemons);
+    m_abandoned =
+        std::make_unique<AbandonedStreams>(m_site, m_checks, options.seed, options.daemons);
 }
 
 SoakRun::~SoakRun() = default;
@@ -105,14 +102,6 @@
     engine.setGeneration(EventsPerStream, EventInterval);
     watchArrivals(engine, true);
     engine.onRan([this, id](const HttpRequest &request) { recordRun(id, request); });
-    engine.onWorked([this, id](const HttpRequest &request, int) {
-        m_overlaps.worked(id, standin::requestIdOf(request), request.headers.contains("Kv-From"),
-                          m_timers.now());
-    });
-    if (m_abandonRandom() % EnginesPerWorkingOn == 0) {
-        engine.setWorksOnAfterClose(true);
-        m_enginesWorkingOn.push_back(&engine);
-    }
     m_engines.push_back(&engine);
     m_engineProxies.push_back(nullptr);
     engine.setLosesMoveAnswers(m_tearRandom() % 4 == 0);
@@ -139,7 +128,6 @@
 void SoakRun::disturbed(int daemon)
 {
     m_pauses.disturbed(daemon, m_timers.now());
-    m_overlaps.disturbed(daemon, m_timers.now());
 }
 
 void SoakRun::changePartition()
@@ -158,29 +146,6 @@
     for (const auto &proxy : m_partitionProxies)
         proxy->partition(m_partitioned, m_partitionForm);
     m_fragile.partition(m_partitioned, m_partitionForm);
-    m_overlaps.setCutOff(m_partitioned, m_timers.now());
-}
-
-void SoakRun::abandonStreams()
-{
-    if (standin::RunnerEmulator *silent = std::exchange(m_silentEngine, nullptr)) {
-        silent->setSilent(false);
-        return;
-    }
-    if (m_enginesWorkingOn.empty())
-        return;
-    standin::RunnerEmulator *engine =
-        m_enginesWorkingOn[m_abandonRandom() % m_enginesWorkingOn.size()];
-    const auto index = std::find(m_engines.begin(), m_engines.end(), engine) - m_engines.begin();
-    // Nothing shows that a stream is incomplete whose connection alone marks its end, if the engine
-    // closes it in order and lives on.
-    const bool isFramed = !m_engineProxies[std::size_t(index)];
-    if (isFramed && m_abandonRandom() % 2 == 0) {
-        engine->breakStreams();
-        return;
-    }
-    engine->setSilent(true);
-    m_silentEngine = engine;
 }
 
 void SoakRun::crashEngine(std::size_t index)
@@ -351,7 +316,6 @@
     qint64 nextRefusalMs = RefusalIntervalMs;
     qint64 nextPauseMs = PauseIntervalMs;
     qint64 nextPartitionMs = PartitionIntervalMs / 2;
-    qint64 nextAbandonMs = AbandonIntervalMs;
     qint64 nextFragileMs = FragileIntervalMs;
     qint64 nextHarmfulMs = 0;
     const qint64 endMs = std::chrono::milliseconds(m_options.duration).count();
@@ -381,10 +345,6 @@
                 changePartition();
                 nextPartitionMs += 1 + m_partitionRandom() % (2 * PartitionIntervalMs);
             }
-            while (nextAbandonMs <= elapsed.elapsed()) {
-                abandonStreams();
-                nextAbandonMs += 1 + m_abandonRandom() % (2 * AbandonIntervalMs);
-            }
             while (nextHarmfulMs <= elapsed.elapsed()) {
                 ++m_harmfulBodies;
                 m_fragile.setBehaviour(
@@ -398,16 +358,19 @@
             }
             collectAnswers();
             m_competing->step(m_paused);
+            m_abandoned->step(m_paused);
             return elapsed.elapsed() > endMs;
         },
         m_options.duration + CompletionTimeout);
     clearFaults();
     m_competing->stop();
+    m_abandoned->stop();
     test::waitFor(
         [&] {
             collectAnswers();
             m_competing->step(m_paused);
-            return m_pending.empty() && m_competing->isOver();
+            m_abandoned->step(m_paused);
+            return m_pending.empty() && m_competing->isOver() && m_abandoned->isOver();
         },
         CompletionTimeout);
     return m_checks;
@@ -422,7 +385,6 @@
         "s" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_requestCount);
     m_limits.sent(id, daemon);
     m_pauses.sent(id, daemon, m_timers.now());
-    m_overlaps.sent(id, daemon);
     const HttpEndpoint endpoint = m_proxies[size_t(daemon)]->endpoint();
     const int kind = randomBelow(4);
     (kind == 0 ? m_engineRetries : m_plainRetries).sent(m_timers.now());
@@ -490,6 +452,7 @@
     m_limits.disturbed(daemon, m_timers.now());
     disturbed(daemon);
     m_competing->disturbed(daemon);
+    m_abandoned->disturbed(daemon);
     if (m_site.hasEnded(daemon)) {
         // The process has exited; a new one replaces it.
         m_site.restart(daemon);
@@ -548,8 +511,6 @@
     m_areEnginesRefusing = false;
     m_arePlainTargetsRefusing = false;
     m_pausing.clear();
-    if (standin::RunnerEmulator *silent = std::exchange(m_silentEngine, nullptr))
-        silent->setSilent(false);
     for (const auto &proxy : m_partitionProxies)
         proxy->heal();
     m_fragile.partition({}, standin::PartitionForm::Hang);
@@ -558,6 +519,7 @@
         if (m_paused[size_t(daemon)]) {
             m_site.signal(daemon, SIGCONT);
             m_competing->disturbed(daemon);
+            m_abandoned->disturbed(daemon);
         }
     }
 }
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "base/QtTimerService.h"
+#include "soak/AbandonedStreams.h"
 #include "soak/CompetingLoad.h"
 #include "soak/FaultProxy.h"
 #include "standins/users/CloseDelimitedProxy.h"
 #include "standins/users/CrashingTargets.h"
 #include "standins/users/LimitChecks.h"
-#include "standins/users/OverlapChecks.h"
 #include "standins/users/PartitionProxy.h"
 #include "standins/users/PauseChecks.h"
 #include "standins/users/PromiseChecks.h"
@@ -52,7 +52,7 @@
     /// The checks of what targets say in their answers. Precondition: run() has returned.
     const standin::PauseChecks &pauses() const { return m_pauses; }
     /// The checks of generations that continue at another target. Precondition: run() has returned.
-    const standin::OverlapChecks &overlaps() const { return m_overlaps; }
+    const standin::OverlapChecks &overlaps() const { return m_abandoned->overlaps(); }
     /// The checks of callers that compete for room. Precondition: run() has returned.
     const CompetingLoad &competing() const { return *m_competing; }
     /// Targets that harmful requests crashed, and the requests.
@@ -82,9 +82,6 @@
     standin::PartitionProxy &addPartitionProxy(const HttpEndpoint &endpoint);
     /// A target names a rate limit, another one, or none.
     void changeLimit();
-    /// An engine that works on after its connections were closed breaks its streams off, or falls
-    /// silent, or speaks again.
-    void abandonStreams();
     /// A target begins to ask daemons for pauses, or stops.
     void changePauses();
     /// Answers the request with a rejection if its target wants none now.
@@ -112,12 +109,10 @@
     std::mt19937 m_tearRandom;
     std::mt19937 m_partitionRandom;
     std::mt19937 m_pauseRandom;
-    std::mt19937 m_abandonRandom;
     QtTimerService m_timers;
     standin::PromiseChecks m_checks;
     standin::LimitChecks m_limits;
     standin::PauseChecks m_pauses;
-    standin::OverlapChecks m_overlaps;
     /// The pauses that targets ask for now.
     std::map<QByteArray, Milliseconds> m_pausing;
     /// Until when targets reject the requests of daemons.
@@ -130,10 +125,6 @@
     std::vector<standin::RunnerEmulator *> m_engines;
     /// For each engine; null if it sends its streams in chunks.
     std::vector<std::unique_ptr<standin::CloseDelimitedProxy>> m_engineProxies;
-    /// Those that work on after their connections were closed.
-    std::vector<standin::RunnerEmulator *> m_enginesWorkingOn;
-    /// One of them, while it is silent.
-    standin::RunnerEmulator *m_silentEngine = nullptr;
     std::vector<standin::RunnerEmulator *> m_plainTargets;
     std::vector<std::unique_ptr<FaultProxy>> m_proxies;
     /// Before all targets.
@@ -147,6 +138,7 @@
     int m_harmfulBodies = 0;
     /// Begins once the daemons are ready.
     std::unique_ptr<CompetingLoad> m_competing;
+    std::unique_ptr<AbandonedStreams> m_abandoned;
     std::vector<PendingRequest> m_pending;
     std::vector<bool> m_paused;
     int m_requestCount = 0;
--- a/test/standins/users/OverlapChecks.cpp
+++ b/test/standins/users/OverlapChecks.cpp
@@ -11,11 +11,6 @@
 
 } // namespace
 
-void OverlapChecks::setCutOff(const QSet<int> &daemons, MonotonicTime now)
-{
-    m_cutOff.emplace_back(now, daemons);
-}
-
 void OverlapChecks::worked(const QByteArray &target, const QByteArray &id, bool isContinued,
                            MonotonicTime now)
 {
@@ -38,15 +33,9 @@
         return false;
     const MonotonicTime due = continuedAt + MaxOverlap;
     const auto [first, last] = m_disturbed.equal_range(daemon->second);
-    const bool isDisturbed = std::any_of(first, last, [&](const auto &entry) {
+    return std::any_of(first, last, [&](const auto &entry) {
         return entry.second >= continuedAt - StableTime && entry.second <= due;
     });
-    bool isCutOff = false;
-    for (const auto &[since, daemons] : m_cutOff) {
-        if (since <= due)
-            isCutOff = daemons.contains(daemon->second);
-    }
-    return isDisturbed || isCutOff;
 }
 
 QStringList OverlapChecks::broken() const
--- a/test/standins/users/OverlapChecks.h
+++ b/test/standins/users/OverlapChecks.h
@@ -4,17 +4,14 @@
 #include "base/Units.h"
 
 #include <QByteArray>
-#include <QSet>
 #include <QStringList>
 
 #include <map>
-#include <vector>
 
 namespace cranberry::standin {
 
 /// Applies the users' rule that a target must not work on a generation for longer than 400 ms after
-/// it continued at another one. Excused are daemons that were disturbed in the 3 s before that, or
-/// that are cut off from targets.
+/// it continued at another one. Excused are daemons that were disturbed in the 3 s before that.
 /// Thread safety: none; one event loop.
 class OverlapChecks
 {
@@ -23,8 +20,6 @@
     void sent(const QByteArray &id, int daemon) { m_daemons[id] = daemon; }
     /// @p daemon was stopped, started, paused or continued.
     void disturbed(int daemon, MonotonicTime now) { m_disturbed.emplace(daemon, now); }
-    /// From now on @p daemons are cut off from targets, and no others.
-    void setCutOff(const QSet<int> &daemons, MonotonicTime now);
     /// @p target made an event of the generation @p id, which it began or continued.
     void worked(const QByteArray &target, const QByteArray &id, bool isContinued,
                 MonotonicTime now);
@@ -47,7 +42,6 @@
 
     std::map<QByteArray, int> m_daemons;
     std::multimap<int, MonotonicTime> m_disturbed;
-    std::vector<std::pair<MonotonicTime, QSet<int>>> m_cutOff;
     std::map<QByteArray, Stays> m_stays;
 };
 
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -88,6 +88,10 @@
                              {"moves", true},  {"backups", true},
                              {"holdMs", 2000}, {"stride", 1}};
     services.prepend(QJsonObject{{"name", "model"}, {"engine", engine}});
+    if (m_hasSteadyService) {
+        routes.append(route("steady", "streaming", "steady"));
+        services.append(QJsonObject{{"name", "steady"}, {"engine", engine}});
+    }
     const QJsonObject json{{"version", version},
                            {"routes", routes},
                            {"services", services},
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -47,6 +47,8 @@
     /// As above, with the service "busy", its routes /urgent/ (priority 0) and /usual/ (2), and the
     /// workspaces "large" and "small0" to "small2" with the keys "key-large" and so on.
     void setBusyService() { m_hasBusyService = true; }
+    /// As above, with a second service of generations, "steady", and its route /steady/.
+    void setSteadyService() { m_hasSteadyService = true; }
     /// The operator evacuates a data centre, or takes that back.
     void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Daemons that are started from now on start with the whole system for the first time:
@@ -129,6 +131,7 @@
     bool m_isFirstStart = false;
     bool m_hasFragileService = false;
     bool m_hasBusyService = false;
+    bool m_hasSteadyService = false;
 };
 
 } // namespace cranberry::test
