A body in an unknown transfer coding is no further request

Cause: Boost.Beast's request parser takes a request with such a field for one without a body, and CallerConnection relied on it for all framing. QHttpServer does the same on the operators' interface.

Change: a transfer coding other than chunked is an error. Callers and other daemons get 400 and the end of the connection, operators the end of the connection. Nothing that follows is read then.

--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpRequestParser.h"
 
+#include "http/TransferCoding.h"
+
 // The names of the overridden functions are Boost.Beast's.
 // NOLINTBEGIN(readability-identifier-naming)
 namespace cranberry::internal {
@@ -34,7 +36,11 @@
     m_request.headers.add(toByteArray(name), toByteArray(value));
 }
 
-void HttpRequestParser::on_header_impl(Error &) { }
+void HttpRequestParser::on_header_impl(Error &ec)
+{
+    if (hasOtherTransferCoding(m_request.headers))
+        ec = boost::beast::http::error::bad_transfer_encoding;
+}
 
 void HttpRequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) { }
 
--- a/src/http/HttpRequestParser.h
+++ b/src/http/HttpRequestParser.h
@@ -8,7 +8,7 @@
 
 /// Incremental parser of one request on a connection, including its complete body. Framing is as
 /// strict as in Boost.Beast: a duplicate Content-Length, or one together with a chunked body, is an
-/// error. This prevents request smuggling.
+/// error, and so is a transfer coding other than chunked. This prevents request smuggling.
 /// Thread safety: only from the thread of its connection.
 class HttpRequestParser final : public boost::beast::http::basic_parser<true>
 {
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "http/HttpRequest.h"
 #include "http/HttpResponder.h"
 #include "http/HttpResponse.h"
+#include "http/TransferCoding.h"
 
 #include <QHttpServerRequest>
 #include <QTcpSocket>
@@ -99,6 +100,11 @@
         socket->abort();
         return true;
     }
+    const HttpRequest incoming = toHttpRequest(request);
+    if (hasOtherTransferCoding(incoming.headers)) {
+        socket->abort();
+        return true;
+    }
     m_listener->requestArrived(socket);
     auto responder = std::make_shared<HttpResponder>(makeResponder(request, socket), socket,
                                                      m_limits.maxUnreadResponse);
@@ -106,7 +112,6 @@
         if (socket)
             m_listener->requestAnswered(socket);
     });
-    const HttpRequest incoming = toHttpRequest(request);
     if (incoming.headers.wireSize() > m_limits.headers.value()) {
         Error error;
         error.kind = ErrorKind::HeadersTooLarge;
--- /dev/null
+++ b/src/http/TransferCoding.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace cranberry {
+
+class HttpHeaders;
+
+/// Whether a request with @p headers has a transfer coding other than chunked. Its body is not
+/// decoded, and where it ends is not known, so that its bytes could be taken for the next request.
+/// Source: RFC 9112, section 6.3. Thread-safe.
+bool hasOtherTransferCoding(const HttpHeaders &headers);
+
+} // namespace cranberry
