--- a/apps/soak/AbandonedStreams.cpp
+++ b/apps/soak/AbandonedStreams.cpp
@@ -1,5 +1,7 @@
 #include "soak/AbandonedStreams.h"
 
+#include "standins/users/RetryChecks.h"
+
 #include <algorithm>
 
 namespace cranberry::soak {
@@ -41,8 +43,8 @@
     engine.setWorksOnAfterClose(m_engines.size() % 2 == 0);
     engine.onRan([this, id](const HttpRequest &request) { m_promises.ran(id, request); });
     engine.onWorked([this, id](const HttpRequest &request, int) {
-        m_overlaps.worked(id, request.headers.value("Cranberryquay-Request-Id"),
-                          request.headers.contains("Kv-From"), m_timers.now());
+        m_overlaps.worked(id, standin::requestIdOf(request),
+                          standin::RunnerEmulator::isContinuation(request), m_timers.now());
     });
     m_engines.push_back(&engine);
     m_staying.push_back(&engine);
--- a/src/relay/GenerationStops.cpp
+++ b/src/relay/GenerationStops.cpp
@@ -18,6 +18,7 @@
 
 /// Time in which an engine notices that a connection was closed.
 constexpr Milliseconds CloseNoticeTime{30};
+/// A daemon that shuts down waits this long for the end of a stop.
 constexpr Milliseconds RecentLimit{2000};
 
 } // namespace
--- a/src/relay/MoveCalls.h
+++ b/src/relay/MoveCalls.h
@@ -14,18 +14,15 @@
 struct TargetCall;
 struct TargetProtocol;
 
-/// The calls to an engine that copy or stop a running generation. Source of both: "kv-move" of the
-/// platform's protocol. Thread safety: that of @p client. Precondition of both: @p client and
-/// @p protocol outlive the call.
-
 /// Sends @p order to the engine of @p call and calls @p ended once, unless the result is destroyed
-/// before. An order without an answer ends after three seconds, longer than a copy takes.
+/// before. An order without an answer ends after three seconds; a copy takes less.
+/// Precondition: @p client and @p protocol outlive the result. Thread safety: that of @p client.
 [[nodiscard]] std::unique_ptr<HttpExchange>
 sendMoveOrder(TargetClient &client, const TargetProtocol &protocol, const TargetCall &call,
               const MoveOrder &order, std::function<void(const MoveOutcome &)> ended);
 
 /// Frees the copy @p handle at both ends; @p call names its source. Nothing waits for the answer:
-/// the engine frees a copy itself after a few seconds.
+/// the engine frees a copy itself after a few seconds. Precondition and thread safety as above.
 void freeCopy(TargetClient &client, const TargetProtocol &protocol, const TargetCall &call,
               const QByteArray &handle);
 
--- a/test/failure/AbandonedGenerations.cpp
+++ b/test/failure/AbandonedGenerations.cpp
@@ -29,11 +29,6 @@
     return request.path == "/v1/kv-move" && request.body.contains("\"last\":true");
 }
 
-bool isTakeover(const HttpRequest &request)
-{
-    return request.headers.contains("Kv-From");
-}
-
 struct Fixture {
     Fixture()
     {
@@ -211,9 +206,9 @@
 {
     Runner::Reply takeover;
     holder().setOverride([&takeover](const HttpRequest &request, const Runner::Reply &reply) {
-        if (isTakeover(request))
+        if (Runner::isContinuation(request))
             takeover = reply;
-        return isTakeover(request);
+        return Runner::isContinuation(request);
     });
     site.announce(source(), "model", "draining");
     BOOST_REQUIRE(test::waitFor([&] { return takeover != nullptr; }));
@@ -226,9 +221,9 @@
 {
     Runner::Reply takeover;
     holder().setOverride([&takeover](const HttpRequest &request, const Runner::Reply &reply) {
-        if (isTakeover(request))
+        if (Runner::isContinuation(request))
             takeover = reply;
-        return isTakeover(request);
+        return Runner::isContinuation(request);
     });
     site.announce(source(), "model", "draining");
     BOOST_TEST(isSourceStopped());
@@ -241,11 +236,11 @@
 {
     int stops = 0;
     holder().setOverride([&stops](const HttpRequest &request, const Runner::Reply &reply) {
-        if (isTakeover(request))
+        if (Runner::isContinuation(request))
             reply->abort();
         if (isLastMove(request) && request.body.contains("\"r1\""))
             ++stops;
-        return isTakeover(request);
+        return Runner::isContinuation(request);
     });
     site.announce(source(), "model", "draining");
     BOOST_TEST(test::waitFor([&] { return stops > 0; }));
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -88,6 +88,11 @@
     return headers;
 }
 
+bool RunnerEmulator::isContinuation(const HttpRequest &request)
+{
+    return request.headers.contains("Kv-From");
+}
+
 QByteArray RunnerEmulator::event(int number)
 {
     const QByteArray text = QByteArray::number(number);
--- a/test/standins/users/RunnerEmulator.h
+++ b/test/standins/users/RunnerEmulator.h
@@ -72,6 +72,8 @@
     void breakStreams();
     /// Sends no events until further notice, but makes them and answers calls.
     void setSilent(bool isSilent) { m_isSilent = isSilent; }
+    /// Whether @p request continues a generation from a copy.
+    static bool isContinuation(const HttpRequest &request);
     /// @p callback is told of each event that it makes.
     void onWorked(std::function<void(const HttpRequest &, int event)> callback)
     {
