Log on which connection an answer came and after what

relay.send_ended does not say whether a rejection bears the id of its request, nor what was on its connection before. It now has names_request, skipped, connection, exchanges and connection_ms. response.foreign is an answer that bears the id of another request, also where the answer to a report, probe, reservation or order is due; connection.unexpected_data is data on an idle connection. Two counters. No decision changes.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -17,6 +17,8 @@
     X(RequestFailed, 1104, "request.failed")                                                       \
     X(CallerGone, 1105, "request.caller_gone")                                                     \
     X(ConnectionRefused, 1106, "connection.refused")                                               \
+    X(ConnectionUnexpectedData, 1107, "connection.unexpected_data")                                \
+    X(ResponseForeign, 1108, "response.foreign")                                                   \
     X(PlacementChosen, 1201, "placement.chosen")                                                   \
     X(PlacementWaiting, 1202, "placement.waiting")                                                 \
     X(PlacementRefused, 1203, "placement.refused")                                                 \
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -44,6 +44,8 @@
                                                       const HttpExchangeOptions &options,
                                                       ResponseCallback callback);
 
+    const HttpConnectionPool::Counters &counters() const { return m_pool.counters(); }
+
 private:
     TimerService &m_timers;
     HttpConnectionPool m_pool;
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -1,6 +1,8 @@
 #include "http/HttpConnectionPool.h"
 
+#include "base/EventLog.h"
 #include "base/TimerService.h"
+#include "http/ClientConnection.h"
 #include "http/TcpStream.h"
 
 namespace cranberry {
@@ -17,8 +19,8 @@
 } // namespace
 
 struct HttpConnectionPool::IdleConnection {
-    /// Null after data or the end of the connection was received while it was idle.
-    std::unique_ptr<TcpStream> stream;
+    /// Without a stream after data or the end of the connection was received while it was idle.
+    ClientConnection connection;
     MonotonicTime idleSince;
     MonotonicTime expiresAt;
 };
@@ -33,34 +35,40 @@
 void HttpConnectionPool::removeUnusable(IdleList &list, MonotonicTime now)
 {
     list.remove_if([now](const std::shared_ptr<IdleConnection> &idle) {
-        return !idle->stream || idle->expiresAt <= now;
+        return !idle->connection.stream || idle->expiresAt <= now;
     });
 }
 
-std::unique_ptr<TcpStream> HttpConnectionPool::take(const HttpEndpoint &endpoint,
-                                                    std::optional<Milliseconds> maxIdleTime)
+ClientConnection HttpConnectionPool::open(const HttpEndpoint &endpoint)
+{
+    return {TcpStream::connectTo(endpoint), {++m_opened, 0, m_timers.now()}};
+}
+
+ClientConnection HttpConnectionPool::take(const HttpEndpoint &endpoint,
+                                          std::optional<Milliseconds> maxIdleTime)
 {
     const auto found = m_idle.find(endpointKey(endpoint));
     if (found == m_idle.end())
-        return nullptr;
+        return {};
     const MonotonicTime now = m_timers.now();
     removeUnusable(*found, now);
-    std::unique_ptr<TcpStream> stream;
+    ClientConnection connection;
     // The connection at the back was released last and has been idle for the shortest time.
     const auto isFresh = [&](const IdleConnection &idle) {
         return !maxIdleTime || now - idle.idleSince <= *maxIdleTime;
     };
     if (!found->empty() && isFresh(*found->back())) {
-        stream = std::move(found->back()->stream);
-        stream->setCallbacks({});
+        connection = std::move(found->back()->connection);
+        connection.stream->setCallbacks({});
+        ++connection.use.earlierExchanges;
         found->pop_back();
     }
     if (found->empty())
         m_idle.erase(found);
-    return stream;
+    return connection;
 }
 
-void HttpConnectionPool::release(const HttpEndpoint &endpoint, std::unique_ptr<TcpStream> stream,
+void HttpConnectionPool::release(const HttpEndpoint &endpoint, ClientConnection connection,
                                  Milliseconds keepAliveTimeout)
 {
     const MonotonicTime now = m_timers.now();
@@ -73,13 +81,22 @@
     const std::weak_ptr<IdleConnection> weak = idle;
     // Data after a response belongs to no request, and more may follow without end.
     const auto close = [weak] {
-        if (const auto connection = weak.lock())
-            connection->stream.reset();
+        if (const auto held = weak.lock())
+            held->connection.stream.reset();
+    };
+    callbacks.received = [this, endpoint, use = connection.use, close](const QByteArray &data) {
+        ++m_counters.unexpectedData;
+        logEvent(LogLevel::Info, EventId::ConnectionUnexpectedData,
+                 {{"peer", endpointKey(endpoint)},
+                  {"connection", QString::number(use.number)},
+                  {"exchanges", QString::number(use.earlierExchanges + 1)},
+                  {"connection_ms", QString::number(ageOf(use, m_timers.now()).count())},
+                  {"bytes", QString::number(data.size())}});
+        close();
     };
-    callbacks.received = [close](const QByteArray &) { close(); };
     callbacks.ended = [close](TcpEnd) { close(); };
-    stream->setCallbacks(std::move(callbacks));
-    idle->stream = std::move(stream);
+    connection.stream->setCallbacks(std::move(callbacks));
+    idle->connection = std::move(connection);
     list.push_back(std::move(idle));
     if (list.size() > MaxIdlePerEndpoint)
         list.pop_front();
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -10,30 +10,42 @@
 
 namespace cranberry {
 
-class TcpStream;
 class TimerService;
+struct ClientConnection;
 
 /// Keeps idle client connections for reuse by later exchanges, a limited number per endpoint.
 /// Thread safety: only from its own thread.
 class HttpConnectionPool
 {
 public:
+    struct Counters {
+        /// Idle connections that were closed because data was received on them.
+        qint64 unexpectedData = 0;
+        /// Responses to another request than the one that was sent last.
+        qint64 foreignResponses = 0;
+    };
+
     /// Precondition: @p timers outlives the pool.
     explicit HttpConnectionPool(TimerService &timers);
     ~HttpConnectionPool();
     HttpConnectionPool(const HttpConnectionPool &) = delete;
     HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
 
+    /// Starts to open a connection to @p endpoint; see TcpStream::connectTo().
+    ClientConnection open(const HttpEndpoint &endpoint);
+
     /// Removes from the pool and returns an open connection to @p endpoint that has been idle for
-    /// at most @p maxIdleTime; null if there is none.
-    std::unique_ptr<TcpStream> take(const HttpEndpoint &endpoint,
-                                    std::optional<Milliseconds> maxIdleTime);
+    /// at most @p maxIdleTime; without a stream if there is none.
+    ClientConnection take(const HttpEndpoint &endpoint, std::optional<Milliseconds> maxIdleTime);
 
-    /// Takes ownership of @p stream and keeps it for at most @p keepAliveTimeout.
+    /// Takes ownership of @p connection and keeps it for at most @p keepAliveTimeout.
     /// Precondition: the last response on it was read completely.
-    void release(const HttpEndpoint &endpoint, std::unique_ptr<TcpStream> stream,
+    void release(const HttpEndpoint &endpoint, ClientConnection connection,
                  Milliseconds keepAliveTimeout);
 
+    void countForeignResponse() { ++m_counters.foreignResponses; }
+    const Counters &counters() const { return m_counters; }
+
 private:
     struct IdleConnection;
     using IdleList = std::list<std::shared_ptr<IdleConnection>>;
@@ -41,6 +53,8 @@
     static void removeUnusable(IdleList &list, MonotonicTime now);
 
     TimerService &m_timers;
+    quint64 m_opened = 0;
+    Counters m_counters;
     QHash<QString, IdleList> m_idle;
 };
 
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpExchange.h"
 
+#include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "http/EndpointCheck.h"
@@ -25,6 +26,8 @@
 /// Maximum size of responses to other requests on one connection.
 constexpr Bytes MaxSkipped{1024 * 1024};
 
+constexpr qsizetype MaxLoggedEcho = 64;
+
 QByteArray serializeRequest(const HttpEndpoint &endpoint, const HttpRequest &request,
                             bool keepAlive)
 {
@@ -61,16 +64,15 @@
     , m_destroyed(std::make_shared<bool>(false))
 {
     if (options.reuseConnection)
-        m_stream = pool.take(endpoint, options.maxIdleTime);
-    const bool reused = m_stream != nullptr;
-    m_isNewConnection = !reused;
+        m_connection = pool.take(endpoint, options.maxIdleTime);
+    const bool reused = m_connection.stream != nullptr;
     if (!reused)
-        m_stream = TcpStream::connectTo(endpoint);
+        m_connection = pool.open(endpoint);
     TcpStreamCallbacks events;
     events.connected = [this] { handleConnected(); };
     events.received = [this](const QByteArray &data) { handleData(data); };
     events.ended = [this](TcpEnd end) { handleEnd(end); };
-    m_stream->setCallbacks(std::move(events));
+    m_connection.stream->setCallbacks(std::move(events));
     if (reused) {
         handleConnected();
         return;
@@ -98,7 +100,7 @@
         m_lastProgress = m_timers.now();
         startStallTimer(m_options.stallTimeout);
     }
-    m_stream->write(m_outgoing);
+    m_connection.stream->write(m_outgoing);
     m_outgoing.clear();
 }
 
@@ -175,9 +177,15 @@
 bool HttpExchange::processHeaders()
 {
     const QByteArray echo = m_parser->headers().value(m_options.echoHeader);
-    m_isSkippingResponse =
+    const bool isForeign =
         !m_options.echoHeader.isEmpty() && !echo.isNull() && echo != m_options.echoValue;
+    m_isSkippingResponse = isForeign && !m_options.echoValue.isEmpty();
+    if (isForeign) {
+        m_pool.countForeignResponse();
+        logForeignResponse(echo);
+    }
     if (m_isSkippingResponse) {
+        ++m_skipped;
         m_hasUnexpectedData = true;
         return true;
     }
@@ -187,6 +195,20 @@
     return !*destroyed && !m_finished;
 }
 
+void HttpExchange::logForeignResponse(const QByteArray &echo) const
+{
+    const ConnectionUse &use = m_connection.use;
+    logEvent(LogLevel::Info, EventId::ResponseForeign,
+             {{"peer", m_endpoint.address + u':' + QString::number(m_endpoint.port)},
+              {"request", QString::fromLatin1(m_options.echoValue)},
+              {"received", QString::fromLatin1(echo.left(MaxLoggedEcho))},
+              {"status", QString::number(m_parser->status())},
+              {"skipped", QLatin1String(m_isSkippingResponse ? "yes" : "no")},
+              {"connection", QString::number(use.number)},
+              {"exchanges", QString::number(use.earlierExchanges)},
+              {"connection_ms", QString::number(ageOf(use, m_timers.now()).count())}});
+}
+
 void HttpExchange::handleEnd(TcpEnd end)
 {
     if (end == TcpEnd::NotConnected || !m_connected) {
@@ -249,16 +271,16 @@
     m_finished = true;
     m_timeout.reset();
     m_stallTimer.reset();
-    m_stream->setCallbacks({});
+    m_connection.stream->setCallbacks({});
     // After a response that arrives before the request is sent completely, or that is followed by
     // further bytes, leftover data on the connection would be mixed up with the next request.
     const bool isReusable =
-        m_incoming.isEmpty() && !m_hasUnexpectedData && m_stream->unsentBytes() == 0;
+        m_incoming.isEmpty() && !m_hasUnexpectedData && m_connection.stream->unsentBytes() == 0;
     const bool mayKeep = m_options.reuseConnection || m_options.keepConnection;
     if (end == HttpExchangeEnd::Complete && mayKeep && isReusable && m_parser->keep_alive())
-        m_pool.release(m_endpoint, std::move(m_stream), keepAliveTimeout());
+        m_pool.release(m_endpoint, std::move(m_connection), keepAliveTimeout());
     else
-        m_stream.reset();
+        m_connection.stream.reset();
     const auto callback = std::move(m_callbacks.finished);
     if (callback)
         callback(end, reason);
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -2,6 +2,7 @@
 
 #include "base/Units.h"
 #include "http/BodyFraming.h"
+#include "http/ClientConnection.h"
 #include "http/HttpEndpoint.h"
 #include "http/HttpExchangeEnd.h"
 #include "http/HttpExchangeOptions.h"
@@ -16,7 +17,6 @@
 
 class EndpointCheck;
 class HttpConnectionPool;
-class TcpStream;
 class TimerService;
 class TimerSubscription;
 enum class TcpEnd;
@@ -50,7 +50,10 @@
     HttpExchange &operator=(const HttpExchange &) = delete;
 
     /// Whether the connection was opened for this exchange.
-    bool isNewConnection() const { return m_isNewConnection; }
+    bool isNewConnection() const { return m_connection.use.earlierExchanges == 0; }
+    const ConnectionUse &connectionUse() const { return m_connection.use; }
+    /// Responses to other requests that were received before the response to this one.
+    int skippedResponses() const { return m_skipped; }
     /// How the end of the response's body is marked.
     BodyFraming framing() const;
 
@@ -62,6 +65,7 @@
     /// Ends the exchange and returns true if @p body makes the response too large.
     bool endIfTooLarge(const QByteArray &body);
     bool processHeaders();
+    void logForeignResponse(const QByteArray &echo) const;
     void handleEnd(TcpEnd end);
     void confirmClose();
     void finish(HttpExchangeEnd end, const QString &reason);
@@ -79,12 +83,12 @@
     std::unique_ptr<TimerSubscription> m_stallTimer;
     /// When data was last received or, before any, when the connection was established.
     MonotonicTime m_lastProgress;
-    std::unique_ptr<TcpStream> m_stream;
+    ClientConnection m_connection;
     std::unique_ptr<EndpointCheck> m_closeCheck;
     /// Bytes of all bodies received, of skipped responses too.
     Bytes m_bodyBytes;
     bool m_connected = false;
-    bool m_isNewConnection = false;
+    int m_skipped = 0;
     /// True while the response being parsed belongs to another request.
     bool m_isSkippingResponse = false;
     /// True if a response to another request was received; the connection is then not reused.
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -34,6 +34,7 @@
     /// than echoValue belongs to an earlier request on the connection and is skipped. Not checked
     /// if empty.
     QByteArray echoHeader;
+    /// Empty if the request has no such header; no response is skipped then.
     QByteArray echoValue;
 };
 
--- a/src/relay/AnswerHead.h
+++ b/src/relay/AnswerHead.h
@@ -13,6 +13,8 @@
     HttpHeaders headers;
     /// It carries the seal of a target: it is the answer of a target to a request that ran.
     bool isSealed = false;
+    /// It bears the id of the request.
+    bool namesRequest = false;
     /// The target says that it did not run the request and will not run it later.
     bool isNotExecuted = false;
     /// The address belongs to another target.
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -41,7 +41,6 @@
     options.keepConnection = true;
     options.maxIdleTime = maxIdle;
     options.confirmClose = true;
-    options.echoHeader = context.targetProtocol.echoHeader;
     options.echoValue = request.id.text().toUtf8();
     return options;
 }
@@ -230,6 +229,10 @@
     result.head = m_head;
     result.isStream = m_isStream;
     result.body = m_body;
+    if (m_exchange) {
+        result.connection = m_exchange->connectionUse();
+        result.skippedResponses = m_exchange->skippedResponses();
+    }
     result.reason = result.end == AnswerEnd::InsideEvent
         ? QStringLiteral("the stream ended inside an event")
         : reason;
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -242,6 +242,9 @@
     text += counterText("cranberry_relay_moves_failed_total", counters.movesFailed);
     text += counterText("cranberry_relay_streams_lost_total", counters.streamsLost);
     text += answerEndsText(counters);
+    const HttpConnectionPool::Counters &connections = parts.client.counters();
+    text += counterText("cranberry_relay_unexpected_data_total", connections.unexpectedData);
+    text += counterText("cranberry_relay_foreign_responses_total", connections.foreignResponses);
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
     text += counterText("cranberry_relay_unreadable_entries_total", counters.unreadableEntries);
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -45,6 +45,12 @@
               {"events", QString::number(m_lastEvent)},
               {"framing", QLatin1String(bodyFramingName(result.framing))},
               {"answer_end", QLatin1String(answerEndName(result.end))},
+              {"names_request", QLatin1String(result.head.namesRequest ? "yes" : "no")},
+              {"skipped", QString::number(result.skippedResponses)},
+              {"connection", QString::number(result.connection.number)},
+              {"exchanges", QString::number(result.connection.earlierExchanges)},
+              {"connection_ms",
+               QString::number(ageOf(result.connection, m_context.timers.now()).count())},
               {"reason", result.reason}});
     m_ran = std::max(m_ran, ranAfter(result.kind));
     if (ranAfter(result.kind) != Ran::No)
--- a/src/relay/SendResult.h
+++ b/src/relay/SendResult.h
@@ -2,6 +2,7 @@
 
 #include "base/ErrorKind.h"
 #include "http/BodyFraming.h"
+#include "http/ConnectionUse.h"
 #include "relay/AnswerEnd.h"
 #include "relay/AnswerHead.h"
 
@@ -39,6 +40,9 @@
     QString reason;
     BodyFraming framing = BodyFraming::Unknown;
     AnswerEnd end = AnswerEnd::Broken;
+    /// Unset, with the number 0, if nothing was sent or the answer was too large.
+    ConnectionUse connection;
+    int skippedResponses = 0;
 };
 
 /// Whether the request may have run after an attempt that ended so. Thread-safe.
--- a/src/relay/TargetClient.cpp
+++ b/src/relay/TargetClient.cpp
@@ -33,7 +33,9 @@
         if (forward)
             forward(status, headers);
     };
-    return m_client.send(call.endpoint, request, options, std::move(callbacks));
+    HttpExchangeOptions checked = options;
+    checked.echoHeader = m_protocol.echoHeader;
+    return m_client.send(call.endpoint, request, checked, std::move(callbacks));
 }
 
 std::unique_ptr<HttpExchange> TargetClient::fetch(const TargetCall &call,
