--- /dev/null
+++ b/test/failure/AnswersOfOtherCalls.cpp
@@ -0,0 +1,110 @@
+// Tests that an answer that arrives where another one is due does not count as that one.
+#define BOOST_TEST_MODULE AnswersOfOtherCalls
+#include <boost/test/unit_test.hpp>
+
+#include "standins/users/RepeatingRunner.h"
+#include "support/EventLoop.h"
+#include "support/PlatformSite.h"
+
+using namespace cranberry;
+using namespace std::chrono_literals;
+using standin::AnswerTimes;
+using standin::RepeatingRunner;
+
+namespace {
+
+const QByteArray Slow = "slow";
+
+/// Answers to all but slow requests come again where the next answer on the connection is due. The
+/// answer to a probe comes with the next request on its connection.
+struct Fixture {
+    Fixture()
+    {
+        site.configure(1);
+        site.setFirstStart();
+        for (RepeatingRunner *target : {&first, &second}) {
+            target->setTimes([](const HttpRequest &request) {
+                return request.body == Slow ? AnswerTimes{2500ms, false, {}}
+                                            : AnswerTimes{50ms, true, {}};
+            });
+            target->setRejectionTime(std::nullopt);
+        }
+        announce(first, 8);
+        daemon = site.startDaemon();
+    }
+
+    void announce(const RepeatingRunner &target, int slotCount)
+    {
+        site.store().put(QStringLiteral("servers/") + QString::fromLatin1(target.id()),
+                         target.entry("plain", slotCount));
+    }
+    qsizetype runs(const QByteArray &id) const
+    {
+        return first.ran().count(id) + second.ran().count(id);
+    }
+    void send(const QByteArray &id, const QByteArray &body)
+    {
+        requests.push_back({id, site.sendWithBody(daemon, "/unsafe/a", id, body)});
+    }
+    /// Leaves idle connections whose last answer will come again, and makes the daemon probe the
+    /// target over one of them.
+    void provokeProbe()
+    {
+        for (int i = 0; i < 4; ++i)
+            send("first-" + QByteArray::number(i), {});
+        for (const Request &request : requests)
+            BOOST_REQUIRE(test::PlatformSite::finish(request.call));
+        send("slow", Slow);
+        BOOST_REQUIRE(test::waitFor([&] { return first.calls() > 0; }));
+    }
+    /// Waits for all answers. Each must be that of the only run of its request.
+    void checkAnswers()
+    {
+        for (const Request &request : requests) {
+            BOOST_TEST_CONTEXT(request.id.toStdString())
+            {
+                BOOST_TEST(test::PlatformSite::finish(request.call));
+                BOOST_TEST(runs(request.id) == 1);
+                BOOST_TEST(request.call->response.status == 200);
+                const QByteArray echo =
+                    request.call->response.headers.value("Cranberryquay-Request-Id");
+                BOOST_TEST((echo == request.id));
+            }
+        }
+    }
+
+    struct Request {
+        QByteArray id;
+        std::shared_ptr<test::ClientCall> call;
+    };
+
+    test::PlatformSite site;
+    RepeatingRunner first{"plain-1"};
+    RepeatingRunner second{"plain-2"};
+    std::vector<Request> requests;
+    int daemon = -1;
+};
+
+} // namespace
+
+// Guards against a promise that a request has not run, made of the late rejection of a probe.
+BOOST_FIXTURE_TEST_CASE(RejectedProbeIsNoRejectionOfARequest, Fixture)
+{
+    provokeProbe();
+    for (int i = 0; i < 4; ++i)
+        send("last-" + QByteArray::number(i), {});
+    checkAnswers();
+}
+
+// Guards against a second run of a request at another target, for the same reason.
+BOOST_FIXTURE_TEST_CASE(RejectedProbeStartsNoSecondRun, Fixture)
+{
+    provokeProbe();
+    // With a slot of its own it gets few of the requests that follow.
+    announce(second, 1);
+    BOOST_REQUIRE(test::waitFor(
+        [&] { return site.log(daemon).contains("name=target.joined target=plain-2"); }));
+    for (int i = 0; i < 8; ++i)
+        send("last-" + QByteArray::number(i), {});
+    checkAnswers();
+}
