An answer belongs to a request by its id, not by its place on a connection

Callers were told that a request had not run though it had, or it ran at two targets (REFUSED, TWICE).

Cause: reports, probes, reservations and orders have no request id and did not check for one. Such a call took a late second answer to an earlier request for its own; its connection returned to the pool one answer behind, and the next request took the answer to the call, also a rejection.

Change: matchResponse() judges each response. A call skips one that bears the id of a request. A request is not sent over a connection on which a response bore no id; the connection of its reservation is the exception, and an answer without an id counts there as one that may have run. An answer without an id is still believed where nothing could repeat: extra answers bear the ids of their requests.

--- a/src/http/ConnectionUse.h
+++ b/src/http/ConnectionUse.h
@@ -12,6 +12,9 @@
     quint64 number = 0;
     /// Exchanges that were begun on it before this one.
     int earlierExchanges = 0;
+    /// A response on it did not name its request; only set by exchanges that check names, see
+    /// HttpExchangeOptions::echoHeader.
+    bool hadUnnamed = false;
     MonotonicTime openedAt;
 };
 
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -5,6 +5,8 @@
 #include "http/ClientConnection.h"
 #include "http/TcpStream.h"
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -41,11 +43,16 @@
 
 ClientConnection HttpConnectionPool::open(const HttpEndpoint &endpoint)
 {
-    return {TcpStream::connectTo(endpoint), {++m_opened, 0, m_timers.now()}};
+    ClientConnection connection;
+    connection.stream = TcpStream::connectTo(endpoint);
+    connection.use.number = ++m_opened;
+    connection.use.openedAt = m_timers.now();
+    return connection;
 }
 
 ClientConnection HttpConnectionPool::take(const HttpEndpoint &endpoint,
-                                          std::optional<Milliseconds> maxIdleTime)
+                                          std::optional<Milliseconds> maxIdleTime,
+                                          bool requireNamed)
 {
     const auto found = m_idle.find(endpointKey(endpoint));
     if (found == m_idle.end())
@@ -54,14 +61,21 @@
     removeUnusable(*found, now);
     ClientConnection connection;
     // The connection at the back was released last and has been idle for the shortest time.
-    const auto isFresh = [&](const IdleConnection &idle) {
-        return !maxIdleTime || now - idle.idleSince <= *maxIdleTime;
+    const auto lastOf = [&](bool hadUnnamed) {
+        return std::find_if(
+            found->rbegin(), found->rend(), [&](const std::shared_ptr<IdleConnection> &idle) {
+                const bool isFresh = !maxIdleTime || now - idle->idleSince <= *maxIdleTime;
+                return isFresh && idle->connection.use.hadUnnamed == hadUnnamed;
+            });
     };
-    if (!found->empty() && isFresh(*found->back())) {
-        connection = std::move(found->back()->connection);
+    auto chosen = requireNamed ? found->rend() : lastOf(true);
+    if (chosen == found->rend())
+        chosen = lastOf(false);
+    if (chosen != found->rend()) {
+        connection = std::move((*chosen)->connection);
         connection.stream->setCallbacks({});
         ++connection.use.earlierExchanges;
-        found->pop_back();
+        found->erase(std::next(chosen).base());
     }
     if (found->empty())
         m_idle.erase(found);
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -35,8 +35,10 @@
     ClientConnection open(const HttpEndpoint &endpoint);
 
     /// Removes from the pool and returns an open connection to @p endpoint that has been idle for
-    /// at most @p maxIdleTime; without a stream if there is none.
-    ClientConnection take(const HttpEndpoint &endpoint, std::optional<Milliseconds> maxIdleTime);
+    /// at most @p maxIdleTime; without a stream if there is none. See
+    /// HttpExchangeOptions::requireNamed; other exchanges prefer connections that it excludes.
+    ClientConnection take(const HttpEndpoint &endpoint, std::optional<Milliseconds> maxIdleTime,
+                          bool requireNamed);
 
     /// Takes ownership of @p connection and keeps it for at most @p keepAliveTimeout.
     /// Precondition: the last response on it was read completely.
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -64,7 +64,7 @@
     , m_destroyed(std::make_shared<bool>(false))
 {
     if (options.reuseConnection)
-        m_connection = pool.take(endpoint, options.maxIdleTime);
+        m_connection = pool.take(endpoint, options.maxIdleTime, options.requireNamed);
     const bool reused = m_connection.stream != nullptr;
     if (!reused)
         m_connection = pool.open(endpoint);
@@ -129,7 +129,7 @@
         finish(HttpExchangeEnd::Malformed, QStringLiteral("a chunk header is too large"));
         return;
     }
-    if (!m_isSkippingResponse && !body.isEmpty() && m_callbacks.body) {
+    if (!isSkipping() && !body.isEmpty() && m_callbacks.body) {
         m_callbacks.body(body);
         if (*destroyed || m_finished)
             return;
@@ -140,7 +140,7 @@
 
 bool HttpExchange::endIfTooLarge(const QByteArray &body)
 {
-    const std::optional<Bytes> limit = m_isSkippingResponse ? MaxSkipped : m_options.maxBody;
+    const std::optional<Bytes> limit = isSkipping() ? MaxSkipped : m_options.maxBody;
     m_bodyBytes += Bytes(body.size());
     if (!limit || m_bodyBytes <= *limit)
         return false;
@@ -166,8 +166,8 @@
             finish(HttpExchangeEnd::Malformed, QString::fromStdString(error.message()));
             return false;
         }
-        if (m_isSkippingResponse && m_parser->is_done()) {
-            m_isSkippingResponse = false;
+        if (isSkipping() && m_parser->is_done()) {
+            m_match = ResponseMatch::Own;
             m_parser = std::make_unique<internal::HttpResponseParser>();
         }
     }
@@ -176,18 +176,20 @@
 
 bool HttpExchange::processHeaders()
 {
-    const QByteArray echo = m_parser->headers().value(m_options.echoHeader);
-    const bool isForeign =
-        !m_options.echoHeader.isEmpty() && !echo.isNull() && echo != m_options.echoValue;
-    m_isSkippingResponse = isForeign && !m_options.echoValue.isEmpty();
-    if (isForeign) {
-        m_pool.countForeignResponse();
-        logForeignResponse(echo);
-    }
-    if (m_isSkippingResponse) {
-        ++m_skipped;
-        m_hasUnexpectedData = true;
-        return true;
+    if (!m_options.echoHeader.isEmpty()) {
+        const QByteArray echo = m_parser->headers().value(m_options.echoHeader);
+        ConnectionUse &use = m_connection.use;
+        m_match = matchResponse(m_options.echoValue, echo, {isNewConnection(), use.hadUnnamed});
+        use.hadUnnamed = use.hadUnnamed || echo.isEmpty();
+        if (m_match != ResponseMatch::Own) {
+            m_pool.countForeignResponse();
+            logForeignResponse(echo);
+            m_hasUnexpectedData = true;
+        }
+        if (isSkipping()) {
+            ++m_skipped;
+            return true;
+        }
     }
     const std::shared_ptr<bool> destroyed = m_destroyed;
     if (m_callbacks.headers)
@@ -203,7 +205,7 @@
               {"request", QString::fromLatin1(m_options.echoValue)},
               {"received", QString::fromLatin1(echo.left(MaxLoggedEcho))},
               {"status", QString::number(m_parser->status())},
-              {"skipped", QLatin1String(m_isSkippingResponse ? "yes" : "no")},
+              {"skipped", QLatin1String(isSkipping() ? "yes" : "no")},
               {"connection", QString::number(use.number)},
               {"exchanges", QString::number(use.earlierExchanges)},
               {"connection_ms", QString::number(ageOf(use, m_timers.now()).count())}});
@@ -218,7 +220,7 @@
     // A response without a length ends when the peer closes the connection in order; after a reset
     // its last bytes may be missing. The parser also accepts an end before the first byte as a
     // complete response, so the headers must have been received.
-    const bool hadHeaders = m_parser->is_header_done() && !m_isSkippingResponse;
+    const bool hadHeaders = m_parser->is_header_done() && !isSkipping();
     bool isComplete = false;
     if (hadHeaders && end == TcpEnd::Closed) {
         boost::beast::error_code error;
@@ -249,7 +251,7 @@
 
 BodyFraming HttpExchange::framing() const
 {
-    return m_isSkippingResponse ? BodyFraming::Unknown : m_parser->framing();
+    return isSkipping() ? BodyFraming::Unknown : m_parser->framing();
 }
 
 Milliseconds HttpExchange::keepAliveTimeout() const
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -7,6 +7,7 @@
 #include "http/HttpExchangeEnd.h"
 #include "http/HttpExchangeOptions.h"
 #include "http/HttpHeaders.h"
+#include "http/ResponseMatch.h"
 
 #include <QByteArray>
 
@@ -54,6 +55,8 @@
     const ConnectionUse &connectionUse() const { return m_connection.use; }
     /// Responses to other requests that were received before the response to this one.
     int skippedResponses() const { return m_skipped; }
+    /// Whether the response belongs to the request, once its headers were received.
+    ResponseMatch responseMatch() const { return m_match; }
     /// How the end of the response's body is marked.
     BodyFraming framing() const;
 
@@ -64,6 +67,7 @@
     bool parse();
     /// Ends the exchange and returns true if @p body makes the response too large.
     bool endIfTooLarge(const QByteArray &body);
+    bool isSkipping() const { return m_match == ResponseMatch::Foreign; }
     bool processHeaders();
     void logForeignResponse(const QByteArray &echo) const;
     void handleEnd(TcpEnd end);
@@ -89,8 +93,8 @@
     Bytes m_bodyBytes;
     bool m_connected = false;
     int m_skipped = 0;
-    /// True while the response being parsed belongs to another request.
-    bool m_isSkippingResponse = false;
+    /// Of the response being parsed; a foreign one is skipped.
+    ResponseMatch m_match = ResponseMatch::Own;
     /// True if a response to another request was received; the connection is then not reused.
     bool m_hasUnexpectedData = false;
     bool m_finished = false;
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -27,14 +27,16 @@
     bool keepConnection = false;
     /// A connection that has been idle for longer is not reused; no limit if unset.
     std::optional<Milliseconds> maxIdleTime;
+    /// Do not reuse a connection on which a response did not name its request: it may come again,
+    /// and nothing would tell it from a response to this request.
+    bool requireNamed = false;
     /// After a body that ends with the connection, check that the peer still accepts connections. A
     /// process that crashes closes its connections in order too; the exchange then ends as broken.
     bool confirmClose = false;
-    /// Name of a header whose value a target repeats in its response. A response with a value other
-    /// than echoValue belongs to an earlier request on the connection and is skipped. Not checked
-    /// if empty.
+    /// Name of a header in which a target names the request that it answers. A response that names
+    /// another request is skipped; see matchResponse(). Not checked if empty.
     QByteArray echoHeader;
-    /// Empty if the request has no such header; no response is skipped then.
+    /// The name of the request; empty if it has none.
     QByteArray echoValue;
 };
 
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -33,13 +33,14 @@
 }
 
 HttpExchangeOptions optionsFor(const RelayContext &context, const RelayRequest &request,
-                               Milliseconds maxIdle)
+                               Milliseconds maxIdle, bool requireNamed)
 {
     HttpExchangeOptions options;
     options.connectTimeout = ConnectTimeout;
     options.reuseConnection = maxIdle.count() > 0;
     options.keepConnection = true;
     options.maxIdleTime = maxIdle;
+    options.requireNamed = requireNamed;
     options.confirmClose = true;
     options.echoValue = request.id.text().toUtf8();
     return options;
@@ -136,7 +137,8 @@
     const CallPurpose purpose = plan.resumeFrom ? CallPurpose::Continuation : CallPurpose::Request;
     m_exchange = context.targetClient.send(
         {m_target, endpoint, purpose}, context.targetProtocol.attempt(request, plan),
-        optionsFor(context, request, maxIdle), std::move(events));
+        // The connection of the reservation is used, though its answer bears no id.
+        optionsFor(context, request, maxIdle, plan.reservation.isEmpty()), std::move(events));
     if (!m_exchange) {
         m_withheldTimer = context.timers.after(Milliseconds(0), [this] { withheld(); });
         return;
@@ -160,11 +162,13 @@
 {
     m_head = m_context.targetProtocol.answerHead(m_request, status, headers);
     m_hasHead = true;
+    m_isUncertain = m_exchange->responseMatch() == ResponseMatch::Uncertain;
     m_context.reach.recordAnswer(m_target, m_exchange->isNewConnection());
     m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
     m_context.brittle.recordAnswer(m_target, m_head, m_sentAt);
     m_context.crashGuard.attempts().answered(m_target, m_sentAt);
-    m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable;
+    m_isStream = m_callbacks.event && isSuccess(m_head) && m_head.isSealed && !m_head.isUnusable
+        && !m_isUncertain;
     if (!m_isStream)
         return;
     const auto began = m_callbacks.began;
@@ -205,6 +209,8 @@
 {
     if (end == HttpExchangeEnd::NotConnected)
         return SendResult::Kind::NotConnected;
+    if (m_isUncertain)
+        return SendResult::Kind::Invalid;
     if (m_hasHead && m_head.isMisdirected)
         return SendResult::Kind::Misdirected;
     if (m_hasHead && m_head.isNotExecuted)
@@ -233,9 +239,12 @@
         result.connection = m_exchange->connectionUse();
         result.skippedResponses = m_exchange->skippedResponses();
     }
-    result.reason = result.end == AnswerEnd::InsideEvent
-        ? QStringLiteral("the stream ended inside an event")
-        : reason;
+    if (m_isUncertain)
+        result.reason = QStringLiteral("the answer may be that of an earlier call");
+    else if (result.end == AnswerEnd::InsideEvent)
+        result.reason = QStringLiteral("the stream ended inside an event");
+    else
+        result.reason = reason;
     const auto callback = std::move(m_callbacks.ended);
     callback(result);
 }
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -62,6 +62,8 @@
     const MonotonicTime m_sentAt;
     AnswerHead m_head;
     bool m_hasHead = false;
+    /// The answer may be another one's.
+    bool m_isUncertain = false;
     bool m_isStream = false;
     QByteArray m_body;
     /// Of an answer that was cut off.
--- a/test/correctness/HttpConnections.cpp
+++ b/test/correctness/HttpConnections.cpp
@@ -7,6 +7,7 @@
 #include "http/HttpExchangeOptions.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponse.h"
+#include "http/ResponseMatch.h"
 #include "support/EventLoop.h"
 
 #include <QTcpServer>
@@ -76,3 +77,39 @@
         fetch(options);
     BOOST_TEST(connections == 3);
 }
+
+// A second response bears the id of the first one; one without an id may follow only another
+// without.
+BOOST_AUTO_TEST_CASE(ResponsesBelongToRequestsByTheirIds)
+{
+    const ConnectionHistory isNew{true, false};
+    const ConnectionHistory isNamed{false, false};
+    const ConnectionHistory hadUnnamed{false, true};
+    for (const ConnectionHistory &history : {isNew, isNamed, hadUnnamed}) {
+        BOOST_TEST((matchResponse("a", "a", history) == ResponseMatch::Own));
+        BOOST_TEST((matchResponse("b", "a", history) == ResponseMatch::Foreign));
+        BOOST_TEST((matchResponse("", "", history) == ResponseMatch::Own));
+    }
+    BOOST_TEST((matchResponse("a", "", isNew) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("a", "", isNamed) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("a", "", hadUnnamed) == ResponseMatch::Uncertain));
+    BOOST_TEST((matchResponse("", "a", isNew) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("", "a", isNamed) == ResponseMatch::Foreign));
+    BOOST_TEST((matchResponse("", "a", hadUnnamed) == ResponseMatch::Foreign));
+}
+
+// Guards against a response to a probe that counts as the response to the request after it.
+BOOST_FIXTURE_TEST_CASE(ConnectionWithAnUnnamedResponseIsNotUsedIfNamesAreRequired, Fixture)
+{
+    HttpExchangeOptions probe;
+    probe.reuseConnection = true;
+    probe.echoHeader = "Id";
+    HttpExchangeOptions request = probe;
+    request.echoValue = "a";
+    request.requireNamed = true;
+    fetch(probe);
+    fetch(request);
+    BOOST_TEST(connections == 2);
+    fetch(probe);
+    BOOST_TEST(connections == 2);
+}
--- a/test/failure/AnswersOfOtherCalls.cpp
+++ b/test/failure/AnswersOfOtherCalls.cpp
@@ -2,6 +2,7 @@
 #define BOOST_TEST_MODULE AnswersOfOtherCalls
 #include <boost/test/unit_test.hpp>
 
+#include "standins/users/RawRunner.h"
 #include "standins/users/RepeatingRunner.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
@@ -9,6 +10,8 @@
 using namespace cranberry;
 using namespace std::chrono_literals;
 using standin::AnswerTimes;
+using standin::RawAnswer;
+using standin::RawRunner;
 using standin::RepeatingRunner;
 
 namespace {
@@ -108,3 +111,39 @@
         send("last-" + QByteArray::number(i), {});
     checkAnswers();
 }
+
+// Guards against a promise that a generation has not run, made of a second answer to the
+// reservation before it.
+BOOST_AUTO_TEST_CASE(RejectedReservationIsNoRejectionOfAGeneration)
+{
+    test::PlatformSite site;
+    int runs = 0;
+    int reservations = 0;
+    RawRunner runner([&](const QByteArray &request) {
+        const QByteArray id = RawRunner::header(request, "Cranberryquay-Request-Id");
+        const auto json = [](const QByteArray &body) {
+            return RawAnswer{"HTTP/1.1 200 OK\r\nContent-Length: " + QByteArray::number(body.size())
+                             + "\r\n\r\n" + body};
+        };
+        if (request.startsWith("POST /v1/hold-take")) {
+            ++reservations;
+            return json(R"({"hold": "h"})");
+        }
+        if (id.isEmpty())
+            return json(R"({"queued": 0, "running": 0, "kvUsed": 0, "kvTotal": 100000})");
+        ++runs;
+        return RawAnswer{"HTTP/1.1 503 Service Unavailable\r\nCranberryquay-Not-Executed: 1\r\n"
+                         "Content-Length: 0\r\n\r\n"};
+    });
+    const QByteArray entry = R"({"service": "model", "zone": "hall", "slots": 4,
+        "state": "ready", "address": "127.0.0.1:)"
+        + QByteArray::number(runner.endpoint().port) + "\"}";
+    site.store().put(QStringLiteral("servers/raw"), entry);
+    site.configure(1);
+    site.setFirstStart();
+    const int daemon = site.startDaemon();
+    const auto call = site.call(daemon, "POST", "/model/a", "r1", test::PlatformSite::generation());
+    BOOST_REQUIRE(reservations > 0);
+    BOOST_TEST(runs == 1);
+    BOOST_TEST(call->response.status == 502);
+}
