--- a/test/failure/AnswersOfOtherCalls.cpp
+++ b/test/failure/AnswersOfOtherCalls.cpp
@@ -2,11 +2,14 @@
 #define BOOST_TEST_MODULE AnswersOfOtherCalls
 #include <boost/test/unit_test.hpp>
 
+#include "standins/users/PromiseChecks.h"
 #include "standins/users/RawRunner.h"
 #include "standins/users/RepeatingRunner.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
+#include <random>
+
 using namespace cranberry;
 using namespace std::chrono_literals;
 using standin::AnswerTimes;
@@ -147,3 +150,67 @@
     BOOST_TEST(runs == 1);
     BOOST_TEST(call->response.status == 502);
 }
+
+// The same under load, with second answers and rejections at random times.
+BOOST_AUTO_TEST_CASE(RequestsUnderLoadRunOnce)
+{
+    constexpr int Targets = 12;
+    constexpr std::size_t Callers = 24;
+    constexpr auto Duration = 8s;
+    constexpr quint32 Seed = 1;
+    std::mt19937 random(Seed);
+    test::PlatformSite site;
+    standin::PromiseChecks promises;
+    std::vector<std::unique_ptr<RepeatingRunner>> targets;
+    for (int i = 0; i < Targets; ++i) {
+        targets.push_back(std::make_unique<RepeatingRunner>("plain-" + QByteArray::number(i)));
+        RepeatingRunner &target = *targets.back();
+        target.setTimes([&random](const HttpRequest &) {
+            const bool isSlow = random() % 20 == 0;
+            return AnswerTimes{std::chrono::milliseconds(isSlow ? 600 : random() % 20),
+                               random() % 10 < 3, std::chrono::milliseconds(random() % 51)};
+        });
+        target.setRejectionTime(120ms);
+        target.onRan([&, i](const HttpRequest &request) {
+            promises.ran("plain-" + QByteArray::number(i), request);
+        });
+        site.store().put(QStringLiteral("servers/") + QString::fromLatin1(target.id()),
+                         target.entry("plain"));
+    }
+    site.configure(1);
+    site.setFirstStart();
+    const int daemon = site.startDaemon();
+    std::vector<std::pair<QByteArray, std::shared_ptr<test::ClientCall>>> calls;
+    int sent = 0;
+    const auto until = std::chrono::steady_clock::now() + Duration;
+    const auto step = [&] {
+        for (auto call = calls.begin(); call != calls.end();) {
+            if (!call->second->isOver) {
+                ++call;
+                continue;
+            }
+            promises.answered(call->first, call->second->response,
+                              call->second->end == HttpExchangeEnd::Complete);
+            call = calls.erase(call);
+        }
+        const bool isSending = std::chrono::steady_clock::now() < until;
+        while (isSending && calls.size() < Callers) {
+            const QByteArray id = "r" + QByteArray::number(++sent);
+            calls.emplace_back(id, site.sendWithBody(daemon, "/unsafe/a", id, "body of " + id));
+        }
+        return !isSending && calls.empty();
+    };
+    BOOST_TEST(test::waitFor(step));
+    int repeats = 0;
+    int probes = 0;
+    for (const auto &target : targets) {
+        repeats += target->repeats();
+        probes += target->calls();
+    }
+    BOOST_TEST_MESSAGE(sent << " requests, " << repeats << " second answers, " << probes
+                            << " probes");
+    BOOST_TEST(repeats > 0);
+    BOOST_TEST(probes > 0);
+    for (const QString &broken : promises.broken())
+        BOOST_ERROR(broken.toStdString());
+}
