--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -32,8 +32,7 @@
     return head.status >= FirstSuccess && head.status < FirstRedirect;
 }
 
-HttpExchangeOptions optionsFor(const RelayContext &context, const RelayRequest &request,
-                               Milliseconds maxIdle, bool requireNamed)
+HttpExchangeOptions optionsFor(const RelayRequest &request, Milliseconds maxIdle, bool requireNamed)
 {
     HttpExchangeOptions options;
     options.connectTimeout = ConnectTimeout;
@@ -138,7 +137,7 @@
     m_exchange = context.targetClient.send(
         {m_target, endpoint, purpose}, context.targetProtocol.attempt(request, plan),
         // The connection of the reservation is used, though its answer bears no id.
-        optionsFor(context, request, maxIdle, plan.reservation.isEmpty()), std::move(events));
+        optionsFor(request, maxIdle, plan.reservation.isEmpty()), std::move(events));
     if (!m_exchange) {
         m_withheldTimer = context.timers.after(Milliseconds(0), [this] { withheld(); });
         return;
