--- a/test/standins/users/RepeatingRunner.h
+++ b/test/standins/users/RepeatingRunner.h
@@ -1,16 +1,11 @@
 // Defines RepeatingRunner, a plain target that sends answers twice and rejects calls late.
 #pragma once
 
-#include "http/HttpEndpoint.h"
-#include "http/HttpRequest.h"
-
-#include <QTcpServer>
+#include "standins/users/ScriptedRunner.h"
 
 #include <chrono>
 #include <functional>
-#include <memory>
-
-class QTcpSocket;
+#include <optional>
 
 namespace cranberry::standin {
 
@@ -32,40 +27,37 @@
 
     explicit RepeatingRunner(QByteArray id);
 
-    const QByteArray &id() const { return m_id; }
-    HttpEndpoint endpoint() const;
+    const QByteArray &id() const { return m_runner.id(); }
     /// Its entry in the store.
-    QByteArray entry(const QByteArray &service, int slotCount = 8) const;
+    QByteArray entry(const QByteArray &service, int slotCount = 8) const
+    {
+        return m_runner.entry(service, slotCount);
+    }
     void setTimes(Times times) { m_times = std::move(times); }
     /// The time until a request without an id is rejected; unset: until the next request on the
     /// connection.
     void setRejectionTime(std::optional<std::chrono::milliseconds> time) { m_rejection = time; }
     /// @p callback is told of each request that it begins to run.
-    void onRan(std::function<void(const HttpRequest &)> callback) { m_onRan = std::move(callback); }
+    void onRan(std::function<void(const HttpRequest &)> callback)
+    {
+        m_runner.onRan(std::move(callback));
+    }
 
     /// Ids of the requests that it began to run.
-    const QList<QByteArray> &ran() const { return m_ran; }
+    const QList<QByteArray> &ran() const { return m_runner.ran(); }
     /// Requests without an id.
     int calls() const { return m_calls; }
     /// Answers that were sent a second time.
     int repeats() const { return m_repeats; }
 
 private:
-    void accept();
-    void read(QTcpSocket *socket);
-    void handle(QTcpSocket *socket, const HttpRequest &request);
-    void answered(QTcpSocket *socket, const QByteArray &answer, const AnswerTimes &times);
+    ScriptedAnswer answerTo(const HttpRequest &request);
 
-    QByteArray m_id;
     Times m_times;
     std::optional<std::chrono::milliseconds> m_rejection{0};
-    std::function<void(const HttpRequest &)> m_onRan;
-    QList<QByteArray> m_ran;
     int m_calls = 0;
     int m_repeats = 0;
-    /// What precedes the next answer on a connection.
-    QHash<QTcpSocket *, QByteArray> m_due;
-    QTcpServer m_server;
+    ScriptedRunner m_runner;
 };
 
 } // namespace cranberry::standin
