A rejection counts only for the attempt that it answers

Callers saw: an at-most-once request ran twice, or was answered 503 though it had run; with an extra answer without an id also 502, or an empty answer that was not theirs.

Cause: an answer counted as that of the last attempt on a connection if it bore the id of the request, and if it bore none. A request that is sent to the same target again bears the same id, so a second copy of an earlier rejection counted for the later attempt; bytes after a complete answer counted for the request after it.

Change: - No two requests of the same id go over one connection: the connection and the id together name the attempt. - An answer without an id is that of a request only if it is the first one on its connection. Where the peer names its answers it is skipped, else the request may have run. - proofOf() is the only function that takes an answer for a proof that a request has not run. A rejection that bears a seal, or a status of success, contradicts itself and proves nothing. - relay.send_ended says whether the answer bears a seal.

ResponsesBelongToRequestsByTheirIds expected that an answer without an id after named ones is the request's own; that was this fault. It now expects that such an answer belongs to no request.

--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -3,6 +3,7 @@
 #include "http/ConnectionUse.h"
 
 #include <memory>
+#include <vector>
 
 namespace cranberry {
 
@@ -13,6 +14,8 @@
     /// Null if there is no connection.
     std::unique_ptr<TcpStream> stream;
     ConnectionUse use;
+    /// Hashes of the names of the requests that were sent on it.
+    std::vector<std::size_t> sentNames;
 };
 
 } // namespace cranberry
--- a/src/http/ConnectionUse.h
+++ b/src/http/ConnectionUse.h
@@ -12,8 +12,10 @@
     quint64 number = 0;
     /// Exchanges that were begun on it before this one.
     int earlierExchanges = 0;
-    /// A response on it did not name its request; only set by exchanges that check names, see
+    /// A response on it named its request; only set by exchanges that check names, see
     /// HttpExchangeOptions::echoHeader.
+    bool hadNamed = false;
+    /// A response on it did not name its request; as above.
     bool hadUnnamed = false;
     MonotonicTime openedAt;
 };
--- a/src/http/HttpConnectionPool.cpp
+++ b/src/http/HttpConnectionPool.cpp
@@ -12,12 +12,26 @@
 namespace {
 
 constexpr std::size_t MaxIdlePerEndpoint = 16;
+/// Bounds the memory and the search of ClientConnection::sentNames.
+constexpr std::size_t MaxSentNames = 256;
 
 QString endpointKey(const HttpEndpoint &endpoint)
 {
     return endpoint.address + u':' + QString::number(endpoint.port);
 }
 
+bool hasSent(const ClientConnection &connection, const QByteArray &name)
+{
+    const std::vector<std::size_t> &sent = connection.sentNames;
+    return !name.isEmpty() && std::find(sent.begin(), sent.end(), qHash(name)) != sent.end();
+}
+
+void recordName(ClientConnection &connection, const QByteArray &name)
+{
+    if (!name.isEmpty())
+        connection.sentNames.push_back(qHash(name));
+}
+
 } // namespace
 
 struct HttpConnectionPool::IdleConnection {
@@ -41,18 +55,19 @@
     });
 }
 
-ClientConnection HttpConnectionPool::open(const HttpEndpoint &endpoint)
+ClientConnection HttpConnectionPool::open(const HttpEndpoint &endpoint, const QByteArray &name)
 {
     ClientConnection connection;
     connection.stream = TcpStream::connectTo(endpoint);
     connection.use.number = ++m_opened;
     connection.use.openedAt = m_timers.now();
+    recordName(connection, name);
     return connection;
 }
 
 ClientConnection HttpConnectionPool::take(const HttpEndpoint &endpoint,
                                           std::optional<Milliseconds> maxIdleTime,
-                                          bool requireNamed)
+                                          bool requireNamed, const QByteArray &name)
 {
     const auto found = m_idle.find(endpointKey(endpoint));
     if (found == m_idle.end())
@@ -65,7 +80,8 @@
         return std::find_if(
             found->rbegin(), found->rend(), [&](const std::shared_ptr<IdleConnection> &idle) {
                 const bool isFresh = !maxIdleTime || now - idle->idleSince <= *maxIdleTime;
-                return isFresh && idle->connection.use.hadUnnamed == hadUnnamed;
+                return isFresh && idle->connection.use.hadUnnamed == hadUnnamed
+                    && !hasSent(idle->connection, name);
             });
     };
     auto chosen = requireNamed ? found->rend() : lastOf(true);
@@ -75,6 +91,7 @@
         connection = std::move((*chosen)->connection);
         connection.stream->setCallbacks({});
         ++connection.use.earlierExchanges;
+        recordName(connection, name);
         found->erase(std::next(chosen).base());
     }
     if (found->empty())
@@ -85,6 +102,8 @@
 void HttpConnectionPool::release(const HttpEndpoint &endpoint, ClientConnection connection,
                                  Milliseconds keepAliveTimeout)
 {
+    if (connection.sentNames.size() >= MaxSentNames)
+        return;
     const MonotonicTime now = m_timers.now();
     IdleList &list = m_idle[endpointKey(endpoint)];
     removeUnusable(list, now);
--- a/src/http/HttpConnectionPool.h
+++ b/src/http/HttpConnectionPool.h
@@ -3,6 +3,7 @@
 #include "base/Units.h"
 #include "http/HttpEndpoint.h"
 
+#include <QByteArray>
 #include <QHash>
 
 #include <list>
@@ -31,16 +32,20 @@
     HttpConnectionPool(const HttpConnectionPool &) = delete;
     HttpConnectionPool &operator=(const HttpConnectionPool &) = delete;
 
-    /// Starts to open a connection to @p endpoint; see TcpStream::connectTo().
-    ClientConnection open(const HttpEndpoint &endpoint);
+    /// Starts to open a connection to @p endpoint for a request named @p name, empty if it has no
+    /// name; see TcpStream::connectTo().
+    ClientConnection open(const HttpEndpoint &endpoint, const QByteArray &name);
 
     /// Removes from the pool and returns an open connection to @p endpoint that has been idle for
-    /// at most @p maxIdleTime; without a stream if there is none. See
-    /// HttpExchangeOptions::requireNamed; other exchanges prefer connections that it excludes.
+    /// at most @p maxIdleTime; without a stream if there is none. No two requests of the same
+    /// @p name get the same connection: a second response to the earlier one would be taken for
+    /// that to the later one. See HttpExchangeOptions::requireNamed; other exchanges prefer
+    /// connections that it excludes.
     ClientConnection take(const HttpEndpoint &endpoint, std::optional<Milliseconds> maxIdleTime,
-                          bool requireNamed);
+                          bool requireNamed, const QByteArray &name);
 
-    /// Takes ownership of @p connection and keeps it for at most @p keepAliveTimeout.
+    /// Takes ownership of @p connection and keeps it for at most @p keepAliveTimeout. A connection
+    /// that has carried very many named requests is closed instead.
     /// Precondition: the last response on it was read completely.
     void release(const HttpEndpoint &endpoint, ClientConnection connection,
                  Milliseconds keepAliveTimeout);
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -64,10 +64,11 @@
     , m_destroyed(std::make_shared<bool>(false))
 {
     if (options.reuseConnection)
-        m_connection = pool.take(endpoint, options.maxIdleTime, options.requireNamed);
+        m_connection =
+            pool.take(endpoint, options.maxIdleTime, options.requireNamed, options.echoValue);
     const bool reused = m_connection.stream != nullptr;
     if (!reused)
-        m_connection = pool.open(endpoint);
+        m_connection = pool.open(endpoint, options.echoValue);
     TcpStreamCallbacks events;
     events.connected = [this] { handleConnected(); };
     events.received = [this](const QByteArray &data) { handleData(data); };
@@ -179,7 +180,8 @@
     if (!m_options.echoHeader.isEmpty()) {
         const QByteArray echo = m_parser->headers().value(m_options.echoHeader);
         ConnectionUse &use = m_connection.use;
-        m_match = matchResponse(m_options.echoValue, echo, {isNewConnection(), use.hadUnnamed});
+        m_match = matchResponse(m_options.echoValue, echo, {isFirstResponse(), use.hadNamed});
+        use.hadNamed = use.hadNamed || !echo.isEmpty();
         use.hadUnnamed = use.hadUnnamed || echo.isEmpty();
         if (m_match != ResponseMatch::Own) {
             m_pool.countForeignResponse();
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -52,6 +52,8 @@
 
     /// Whether the connection was opened for this exchange.
     bool isNewConnection() const { return m_connection.use.earlierExchanges == 0; }
+    /// Whether the response is the first one on its connection.
+    bool isFirstResponse() const { return isNewConnection() && m_skipped == 0; }
     const ConnectionUse &connectionUse() const { return m_connection.use; }
     /// Responses to other requests that were received before the response to this one.
     int skippedResponses() const { return m_skipped; }
--- a/src/http/ResponseMatch.cpp
+++ b/src/http/ResponseMatch.cpp
@@ -6,12 +6,13 @@
                             const ConnectionHistory &history)
 {
     if (!received.isEmpty()) {
-        // On a new connection, a response to a request without an id can be no other's.
-        const bool isOwn = received == sent || (sent.isEmpty() && history.isNew);
+        const bool isOwn = received == sent || (sent.isEmpty() && history.isFirst);
         return isOwn ? ResponseMatch::Own : ResponseMatch::Foreign;
     }
-    // Second responses bear the id that the first one bore.
-    return !sent.isEmpty() && history.hadUnnamed ? ResponseMatch::Uncertain : ResponseMatch::Own;
+    // Nothing precedes the first response, so that it can be no other's.
+    if (sent.isEmpty() || history.isFirst)
+        return ResponseMatch::Own;
+    return history.hadNamed ? ResponseMatch::Foreign : ResponseMatch::Uncertain;
 }
 
 } // namespace cranberry
--- a/src/relay/AnswerHead.h
+++ b/src/relay/AnswerHead.h
@@ -15,7 +15,7 @@
     bool isSealed = false;
     /// It bears the id of the request.
     bool namesRequest = false;
-    /// The target says that it did not run the request and will not run it later.
+    /// The target says that it did not run the request and will not run it later; see proofOf().
     bool isNotExecuted = false;
     /// The address belongs to another target.
     bool isMisdirected = false;
@@ -33,4 +33,12 @@
     QList<QByteArray> unknownHeaders;
 };
 
+/// Thread-safe.
+inline bool isSuccess(const AnswerHead &head)
+{
+    constexpr int FirstSuccess = 200;
+    constexpr int FirstRedirect = 300;
+    return head.status >= FirstSuccess && head.status < FirstRedirect;
+}
+
 } // namespace cranberry
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -2,6 +2,7 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "relay/AnswerProof.h"
 #include "relay/AttemptPlan.h"
 #include "relay/BrittleServices.h"
 #include "relay/CrashGuard.h"
@@ -24,13 +25,6 @@
 /// its prompt is read.
 constexpr Milliseconds PlainPatience{300};
 constexpr Milliseconds StreamPatience{2000};
-constexpr int FirstSuccess = 200;
-constexpr int FirstRedirect = 300;
-
-bool isSuccess(const AnswerHead &head)
-{
-    return head.status >= FirstSuccess && head.status < FirstRedirect;
-}
 
 HttpExchangeOptions optionsFor(const RelayRequest &request, Milliseconds maxIdle, bool requireNamed)
 {
@@ -125,6 +119,7 @@
     , m_callbacks(std::move(callbacks))
     , m_target(plan.target)
     , m_sentAt(context.timers.now())
+    , m_proof(AnswerProof::None)
     , m_alive(std::make_shared<bool>(true))
 {
     HttpExchangeCallbacks events;
@@ -162,6 +157,7 @@
     m_head = m_context.targetProtocol.answerHead(m_request, status, headers);
     m_hasHead = true;
     m_isUncertain = m_exchange->responseMatch() == ResponseMatch::Uncertain;
+    m_proof = proofOf(m_head, m_exchange->responseMatch(), m_exchange->isFirstResponse());
     m_context.reach.recordAnswer(m_target, m_exchange->isNewConnection());
     m_context.limits.recordAnswer(m_target, m_head, m_sentAt);
     m_context.brittle.recordAnswer(m_target, m_head, m_sentAt);
@@ -210,9 +206,9 @@
         return SendResult::Kind::NotConnected;
     if (m_isUncertain)
         return SendResult::Kind::Invalid;
-    if (m_hasHead && m_head.isMisdirected)
+    if (m_proof == AnswerProof::Misdirected)
         return SendResult::Kind::Misdirected;
-    if (m_hasHead && m_head.isNotExecuted)
+    if (m_proof == AnswerProof::NotExecuted)
         return SendResult::Kind::NotExecuted;
     if (end == HttpExchangeEnd::Malformed)
         return SendResult::Kind::Invalid;
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -12,6 +12,7 @@
 namespace cranberry {
 
 class TimerSubscription;
+enum class AnswerProof;
 struct AttemptPlan;
 enum class RelayAttemptEnd;
 struct RelayContext;
@@ -62,6 +63,7 @@
     const MonotonicTime m_sentAt;
     AnswerHead m_head;
     bool m_hasHead = false;
+    AnswerProof m_proof;
     /// The answer may be another one's.
     bool m_isUncertain = false;
     bool m_isStream = false;
--- a/src/relay/RelayRunRetries.cpp
+++ b/src/relay/RelayRunRetries.cpp
@@ -46,6 +46,7 @@
               {"framing", QLatin1String(bodyFramingName(result.framing))},
               {"answer_end", QLatin1String(answerEndName(result.end))},
               {"names_request", QLatin1String(result.head.namesRequest ? "yes" : "no")},
+              {"sealed", QLatin1String(result.head.isSealed ? "yes" : "no")},
               {"skipped", QString::number(result.skippedResponses)},
               {"connection", QString::number(result.connection.number)},
               {"exchanges", QString::number(result.connection.earlierExchanges)},
--- a/test/correctness/HttpConnections.cpp
+++ b/test/correctness/HttpConnections.cpp
@@ -78,23 +78,23 @@
     BOOST_TEST(connections == 3);
 }
 
-// A second response bears the id of the first one; one without an id may follow only another
-// without.
+// A second response bears the id of the first one. One without an id is that of a request with an
+// id only if it is the first one on its connection.
 BOOST_AUTO_TEST_CASE(ResponsesBelongToRequestsByTheirIds)
 {
-    const ConnectionHistory isNew{true, false};
-    const ConnectionHistory isNamed{false, false};
-    const ConnectionHistory hadUnnamed{false, true};
-    for (const ConnectionHistory &history : {isNew, isNamed, hadUnnamed}) {
+    const ConnectionHistory isFirst{true, false};
+    const ConnectionHistory hadNamed{false, true};
+    const ConnectionHistory hadUnnamed{false, false};
+    for (const ConnectionHistory &history : {isFirst, hadNamed, hadUnnamed}) {
         BOOST_TEST((matchResponse("a", "a", history) == ResponseMatch::Own));
         BOOST_TEST((matchResponse("b", "a", history) == ResponseMatch::Foreign));
         BOOST_TEST((matchResponse("", "", history) == ResponseMatch::Own));
     }
-    BOOST_TEST((matchResponse("a", "", isNew) == ResponseMatch::Own));
-    BOOST_TEST((matchResponse("a", "", isNamed) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("a", "", isFirst) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("a", "", hadNamed) == ResponseMatch::Foreign));
     BOOST_TEST((matchResponse("a", "", hadUnnamed) == ResponseMatch::Uncertain));
-    BOOST_TEST((matchResponse("", "a", isNew) == ResponseMatch::Own));
-    BOOST_TEST((matchResponse("", "a", isNamed) == ResponseMatch::Foreign));
+    BOOST_TEST((matchResponse("", "a", isFirst) == ResponseMatch::Own));
+    BOOST_TEST((matchResponse("", "a", hadNamed) == ResponseMatch::Foreign));
     BOOST_TEST((matchResponse("", "a", hadUnnamed) == ResponseMatch::Foreign));
 }
 
@@ -113,3 +113,20 @@
     fetch(probe);
     BOOST_TEST(connections == 2);
 }
+
+// Guards against a second response to an earlier request of the same name that counts as the
+// response to the later one.
+BOOST_FIXTURE_TEST_CASE(ConnectionThatCarriedTheSameNameIsNotUsed, Fixture)
+{
+    HttpExchangeOptions first;
+    first.reuseConnection = true;
+    first.echoHeader = "Id";
+    first.echoValue = "a";
+    HttpExchangeOptions second = first;
+    second.echoValue = "b";
+    fetch(first);
+    fetch(first);
+    BOOST_TEST(connections == 2);
+    fetch(second);
+    BOOST_TEST(connections == 2);
+}
