Numbers from other processes are bounded before they are added to a time

Callers saw nothing in our runs; a target with coldLeftMs in its entry did not count as cold (target.cold left_ms=-1), and the addition overflowed.

Cause: durations of entries, the configuration, reports, Keep-Alive and datagrams were taken as they came. Class: overflow-of-damaged-numbers.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpExchange.h"
 
+#include "base/BoundedDuration.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
@@ -264,7 +265,7 @@
         return DefaultKeepAliveTimeout;
     const QByteArray seconds =
         keepAlive.mid(position + qsizetype(strlen("timeout="))).split(',').first();
-    const Milliseconds peerTimeout{seconds.trimmed().toLongLong() * 1000};
+    const Milliseconds peerTimeout = boundedDuration(double(seconds.trimmed().toLongLong()) * 1000);
     return std::max(peerTimeout - KeepAliveMargin, DefaultKeepAliveTimeout);
 }
 
--- a/src/relay/DataCentreHeads.cpp
+++ b/src/relay/DataCentreHeads.cpp
@@ -1,5 +1,6 @@
 #include "relay/DataCentreHeads.h"
 
+#include "base/BoundedDuration.h"
 #include "base/EventLog.h"
 #include "base/StableHash.h"
 #include "base/TimerService.h"
@@ -43,7 +44,7 @@
     head.vm = VmId(row.at(0).toString());
     head.dataCentre = DataCentreId(row.at(1).toString());
     head.endpoint = {row.at(2).toString(), quint16(row.at(3).toInteger())};
-    head.lastMessage = now - Milliseconds(std::max<qint64>(0, row.at(4).toInteger()));
+    head.lastMessage = now - boundedDuration(row.at(4).toInteger());
     return head;
 }
 
--- a/src/relay/LoadExchange.cpp
+++ b/src/relay/LoadExchange.cpp
@@ -11,6 +11,8 @@
 #include <QCborArray>
 #include <QCborValue>
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -37,6 +39,16 @@
 /// daemon tens of KB a second.
 constexpr qsizetype MaxSummarisedTargets = 2 * MaxDatagramEntries;
 
+/// No target runs more requests or holds more tokens.
+constexpr qint64 MaxRunning = 1'000'000;
+constexpr qint64 MaxTokens = 1'000'000'000'000;
+
+/// A count that another daemon sent, limited so that sums of many do not overflow.
+qint64 boundedCount(const QCborValue &value, qint64 limit)
+{
+    return std::clamp<qint64>(value.toInteger(), 0, limit);
+}
+
 } // namespace
 
 LoadExchange::LoadExchange(TimerService &timers, PeerDirectory &peers, DataCentreHeads &heads,
@@ -226,10 +238,10 @@
 {
     PeerLoad load;
     load.dataCentre = dataCentre;
-    load.running = int(row.at(1).toInteger());
-    load.tokens = Tokens(row.at(2).toInteger());
-    load.unread = Tokens(row.at(3).toInteger());
-    load.backup = Tokens(row.at(4).toInteger());
+    load.running = int(boundedCount(row.at(1), MaxRunning));
+    load.tokens = Tokens(boundedCount(row.at(2), MaxTokens));
+    load.unread = Tokens(boundedCount(row.at(3), MaxTokens));
+    load.backup = Tokens(boundedCount(row.at(4), MaxTokens));
     load.heardAt = m_timers.now();
     m_targets.setPeerLoad(TargetId(row.at(0).toString()), origin, load);
 }
--- a/src/relay/TargetAnnouncements.cpp
+++ b/src/relay/TargetAnnouncements.cpp
@@ -1,5 +1,6 @@
 #include "relay/TargetAnnouncements.h"
 
+#include "base/BoundedDuration.h"
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
 #include "relay/DataCentreHeads.h"
@@ -67,7 +68,7 @@
 {
     const TargetId target(body.at(0).toString());
     m_pendingAnnouncements.remove(target);
-    m_targets.markLeavingByPeer(target, Milliseconds(body.at(1).toInteger()));
+    m_targets.markLeavingByPeer(target, boundedDuration(body.at(1).toInteger()));
 }
 
 void TargetAnnouncements::copyOrdered(const TargetId &source, const TargetId &destination,
@@ -90,11 +91,11 @@
 {
     const TargetId source(body.at(0).toString());
     const TargetId destination(body.at(1).toString());
-    const Milliseconds duration(body.at(2).toInteger());
-    if (duration.count() >= 0)
-        m_targets.copyOrdered(source, destination, duration);
+    const qint64 duration = body.at(2).toInteger();
+    if (duration >= 0)
+        m_targets.copyOrdered(source, destination, boundedDuration(duration));
     else
-        m_targets.copyRefused(source, destination, -duration);
+        m_targets.copyRefused(source, destination, boundedDuration(-double(duration)));
 }
 
 } // namespace cranberry
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -68,7 +68,7 @@
                       route("unsafe", "unsafe", "plain")};
     if (extraRoute)
         routes.append(route("extra", "safe", "plain"));
-    QJsonArray services{QJsonObject{{"name", "plain"}}};
+    QJsonArray services{QJsonObject{{"name", "plain"}, {"coldPerS", m_coldPerSecond}}};
     if (m_hasFragileService) {
         routes.append(route("fragile-safe", "safe", "fragile"));
         routes.append(route("fragile-unsafe", "unsafe", "fragile"));
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -41,6 +41,9 @@
     /// Writes a configuration with the routes /model/, /safe/ and /unsafe/ and the key "key".
     /// @p extraRoute: also /extra/, to the plain service.
     void configure(int version, bool extraRoute = false);
+    /// Targets of "plain" that have just started take @p perSecond requests a second, in
+    /// configurations that are written from now on.
+    void setColdRate(double perSecond) { m_coldPerSecond = perSecond; }
     /// Adds the service "fragile" and the routes /fragile-safe/ and /fragile-unsafe/ to
     /// configurations that are written from now on.
     void setFragileService() { m_hasFragileService = true; }
@@ -129,6 +132,8 @@
     std::vector<std::unique_ptr<standin::RunnerEmulator>> m_runners;
     std::vector<Daemon> m_daemons;
     bool m_isFirstStart = false;
+    /// No limit if zero.
+    double m_coldPerSecond = 0;
     bool m_hasFragileService = false;
     bool m_hasBusyService = false;
     bool m_hasSteadyService = false;
