A sealed rejection is a rejection

The platform's pages say that a response with the header for not-run requests has not run them, whatever else it bears, and a seal may sign a rejection too; its caller would have got a 502.

--- a/src/relay/AnswerProof.cpp
+++ b/src/relay/AnswerProof.cpp
@@ -9,8 +9,7 @@
 {
     // Bytes that belong to no request may follow a complete answer.
     const bool isOwn = match == ResponseMatch::Own && (head.namesRequest || isFirstResponse);
-    // The seal is that of a request that ran, so that a sealed rejection contradicts itself.
-    if (!isOwn || head.isSealed || isSuccess(head))
+    if (!isOwn || isSuccess(head))
         return AnswerProof::None;
     if (head.isMisdirected)
         return AnswerProof::Misdirected;
