Stand-ins: rejections bear the id of the request

The platform's pages say that runners echo the request's id in their responses; several stand-ins left it out of rejections. No check is changed. Rejections without an id stay in failure/PlatformRunners, AnswersOfOtherCalls and AnswersOfOtherAttempts.

--- a/apps/soak/SoakRun.cpp
+++ b/apps/soak/SoakRun.cpp
@@ -194,9 +194,10 @@
         m_pausing.erase(target);
 }
 
-bool SoakRun::rejectForPause(const QByteArray &target, const QByteArray &id,
+bool SoakRun::rejectForPause(const QByteArray &target, const HttpRequest &request,
                              const standin::RunnerEmulator::Reply &reply)
 {
+    const QByteArray id = standin::requestIdOf(request);
     const auto pausing = m_pausing.find(target);
     const int daemon = m_pauses.daemonOf(id);
     const MonotonicTime now = m_timers.now();
@@ -206,7 +207,7 @@
         !isPaused && pausing != m_pausing.end() && m_pauseRandom() % AnswersPerSuccess != 0;
     if (!isPaused && !asks)
         return false;
-    HttpResponse rejection = standin::refusalAnswer();
+    HttpResponse rejection = standin::refusalAnswer(request);
     // The daemon of a caller that has left has closed the connection.
     if (asks && !reply->callerAddress().isEmpty()) {
         until = now + pausing->second;
@@ -229,8 +230,8 @@
         (isEngine ? m_engineRetries : m_plainRetries).received(request, m_timers.now());
         const bool isRefusing = isEngine ? m_areEnginesRefusing : m_arePlainTargetsRefusing;
         if (isRefusing)
-            reply->send(standin::refusalAnswer());
-        return isRefusing || rejectForPause(target.id(), id, reply);
+            reply->send(standin::refusalAnswer(request));
+        return isRefusing || rejectForPause(target.id(), request, reply);
     });
 }
 
--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -85,7 +85,7 @@
     /// A target begins to ask daemons for pauses, or stops.
     void changePauses();
     /// Answers the request with a rejection if its target wants none now.
-    bool rejectForPause(const QByteArray &target, const QByteArray &id,
+    bool rejectForPause(const QByteArray &target, const HttpRequest &request,
                         const standin::RunnerEmulator::Reply &reply);
     /// @p daemon may not have read what targets said to it.
     void disturbed(int daemon);
--- a/test/failure/BrittleTargets.cpp
+++ b/test/failure/BrittleTargets.cpp
@@ -7,6 +7,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "http/HttpResponse.h"
+#include "standins/users/RetryChecks.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
 
@@ -80,10 +81,10 @@
         } else if (m_waiting.size() < queue) {
             m_waiting.push_back({request, reply, nullptr});
         } else {
-            HttpHeaders refused{{"Cranberryquay-Not-Executed", "1"}};
+            HttpResponse refused = standin::refusalAnswer(request);
             if (m_brittleAt)
-                refused.add("Server-Brittle", QByteArray::number(WithstoodRejections));
-            reply->send({503, refused, {}});
+                refused.headers.add("Server-Brittle", QByteArray::number(WithstoodRejections));
+            reply->send(refused);
             recordRejection(isShort);
         }
     }
--- a/test/failure/FleetRetryBudget.cpp
+++ b/test/failure/FleetRetryBudget.cpp
@@ -31,7 +31,7 @@
             runner.setOverride([this](const HttpRequest &request, const Runner::Reply &reply) {
                 m_checks.received(request, m_timers.now());
                 if (m_isRefusing)
-                    reply->send(standin::refusalAnswer());
+                    reply->send(standin::refusalAnswer(request));
                 return m_isRefusing;
             });
         }
--- a/test/failure/ForwardedRequests.cpp
+++ b/test/failure/ForwardedRequests.cpp
@@ -6,6 +6,7 @@
 #include "http/HttpClient.h"
 #include "relay/ForwardMessage.h"
 #include "standins/users/PartitionProxy.h"
+#include "standins/users/RetryChecks.h"
 #include "support/ConnectionOwner.h"
 #include "support/EventLoop.h"
 #include "support/PlatformSite.h"
@@ -225,7 +226,9 @@
         if (request.path.startsWith("/v1/"))
             return false;
         ++received;
-        reply->send({503, {{"Cranberryquay-Not-Executed", "1"}, {"Retry-After", "20"}}, {}});
+        HttpResponse refused = standin::refusalAnswer(request);
+        refused.headers.add("Retry-After", "20");
+        reply->send(refused);
         return true;
     });
     BOOST_REQUIRE(test::waitFor([&] {
--- a/test/standins/users/BusyTargets.cpp
+++ b/test/standins/users/BusyTargets.cpp
@@ -2,6 +2,7 @@
 
 #include "http/CallerReply.h"
 #include "http/HttpResponse.h"
+#include "standins/users/RetryChecks.h"
 
 #include <QTimer>
 
@@ -63,7 +64,7 @@
         target.queue.append({request, reply});
     } else {
         ++m_rejected;
-        reply->send({503, {{"Cranberryquay-Not-Executed", "1"}}, {}});
+        reply->send(refusalAnswer(request));
     }
     return true;
 }
--- a/test/standins/users/RetryChecks.cpp
+++ b/test/standins/users/RetryChecks.cpp
@@ -26,9 +26,13 @@
     return request.headers.value("Cranberryquay-Request-Id");
 }
 
-HttpResponse refusalAnswer()
+HttpResponse refusalAnswer(const HttpRequest &request)
 {
-    return {503, {{"Cranberryquay-Not-Executed", "full"}}, {}};
+    HttpResponse answer{503, {{"Cranberryquay-Not-Executed", "full"}}, {}};
+    const QByteArray id = requestIdOf(request);
+    if (!id.isEmpty())
+        answer.headers.add("Cranberryquay-Request-Id", id);
+    return answer;
 }
 
 void RetryChecks::received(const QByteArray &id, MonotonicTime now)
--- a/test/standins/users/RetryChecks.h
+++ b/test/standins/users/RetryChecks.h
@@ -15,8 +15,8 @@
 
 namespace cranberry::standin {
 
-/// The answer of a target that refuses a request and does not run it. Thread-safe.
-HttpResponse refusalAnswer();
+/// The answer of a target that refuses @p request and does not run it. Thread-safe.
+HttpResponse refusalAnswer(const HttpRequest &request);
 
 /// The id that the caller gave @p request. Thread-safe.
 QByteArray requestIdOf(const HttpRequest &request);
--- a/test/standins/users/RunnerEmulator.cpp
+++ b/test/standins/users/RunnerEmulator.cpp
@@ -3,6 +3,7 @@
 #include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "http/HttpResponse.h"
+#include "standins/users/RetryChecks.h"
 
 #include <QJsonDocument>
 #include <QJsonObject>
@@ -126,7 +127,7 @@
         m_reservations.remove(request.path.mid(qsizetype(strlen("/v1/hold-drop/"))));
         reply->send(jsonAnswer(200, {}));
     } else if (!takeReservation(request)) {
-        reply->send({503, {{"Cranberryquay-Not-Executed", "1"}}, {}});
+        reply->send(refusalAnswer(request));
     } else if (request.path.startsWith("/v1/")) {
         reply->send(jsonAnswer(200, {}));
     } else {
