Log what a daemon that shuts down still has to do

A record of a shutdown did not show whether a request was cut by the end of the process, dropped on a closed connection or never read. Logged now: each second the requests in progress and the connections by state, just before the process is killed each request in progress, and each connection that ends without an answer, with its state and age. No decision changes.

The test site can set the times of plain routes and the grace time.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -19,6 +19,7 @@
     X(ConnectionRefused, 1106, "connection.refused")                                               \
     X(ConnectionUnexpectedData, 1107, "connection.unexpected_data")                                \
     X(ResponseForeign, 1108, "response.foreign")                                                   \
+    X(ConnectionUnanswered, 1109, "connection.unanswered")                                         \
     X(PlacementChosen, 1201, "placement.chosen")                                                   \
     X(PlacementWaiting, 1202, "placement.waiting")                                                 \
     X(PlacementRefused, 1203, "placement.refused")                                                 \
@@ -119,12 +120,14 @@
     X(TakeoverEnded, 1918, "takeover.ended")                                                       \
     X(StopBegun, 1939, "stop.begun")                                                               \
     X(StopEnded, 1940, "stop.ended")                                                               \
+    X(RelayUnfinished, 1941, "relay.unfinished")                                                   \
     X(ReservationRefused, 1913, "reservation.refused")                                             \
     X(PeersListed, 1927, "peers.listed")                                                           \
     X(PeerListFailed, 1914, "peers.list_failed")                                                   \
     X(PeerStateFailed, 1915, "peers.state_failed")                                                 \
     X(SettingsReloaded, 1005, "settings.reloaded")                                                 \
-    X(LogDropped, 1006, "log.dropped")
+    X(LogDropped, 1006, "log.dropped")                                                             \
+    X(ShutdownProgress, 1007, "daemon.shutdown_progress")
 
 /// The log events by number.
 enum class EventId {
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -1,6 +1,7 @@
 #include "http/CallerConnection.h"
 
 #include "base/ErrorKind.h"
+#include "base/EventLog.h"
 #include "base/TimerService.h"
 #include "http/CallerLimits.h"
 #include "http/CallerReply.h"
@@ -40,7 +41,8 @@
                                    std::unique_ptr<TcpStream> stream)
     : m_context(context)
     , m_stream(std::move(stream))
-    , m_lastProgress(context.timers.now())
+    , m_acceptedAt(context.timers.now())
+    , m_lastProgress(m_acceptedAt)
 {
 }
 
@@ -63,8 +65,12 @@
 
 void CallerConnection::handleData(const QByteArray &data)
 {
-    if (m_state == State::Lingering)
+    m_receivedBytes += data.size();
+    if (m_state == State::Lingering) {
+        if (!std::exchange(m_hasDiscarded, true))
+            logUnanswered("data after the close");
         return;
+    }
     m_incoming += data;
     if (m_state == State::Reading)
         parse();
@@ -227,8 +233,52 @@
 
 void CallerConnection::closeIfIdle()
 {
-    if (m_state == State::Reading && !m_parser && m_incoming.isEmpty())
-        linger();
+    if (m_state != State::Reading || m_parser || !m_incoming.isEmpty())
+        return;
+    if (state() == ConnectionState::AwaitingFirst)
+        logUnanswered("shutdown");
+    linger();
+}
+
+ConnectionState CallerConnection::state() const
+{
+    switch (m_state) {
+    case State::Reading:
+        if (m_parser || !m_incoming.isEmpty())
+            return ConnectionState::Receiving;
+        return m_requestNumber == 0 ? ConnectionState::AwaitingFirst
+                                    : ConnectionState::AwaitingNext;
+    case State::Answering:
+        return ConnectionState::Answering;
+    case State::Streaming:
+        return ConnectionState::Streaming;
+    case State::Lingering:
+        return ConnectionState::Lingering;
+    case State::Ended:
+        break;
+    }
+    return ConnectionState::Ended;
+}
+
+void CallerConnection::logIfUnanswered()
+{
+    const ConnectionState current = state();
+    if (current != ConnectionState::AwaitingNext && current != ConnectionState::Lingering
+        && current != ConnectionState::Ended)
+        logUnanswered("exit");
+}
+
+void CallerConnection::logUnanswered(const char *reason) const
+{
+    const auto age =
+        std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_acceptedAt);
+    logEvent(LogLevel::Info, EventId::ConnectionUnanswered,
+             {{"peer", QString::fromLatin1(m_stream->peerAddress())},
+              {"state", QLatin1String(connectionStateName(state()))},
+              {"reason", QLatin1String(reason)},
+              {"requests", QString::number(m_requestNumber)},
+              {"bytes", QString::number(m_receivedBytes)},
+              {"age_ms", QString::number(age.count())}});
 }
 
 void CallerConnection::close()
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Units.h"
+#include "http/ConnectionState.h"
 #include "http/HttpHeaders.h"
 
 #include <functional>
@@ -51,6 +52,11 @@
     void enforceTimeouts();
     /// Closes the connection if no request is active or partly received.
     void closeIfIdle();
+    /// Logs the connection if its request has no whole response; to be called before the process
+    /// ends.
+    void logIfUnanswered();
+
+    ConnectionState state() const;
 
     /// True while the response to request @p requestNumber of this connection is incomplete.
     bool isAnswering(quint64 requestNumber) const;
@@ -83,6 +89,7 @@
     void completeResponse();
     void linger();
     void close();
+    void logUnanswered(const char *reason) const;
 
     CallerConnectionContext &m_context;
     std::unique_ptr<TcpStream> m_stream;
@@ -92,6 +99,9 @@
     quint64 m_requestNumber = 0;
     bool m_closeAfterResponse = false;
     bool m_parsing = false;
+    bool m_hasDiscarded = false;
+    qint64 m_receivedBytes = 0;
+    MonotonicTime m_acceptedAt;
     MonotonicTime m_lastProgress;
     std::function<void()> m_onCallerGone;
 };
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -20,6 +20,7 @@
 /// Interval at which the time limits of connections, which are in seconds, are checked.
 constexpr Milliseconds TimeoutCheckInterval{250};
 constexpr int ListenBacklog = 1024;
+constexpr int MaxUnansweredLogged = 50;
 
 Error listenError(const HttpEndpoint &endpoint)
 {
@@ -118,4 +119,22 @@
     return busy;
 }
 
+ConnectionCounts HttpListener::connectionCounts() const
+{
+    ConnectionCounts counts{};
+    for (const auto &connection : m_connections)
+        ++counts[std::size_t(connection->state())];
+    return counts;
+}
+
+void HttpListener::logUnanswered() const
+{
+    int left = MaxUnansweredLogged;
+    for (const auto &connection : m_connections) {
+        if (--left < 0)
+            break;
+        connection->logIfUnanswered();
+    }
+}
+
 } // namespace cranberry
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -50,6 +50,10 @@
     int openConnections() const { return int(m_connections.size()); }
     /// Number of connections with an incomplete response or with unsent bytes.
     int busyConnections() const;
+    ConnectionCounts connectionCounts() const;
+    /// Logs the connections whose requests have no whole response, up to a limit; to be called
+    /// before the process ends.
+    void logUnanswered() const;
 
 private:
     void accept();
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -18,6 +18,9 @@
 /// The balancer probes every second and removes a daemon after two failed probes.
 constexpr Milliseconds BalancerRemovalDelay{3000};
 constexpr Milliseconds DrainCheckInterval{50};
+constexpr Milliseconds ShutdownProgressInterval{1000};
+/// Log lines take up to 50 ms until they are written.
+constexpr Milliseconds UnfinishedBeforeKill{150};
 /// An engine announces that it leaves about 1.5 s in advance, and copying its streams takes most of
 /// that time.
 constexpr Milliseconds EngineCheckInterval{200};
@@ -477,6 +480,37 @@
     m_parts->callers.closeAfterResponses();
     m_parts->feed.drain();
     m_drainTimer = m_parts->timers.every(DrainCheckInterval, [this] { finishDrainWhenIdle(); });
+    m_progressTimer =
+        m_parts->timers.every(ShutdownProgressInterval, [this] { logShutdownProgress(); });
+    const Milliseconds grace = m_parts->settings.grace;
+    m_unfinishedTimer =
+        m_parts->timers.after(std::max(grace - UnfinishedBeforeKill, Milliseconds(0)), [this] {
+            logShutdownProgress();
+            m_parts->gateway.logUnfinished();
+            m_parts->callers.logUnanswered();
+        });
+}
+
+void RelayDaemon::logShutdownProgress()
+{
+    const auto since =
+        std::chrono::duration_cast<Milliseconds>(m_parts->timers.now() - m_drainBegan);
+    const ConnectionCounts counts = m_parts->callers.connectionCounts();
+    const auto count = [&](ConnectionState state) {
+        return QString::number(counts[std::size_t(state)]);
+    };
+    logEvent(LogLevel::Info, EventId::ShutdownProgress,
+             {{"vm", m_parts->settings.vm.text()},
+              {"since_ms", QString::number(since.count())},
+              {"grace_ms", QString::number(m_parts->settings.grace.count())},
+              {"running", QString::number(m_parts->gateway.running())},
+              {"awaiting_first", count(ConnectionState::AwaitingFirst)},
+              {"awaiting_next", count(ConnectionState::AwaitingNext)},
+              {"receiving", count(ConnectionState::Receiving)},
+              {"answering", count(ConnectionState::Answering)},
+              {"streaming", count(ConnectionState::Streaming)},
+              {"lingering", count(ConnectionState::Lingering)},
+              {"forwarded", QString::number(m_parts->peerListener.busyConnections())}});
 }
 
 void RelayDaemon::finishDrainWhenIdle()
@@ -490,6 +524,8 @@
     if (busy)
         return;
     m_drainTimer.reset();
+    logShutdownProgress();
+    m_parts->callers.logUnanswered();
     m_parts->peers.leave();
     logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_parts->settings.vm.text()}});
     m_onDrained();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -40,6 +40,9 @@
     void applyConfiguration(const QByteArray &value);
     bool isReady() const;
     void finishDrainWhenIdle();
+    /// Logs what a daemon that shuts down still has to do, once a second and just before the end
+    /// of the grace time.
+    void logShutdownProgress();
     void recordTimerLateness();
     void checkEngines();
     void pollEnginesInUse();
@@ -49,6 +52,8 @@
     std::function<void()> m_onDrained;
     MonotonicTime m_drainBegan;
     std::unique_ptr<TimerSubscription> m_drainTimer;
+    std::unique_ptr<TimerSubscription> m_progressTimer;
+    std::unique_ptr<TimerSubscription> m_unfinishedTimer;
     std::unique_ptr<TimerSubscription> m_engineCheckTimer;
     std::unique_ptr<TimerSubscription> m_forgetTimer;
     std::unique_ptr<TimerSubscription> m_rereadTimer;
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -36,6 +36,7 @@
 /// gave up. An answer after 1 s is still within an objective of 1.5 s.
 constexpr Milliseconds RetryAfterNotConfigured{1000};
 constexpr int StatusUnavailable = 503;
+constexpr int MaxUnfinishedLogged = 50;
 
 Error errorOf(ErrorKind kind, const QString &detail)
 {
@@ -128,6 +129,16 @@
     return engines.values();
 }
 
+void RelayGateway::logUnfinished() const
+{
+    int left = MaxUnfinishedLogged;
+    for (const std::shared_ptr<RelayRun> &run : m_runs) {
+        if (--left < 0)
+            break;
+        run->logUnfinished();
+    }
+}
+
 void RelayGateway::handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply)
 {
     const Result<RelayRequest> admitted = admit(request);
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -59,6 +59,8 @@
     /// times a second.
     void checkSilence();
     int running() const { return int(m_runs.size()); }
+    /// Logs the requests that are in progress, up to a limit.
+    void logUnfinished() const;
 
 private:
     Result<RelayRequest> admit(const HttpRequest &request) const;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -65,6 +65,29 @@
 
 } // namespace
 
+const char *RelayRun::phaseName(Phase phase)
+{
+    switch (phase) {
+    case Phase::Placing:
+        return "placing";
+    case Phase::Waiting:
+        return "waiting";
+    case Phase::Held:
+        return "held";
+    case Phase::Reserving:
+        return "reserving";
+    case Phase::Sent:
+        return "sent";
+    case Phase::Moving:
+        return "moving";
+    case Phase::Forwarded:
+        return "forwarded";
+    case Phase::Over:
+        break;
+    }
+    return "over";
+}
+
 RelayRun::RelayRun(RelayContext &context, RelayTask task, std::shared_ptr<CallerReply> reply,
                    Ended ended)
     : m_context(context)
@@ -400,6 +423,25 @@
     return std::chrono::duration_cast<Milliseconds>(m_firstEventAt - m_task.arrived).count();
 }
 
+void RelayRun::logUnfinished() const
+{
+    const MonotonicTime now = m_context.timers.now();
+    const auto since = [now](MonotonicTime time) {
+        return QString::number(std::chrono::duration_cast<Milliseconds>(now - time).count());
+    };
+    logEvent(LogLevel::Warning, EventId::RelayUnfinished,
+             {{"request", m_task.request.id.text()},
+              {"route", m_task.route.name},
+              {"phase", QLatin1String(phaseName(m_phase))},
+              {"target", m_target.text()},
+              {"ran", QLatin1String(ranName(m_ran))},
+              {"sends", QString::number(m_sends)},
+              {"events", QString::number(m_lastEvent)},
+              {"arrived_ms", since(m_task.arrived)},
+              {"sent_ms", m_sends > 0 ? since(m_openedAt) : QString()},
+              {"left_ms", QString::number(timeLeft().count())}});
+}
+
 void RelayRun::finish(const char *outcome)
 {
     if (m_phase == Phase::Over)
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -83,6 +83,7 @@
     void start();
     /// It has no target and waits for one.
     bool isWaiting() const { return m_phase == Phase::Waiting; }
+    void logUnfinished() const;
     /// Its stream is being generated at target().
     bool isGenerating() const { return m_phase == Phase::Sent && isStream(); }
     const TargetId &target() const { return m_target; }
@@ -132,6 +133,8 @@
         Over,
     };
 
+    static const char *phaseName(Phase phase);
+
     bool isStream() const { return m_task.route.kind == RequestKind::Stream; }
     bool hasBegun() const { return m_lastEvent > 0; }
     /// The shorter of the timeouts of the caller and the route, from the arrival.
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -64,10 +64,16 @@
 
 void PlatformSite::configure(int version, bool extraRoute)
 {
-    QJsonArray routes{route("model", "streaming", "model"), route("safe", "safe", "plain"),
-                      route("unsafe", "unsafe", "plain")};
+    const auto plainRoute = [this](const QString &name, const QString &kind) {
+        QJsonObject plain = route(name, kind, "plain");
+        plain["timeoutMs"] = double(m_plainTimeout.count());
+        plain["aimMs"] = double(m_plainObjective.count());
+        return plain;
+    };
+    QJsonArray routes{route("model", "streaming", "model"), plainRoute("safe", "safe"),
+                      plainRoute("unsafe", "unsafe")};
     if (extraRoute)
-        routes.append(route("extra", "safe", "plain"));
+        routes.append(plainRoute("extra", "safe"));
     QJsonArray services{QJsonObject{{"name", "plain"}, {"coldPerS", m_coldPerSecond}}};
     if (m_hasFragileService) {
         routes.append(route("fragile-safe", "safe", "fragile"));
@@ -114,7 +120,8 @@
                          {"callers", "127.0.0.1:0"},
                          {"readiness", "127.0.0.1:0"},
                          {"peer", "127.0.0.1:0"},
-                         {"store", store}};
+                         {"store", store},
+                         {"grace_ms", double(m_grace.count())}};
     if (m_isFirstStart)
         settings.insert("first_start", true);
     m_daemons.push_back({nullptr, {}, {}, QJsonDocument(settings).toJson(), {}});
@@ -205,6 +212,13 @@
     return m_daemons[size_t(daemon)].process->state() == QProcess::NotRunning;
 }
 
+bool PlatformSite::hasEndedWell(int daemon) const
+{
+    const QProcess &process = *m_daemons[size_t(daemon)].process;
+    return hasEnded(daemon) && process.exitStatus() == QProcess::NormalExit
+        && process.exitCode() == 0;
+}
+
 QList<qint64> PlatformSite::processes() const
 {
     QList<qint64> ids;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -52,6 +52,15 @@
     void setBusyService() { m_hasBusyService = true; }
     /// As above, with a second service of generations, "steady", and its route /steady/.
     void setSteadyService() { m_hasSteadyService = true; }
+    /// Time limit and objective of the routes to "plain" in configurations that are written from
+    /// now on.
+    void setPlainTimes(Milliseconds timeout, Milliseconds objective)
+    {
+        m_plainTimeout = timeout;
+        m_plainObjective = objective;
+    }
+    /// Grace time in the settings of daemons that are started from now on.
+    void setGrace(Milliseconds grace) { m_grace = grace; }
     /// The operator evacuates a data centre, or takes that back.
     void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Daemons that are started from now on start with the whole system for the first time:
@@ -70,6 +79,8 @@
     QByteArray metrics(int daemon);
     void signal(int daemon, int number);
     bool hasEnded(int daemon) const;
+    /// Whether the process ended by itself with exit code 0.
+    bool hasEndedWell(int daemon) const;
     /// The ids of the processes of all daemons.
     QList<qint64> processes() const;
     /// All lines that the daemon wrote so far.
@@ -132,6 +143,9 @@
     std::vector<std::unique_ptr<standin::RunnerEmulator>> m_runners;
     std::vector<Daemon> m_daemons;
     bool m_isFirstStart = false;
+    Milliseconds m_plainTimeout{20000};
+    Milliseconds m_plainObjective{2000};
+    Milliseconds m_grace{8000};
     /// No limit if zero.
     double m_coldPerSecond = 0;
     bool m_hasFragileService = false;
