A stopping daemon closes only connections without a request

What callers saw: from 3 s after SIGTERM, each 50 ms, new connections were closed before their first request had arrived; a request that crossed the close of a kept connection was read and never answered, so that an at-most-once request could not be sent again; a request of which a part had arrived was cut as the process ended.

Cause: an idle connection was one without a parsed request, and what arrived after its close was read and dropped. One table now says what happens to a connection by its state and the stage of the listener (connectionAction()): a new connection has a second for its first request, idle ones are closed without being read, so that the caller knows that it may send again, and a request in parts keeps the process or is rejected when it ends. The idle timeout uses the same table.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -5,6 +5,7 @@
 #include "base/TimerService.h"
 #include "http/CallerLimits.h"
 #include "http/CallerReply.h"
+#include "http/ConnectionClosing.h"
 #include "http/HttpRequestParser.h"
 #include "http/HttpResponse.h"
 #include "http/TcpStream.h"
@@ -13,9 +14,6 @@
 
 namespace {
 
-/// Time for the caller to read the last response before the connection is closed. Closing a socket
-/// with unread received bytes sends a reset, which can reach the caller before the response does.
-constexpr Milliseconds LingerTimeout{1000};
 /// Maximum size of pipelined data buffered while a response is incomplete; reading stops above it.
 constexpr qsizetype MaxPipelinedBytes = 64 * 1024;
 
@@ -180,6 +178,12 @@
     completeResponse();
 }
 
+void CallerConnection::endIncomplete()
+{
+    m_closeAfterResponse = true;
+    completeResponse();
+}
+
 void CallerConnection::abort()
 {
     m_onCallerGone = {};
@@ -216,28 +220,45 @@
     m_stream->shutDownSending();
 }
 
-void CallerConnection::enforceTimeouts()
+void CallerConnection::closeIfDue(ListenerStage stage)
 {
-    const Milliseconds waited =
-        std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_lastProgress);
-    if (m_state == State::Lingering && waited > LingerTimeout && unsentBytes() == 0)
-        close();
-    if (m_state != State::Reading)
-        return;
-    const bool headersPending = m_parser && !m_parser->is_header_done();
-    if (headersPending && waited > m_context.limits.headerTimeout)
+    switch (connectionAction(status(), stage, m_context.limits)) {
+    case ConnectionAction::Keep:
+        break;
+    case ConnectionAction::CloseUnread:
+        closeUnread();
+        break;
+    case ConnectionAction::RejectSlow:
         reject(ErrorKind::RequestTooSlow);
-    else if (waited > m_context.limits.idleTimeout)
-        m_parser ? reject(ErrorKind::RequestTooSlow) : linger();
+        break;
+    case ConnectionAction::RejectEnding:
+        reject(ErrorKind::Draining);
+        break;
+    case ConnectionAction::Close:
+        close();
+        break;
+    }
 }
 
-void CallerConnection::closeIfIdle()
+ConnectionStatus CallerConnection::status() const
 {
-    if (m_state != State::Reading || m_parser || !m_incoming.isEmpty())
+    ConnectionStatus status;
+    status.state = state();
+    status.idle = std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_lastProgress);
+    status.areHeadersPending = m_parser && !m_parser->is_header_done();
+    status.hasUnsentBytes = unsentBytes() > 0;
+    return status;
+}
+
+void CallerConnection::closeUnread()
+{
+    if (m_stream->hasUnreadBytes())
         return;
     if (state() == ConnectionState::AwaitingFirst)
-        logUnanswered("shutdown");
-    linger();
+        logUnanswered("no request arrived");
+    // An orderly close, since the caller may not have read the response before.
+    m_stream->shutDownSending();
+    close();
 }
 
 ConnectionState CallerConnection::state() const
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -14,7 +14,9 @@
 class TcpStream;
 class TimerService;
 enum class ErrorKind;
+enum class ListenerStage;
 struct CallerLimits;
+struct ConnectionStatus;
 struct HttpRequest;
 struct HttpResponse;
 
@@ -48,15 +50,14 @@
 
     /// Starts reading. Precondition: the object is owned by a shared pointer.
     void start();
-    /// Rejects the current request or closes the connection if a time limit has passed.
-    void enforceTimeouts();
-    /// Closes the connection if no request is active or partly received.
-    void closeIfIdle();
+    /// Closes the connection or rejects its request if connectionAction() says so.
+    void closeIfDue(ListenerStage stage);
     /// Logs the connection if its request has no whole response; to be called before the process
     /// ends.
     void logIfUnanswered();
 
     ConnectionState state() const;
+    ConnectionStatus status() const;
 
     /// True while the response to request @p requestNumber of this connection is incomplete.
     bool isAnswering(quint64 requestNumber) const;
@@ -65,6 +66,7 @@
     void startStream(int status, const HttpHeaders &headers);
     void writeChunk(const QByteArray &data);
     void endStream();
+    void endIncomplete();
     void abort();
     /// @p callback is called once if the connection ends before the response is complete.
     void onCallerGone(std::function<void()> callback) { m_onCallerGone = std::move(callback); }
@@ -88,6 +90,7 @@
     void writeHead(int status, const HttpHeaders &headers);
     void completeResponse();
     void linger();
+    void closeUnread();
     void close();
     void logUnanswered(const char *reason) const;
 
--- a/src/http/CallerReply.cpp
+++ b/src/http/CallerReply.cpp
@@ -41,6 +41,12 @@
         open->endStream();
 }
 
+void CallerReply::endIncomplete()
+{
+    if (const auto open = connection())
+        open->endIncomplete();
+}
+
 void CallerReply::abort()
 {
     if (const auto open = connection())
--- a/src/http/CallerReply.h
+++ b/src/http/CallerReply.h
@@ -26,6 +26,9 @@
     void write(const QByteArray &data);
     /// Ends the stream with the final chunk. Precondition: a stream was started and not ended.
     void end();
+    /// Closes the connection without the final chunk after the chunks so far, so that the caller
+    /// sees an incomplete response. Precondition: a stream was started and not ended.
+    void endIncomplete();
     /// Closes the connection at once, so that the caller sees an incomplete response.
     void abort();
     /// @p callback is called once if the caller disconnects before the response is complete.
--- /dev/null
+++ b/src/http/ConnectionClosing.cpp
@@ -0,0 +1,71 @@
+#include "http/ConnectionClosing.h"
+
+#include "http/CallerLimits.h"
+
+namespace cranberry {
+
+namespace {
+
+/// Time for the caller to read the last response before the connection is closed. Closing a socket
+/// with unread received bytes sends a reset, which can reach the caller before the response does.
+constexpr Milliseconds LingerTimeout{1000};
+/// Time that the first request of a new connection may take to arrive while idle connections are
+/// closed. Callers allow a second for a connection to be established.
+constexpr Milliseconds FirstRequestTimeout{1000};
+
+ConnectionAction receivingAction(const ConnectionStatus &status, ListenerStage stage,
+                                 const CallerLimits &limits)
+{
+    if (stage == ListenerStage::Ending)
+        return ConnectionAction::RejectEnding;
+    const Milliseconds timeout =
+        status.areHeadersPending ? limits.headerTimeout : limits.idleTimeout;
+    return status.idle > timeout ? ConnectionAction::RejectSlow : ConnectionAction::Keep;
+}
+
+} // namespace
+
+ConnectionAction connectionAction(const ConnectionStatus &status, ListenerStage stage,
+                                  const CallerLimits &limits)
+{
+    const bool isServing = stage == ListenerStage::Serving;
+    switch (status.state) {
+    case ConnectionState::AwaitingFirst:
+        return status.idle > (isServing ? limits.idleTimeout : FirstRequestTimeout)
+            ? ConnectionAction::CloseUnread
+            : ConnectionAction::Keep;
+    case ConnectionState::AwaitingNext:
+        return !isServing || status.idle > limits.idleTimeout ? ConnectionAction::CloseUnread
+                                                              : ConnectionAction::Keep;
+    case ConnectionState::Receiving:
+        return receivingAction(status, stage, limits);
+    case ConnectionState::Lingering:
+        return status.idle > LingerTimeout && !status.hasUnsentBytes ? ConnectionAction::Close
+                                                                     : ConnectionAction::Keep;
+    case ConnectionState::Answering:
+    case ConnectionState::Streaming:
+    case ConnectionState::Ended:
+        break;
+    }
+    return ConnectionAction::Keep;
+}
+
+bool isConnectionBusy(const ConnectionStatus &status, ListenerStage stage)
+{
+    switch (status.state) {
+    case ConnectionState::AwaitingFirst:
+    case ConnectionState::Receiving:
+    case ConnectionState::Answering:
+    case ConnectionState::Streaming:
+    case ConnectionState::Lingering:
+        return true;
+    case ConnectionState::AwaitingNext:
+        // It was not closed, so that the next request has arrived.
+        return stage != ListenerStage::Serving || status.hasUnsentBytes;
+    case ConnectionState::Ended:
+        break;
+    }
+    return false;
+}
+
+} // namespace cranberry
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -38,11 +38,7 @@
 HttpListener::HttpListener(TimerService &timers, Handler handler, RejectionFactory makeRejection)
     : m_timers(timers)
     , m_context{timers, m_limits, std::move(handler), std::move(makeRejection), m_closing, {}}
-    , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] {
-        const auto connections = m_connections;
-        for (const auto &connection : connections)
-            connection->enforceTimeouts();
-    }))
+    , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] { closeDue(); }))
 {
     m_context.ended = [this](CallerConnection *connection) { m_connections.remove(connection); };
 }
@@ -94,10 +90,32 @@
 
 void HttpListener::closeIdle()
 {
+    if (m_stage == ListenerStage::Serving)
+        setStage(ListenerStage::Closing);
+    else
+        closeDue();
+}
+
+void HttpListener::end()
+{
+    if (m_descriptor >= 0)
+        accept();
+    stopAccepting();
+    setStage(ListenerStage::Ending);
+}
+
+void HttpListener::setStage(ListenerStage stage)
+{
+    m_stage = stage;
     m_closing = true;
+    closeDue();
+}
+
+void HttpListener::closeDue()
+{
     const auto connections = m_connections;
     for (const auto &connection : connections)
-        connection->closeIfIdle();
+        connection->closeIfDue(m_stage);
 }
 
 void HttpListener::stopAccepting()
@@ -115,7 +133,7 @@
 {
     int busy = 0;
     for (const auto &connection : m_connections)
-        busy += connection->isAnswering() || connection->unsentBytes() > 0 ? 1 : 0;
+        busy += isConnectionBusy(connection->status(), m_stage) ? 1 : 0;
     return busy;
 }
 
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -3,6 +3,7 @@
 #include "base/Result.h"
 #include "http/CallerConnection.h"
 #include "http/CallerLimits.h"
+#include "http/ConnectionClosing.h"
 #include "http/HttpEndpoint.h"
 
 #include <QHash>
@@ -42,13 +43,17 @@
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
     /// Closes each connection after its next response.
     void closeAfterResponses() { m_closing = true; }
-    /// Closes connections without a request now, and the others after their next response.
+    /// Closes idle connections from now on, and the others after their next response.
     void closeIdle();
+    /// As closeIdle(); also accepts the connections that wait for it, then no more, and rejects
+    /// requests of which only a part has arrived. For a process that is about to end.
+    void end();
     /// Stops accepting connections; open ones remain open.
     void stopAccepting();
 
+    bool isAccepting() const { return m_descriptor >= 0; }
     int openConnections() const { return int(m_connections.size()); }
-    /// Number of connections with an incomplete response or with unsent bytes.
+    /// Number of connections for which isConnectionBusy().
     int busyConnections() const;
     ConnectionCounts connectionCounts() const;
     /// Logs the connections whose requests have no whole response, up to a limit; to be called
@@ -57,10 +62,13 @@
 
 private:
     void accept();
+    void setStage(ListenerStage stage);
+    void closeDue();
 
     TimerService &m_timers;
     CallerLimits m_limits;
     bool m_closing = false;
+    ListenerStage m_stage = ListenerStage::Serving;
     int m_descriptor = -1;
     QSocketNotifier *m_notifier = nullptr;
     CallerConnectionContext m_context;
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -141,6 +141,13 @@
         m_readNotifier->setEnabled(enabled);
 }
 
+bool TcpStream::hasUnreadBytes() const
+{
+    char byte = 0;
+    return m_state == State::Connected
+        && ::recv(m_descriptor, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 QByteArray TcpStream::peerAddress() const
 {
     sockaddr_in address{};
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -67,6 +67,8 @@
     /// sending. Does nothing unless connected.
     void setReadingEnabled(bool enabled);
 
+    /// Whether the system has bytes from the peer that were not read.
+    bool hasUnreadBytes() const;
     bool isConnected() const { return m_state == State::Connected; }
     /// Bytes written that are not yet passed to the system.
     qsizetype unsentBytes() const { return m_outgoing.size() - m_sentBytes; }
