A shutdown has an end by which each request is answered

What callers saw: at-most-once requests that a daemon read after SIGTERM and sent to a target ended with a closed connection.

Cause: the end of a process was not known to its parts. A plain request was accepted if its objective fitted into the grace time, though it may take until its timeout; waiting, retries and sends did not ask at all; a stream that outlasted the grace time kept the process until SIGKILL, so that requests went on arriving until then; and the time was counted from when the event loop read the signal, without a margin.

ShutdownPlan now says when answers are due and when the process ends, before SIGKILL by a margin. Each request in progress gets its final answer then: a promise if it has not run, else 504, a stream its end without the last chunk. isAnsweredBeforeShutdown() decides what is accepted, waits and is sent, by the longest times that the service took recently (ServiceDurations) and not by a mean or the objective.

--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -9,6 +9,7 @@
 #include "relay/TargetProtocol.h"
 
 #include <functional>
+#include <optional>
 
 namespace cranberry {
 
@@ -21,6 +22,7 @@
 class OutputForecast;
 class PeerForwarding;
 class ReachMonitor;
+class ServiceDurations;
 class ServicePressure;
 class TargetDirectory;
 class TargetAnnouncements;
@@ -31,6 +33,7 @@
 class TimerService;
 class WaitingRequests;
 struct RoomForecast;
+struct ShutdownPlan;
 
 /// The services shared by all requests of a relay daemon. Every member outlives all requests.
 struct RelayContext {
@@ -49,6 +52,7 @@
     FleetAdmission &admission;
     ServicePressure &pressure;
     TargetSpeeds &speeds;
+    ServiceDurations &durations;
     WaitingRequests &waiting;
     RelayRetryBudget &retryBudget;
     OutputForecast &outputForecast;
@@ -56,6 +60,8 @@
     CrashGuard &crashGuard;
     GenerationStops &stops;
     RelayCounters &counters;
+    /// Unset until the daemon is told to shut down.
+    const std::optional<ShutdownPlan> &shutdown;
     const CallerProtocol &callerProtocol;
     const TargetProtocol &targetProtocol;
     /// Maximum size of an answer of a target that is not a stream.
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -30,6 +30,10 @@
 /// Thread safety: none; one event loop.
 struct RelayCounters {
     std::array<KindCounters, RequestKindCount> kinds;
+    /// Rejected because the daemon shuts down.
+    qint64 shutdownRejected = 0;
+    /// In progress when their answers were due in a shutdown.
+    qint64 shutdownUnfinished = 0;
     qint64 retriesGranted = 0;
     qint64 retriesRefused = 0;
     qint64 movesBegun = 0;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -19,8 +19,6 @@
 constexpr Milliseconds BalancerRemovalDelay{3000};
 constexpr Milliseconds DrainCheckInterval{50};
 constexpr Milliseconds ShutdownProgressInterval{1000};
-/// Log lines take up to 50 ms until they are written.
-constexpr Milliseconds UnfinishedBeforeKill{150};
 /// An engine announces that it leaves about 1.5 s in advance, and copying its streams takes most of
 /// that time.
 constexpr Milliseconds EngineCheckInterval{200};
@@ -195,6 +193,7 @@
               admission,
               pressure,
               speeds,
+              durations,
               waiting,
               retryBudget,
               outputForecast,
@@ -202,6 +201,7 @@
               crashGuard,
               stops,
               counters,
+              shutdown,
               protocols.callers,
               protocols.targets,
               startSettings.maxAnswer,
@@ -472,29 +472,22 @@
     if (m_onDrained)
         return;
     m_onDrained = std::move(done);
-    m_drainBegan = m_parts->timers.now();
+    m_parts->shutdown = planShutdown(m_parts->timers.now(), m_parts->settings.grace);
     logEvent(LogLevel::Info, EventId::DaemonDraining,
              {{"vm", m_parts->settings.vm.text()},
               {"running", QString::number(m_parts->gateway.running())}});
-    m_parts->gateway.drainUntil(m_drainBegan + m_parts->settings.grace);
+    m_parts->gateway.shutdownBegan();
     m_parts->callers.closeAfterResponses();
     m_parts->feed.drain();
-    m_drainTimer = m_parts->timers.every(DrainCheckInterval, [this] { finishDrainWhenIdle(); });
+    m_drainTimer = m_parts->timers.every(DrainCheckInterval, [this] { checkDrain(); });
     m_progressTimer =
         m_parts->timers.every(ShutdownProgressInterval, [this] { logShutdownProgress(); });
-    const Milliseconds grace = m_parts->settings.grace;
-    m_unfinishedTimer =
-        m_parts->timers.after(std::max(grace - UnfinishedBeforeKill, Milliseconds(0)), [this] {
-            logShutdownProgress();
-            m_parts->gateway.logUnfinished();
-            m_parts->callers.logUnanswered();
-        });
 }
 
 void RelayDaemon::logShutdownProgress()
 {
     const auto since =
-        std::chrono::duration_cast<Milliseconds>(m_parts->timers.now() - m_drainBegan);
+        std::chrono::duration_cast<Milliseconds>(m_parts->timers.now() - m_parts->shutdown->began);
     const ConnectionCounts counts = m_parts->callers.connectionCounts();
     const auto count = [&](ConnectionState state) {
         return QString::number(counts[std::size_t(state)]);
@@ -513,17 +506,34 @@
               {"forwarded", QString::number(m_parts->peerListener.busyConnections())}});
 }
 
-void RelayDaemon::finishDrainWhenIdle()
+bool RelayDaemon::isIdle() const
 {
+    return m_parts->gateway.running() == 0 && m_parts->callers.busyConnections() == 0
+        && m_parts->peerListener.busyConnections() == 0 && !m_parts->stops.hasRecent();
+}
+
+void RelayDaemon::checkDrain()
+{
+    const MonotonicTime now = m_parts->timers.now();
+    const ShutdownPlan &plan = *m_parts->shutdown;
+    const bool areAnswersDue = now >= plan.answersDue;
     // New connections arrive until the balancer has removed this daemon, and must not be refused.
-    if (m_parts->timers.now() - m_drainBegan < BalancerRemovalDelay)
+    if (now < plan.began + BalancerRemovalDelay && !areAnswersDue)
         return;
     m_parts->callers.closeIdle();
-    const bool busy = m_parts->gateway.running() > 0 || m_parts->callers.busyConnections() > 0
-        || m_parts->peerListener.busyConnections() > 0 || m_parts->stops.hasRecent();
-    if (busy)
-        return;
+    if (areAnswersDue || isIdle()) {
+        m_parts->callers.end();
+        m_parts->peerListener.end();
+    }
+    const bool isOver = now >= plan.exit || (!m_parts->callers.isAccepting() && isIdle());
+    if (isOver)
+        endProcess();
+}
+
+void RelayDaemon::endProcess()
+{
     m_drainTimer.reset();
+    m_progressTimer.reset();
     logShutdownProgress();
     m_parts->callers.logUnanswered();
     m_parts->peers.leave();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -39,9 +39,11 @@
     void setEvacuated(const QString &key, bool isEvacuated);
     void applyConfiguration(const QByteArray &value);
     bool isReady() const;
-    void finishDrainWhenIdle();
-    /// Logs what a daemon that shuts down still has to do, once a second and just before the end
-    /// of the grace time.
+    /// Whether no request, connection or stop of a generation is in progress.
+    bool isIdle() const;
+    /// Takes the next step of the shutdown if it is due.
+    void checkDrain();
+    void endProcess();
     void logShutdownProgress();
     void recordTimerLateness();
     void checkEngines();
@@ -50,10 +52,8 @@
 
     std::unique_ptr<RelayParts> m_parts;
     std::function<void()> m_onDrained;
-    MonotonicTime m_drainBegan;
     std::unique_ptr<TimerSubscription> m_drainTimer;
     std::unique_ptr<TimerSubscription> m_progressTimer;
-    std::unique_ptr<TimerSubscription> m_unfinishedTimer;
     std::unique_ptr<TimerSubscription> m_engineCheckTimer;
     std::unique_ptr<TimerSubscription> m_forgetTimer;
     std::unique_ptr<TimerSubscription> m_rereadTimer;
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -13,6 +13,8 @@
 #include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayRun.h"
+#include "relay/ServiceDurations.h"
+#include "relay/ShutdownPlan.h"
 
 #include <QRandomGenerator>
 
@@ -22,21 +24,16 @@
 
 namespace {
 
-/// Time per token of an engine that runs many generations.
-constexpr double MillisecondsPerToken = 10;
 /// Delay between the first copies that a daemon orders from one engine; copies ordered by other
 /// daemons become known within a few ms.
 constexpr Milliseconds MoveStagger{15};
 constexpr Milliseconds NoticeMaxAge{20};
-/// Used for refusals that another daemon would not give; the caller should retry there immediately.
-constexpr Milliseconds RetryAfterDraining{20};
 constexpr Milliseconds RetryAfterRefusal{300};
 /// Used by a daemon without a configuration, which found the store unavailable when it started.
 /// That lasts for seconds, and callers retry once or twice: with 0.3 s they were refused again and
 /// gave up. An answer after 1 s is still within an objective of 1.5 s.
 constexpr Milliseconds RetryAfterNotConfigured{1000};
 constexpr int StatusUnavailable = 503;
-constexpr int MaxUnfinishedLogged = 50;
 
 Error errorOf(ErrorKind kind, const QString &detail)
 {
@@ -129,14 +126,11 @@
     return engines.values();
 }
 
-void RelayGateway::logUnfinished() const
+void RelayGateway::shutdownBegan()
 {
-    int left = MaxUnfinishedLogged;
-    for (const std::shared_ptr<RelayRun> &run : m_runs) {
-        if (--left < 0)
-            break;
-        run->logUnfinished();
-    }
+    const QList<std::shared_ptr<RelayRun>> runs = m_runs.values();
+    for (const std::shared_ptr<RelayRun> &run : runs)
+        run->shutdownBegan();
 }
 
 void RelayGateway::handle(const HttpRequest &request, const std::shared_ptr<CallerReply> &reply)
@@ -168,23 +162,19 @@
     if (!isAllowed)
         return errorOf(isCurrent ? ErrorKind::Unauthorized : ErrorKind::NotReady,
                        QStringLiteral("the API key is unknown"));
-    if (outlastsDrain(parsed, *route))
+    if (outlastsShutdown(parsed, *route))
         return errorOf(ErrorKind::Draining, QStringLiteral("this daemon is shutting down"));
     return parsed;
 }
 
-bool RelayGateway::outlastsDrain(const RelayRequest &request, const RelayRoute &route) const
+bool RelayGateway::outlastsShutdown(const RelayRequest &request, const RelayRoute &route) const
 {
-    if (!m_drainUntil)
-        return false;
-    const Milliseconds left =
-        std::chrono::duration_cast<Milliseconds>(*m_drainUntil - m_context.timers.now());
-    if (route.kind != RequestKind::Stream)
-        return left < route.objective;
-    // A stream that is still running when the process ends is lost, while a refused caller is
-    // served by another daemon. The limit therefore uses the maximum output, not the expected one.
-    const double tokens = double(request.maxOutput.value());
-    return tokens * MillisecondsPerToken + double(route.objective.count()) > double(left.count());
+    const Milliseconds timeLeft =
+        std::min(route.timeout, request.callerTimeout.value_or(route.timeout));
+    const DurationEstimate estimate =
+        m_context.durations.estimate(serviceFor(route, request.id), route, request, timeLeft);
+    return !isAnsweredBeforeShutdown(m_context.shutdown, m_context.timers.now(),
+                                     expectedDuration(estimate));
 }
 
 void RelayGateway::refuse(const HttpRequest &request, const Error &error,
@@ -199,6 +189,7 @@
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
               {"detail", error.detail}});
     const bool isDraining = error.kind == ErrorKind::Draining;
+    m_context.counters.shutdownRejected += isDraining ? 1 : 0;
     const Milliseconds retryAfter = isDraining ? RetryAfterDraining
         : m_configuration                      ? RetryAfterRefusal
                                                : RetryAfterNotConfigured;
@@ -260,7 +251,7 @@
         return QStringLiteral("the sender is not a known daemon");
     if (!m_configuration || !m_configuration->services.contains(message->service))
         return QStringLiteral("the service is not known");
-    if (m_drainUntil)
+    if (m_context.shutdown)
         return QStringLiteral("this daemon is shutting down");
     if (m_context.reach.isUnreachable(message->service))
         return QStringLiteral("the service is unreachable from here as well");
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -47,8 +47,8 @@
     {
         return m_configuration;
     }
-    /// From now on, refuses requests that could last longer than @p until.
-    void drainUntil(MonotonicTime until) { m_drainUntil = until; }
+    /// Limits the requests in progress to the time that RelayContext::shutdown leaves.
+    void shutdownBegan();
     /// Notifies the runs at @p target that it is about to leave.
     void targetLeaving(const TargetId &target);
     /// Notifies the runs at @p target that it has ended.
@@ -59,12 +59,11 @@
     /// times a second.
     void checkSilence();
     int running() const { return int(m_runs.size()); }
-    /// Logs the requests that are in progress, up to a limit.
-    void logUnfinished() const;
 
 private:
     Result<RelayRequest> admit(const HttpRequest &request) const;
-    bool outlastsDrain(const RelayRequest &request, const RelayRoute &route) const;
+    /// Whether a request that arrives now is unlikely to be answered before the daemon ends.
+    bool outlastsShutdown(const RelayRequest &request, const RelayRoute &route) const;
     void refuse(const HttpRequest &request, const Error &error,
                 const std::shared_ptr<CallerReply> &reply);
     void startRun(RelayRequest request, const RelayRoute &route,
@@ -77,7 +76,6 @@
     RelayContext &m_context;
     std::function<bool()> m_isCurrent;
     std::shared_ptr<const RelayConfiguration> m_configuration;
-    std::optional<MonotonicTime> m_drainUntil;
     QHash<const RelayRun *, std::shared_ptr<RelayRun>> m_runs;
 };
 
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -98,6 +98,20 @@
     return text;
 }
 
+QByteArray shutdownText(const RelayParts &parts)
+{
+    QByteArray text =
+        counterText("cranberry_relay_shutdown_rejected_total", parts.counters.shutdownRejected);
+    text +=
+        counterText("cranberry_relay_shutdown_unfinished_total", parts.counters.shutdownUnfinished);
+    text += "# TYPE cranberry_relay_connections gauge\n";
+    const ConnectionCounts counts = parts.callers.connectionCounts();
+    for (std::size_t state = 0; state < ConnectionStateCount; ++state)
+        text += labelledCounter("cranberry_relay_connections", "state",
+                                connectionStateName(ConnectionState(state)), counts[state]);
+    return text;
+}
+
 QByteArray admissionText(RelayParts &parts)
 {
     const FleetAdmission::Counters &counters = parts.admission.counters();
@@ -272,6 +286,7 @@
     text += crashesText(parts);
     text += stopsText(parts);
     text += lateText(counters);
+    text += shutdownText(parts);
     text += admissionText(parts);
     text += speedsText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -24,7 +24,9 @@
 #include "relay/RelaySettings.h"
 #include "relay/RetryExchange.h"
 #include "relay/RoomForecast.h"
+#include "relay/ServiceDurations.h"
 #include "relay/ServicePressure.h"
+#include "relay/ShutdownPlan.h"
 #include "relay/StoreFeed.h"
 #include "relay/StoreMirror.h"
 #include "relay/TargetAnnouncements.h"
@@ -45,6 +47,7 @@
     RelaySettings settings;
     RelayProtocols protocols;
     RelayCounters counters;
+    std::optional<ShutdownPlan> shutdown;
     QtTimerService timers;
     HttpClient client;
     TargetDirectory targets;
@@ -56,6 +59,7 @@
     EngineReports reports;
     ServicePressure pressure;
     TargetSpeeds speeds;
+    ServiceDurations durations;
     RelayRetryBudget retryBudget;
     OutputForecast outputForecast;
     RoomForecast roomForecast;
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -20,7 +20,9 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomForecast.h"
 #include "relay/RoomReservation.h"
+#include "relay/ServiceDurations.h"
 #include "relay/ServicePressure.h"
+#include "relay/ShutdownPlan.h"
 #include "relay/TargetAvailability.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetPlace.h"
@@ -94,7 +96,7 @@
     , m_task(std::move(task))
     , m_reply(std::move(reply))
     , m_ended(std::move(ended))
-    , m_deadline(m_task.arrived + timeout())
+    , m_deadline(answerDue())
     , m_expectedOutput(context.outputForecast.expected(m_task.route.name, m_task.request))
 {
 }
@@ -107,6 +109,17 @@
     return std::min(routeTimeout, m_task.request.callerTimeout.value_or(routeTimeout));
 }
 
+MonotonicTime RelayRun::answerDue() const
+{
+    const MonotonicTime timedOut = m_task.arrived + timeout();
+    return m_context.shutdown ? std::min(timedOut, m_context.shutdown->answersDue) : timedOut;
+}
+
+void RelayRun::startDeadlineTimer()
+{
+    m_deadlineTimer = m_context.timers.after(timeLeft(), [this] { deadlinePassed(); });
+}
+
 Milliseconds RelayRun::timeLeft() const
 {
     const auto left = m_deadline - m_context.timers.now();
@@ -120,7 +133,7 @@
         if (const auto run = weak.lock())
             run->callerGone();
     });
-    m_deadlineTimer = m_context.timers.after(timeLeft(), [this] { deadlinePassed(); });
+    startDeadlineTimer();
     // The daemon that sends the request needs the credit for its retries.
     if (!m_task.isCountedElsewhere && !shouldForward()) {
         m_context.retryBudget.countRequest(m_task.service, m_context.timers.now());
@@ -260,6 +273,7 @@
         const std::chrono::duration<double, std::milli> taken = m_firstEventAt - m_task.arrived;
         m_context.counters.of(m_task.route.kind).toAnswer.add(taken.count());
         m_context.targets.recordSuccess(m_target);
+        recordDuration();
         m_reply->startStream(m_streamHead.status,
                              answerHeaders(m_streamHead.headers, ForwardOutcome::Answered));
     }
@@ -305,14 +319,24 @@
     m_lastEventAt = now;
 }
 
+void RelayRun::recordDuration()
+{
+    m_context.durations.recordAnswer(
+        m_task.service,
+        std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_openedAt));
+}
+
 void RelayRun::recordSpeed(const SendResult &result)
 {
     const MonotonicTime now = m_context.timers.now();
     if (m_task.engine) {
         const auto span = std::chrono::duration_cast<Milliseconds>(m_lastEventAt - m_firstEventAt);
-        if (isWholeStream(result) && m_moves == 0 && m_lastEvent >= MinEventsForPace)
-            m_context.speeds.recordPace(
-                m_target, Tokens((m_lastEvent - 1) * m_task.engine->tokensPerEvent), span);
+        if (isWholeStream(result) && m_moves == 0 && m_lastEvent >= MinEventsForPace) {
+            const Tokens made((m_lastEvent - 1) * m_task.engine->tokensPerEvent);
+            m_context.speeds.recordPace(m_target, made, span);
+            m_context.durations.recordPace(m_task.service,
+                                           double(span.count()) / double(made.value()));
+        }
         return;
     }
     const auto time = std::chrono::duration_cast<Milliseconds>(now - m_openedAt);
@@ -322,6 +346,7 @@
         return;
     m_context.pressure.recordAnswer(m_task.service, time, m_task.route.objective);
     m_context.speeds.recordService(m_target, time, m_runningWhenSent);
+    recordDuration();
 }
 
 const char *RelayRun::countLateness()
@@ -358,10 +383,16 @@
     const auto self = shared_from_this();
     if (m_phase == Phase::Over)
         return;
+    if (m_context.shutdown && m_deadline == m_context.shutdown->answersDue) {
+        endForShutdown();
+        return;
+    }
     if (m_phase == Phase::Sent || m_phase == Phase::Moving || m_phase == Phase::Forwarded)
         m_ran = std::max(m_ran, Ran::Maybe);
-    if (m_phase == Phase::Sent && !hasBegun())
+    if (m_phase == Phase::Sent && !hasBegun()) {
         m_context.targets.recordFailure(m_target, "deadline passed");
+        recordDuration();
+    }
     if (m_fallback)
         forwardAnswer(*m_fallback);
     else
@@ -369,6 +400,61 @@
              QStringLiteral("the deadline has passed"));
 }
 
+void RelayRun::shutdownBegan()
+{
+    if (m_phase == Phase::Over)
+        return;
+    m_deadline = answerDue();
+    startDeadlineTimer();
+    if (m_phase == Phase::Waiting)
+        startWaitTimer();
+}
+
+void RelayRun::endForShutdown()
+{
+    logUnfinished();
+    ++m_context.counters.shutdownUnfinished;
+    if (m_phase == Phase::Sent || m_phase == Phase::Moving || m_phase == Phase::Forwarded)
+        m_ran = std::max(m_ran, Ran::Maybe);
+    if (m_streamOpen) {
+        ++m_context.counters.of(m_task.route.kind).failed;
+        m_reply->endIncomplete();
+        finish("broken off");
+        return;
+    }
+    if (m_fallback) {
+        forwardAnswer(*m_fallback);
+        return;
+    }
+    m_rejectionDelay = RetryAfterDraining;
+    fail(m_ran == Ran::No ? ErrorKind::Draining : ErrorKind::DeadlineExceeded,
+         QStringLiteral("this daemon is shutting down"));
+}
+
+bool RelayRun::rejectIfShuttingDown()
+{
+    if (isAnsweredBeforeShutdown(m_context.shutdown, m_context.timers.now(), remainingDuration()))
+        return false;
+    if (m_ran != Ran::No) {
+        giveUp(SendResult());
+        return true;
+    }
+    ++m_context.counters.shutdownRejected;
+    m_rejectionDelay = RetryAfterDraining;
+    fail(ErrorKind::Draining, QStringLiteral("this daemon is shutting down"));
+    return true;
+}
+
+Milliseconds RelayRun::remainingDuration() const
+{
+    const auto left = std::chrono::duration_cast<Milliseconds>(m_task.arrived + timeout()
+                                                               - m_context.timers.now());
+    DurationEstimate estimate =
+        m_context.durations.estimate(m_task.service, m_task.route, m_task.request, left);
+    estimate.isNew = false;
+    return expectedDuration(estimate);
+}
+
 void RelayRun::callerGone()
 {
     if (m_phase == Phase::Over)
--- a/src/relay/RelayRun.h
+++ b/src/relay/RelayRun.h
@@ -83,7 +83,8 @@
     void start();
     /// It has no target and waits for one.
     bool isWaiting() const { return m_phase == Phase::Waiting; }
-    void logUnfinished() const;
+    /// The daemon shuts down: RelayContext::shutdown limits the request from now on.
+    void shutdownBegan();
     /// Its stream is being generated at target().
     bool isGenerating() const { return m_phase == Phase::Sent && isStream(); }
     const TargetId &target() const { return m_target; }
@@ -162,6 +163,8 @@
     /// Counts the answer by why it was late, and returns the name of the cause.
     const char *countLateness();
     void recordSpeed(const SendResult &result);
+    /// Records how long the target took until its answer or first event.
+    void recordDuration();
     /// Rejects a request that waits for room. @p estimate: when that is expected.
     void rejectForRoom(const AdmissionEstimate &estimate, Milliseconds limit);
     AdmissionEstimate estimate(const Work &ownAhead, Milliseconds limit) const;
@@ -175,6 +178,7 @@
     void reportAttemptEnd(RelayAttemptEnd end);
     void endTakeover(RelayAttemptEnd end);
     void waitForRoom();
+    void startWaitTimer();
     void waitTimedOut();
     /// Asks for permits for the targets with a rate limit. @p isFirst: the request has not asked
     /// before.
@@ -215,7 +219,17 @@
     void giveUp(const SendResult &result);
     void forwardAnswer(const SendResult &result);
     void silenceTimedOut();
+    /// The time at which the caller gets its final answer, whatever that is.
+    MonotonicTime answerDue() const;
+    void startDeadlineTimer();
     void deadlinePassed();
+    /// Answers the caller because the daemon is about to end.
+    void endForShutdown();
+    /// Ends the request if it is unlikely to be answered before the daemon ends; returns whether it
+    /// did.
+    bool rejectIfShuttingDown();
+    Milliseconds remainingDuration() const;
+    void logUnfinished() const;
     void callerGone();
 
     /// Whether another daemon should process the request, as this one cannot reach its service or
@@ -274,7 +288,7 @@
     const RelayTask m_task;
     const std::shared_ptr<CallerReply> m_reply;
     Ended m_ended;
-    const MonotonicTime m_deadline;
+    MonotonicTime m_deadline;
     /// Forecast output length; see OutputForecast.
     const Tokens m_expectedOutput;
     /// See Urgency; fixed at the arrival.
--- a/src/relay/RelayRunPlacement.cpp
+++ b/src/relay/RelayRunPlacement.cpp
@@ -13,6 +13,7 @@
 #include "relay/RelayContext.h"
 #include "relay/RoomReservation.h"
 #include "relay/ServicePressure.h"
+#include "relay/ShutdownPlan.h"
 #include "relay/TargetAvailability.h"
 #include "relay/TargetDirectory.h"
 #include "relay/TargetLimits.h"
@@ -254,11 +255,12 @@
 bool RelayRun::tryPlace(const Work &ownAhead)
 {
     if (shouldForward()) {
-        forward();
+        if (!rejectIfShuttingDown())
+            forward();
         return true;
     }
     // The request may have been suspected while it waited.
-    if (holdBack())
+    if (holdBack() || rejectIfShuttingDown())
         return true;
     const MonotonicTime now = m_context.timers.now();
     requestPermits(m_phase == Phase::Placing);
@@ -373,7 +375,10 @@
 
 MonotonicTime RelayRun::waitsUntil() const
 {
-    return m_task.arrived + waitLimit();
+    const MonotonicTime limit = m_task.arrived + waitLimit();
+    return m_context.shutdown
+        ? std::min(limit, m_context.shutdown->answersDue - remainingDuration())
+        : limit;
 }
 
 void RelayRun::waitForRoom()
@@ -397,7 +402,13 @@
               {"targets", QString::number(m_context.targets.count(m_task.service))},
               {"limited", QString::number(limitedTargets().size())}});
     m_context.waiting.add(shared_from_this());
-    const auto left = std::chrono::duration_cast<Milliseconds>(waitsUntil() - now);
+    startWaitTimer();
+}
+
+void RelayRun::startWaitTimer()
+{
+    const auto left =
+        std::chrono::duration_cast<Milliseconds>(waitsUntil() - m_context.timers.now());
     m_waitTimer = m_context.timers.after(std::clamp(left, Milliseconds(0), timeLeft()), [this] {
         const auto self = shared_from_this();
         waitTimedOut();
@@ -406,7 +417,7 @@
 
 void RelayRun::waitTimedOut()
 {
-    if (m_phase != Phase::Waiting)
+    if (m_phase != Phase::Waiting || rejectIfShuttingDown())
         return;
     // The answer of a target is more informative than a lack of room elsewhere.
     if (m_fallback) {
--- a/test/support/RunFixture.h
+++ b/test/support/RunFixture.h
@@ -19,7 +19,9 @@
 #include "relay/RelayGateway.h"
 #include "relay/RelayRun.h"
 #include "relay/RoomForecast.h"
+#include "relay/ServiceDurations.h"
 #include "relay/ServicePressure.h"
+#include "relay/ShutdownPlan.h"
 #include "relay/StoreProtocol.h"
 #include "relay/TargetAnnouncements.h"
 #include "relay/TargetAvailability.h"
@@ -126,6 +128,8 @@
     FleetAdmission admission{timers, peers, datagrams, {}};
     ServicePressure pressure{timers};
     TargetSpeeds speeds{timers, targets};
+    ServiceDurations durations;
+    std::optional<ShutdownPlan> shutdown;
     WaitingRequests waiting{timers, admission};
     RelayRetryBudget retryBudget{
         RetryLimits(), {}, [] { return FleetPosition(); }, [] { return 0.0; }};
@@ -153,6 +157,7 @@
                          admission,
                          pressure,
                          speeds,
+                         durations,
                          waiting,
                          retryBudget,
                          outputForecast,
@@ -160,6 +165,7 @@
                          crashGuard,
                          stops,
                          counters,
+                         shutdown,
                          callerProtocol,
                          targetProtocol,
                          Bytes(1024),
