Signals are handled before a daemon listens

Between the start of its listeners and the installation of the handlers a SIGTERM ended the process at once: glog's failure handler, installed earlier, ends it, and the default action of SIGHUP does so too. The handlers are installed before the daemon is created, and a signal that arrives then is read when the event loop runs. They keep errno.

Found by reading; not seen in a run.

--- a/src/relay/RelayProgram.cpp
+++ b/src/relay/RelayProgram.cpp
@@ -13,6 +13,7 @@
 
 #include <gflags/gflags.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <unistd.h>
@@ -31,8 +32,19 @@
 /// Only async-signal-safe calls such as write() are allowed here; the event loop does the rest.
 void onSignal(int number)
 {
+    const int interruptedError = errno;
     const char byte = char(number);
     (void)!write(signalPipe[1], &byte, 1);
+    errno = interruptedError;
+}
+
+/// Signals that arrive before the event loop runs are handled once it does.
+void installSignalHandlers()
+{
+    (void)!pipe(signalPipe);
+    for (const int number : {SIGTERM, SIGINT, SIGHUP})
+        std::signal(number, onSignal);
+    std::signal(SIGPIPE, SIG_IGN);
 }
 
 int reportError(const QString &line)
@@ -82,16 +94,18 @@
         return reportError(settings.error().detail);
     if (FLAGS_check)
         return 0;
+    installCrashReport();
+    // After the crash report, whose handlers end the process on SIGTERM too, and before the daemon
+    // listens.
+    installSignalHandlers();
     // Qt's poll() event loop needs no additional library and no threads.
     qputenv("QT_NO_GLIB", "1");
     QCoreApplication application(argc, argv);
-    installCrashReport();
     LogSink sink;
     RelayDaemon daemon(settings.value(), protocols);
     if (const auto started = daemon.start(); !started)
         return reportError(started.error().detail);
 
-    (void)!pipe(signalPipe);
     QSocketNotifier notifier(signalPipe[0], QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&] {
         char number = 0;
@@ -101,9 +115,6 @@
         else
             daemon.drain([] { QCoreApplication::quit(); });
     });
-    for (const int number : {SIGTERM, SIGINT, SIGHUP})
-        std::signal(number, onSignal);
-    std::signal(SIGPIPE, SIG_IGN);
     return QCoreApplication::exec();
 }
 
