--- a/apps/soak/SoakRun.h
+++ b/apps/soak/SoakRun.h
@@ -4,6 +4,7 @@
 #include "soak/AbandonedStreams.h"
 #include "soak/CompetingLoad.h"
 #include "soak/FaultProxy.h"
+#include "soak/SoakOptions.h"
 #include "standins/users/CloseDelimitedProxy.h"
 #include "standins/users/CrashingTargets.h"
 #include "standins/users/LimitChecks.h"
@@ -21,14 +22,6 @@
 
 namespace cranberry::soak {
 
-/// Parameters of a soak run.
-struct SoakOptions {
-    quint32 seed = 1;
-    std::chrono::seconds duration{20};
-    int daemons = 3;
-    int engines = 4;
-};
-
 /// One seeded soak run. Starts daemons as processes, sends client requests throughout, and injects
 /// overlapping faults into links, runners, the store and the daemon processes. Signals only
 /// processes that it started.
