A daemon that shuts down gives forwarded requests back

What callers saw: a request that a partitioned daemon had forwarded was rejected as the other daemon shut down, though a third one could serve it.

Cause: a rejection at the end of a shutdown said that the request was taken and has not run, which the daemon that forwarded it passes on to its caller. It now says that the request was not taken, so that it is forwarded elsewhere.

failure/WaitingRuns: AForwardedRequestIsGivenBackByADaemonThatShutsDown fails without the change and passes with it (one run each); another case covers a request that waits when its daemon shuts down.

--- a/src/relay/RelayRunForwarding.cpp
+++ b/src/relay/RelayRunForwarding.cpp
@@ -12,6 +12,7 @@
 #include "relay/PeerForwarding.h"
 #include "relay/ReachMonitor.h"
 #include "relay/RelayContext.h"
+#include "relay/ShutdownPlan.h"
 
 namespace cranberry {
 
@@ -191,8 +192,9 @@
     if (m_ran != Ran::No)
         return ForwardOutcome::MayHaveRun;
     // The daemon that forwarded the request can try another one.
-    return m_context.reach.isUnreachable(m_task.service) ? ForwardOutcome::NotTaken
-                                                         : ForwardOutcome::NotRun;
+    return m_context.reach.isUnreachable(m_task.service) || m_context.shutdown
+        ? ForwardOutcome::NotTaken
+        : ForwardOutcome::NotRun;
 }
 
 } // namespace cranberry
--- a/test/failure/WaitingRuns.cpp
+++ b/test/failure/WaitingRuns.cpp
@@ -3,8 +3,13 @@
 #define BOOST_TEST_MODULE WaitingRuns
 #include <boost/test/unit_test.hpp>
 
+#include "http/HttpExchange.h"
+#include "http/HttpListener.h"
+#include "http/HttpRequest.h"
+#include "http/HttpResponse.h"
 #include "relay/AvailabilityNotice.h"
 #include "relay/DemandMessage.h"
+#include "relay/ForwardOutcome.h"
 #include "relay/TargetCall.h"
 #include "support/RunFixture.h"
 
@@ -207,3 +212,53 @@
     BOOST_TEST(rejected() == 1);
     BOOST_TEST(rejections.value(0).has_value());
 }
+
+// Guards against a request that waits, when its daemon shuts down, until it cannot be answered.
+BOOST_FIXTURE_TEST_CASE(AWaitingRequestIsRejectedOnceItOutlastsTheDaemon, Fixture)
+{
+    const auto run = start();
+    BOOST_REQUIRE(run->isWaiting());
+    durations.recordAnswer(service, 500ms);
+    shutdown = planShutdown(timers.now(), 2000ms);
+    run->shutdownBegan();
+    timers.advance(1200ms);
+    BOOST_TEST(run->isWaiting());
+    timers.advance(100ms);
+    BOOST_TEST(!run->isWaiting());
+    BOOST_REQUIRE(rejections.size() == 1);
+    BOOST_TEST((rejections.first() == RetryAfterDraining));
+}
+
+// Guards against a request that another daemon could serve, and that is rejected as its daemon
+// forwarded it to one that shuts down.
+BOOST_FIXTURE_TEST_CASE(AForwardedRequestIsGivenBackByADaemonThatShutsDown, Fixture)
+{
+    callerProtocol.failure = [](const Error &, std::optional<Milliseconds>) {
+        return HttpResponse{503, {}, {}};
+    };
+    std::shared_ptr<RelayRun> run;
+    const auto handle = [&](const HttpRequest &, const std::shared_ptr<CallerReply> &reply) {
+        RelayTask forwarded = task(1, 5000ms, Tokens(0), timers.now());
+        forwarded.route.kind = RequestKind::AtMostOnce;
+        forwarded.engine.reset();
+        forwarded.forwardedBy = Other;
+        run = std::make_shared<RelayRun>(context, forwarded, reply, [](const RelayRun *) {});
+        run->start();
+    };
+    HttpListener listener(timers, handle, [](ErrorKind) { return HttpResponse(); });
+    const quint16 port = listener.listenOn({QStringLiteral("127.0.0.1"), 0}).value();
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/";
+    std::optional<HttpResponse> answer;
+    const auto exchange =
+        client.fetch({QStringLiteral("127.0.0.1"), port}, request, {},
+                     [&](HttpExchangeEnd, const HttpResponse &response) { answer = response; });
+    BOOST_REQUIRE(test::waitFor([&] { return run && run->isWaiting(); }));
+    shutdown = planShutdown(timers.now(), 2000ms);
+    run->shutdownBegan();
+    timers.advance(1900ms);
+    BOOST_REQUIRE(test::waitFor([&] { return answer.has_value(); }));
+    BOOST_TEST(answer->status == 503);
+    BOOST_TEST((forwardOutcomeOf(answer->headers) == ForwardOutcome::NotTaken));
+}
