Estimates of durations are made only during a shutdown

Each arrival and each try of a waiting request looked the service up and computed the estimate although nothing asked for it. correctness/ShutdownPlan passes.

--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -27,8 +27,9 @@
 
     /// Listens and starts to read the store. Error: BadRequest naming an address.
     Result<void> start();
-    /// Completes the requests in progress and calls @p done. New connections are accepted until the
-    /// balancer has removed the daemon. Later calls do nothing.
+    /// Completes the requests in progress and calls @p done, before the end of the grace time. New
+    /// connections are accepted until the balancer has removed the daemon, and for as long as it
+    /// has requests. Later calls do nothing.
     void drain(std::function<void()> done);
 
 private:
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -169,11 +169,13 @@
 
 bool RelayGateway::outlastsShutdown(const RelayRequest &request, const RelayRoute &route) const
 {
+    if (!m_context.shutdown)
+        return false;
     const Milliseconds timeLeft =
         std::min(route.timeout, request.callerTimeout.value_or(route.timeout));
     const DurationEstimate estimate =
         m_context.durations.estimate(serviceFor(route, request.id), route, request, timeLeft);
-    return !isAnsweredBeforeShutdown(m_context.shutdown, m_context.timers.now(),
+    return !isAnsweredBeforeShutdown(*m_context.shutdown, m_context.timers.now(),
                                      expectedDuration(estimate));
 }
 
--- a/src/relay/RelayRun.cpp
+++ b/src/relay/RelayRun.cpp
@@ -433,7 +433,9 @@
 
 bool RelayRun::rejectIfShuttingDown()
 {
-    if (isAnsweredBeforeShutdown(m_context.shutdown, m_context.timers.now(), remainingDuration()))
+    if (!m_context.shutdown
+        || isAnsweredBeforeShutdown(*m_context.shutdown, m_context.timers.now(),
+                                    remainingDuration()))
         return false;
     if (m_ran != Ran::No) {
         giveUp(SendResult());
--- a/src/relay/ShutdownPlan.cpp
+++ b/src/relay/ShutdownPlan.cpp
@@ -30,10 +30,9 @@
     return std::min(first + output, estimate.timeLeft);
 }
 
-bool isAnsweredBeforeShutdown(const std::optional<ShutdownPlan> &plan, MonotonicTime now,
-                              Milliseconds duration)
+bool isAnsweredBeforeShutdown(const ShutdownPlan &plan, MonotonicTime now, Milliseconds duration)
 {
-    return !plan || now + duration < plan->answersDue;
+    return now + duration < plan.answersDue;
 }
 
 } // namespace cranberry
--- a/src/relay/ShutdownPlan.h
+++ b/src/relay/ShutdownPlan.h
@@ -47,7 +47,6 @@
 
 /// Whether a request that takes @p duration from @p now on is answered in time. Everything that
 /// accepts or sends requests asks this function. Thread-safe.
-bool isAnsweredBeforeShutdown(const std::optional<ShutdownPlan> &plan, MonotonicTime now,
-                              Milliseconds duration);
+bool isAnsweredBeforeShutdown(const ShutdownPlan &plan, MonotonicTime now, Milliseconds duration);
 
 } // namespace cranberry
--- a/test/correctness/ShutdownPlan.cpp
+++ b/test/correctness/ShutdownPlan.cpp
@@ -53,8 +53,7 @@
 
 BOOST_AUTO_TEST_CASE(RequestsThatOutlastTheDaemonAreFound)
 {
-    const std::optional<ShutdownPlan> plan = planShutdown(Now, 8000ms);
-    BOOST_TEST(isAnsweredBeforeShutdown(std::nullopt, Now, 1h));
+    const ShutdownPlan plan = planShutdown(Now, 8000ms);
     BOOST_TEST(isAnsweredBeforeShutdown(plan, Now, 7499ms));
     BOOST_TEST(!isAnsweredBeforeShutdown(plan, Now, 7500ms));
     BOOST_TEST(!isAnsweredBeforeShutdown(plan, Now + 7500ms, 0ms));
--- a/test/performance/ShutdownPolicies.cpp
+++ b/test/performance/ShutdownPolicies.cpp
@@ -151,7 +151,7 @@
             estimate.observed = daemon.durations.toAnswer(Service);
         if (m_policy == Policy::Timeout)
             estimate.observed = Timeout;
-        return isAnsweredBeforeShutdown(daemon.plan, now, expectedDuration(estimate));
+        return isAnsweredBeforeShutdown(*daemon.plan, now, expectedDuration(estimate));
     }
 
     void call(MonotonicTime arrived, bool mayRetry, bool isCounted)
