Own interface: a request in parts keeps a daemon that shuts down

What callers saw: a request of which a part had arrived when the last answer was done got no answer, as the process ended.

Cause: as on the platform, only requests that had arrived whole counted. The process now waits for the rest, which request_arrival_ms bounds.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -215,8 +215,10 @@
 
 void Daemon::finishDrainWhenIdle()
 {
-    const bool busy = m_parts->gateway.pending() > 0 || m_parts->attachHolder.followers() > 0;
-    if (busy || m_parts->server.unsentBytes() > 0)
+    const bool isWorking = m_parts->gateway.pending() > 0 || m_parts->attachHolder.followers() > 0;
+    const bool isTransferring =
+        m_parts->server.receivingConnections() > 0 || m_parts->server.unsentBytes() > 0;
+    if (isWorking || isTransferring)
         return;
     m_parts->drainTimer.reset();
     logEvent(LogLevel::Info, EventId::DaemonStopped, {{"vm", m_settings.vm.text()}});
--- a/src/http/BoundedTcpServer.cpp
+++ b/src/http/BoundedTcpServer.cpp
@@ -9,6 +9,8 @@
 #include <QTcpSocket>
 #include <QTimer>
 
+#include <algorithm>
+
 namespace cranberry {
 
 namespace {
@@ -117,6 +119,14 @@
     return m_connections.value(socket).answering;
 }
 
+int BoundedTcpServer::receivingConnections() const
+{
+    return int(std::count_if(
+        m_connections.cbegin(), m_connections.cend(), [](const Connection &connection) {
+            return connection.bytes > 0 && !connection.answering && !connection.rejected;
+        }));
+}
+
 qint64 BoundedTcpServer::unsentBytes() const
 {
     qint64 bytes = 0;
--- a/src/http/BoundedTcpServer.h
+++ b/src/http/BoundedTcpServer.h
@@ -36,6 +36,8 @@
     /// True while the response on @p socket is incomplete.
     bool isAnswering(QTcpSocket *socket) const;
 
+    /// Connections on which a part of a request has arrived.
+    int receivingConnections() const;
     int openConnections() const { return int(m_connections.size()); }
     /// Bytes of responses that are not yet passed to the system's socket buffers.
     qint64 unsentBytes() const;
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -87,6 +87,11 @@
     return m_listener->openConnections();
 }
 
+int HttpServer::receivingConnections() const
+{
+    return m_listener->receivingConnections();
+}
+
 qint64 HttpServer::unsentBytes() const
 {
     return m_listener->unsentBytes();
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -37,6 +37,8 @@
     void stopListening();
 
     int openConnections() const;
+    /// Connections on which a part of a request has arrived.
+    int receivingConnections() const;
     /// Bytes of responses that are not yet passed to the system's socket buffers.
     qint64 unsentBytes() const;
 
--- a/test/failure/DrainCutsNobody.cpp
+++ b/test/failure/DrainCutsNobody.cpp
@@ -10,6 +10,7 @@
 
 #include <QElapsedTimer>
 #include <QJsonArray>
+#include <QTcpSocket>
 
 using namespace cranberry;
 using namespace cranberry::test;
@@ -132,6 +133,32 @@
     BOOST_TEST_MESSAGE(load.sentCount() << " requests, " << load.countCut() << " cut");
 }
 
+BOOST_AUTO_TEST_CASE(RequestInPartsKeepsADaemonThatShutsDown)
+{
+    // Guards against a process that ends while a part of a request has arrived.
+    Fleet fleet(makePlan(1, 1));
+    BOOST_REQUIRE(fleet.start());
+    QTcpSocket caller;
+    const HttpEndpoint gateway = fleet.gateway(0);
+    caller.connectToHost(gateway.address, gateway.port);
+    caller.write("POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\n{ ");
+    BOOST_REQUIRE(waitFor([&] { return caller.bytesToWrite() == 0 && caller.isValid(); }));
+    fleet.daemon(0).terminate();
+    QElapsedTimer timer;
+    timer.start();
+    // It listens for 1.5 s after the signal.
+    BOOST_REQUIRE(waitFor([&] { return timer.hasExpired(2000); }));
+    caller.write(" }");
+    QByteArray answer;
+    BOOST_TEST(waitFor([&] {
+        answer += caller.readAll();
+        return answer.contains("\r\n\r\n") || caller.state() != QAbstractSocket::ConnectedState;
+    }));
+    BOOST_TEST(answer.startsWith("HTTP/1.1 "));
+    BOOST_REQUIRE(fleet.daemon(0).waitEnded());
+    BOOST_TEST(fleet.daemon(0).exitCode() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(EngineSaysInItsReportThatItLeaves)
 {
     // Guards against new requests to an engine that is reclaimed, which would be lost with it. Its
