--- a/apps/CranberryDaemon.cpp
+++ b/apps/CranberryDaemon.cpp
@@ -8,6 +8,7 @@
 #include <gflags/gflags.h>
 #include <glog/logging.h>
 
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <unistd.h>
@@ -24,8 +25,18 @@
 void handleTerminationSignal(int)
 {
     // write() is async-signal-safe; the event loop starts the drain when it reads the byte.
+    const int interruptedError = errno;
     const char byte = 1;
     (void)!write(signalPipe[1], &byte, 1);
+    errno = interruptedError;
+}
+
+/// Signals that arrive before the event loop runs are handled once it does.
+void installSignalHandlers()
+{
+    (void)!pipe(signalPipe);
+    std::signal(SIGTERM, handleTerminationSignal);
+    std::signal(SIGINT, handleTerminationSignal);
 }
 
 /// Prints @p line to stderr and returns the exit code for a usage or start error.
@@ -73,20 +84,20 @@
     if (FLAGS_check)
         return 0;
     initialiseLogging(argv[0]);
+    // After the crash report, whose handlers end the process on SIGTERM too, and before the daemon
+    // listens.
+    installSignalHandlers();
     cranberry::setLogLevel(settings.value().logLevel);
     QCoreApplication application(argc, argv);
     cranberry::Daemon daemon(settings.value());
     if (const auto started = daemon.start(); !started)
         return reportError(started.error().detail);
 
-    (void)!pipe(signalPipe);
     QSocketNotifier notifier(signalPipe[0], QSocketNotifier::Read);
     QObject::connect(&notifier, &QSocketNotifier::activated, &application, [&] {
         notifier.setEnabled(false);
         daemon.drain([] { QCoreApplication::quit(); });
     });
-    std::signal(SIGTERM, handleTerminationSignal);
-    std::signal(SIGINT, handleTerminationSignal);
     std::fprintf(stderr, "ready gateway=%u peer=%u\n", daemon.gatewayPort(), daemon.peerPort());
     return QCoreApplication::exec();
 }
