--- a/apps/soak/ShutdownSoak.cpp
+++ b/apps/soak/ShutdownSoak.cpp
@@ -19,6 +19,8 @@
 constexpr Milliseconds BalancerRemovalDelay{3000};
 /// Streams may be cut in the last sixth of the grace time.
 constexpr Milliseconds MayCutAfter = Grace * 5 / 6;
+/// Deadline of streams, after which they may be cut.
+constexpr Milliseconds StreamDeadline{15000};
 /// How late a process may read its signal.
 constexpr int MaxSignalDelayMs = 200;
 constexpr int PlainTargets = 4;
@@ -155,8 +157,9 @@
             m_checks.answered(call.id, response, caller.isWhole());
             m_rejected += caller.isWhole() && response.status == 503 ? 1 : 0;
             if (!caller.isWhole() && m_ran.contains(call.id))
-                m_broken.append(QStringLiteral("request %1 ran and has no whole answer")
-                                    .arg(QString::fromLatin1(call.id)));
+                breaks(call.daemon, call.id,
+                       QStringLiteral("request %1 ran and has no whole answer")
+                           .arg(QString::fromLatin1(call.id)));
             m_unread += caller.isWhole() || m_ran.contains(call.id) ? 0 : 1;
             if (caller.isOpen() && randomBelow(2) == 0)
                 call.nextAt = now + randomTime(4000);
@@ -179,6 +182,8 @@
 bool ShutdownSoak::mayBeCut(const StreamCall &stream) const
 {
     const Daemon &daemon = m_daemons[std::size_t(stream.daemon)];
+    if (m_timers.now() >= stream.sent + StreamDeadline)
+        return true;
     return daemon.isStopping && stream.sent <= daemon.signalled + BalancerRemovalDelay
         && m_timers.now() >= daemon.signalled + MayCutAfter;
 }
@@ -194,9 +199,10 @@
         m_rejected += isWhole && stream->call->response.status == 503 ? 1 : 0;
         const bool hasRun = m_ran.contains(stream->id);
         if (!isWhole && hasRun && !mayBeCut(*stream))
-            m_broken.append(QStringLiteral("stream %1 was cut after %2 bytes")
-                                .arg(QString::fromLatin1(stream->id))
-                                .arg(stream->call->response.body.size()));
+            breaks(stream->daemon, stream->id,
+                   QStringLiteral("stream %1 was cut after %2 bytes")
+                       .arg(QString::fromLatin1(stream->id))
+                       .arg(stream->call->response.body.size()));
         m_unread += isWhole || hasRun ? 0 : 1;
     }
     m_streams.erase(ended, m_streams.end());
@@ -236,11 +242,26 @@
     }
     m_site.signal(number, SIGTERM);
     daemon.kill = m_timers.after(Grace, [this, number] {
-        m_broken.append(QStringLiteral("daemon %1 did not end in its grace time").arg(number));
+        if (m_site.hasEnded(number))
+            return;
+        breaks(number, "name=relay.unfinished",
+               QStringLiteral("daemon %1 did not end in its grace time").arg(number));
         m_site.signal(number, SIGKILL);
     });
 }
 
+void ShutdownSoak::breaks(int daemon, const QByteArray &subject, const QString &what)
+{
+    QString text = what;
+    for (const QByteArray &line : m_site.log(daemon).split('\n')) {
+        const bool isOfShutdown =
+            line.contains("name=daemon.draining") || line.contains("name=daemon.shutdown_progress");
+        if (isOfShutdown || line.contains(subject))
+            text += QStringLiteral("\n    ") + QString::fromUtf8(line);
+    }
+    m_broken.append(text);
+}
+
 void ShutdownSoak::checkLog(int daemon)
 {
     for (const QByteArray &line : m_site.log(daemon).split('\n')) {
--- a/apps/soak/ShutdownSoak.h
+++ b/apps/soak/ShutdownSoak.h
@@ -77,6 +77,8 @@
     void stopDaemon(int daemon);
     void restartEnded();
     void checkLog(int daemon);
+    /// Records a violation with what @p daemon logged of @p subject and of its shutdown.
+    void breaks(int daemon, const QByteArray &subject, const QString &what);
     void step();
 
     const SoakOptions m_options;
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -77,6 +77,7 @@
     HttpEndpoint callers(int daemon) const { return m_daemons[size_t(daemon)].callers; }
     bool isReady(int daemon);
     QByteArray metrics(int daemon);
+    /// Does nothing if the process has ended.
     void signal(int daemon, int number);
     bool hasEnded(int daemon) const;
     /// Whether the process ended by itself with exit code 0.
