--- a/test/failure/ForwardedRequests.cpp
+++ b/test/failure/ForwardedRequests.cpp
@@ -2,6 +2,8 @@
 #define BOOST_TEST_MODULE ForwardedRequests
 #include <boost/test/unit_test.hpp>
 
+#include "base/QtTimerService.h"
+#include "base/TimerSubscription.h"
 #include "http/CallerReply.h"
 #include "http/HttpClient.h"
 #include "relay/ForwardMessage.h"
@@ -25,6 +27,7 @@
 constexpr int Partitioned = 0;
 constexpr int LongStream = 2000;
 constexpr Milliseconds EventInterval{5};
+constexpr Milliseconds Grace{8000};
 
 /// Three daemons, of which the first is partitioned from all targets.
 struct Fixture {
@@ -173,6 +176,30 @@
     BOOST_TEST(ran.count(id) == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(ADaemonThatShutsDownAnswersWhatItForwarded, Fixture)
+{
+    // Guards against a caller whose daemon is killed while another one works on its request.
+    for (Runner *runner : runners)
+        runner->setOverride([this](const HttpRequest &request, const Runner::Reply &) {
+            const bool isPlain = request.path.startsWith("/unsafe/");
+            if (isPlain)
+                ran.append(request.headers.value("Cranberryquay-Request-Id"));
+            return isPlain;
+        });
+    const QByteArray id = nextId();
+    const auto call = site.send(Partitioned, "POST", "/unsafe/a", id);
+    BOOST_REQUIRE(test::waitFor([&] { return ran.contains(id); }));
+    site.signal(Partitioned, SIGTERM);
+    QtTimerService timers;
+    const auto kill = timers.after(Grace, [this] { site.signal(Partitioned, SIGKILL); });
+    BOOST_TEST(test::PlatformSite::finish(call));
+    BOOST_TEST((call->end == HttpExchangeEnd::Complete));
+    BOOST_TEST(call->response.status == 504);
+    BOOST_TEST(ran.count(id) == 1);
+    BOOST_TEST(test::waitFor([&] { return site.hasEnded(Partitioned); }));
+    BOOST_TEST(site.hasEndedWell(Partitioned));
+}
+
 BOOST_FIXTURE_TEST_CASE(OnlyDaemonsForward, Fixture)
 {
     // Guards against a caller that chooses its own workspace with a forged message.
