--- a/apps/soak/ShutdownSoak.cpp
+++ b/apps/soak/ShutdownSoak.cpp
@@ -107,13 +107,13 @@
         });
 }
 
-QList<RequestPart> ShutdownSoak::plainRequest(const QByteArray &id)
+QList<test::RequestPart> ShutdownSoak::plainRequest(const QByteArray &id)
 {
     // Most callers send at once, some are slow to begin or slow in between.
     const Milliseconds beforeFirst = randomTime(randomBelow(4) == 0 ? 150 : 5);
     const Milliseconds beforeSecond = randomTime(randomBelow(5) == 0 ? 600 : 2);
     const QByteArray path = randomBelow(4) == 0 ? "/safe/a" : "/unsafe/a";
-    return requestInParts(path, id, randomBelow(3) == 0, beforeFirst, beforeSecond);
+    return test::requestInParts(path, id, randomBelow(3) == 0, beforeFirst, beforeSecond);
 }
 
 void ShutdownSoak::sendPlain()
@@ -124,7 +124,7 @@
     PlainCall call;
     call.id = "p" + QByteArray::number(m_options.seed) + '-' + QByteArray::number(++m_count);
     call.daemon = daemon;
-    call.caller = std::make_unique<RawCaller>(m_site.callers(daemon));
+    call.caller = std::make_unique<test::RawCaller>(m_site.callers(daemon));
     call.caller->send(plainRequest(call.id));
     m_plain.push_back(std::move(call));
 }
@@ -148,7 +148,7 @@
 {
     const MonotonicTime now = m_timers.now();
     for (PlainCall &call : m_plain) {
-        RawCaller &caller = *call.caller;
+        test::RawCaller &caller = *call.caller;
         if (!caller.isOver())
             continue;
         if (!call.isCounted) {
--- a/apps/soak/ShutdownSoak.h
+++ b/apps/soak/ShutdownSoak.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "base/QtTimerService.h"
-#include "soak/RawCaller.h"
 #include "soak/SoakOptions.h"
 #include "standins/users/PromiseChecks.h"
 #include "support/PlatformSite.h"
+#include "support/RawCaller.h"
 
 #include <map>
 #include <memory>
@@ -48,7 +48,7 @@
     struct PlainCall {
         QByteArray id;
         int daemon = 0;
-        std::unique_ptr<RawCaller> caller;
+        std::unique_ptr<test::RawCaller> caller;
         /// When the connection is used again; unset if it is not.
         MonotonicTime nextAt;
         bool isCounted = false;
@@ -68,7 +68,7 @@
                      const standin::RunnerEmulator::Reply &reply);
     void sendPlain();
     void sendStream();
-    QList<RequestPart> plainRequest(const QByteArray &id);
+    QList<test::RequestPart> plainRequest(const QByteArray &id);
     void collectPlain();
     void collectStreams();
     /// Whether a stream may end without its last event: the daemon had to end.
--- a/apps/soak/RawCaller.cpp
+++ b/test/support/RawCaller.cpp
@@ -1,6 +1,6 @@
-#include "soak/RawCaller.h"
+#include "support/RawCaller.h"
 
-namespace cranberry::soak {
+namespace cranberry::test {
 
 RawCaller::RawCaller(const HttpEndpoint &endpoint)
 {
@@ -77,4 +77,4 @@
             {beforeSecond, second}};
 }
 
-} // namespace cranberry::soak
+} // namespace cranberry::test
--- a/apps/soak/RawCaller.h
+++ b/test/support/RawCaller.h
@@ -10,7 +10,7 @@
 
 #include <memory>
 
-namespace cranberry::soak {
+namespace cranberry::test {
 
 /// A piece of a request, and how long after the piece before it, or the connection, it is written.
 struct RequestPart {
@@ -58,4 +58,4 @@
 QList<RequestPart> requestInParts(const QByteArray &path, const QByteArray &id, bool isChunked,
                                   Milliseconds beforeFirst, Milliseconds beforeSecond);
 
-} // namespace cranberry::soak
+} // namespace cranberry::test
