--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -8,6 +8,7 @@
 
 #include <csignal>
 #include <stdexcept>
+#include <sys/resource.h>
 
 namespace cranberry::test {
 
@@ -102,8 +103,8 @@
                            {"routes", routes},
                            {"services", services},
                            {"limits",
-                            QJsonObject{{"maxHeaderBytes", 4096},
-                                        {"maxBodyBytes", 10000},
+                            QJsonObject{{"maxHeaderBytes", m_maxHeaderBytes},
+                                        {"maxBodyBytes", m_maxBodyBytes},
                                         {"headerTimeoutMs", 1000},
                                         {"idleTimeoutMs", 10000}}},
                            {"tenants", tenants}};
@@ -124,6 +125,8 @@
                          {"grace_ms", double(m_grace.count())}};
     if (m_isFirstStart)
         settings.insert("first_start", true);
+    for (auto entry = m_moreSettings.constBegin(); entry != m_moreSettings.constEnd(); ++entry)
+        settings.insert(entry.key(), entry.value());
     m_daemons.push_back({nullptr, {}, {}, QJsonDocument(settings).toJson(), {}});
     launch(m_daemons.back());
     // A daemon has its share of the retry budget once the daemons are listed.
@@ -154,6 +157,12 @@
     file.close();
     daemon.process = std::make_unique<QProcess>();
     daemon.process->setProcessChannelMode(QProcess::MergedChannels);
+    if (m_descriptorLimit > 0) {
+        daemon.process->setChildProcessModifier([limit = rlim_t(m_descriptorLimit)] {
+            const rlimit limits{limit, limit};
+            (void)::setrlimit(RLIMIT_NOFILE, &limits);
+        });
+    }
     daemon.process->start(QStringLiteral(CRANBERRY_PROGRAM_DIRECTORY "/cranberryd-platform"),
                           {QStringLiteral("--settings"), file.fileName()});
     daemon.callers = {QStringLiteral("127.0.0.1"), portOf(daemon, "callers")};
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -8,6 +8,7 @@
 #include "standins/users/StoreEmulator.h"
 
 #include <QJsonArray>
+#include <QJsonObject>
 #include <QProcess>
 
 #include <memory>
@@ -61,6 +62,19 @@
     }
     /// Grace time in the settings of daemons that are started from now on.
     void setGrace(Milliseconds grace) { m_grace = grace; }
+    /// Largest header and body in configurations that are written from now on, in bytes.
+    void setCallerLimits(int maxHeaderBytes, int maxBodyBytes)
+    {
+        m_maxHeaderBytes = maxHeaderBytes;
+        m_maxBodyBytes = maxBodyBytes;
+    }
+    /// Descriptors that daemons that are started from now on may open.
+    void setDescriptorLimit(int descriptors) { m_descriptorLimit = descriptors; }
+    /// A further member of the settings of daemons that are started from now on.
+    void setSetting(const QString &name, const QJsonValue &value)
+    {
+        m_moreSettings.insert(name, value);
+    }
     /// The operator evacuates a data centre, or takes that back.
     void evacuate(const QString &dataCentre, bool isEvacuated);
     /// Daemons that are started from now on start with the whole system for the first time:
@@ -152,6 +166,11 @@
     bool m_hasFragileService = false;
     bool m_hasBusyService = false;
     bool m_hasSteadyService = false;
+    int m_maxHeaderBytes = 4096;
+    int m_maxBodyBytes = 10000;
+    /// That of the test if zero.
+    int m_descriptorLimit = 0;
+    QJsonObject m_moreSettings;
 };
 
 } // namespace cranberry::test
