Trailers are not headers

Callers could set headers of a request after it was judged: the fields that follow the last chunk of a body were added to those of the head, so that a target received them, and trailers of responses counted as headers of the response (Keep-Alive, for instance).

Cause: Boost.Beast reports trailers by the same function as headers. Both parsers drop fields after the end of the headers (RFC 9110, section 6.5.1, allows that).

error/TrailerFields failed before in both cases (the target got X-Own) and passes now.

--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -33,11 +33,14 @@
 
 void HttpRequestParser::on_field_impl(boost::beast::http::field, View name, View value, Error &)
 {
-    m_request.headers.add(toByteArray(name), toByteArray(value));
+    // Trailers are not headers (RFC 9110, section 6.5.1).
+    if (!m_areHeadersComplete)
+        m_request.headers.add(toByteArray(name), toByteArray(value));
 }
 
 void HttpRequestParser::on_header_impl(Error &ec)
 {
+    m_areHeadersComplete = true;
     if (hasOtherTransferCoding(m_request.headers))
         ec = boost::beast::http::error::bad_transfer_encoding;
 }
--- a/src/http/HttpRequestParser.h
+++ b/src/http/HttpRequestParser.h
@@ -15,7 +15,8 @@
 public:
     HttpRequestParser(std::uint32_t headerLimit, std::uint64_t bodyLimit);
 
-    /// The request; its path holds the request target as received, including the query.
+    /// The request, without trailers; its path holds the request target as received, including the
+    /// query.
     const HttpRequest &request() const { return m_request; }
     /// True if a byte of the request was received.
     bool hasBegun() const { return m_begun; }
@@ -38,6 +39,7 @@
     void on_finish_impl(Error &ec) override;
 
     HttpRequest m_request;
+    bool m_areHeadersComplete = false;
     bool m_begun = false;
 };
 
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -39,11 +39,17 @@
 
 void HttpResponseParser::on_field_impl(boost::beast::http::field, View name, View value, Error &)
 {
+    // Trailers are not headers (RFC 9110, section 6.5.1).
+    if (m_areHeadersComplete)
+        return;
     m_headers.add(QByteArray(name.data(), qsizetype(name.size())),
                   QByteArray(value.data(), qsizetype(value.size())));
 }
 
-void HttpResponseParser::on_header_impl(Error &) { }
+void HttpResponseParser::on_header_impl(Error &)
+{
+    m_areHeadersComplete = true;
+}
 
 void HttpResponseParser::on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) { }
 
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -39,6 +39,7 @@
 
     int m_status = 0;
     HttpHeaders m_headers;
+    bool m_areHeadersComplete = false;
     QByteArray m_body;
 };
 
