What a request holds back while its body arrives is bounded

A process ran out of memory when clients sent trailers without end behind a chunked body, and likewise with the extension of a chunk.

Cause: the parser uses the header of a chunk, and the trailers, only as a whole, and the bytes before their end were kept without a bound; header_limit() and body_limit() of Boost.Beast do not count them. Two bounds in isFramingTooLarge() cover each state after the headers: what is kept unparsed is at most the limit of headers, and all bytes that are neither headers nor body are in proportion to the body. Such a request is rejected with 431; a rejected request also frees its parser.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -8,6 +8,7 @@
 #include "http/ConnectionClosing.h"
 #include "http/HttpRequestParser.h"
 #include "http/HttpResponse.h"
+#include "http/RequestFraming.h"
 #include "http/TcpStream.h"
 
 namespace cranberry {
@@ -88,6 +89,7 @@
             m_parser = std::make_unique<internal::HttpRequestParser>(
                 std::uint32_t(m_context.limits.headers.value()),
                 std::uint64_t(m_context.limits.body.value()));
+            m_parsedBytes = 0;
             m_lastProgress = m_context.timers.now();
         }
         const bool hadHeaders = m_parser->is_header_done();
@@ -95,12 +97,21 @@
         const std::size_t used = m_parser->put(
             boost::asio::const_buffer(m_incoming.constData(), size_t(m_incoming.size())), error);
         m_incoming.remove(0, qsizetype(used));
-        if (error == boost::beast::http::error::need_more || (!error && used == 0))
-            break;
-        if (error) {
+        const bool isStarved =
+            error == boost::beast::http::error::need_more || (!error && used == 0);
+        if (error && !isStarved) {
             reject(errorKindOf(error));
             break;
         }
+        if (hadHeaders)
+            m_parsedBytes += qsizetype(used);
+        const bool isInBody = m_parser->is_header_done() && !m_parser->is_done();
+        if (isInBody && isFramingTooLarge(framing(isStarved), m_context.limits.headers)) {
+            reject(ErrorKind::HeadersTooLarge);
+            break;
+        }
+        if (isStarved)
+            break;
         if (!hadHeaders && m_parser->is_header_done() && !m_parser->is_done()
             && m_parser->request().headers.contains("Expect"))
             m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -112,6 +123,12 @@
     m_parsing = false;
 }
 
+RequestFraming CallerConnection::framing(bool isStarved) const
+{
+    return {Bytes(isStarved ? m_incoming.size() : 0), Bytes(m_parsedBytes),
+            Bytes(m_parser->request().body.size())};
+}
+
 void CallerConnection::dispatch()
 {
     m_state = State::Answering;
@@ -127,7 +144,8 @@
 {
     m_state = State::Answering;
     m_closeAfterResponse = true;
-    m_incoming.clear();
+    m_incoming = {};
+    m_parser.reset();
     send(m_context.makeRejection(kind));
 }
 
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -19,6 +19,7 @@
 struct ConnectionStatus;
 struct HttpRequest;
 struct HttpResponse;
+struct RequestFraming;
 
 namespace internal {
 class HttpRequestParser;
@@ -85,6 +86,9 @@
 
     void handleData(const QByteArray &data);
     void parse();
+    /// @p isStarved: the parser uses what was received only with more bytes. Precondition: a
+    /// request is being parsed.
+    RequestFraming framing(bool isStarved) const;
     void dispatch();
     void reject(ErrorKind kind);
     void writeHead(int status, const HttpHeaders &headers);
@@ -98,6 +102,8 @@
     std::unique_ptr<TcpStream> m_stream;
     std::unique_ptr<internal::HttpRequestParser> m_parser;
     QByteArray m_incoming;
+    /// Of the request being parsed, after its headers.
+    qsizetype m_parsedBytes = 0;
     State m_state = State::Reading;
     quint64 m_requestNumber = 0;
     bool m_closeAfterResponse = false;
