A connection with an unsent response parses no further request

A process ran out of memory when clients sent many requests ahead on a few connections and left the answers unread, also when all of them were rejected.

Cause: completeResponse() parsed and answered the next request whether or not the response before it was sent, so that the buffer of outgoing bytes grew with each request. The next request is parsed once all bytes of the response were passed to the system, and reading is paused while 64 KiB of requests wait: TCP flow control stops such a client. A buffer drops what was sent once that is half of it. Reading is resumed when a write fails, as only reading reports the end of a connection.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -3,6 +3,7 @@
 #include "base/ErrorKind.h"
 #include "base/EventLog.h"
 #include "base/TimerService.h"
+#include "base/TimerSubscription.h"
 #include "http/CallerLimits.h"
 #include "http/CallerReply.h"
 #include "http/ConnectionClosing.h"
@@ -15,8 +16,11 @@
 
 namespace {
 
-/// Maximum size of pipelined data buffered while a response is incomplete; reading stops above it.
+/// Maximum size of pipelined data buffered while a response is incomplete or unsent; reading stops
+/// above it.
 constexpr qsizetype MaxPipelinedBytes = 64 * 1024;
+/// Pipelined requests processed before other connections have their turn.
+constexpr int MaxRequestsPerTurn = 16;
 
 ErrorKind errorKindOf(const boost::beast::error_code &error)
 {
@@ -59,6 +63,10 @@
         if (const auto self = weak.lock())
             self->close();
     };
+    callbacks.flushed = [weak] {
+        if (const auto self = weak.lock())
+            self->resumeParsing();
+    };
     m_stream->setCallbacks(std::move(callbacks));
 }
 
@@ -71,10 +79,27 @@
         return;
     }
     m_incoming += data;
-    if (m_state == State::Reading)
-        parse();
-    else if (m_incoming.size() > MaxPipelinedBytes)
-        m_stream->setReadingEnabled(false);
+    parse();
+    updateReading();
+}
+
+bool CallerConnection::mayParse() const
+{
+    // While a response is unsent, the next one would add to it.
+    return m_state == State::Reading && !m_turnTimer && unsentBytes() == 0;
+}
+
+void CallerConnection::updateReading()
+{
+    if (m_state != State::Ended)
+        m_stream->setReadingEnabled(m_state == State::Lingering || mayParse()
+                                    || m_incoming.size() <= MaxPipelinedBytes);
+}
+
+void CallerConnection::resumeParsing()
+{
+    parse();
+    updateReading();
 }
 
 void CallerConnection::parse()
@@ -84,7 +109,8 @@
     if (m_parsing)
         return;
     m_parsing = true;
-    while (m_state == State::Reading && !m_incoming.isEmpty()) {
+    int dispatched = 0;
+    while (mayParse() && !m_incoming.isEmpty()) {
         if (!m_parser) {
             m_parser = std::make_unique<internal::HttpRequestParser>(
                 std::uint32_t(m_context.limits.headers.value()),
@@ -117,12 +143,24 @@
             m_stream->write("HTTP/1.1 100 Continue\r\n\r\n");
         if (m_parser->is_header_done())
             m_lastProgress = m_context.timers.now();
-        if (m_parser->is_done())
-            dispatch();
+        if (!m_parser->is_done())
+            continue;
+        dispatch();
+        if (++dispatched == MaxRequestsPerTurn)
+            yieldTurn();
     }
     m_parsing = false;
 }
 
+void CallerConnection::yieldTurn()
+{
+    m_turnTimer = m_context.timers.after(Milliseconds(0), [this] {
+        const auto self = shared_from_this();
+        m_turnTimer.reset();
+        resumeParsing();
+    });
+}
+
 RequestFraming CallerConnection::framing(bool isStarved) const
 {
     return {Bytes(isStarved ? m_incoming.size() : 0), Bytes(m_parsedBytes),
@@ -227,14 +265,13 @@
         return;
     }
     m_state = State::Reading;
-    m_stream->setReadingEnabled(true);
-    parse();
+    resumeParsing();
 }
 
 void CallerConnection::linger()
 {
     m_state = State::Lingering;
-    m_stream->setReadingEnabled(true);
+    updateReading();
     m_stream->shutDownSending();
 }
 
@@ -326,6 +363,7 @@
         return;
     m_state = State::Ended;
     const auto self = shared_from_this();
+    m_turnTimer.reset();
     const auto callback = std::exchange(m_onCallerGone, {});
     m_stream.reset();
     if (callback)
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -13,6 +13,7 @@
 class CallerReply;
 class TcpStream;
 class TimerService;
+class TimerSubscription;
 enum class ErrorKind;
 enum class ListenerStage;
 struct CallerLimits;
@@ -41,7 +42,7 @@
 };
 
 /// An accepted connection and the request on it. Reads one request at a time; the next request is
-/// parsed after the response to the current one is complete.
+/// parsed after the response to the current one is complete and passed to the system.
 /// Thread safety: only from the thread of the listener.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection>
 {
@@ -85,7 +86,13 @@
     };
 
     void handleData(const QByteArray &data);
+    bool mayParse() const;
     void parse();
+    void resumeParsing();
+    /// Pauses reading while more is received than can be parsed.
+    void updateReading();
+    /// Continues to parse after other connections had their turn.
+    void yieldTurn();
     /// @p isStarved: the parser uses what was received only with more bytes. Precondition: a
     /// request is being parsed.
     RequestFraming framing(bool isStarved) const;
@@ -106,6 +113,8 @@
     qsizetype m_parsedBytes = 0;
     State m_state = State::Reading;
     quint64 m_requestNumber = 0;
+    /// Set while other connections have their turn.
+    std::unique_ptr<TimerSubscription> m_turnTimer;
     bool m_closeAfterResponse = false;
     bool m_parsing = false;
     bool m_hasDiscarded = false;
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -138,7 +138,7 @@
 void TcpStream::setReadingEnabled(bool enabled)
 {
     if (m_state == State::Connected)
-        m_readNotifier->setEnabled(enabled);
+        m_readNotifier->setEnabled(enabled || m_isBroken);
 }
 
 bool TcpStream::hasUnreadBytes() const
@@ -193,9 +193,15 @@
             m_sentBytes += count;
             continue;
         }
-        // The read notifier also detects a broken connection and reports it outside this call.
+        // The read notifier also detects a broken connection and reports it outside this call,
+        // even if reading was paused.
         const bool isBlocked = isTransient(errno);
         m_writeNotifier->setEnabled(isBlocked);
+        m_isBroken = !isBlocked;
+        if (m_isBroken)
+            m_readNotifier->setEnabled(true);
+        else if (m_sentBytes > m_outgoing.size() / 2)
+            m_outgoing.remove(0, std::exchange(m_sentBytes, 0));
         setBlocked(isBlocked);
         return;
     }
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -97,6 +97,8 @@
     State m_state;
     bool m_shutDownRequested = false;
     bool m_isBlocked = false;
+    /// Writing failed; the reason is found by reading.
+    bool m_isBroken = false;
     QByteArray m_outgoing;
     qsizetype m_sentBytes = 0;
     TcpStreamCallbacks m_callbacks;
