One account of what callers make a process hold

Cause: bounds were those of a connection or a request, and the number of these is not bounded by memory; a header of four bytes also costs some 200. CallerMemory adds up what is unparsed, parsed, in progress (twice the request) and unsent of all connections of callers and daemons, and answers that are being collected. Its capacity is a quarter of memory_mb, which the deployment takes from the machine. Without room, those that hold most for longest are ended first: a request of which a part has arrived is rejected with 503 and Retry-After (not run), pipelined requests are dropped unread and the connection is closed after its response, unread responses are closed; a request that is whole but finds no room is rejected before it is sent; a large answer that finds none is cut off (502). Requests in progress are not ended.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -9,6 +9,7 @@
 #include "http/ConnectionClosing.h"
 #include "http/HttpRequestParser.h"
 #include "http/HttpResponse.h"
+#include "http/MemoryReclaim.h"
 #include "http/RequestFraming.h"
 #include "http/TcpStream.h"
 
@@ -31,6 +32,11 @@
     return ErrorKind::BadRequest;
 }
 
+/// Cost of a request in progress beside its headers and body.
+constexpr Bytes RequestOverhead{8 * 1024};
+/// Copies of a request in progress: that of its run and that on its way to the target.
+constexpr qint64 RequestCopies = 2;
+
 const char *reasonPhrase(int status)
 {
     // Clients evaluate only the status code. One phrase per status class keeps the line
@@ -44,12 +50,17 @@
                                    std::unique_ptr<TcpStream> stream)
     : m_context(context)
     , m_stream(std::move(stream))
+    , m_charge(*context.memory)
     , m_acceptedAt(context.timers.now())
     , m_lastProgress(m_acceptedAt)
 {
+    context.memory->addConnection(this);
 }
 
-CallerConnection::~CallerConnection() = default;
+CallerConnection::~CallerConnection()
+{
+    m_context.memory->removeConnection(this);
+}
 
 void CallerConnection::start()
 {
@@ -73,7 +84,7 @@
 void CallerConnection::handleData(const QByteArray &data)
 {
     m_receivedBytes += data.size();
-    if (m_state == State::Lingering) {
+    if (m_state == State::Lingering || m_dropsPipelined) {
         if (!std::exchange(m_hasDiscarded, true))
             logUnanswered("data after the close");
         return;
@@ -81,6 +92,9 @@
     m_incoming += data;
     parse();
     updateReading();
+    // May end this connection.
+    if (!m_charge.makeRoom() && m_parser)
+        reject(ErrorKind::QueueFull);
 }
 
 bool CallerConnection::mayParse() const
@@ -91,11 +105,68 @@
 
 void CallerConnection::updateReading()
 {
-    if (m_state != State::Ended)
-        m_stream->setReadingEnabled(m_state == State::Lingering || mayParse()
+    if (m_state == State::Ended)
+        return;
+    updateCharge();
+    m_stream->setReadingEnabled(m_state == State::Lingering || mayParse()
                                     || m_incoming.size() <= MaxPipelinedBytes);
 }
 
+void CallerConnection::updateCharge()
+{
+    m_charge.set(heldBytes());
+}
+
+Bytes CallerConnection::heldBytes() const
+{
+    const Bytes buffered(m_incoming.size() + (m_stream ? m_stream->bufferedBytes() : 0));
+    return buffered + m_requestBytes + (m_parser ? m_parser->heldBytes() : Bytes(0));
+}
+
+ReclaimCandidate CallerConnection::reclaimCandidate() const
+{
+    const auto since = [this](MonotonicTime start) {
+        return std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - start);
+    };
+    switch (m_state) {
+    case State::Reading:
+        return {heldBytes(), since(m_parser ? m_requestBeganAt : m_lastProgress)};
+    case State::Lingering:
+        return {heldBytes(), since(m_lastProgress)};
+    case State::Answering:
+    case State::Streaming:
+        return {Bytes(m_incoming.size()), since(m_requestBeganAt)};
+    case State::Ended:
+        break;
+    }
+    return {};
+}
+
+void CallerConnection::reclaim()
+{
+    switch (m_state) {
+    case State::Reading:
+        if (m_parser && unsentBytes() == 0)
+            reject(ErrorKind::QueueFull);
+        else
+            close();
+        break;
+    case State::Lingering:
+        close();
+        break;
+    case State::Answering:
+    case State::Streaming:
+        // The caller sends requests that were not read on another connection.
+        m_closeAfterResponse = true;
+        m_dropsPipelined = true;
+        m_incoming = {};
+        updateReading();
+        break;
+    case State::Ended:
+        break;
+    }
+}
+
 void CallerConnection::resumeParsing()
 {
     parse();
@@ -117,6 +188,7 @@
                 std::uint64_t(m_context.limits.body.value()));
             m_parsedBytes = 0;
             m_lastProgress = m_context.timers.now();
+            m_requestBeganAt = m_lastProgress;
         }
         const bool hadHeaders = m_parser->is_header_done();
         boost::beast::error_code error;
@@ -173,7 +245,15 @@
     ++m_requestNumber;
     m_closeAfterResponse = !m_parser->keep_alive();
     const HttpRequest request = m_parser->request();
+    m_requestBytes =
+        Bytes(RequestCopies * m_parser->heldBytes().value() + RequestOverhead.value());
     m_parser.reset();
+    updateCharge();
+    if (!m_charge.makeRoom()) {
+        m_context.memory->countReclaimed();
+        reject(ErrorKind::QueueFull);
+        return;
+    }
     const auto self = shared_from_this();
     m_context.handler(request, std::make_shared<CallerReply>(self, m_requestNumber));
 }
@@ -184,6 +264,7 @@
     m_closeAfterResponse = true;
     m_incoming = {};
     m_parser.reset();
+    m_requestBytes = Bytes(0);
     send(m_context.makeRejection(kind));
 }
 
@@ -224,8 +305,10 @@
 
 void CallerConnection::writeChunk(const QByteArray &data)
 {
-    if (!data.isEmpty())
-        m_stream->write(QByteArray::number(data.size(), 16) + "\r\n" + data + "\r\n");
+    if (data.isEmpty())
+        return;
+    m_stream->write(QByteArray::number(data.size(), 16) + "\r\n" + data + "\r\n");
+    updateCharge();
 }
 
 void CallerConnection::endStream()
@@ -259,6 +342,7 @@
 void CallerConnection::completeResponse()
 {
     m_onCallerGone = {};
+    m_requestBytes = Bytes(0);
     m_lastProgress = m_context.timers.now();
     if (m_closeAfterResponse) {
         linger();
@@ -366,6 +450,10 @@
     m_turnTimer.reset();
     const auto callback = std::exchange(m_onCallerGone, {});
     m_stream.reset();
+    m_parser.reset();
+    m_incoming = {};
+    m_requestBytes = Bytes(0);
+    updateCharge();
     if (callback)
         callback();
     m_context.ended(this);
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -3,6 +3,7 @@
 #include "base/Units.h"
 #include "http/ConnectionState.h"
 #include "http/HttpHeaders.h"
+#include "http/MemoryCharge.h"
 
 #include <functional>
 #include <memory>
@@ -20,6 +21,7 @@
 struct ConnectionStatus;
 struct HttpRequest;
 struct HttpResponse;
+struct ReclaimCandidate;
 struct RequestFraming;
 
 namespace internal {
@@ -37,6 +39,8 @@
     std::function<HttpResponse(ErrorKind kind)> makeRejection;
     /// True if responses carry "Connection: close".
     const bool &closing;
+    /// Set before the first connection is accepted.
+    CallerMemory *memory;
     /// Called when the connection has ended, so that the listener releases it.
     std::function<void(CallerConnection *)> ended;
 };
@@ -60,6 +64,11 @@
 
     ConnectionState state() const;
     ConnectionStatus status() const;
+    /// What reclaim() would free.
+    ReclaimCandidate reclaimCandidate() const;
+    /// Rejects a request of which only a part has arrived, drops pipelined requests or closes a
+    /// connection whose response is unread. A request in progress goes on.
+    void reclaim();
 
     /// True while the response to request @p requestNumber of this connection is incomplete.
     bool isAnswering(quint64 requestNumber) const;
@@ -91,6 +100,8 @@
     void resumeParsing();
     /// Pauses reading while more is received than can be parsed.
     void updateReading();
+    void updateCharge();
+    Bytes heldBytes() const;
     /// Continues to parse after other connections had their turn.
     void yieldTurn();
     /// @p isStarved: the parser uses what was received only with more bytes. Precondition: a
@@ -108,6 +119,7 @@
     CallerConnectionContext &m_context;
     std::unique_ptr<TcpStream> m_stream;
     std::unique_ptr<internal::HttpRequestParser> m_parser;
+    MemoryCharge m_charge;
     QByteArray m_incoming;
     /// Of the request being parsed, after its headers.
     qsizetype m_parsedBytes = 0;
@@ -118,6 +130,11 @@
     bool m_closeAfterResponse = false;
     bool m_parsing = false;
     bool m_hasDiscarded = false;
+    /// Requests after the current one are not read.
+    bool m_dropsPipelined = false;
+    /// Held for the request in progress.
+    Bytes m_requestBytes{0};
+    MonotonicTime m_requestBeganAt;
     qint64 m_receivedBytes = 0;
     MonotonicTime m_acceptedAt;
     MonotonicTime m_lastProgress;
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -37,7 +37,8 @@
 
 HttpListener::HttpListener(TimerService &timers, Handler handler, RejectionFactory makeRejection)
     : m_timers(timers)
-    , m_context{timers, m_limits, std::move(handler), std::move(makeRejection), m_closing, {}}
+    , m_context{timers, m_limits, std::move(handler), std::move(makeRejection), m_closing,
+                &m_unlimited, {}}
     , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] { closeDue(); }))
 {
     m_context.ended = [this](CallerConnection *connection) { m_connections.remove(connection); };
@@ -113,6 +114,7 @@
 
 void HttpListener::closeDue()
 {
+    m_context.memory->makeRoomFor(Bytes(0));
     const auto connections = m_connections;
     for (const auto &connection : connections)
         connection->closeIfDue(m_stage);
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -3,6 +3,7 @@
 #include "base/Result.h"
 #include "http/CallerConnection.h"
 #include "http/CallerLimits.h"
+#include "http/CallerMemory.h"
 #include "http/ConnectionClosing.h"
 #include "http/HttpEndpoint.h"
 
@@ -41,6 +42,9 @@
     void setHandler(Handler handler) { m_context.handler = std::move(handler); }
     /// Applies to each request whose first byte is received from now on.
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    /// The account of what callers make the process hold, instead of one without a limit.
+    /// Precondition: not listening; @p memory outlives the listener.
+    void setMemory(CallerMemory &memory) { m_context.memory = &memory; }
     /// Closes each connection after its next response.
     void closeAfterResponses() { m_closing = true; }
     /// Closes idle connections from now on, and the others after their next response.
@@ -71,6 +75,7 @@
     ListenerStage m_stage = ListenerStage::Serving;
     int m_descriptor = -1;
     QSocketNotifier *m_notifier = nullptr;
+    CallerMemory m_unlimited;
     CallerConnectionContext m_context;
     QHash<CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
     std::unique_ptr<TimerSubscription> m_timeoutTimer;
--- a/src/http/HttpRequestParser.cpp
+++ b/src/http/HttpRequestParser.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// Memory of a field beside its bytes: two arrays with their headers, and the place in the list.
+constexpr qint64 FieldOverhead = 200;
+
 QByteArray toByteArray(boost::beast::string_view view)
 {
     return {view.data(), qsizetype(view.size())};
@@ -34,8 +37,10 @@
 void HttpRequestParser::on_field_impl(boost::beast::http::field, View name, View value, Error &)
 {
     // Trailers are not headers (RFC 9110, section 6.5.1).
-    if (!m_areHeadersComplete)
-        m_request.headers.add(toByteArray(name), toByteArray(value));
+    if (m_areHeadersComplete)
+        return;
+    m_request.headers.add(toByteArray(name), toByteArray(value));
+    m_headerCost += FieldOverhead + qint64(name.size() + value.size());
 }
 
 void HttpRequestParser::on_header_impl(Error &ec)
--- a/src/http/HttpRequestParser.h
+++ b/src/http/HttpRequestParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Units.h"
 #include "http/HttpRequest.h"
 
 #include <boost/beast/http/basic_parser.hpp>
@@ -18,6 +19,8 @@
     /// The request, without trailers; its path holds the request target as received, including the
     /// query.
     const HttpRequest &request() const { return m_request; }
+    /// Memory that the request takes.
+    Bytes heldBytes() const { return Bytes(m_headerCost + m_request.body.capacity()); }
     /// True if a byte of the request was received.
     bool hasBegun() const { return m_begun; }
     void setBegun() { m_begun = true; }
@@ -39,6 +42,7 @@
     void on_finish_impl(Error &ec) override;
 
     HttpRequest m_request;
+    qint64 m_headerCost = 0;
     bool m_areHeadersComplete = false;
     bool m_begun = false;
 };
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -72,6 +72,8 @@
     bool isConnected() const { return m_state == State::Connected; }
     /// Bytes written that are not yet passed to the system.
     qsizetype unsentBytes() const { return m_outgoing.size() - m_sentBytes; }
+    /// Memory of the bytes written that are not yet passed to the system.
+    qsizetype bufferedBytes() const { return m_outgoing.size(); }
     /// The peer's address and port; empty if there is no connection.
     QByteArray peerAddress() const;
 
--- a/src/relay/RelayAttempt.cpp
+++ b/src/relay/RelayAttempt.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds PlainPatience{300};
 constexpr Milliseconds StreamPatience{2000};
 
+/// A larger answer is cut off if callers hold too much memory.
+constexpr qsizetype MaxBodyWithoutRoom = 64 * 1024;
+
 HttpExchangeOptions optionsFor(const RelayRequest &request, Milliseconds maxIdle, bool requireNamed)
 {
     HttpExchangeOptions options;
@@ -120,6 +123,7 @@
     , m_target(plan.target)
     , m_sentAt(context.timers.now())
     , m_proof(AnswerProof::None)
+    , m_bodyCharge(context.callerMemory)
     , m_alive(std::make_shared<bool>(true))
 {
     HttpExchangeCallbacks events;
@@ -174,9 +178,12 @@
 {
     if (!m_isStream) {
         m_body += data;
+        m_bodyCharge.set(Bytes(m_body.capacity()));
         if (m_body.size() > m_context.maxAnswer.value())
             cutOff(QStringLiteral("the body is larger than %1 bytes")
                        .arg(m_context.maxAnswer.value()));
+        else if (!m_bodyCharge.makeRoom() && m_body.size() > MaxBodyWithoutRoom)
+            cutOff(QStringLiteral("no memory left for the answer"));
         return;
     }
     m_context.crashGuard.attempts().heard(m_target);
--- a/src/relay/RelayAttempt.h
+++ b/src/relay/RelayAttempt.h
@@ -4,6 +4,7 @@
 #include "base/Units.h"
 #include "delivery/ServerSentEventParser.h"
 #include "http/HttpExchange.h"
+#include "http/MemoryCharge.h"
 #include "relay/SendResult.h"
 
 #include <functional>
@@ -68,6 +69,7 @@
     bool m_isUncertain = false;
     bool m_isStream = false;
     QByteArray m_body;
+    MemoryCharge m_bodyCharge;
     /// Of an answer that was cut off.
     BodyFraming m_framing = BodyFraming::Unknown;
     ServerSentEventParser m_events;
--- a/src/relay/RelayContext.h
+++ b/src/relay/RelayContext.h
@@ -14,6 +14,7 @@
 namespace cranberry {
 
 class BrittleServices;
+class CallerMemory;
 class CrashGuard;
 class EngineReports;
 class FleetAdmission;
@@ -60,6 +61,7 @@
     CrashGuard &crashGuard;
     GenerationStops &stops;
     RelayCounters &counters;
+    CallerMemory &callerMemory;
     /// Unset until the daemon is told to shut down.
     const std::optional<ShutdownPlan> &shutdown;
     const CallerProtocol &callerProtocol;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -47,6 +47,7 @@
 constexpr int AssumedFleetSize = 770;
 /// Size of a forwarded request beyond that of the caller's.
 constexpr Bytes ForwardOverhead{64 * 1024};
+constexpr Milliseconds RetryAfterFull{1000};
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusUnavailable = 503;
@@ -127,10 +128,12 @@
 
 HttpResponse rejection(const CallerProtocol &callers, ErrorKind kind)
 {
+    const bool isFull = kind == ErrorKind::QueueFull;
     Error error;
     error.kind = kind;
-    error.detail = QStringLiteral("the request could not be parsed");
-    return callers.failure(error, std::nullopt);
+    error.detail = isFull ? QStringLiteral("this daemon has no memory left for requests")
+                          : QStringLiteral("the request could not be parsed");
+    return callers.failure(error, isFull ? std::optional(RetryAfterFull) : std::nullopt);
 }
 
 } // namespace
@@ -201,6 +204,7 @@
               crashGuard,
               stops,
               counters,
+              callerMemory,
               shutdown,
               protocols.callers,
               protocols.targets,
@@ -245,6 +249,9 @@
     : m_parts(std::make_unique<RelayParts>(settings, protocols))
 {
     RelayParts &parts = *m_parts;
+    parts.callerMemory.setCapacity(callerMemoryCapacity(settings.memory));
+    for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
+        listener->setMemory(parts.callerMemory);
     if (settings.isFirstStart)
         parts.crashGuard.setFirstStart();
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
--- a/src/relay/RelayParts.h
+++ b/src/relay/RelayParts.h
@@ -47,6 +47,7 @@
     RelaySettings settings;
     RelayProtocols protocols;
     RelayCounters counters;
+    CallerMemory callerMemory;
     std::optional<ShutdownPlan> shutdown;
     QtTimerService timers;
     HttpClient client;
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -7,6 +7,7 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <sys/sysinfo.h>
 
 namespace cranberry {
 
@@ -17,6 +18,10 @@
 constexpr double MinWeight = 0.01;
 constexpr double MaxWeight = 100;
 constexpr qint64 MaxAnswerBytes = 1024 * 1024 * 1024;
+constexpr qint64 BytesPerMegabyte = 1024 * 1024;
+constexpr qint64 MinMemoryMegabytes = 16;
+constexpr qint64 MaxMemoryMegabytes = 1024 * 1024;
+constexpr qint64 CallerMemoryFraction = 4;
 
 HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
 {
@@ -75,6 +80,19 @@
 
 } // namespace
 
+Bytes defaultMemory()
+{
+    struct sysinfo info {};
+    if (::sysinfo(&info) != 0)
+        return Bytes(MaxMemoryMegabytes * BytesPerMegabyte);
+    return Bytes(qint64(info.totalram) * info.mem_unit);
+}
+
+Bytes callerMemoryCapacity(Bytes memory)
+{
+    return Bytes(memory.value() / CallerMemoryFraction);
+}
+
 Result<RelaySettings> parseRelaySettings(const QByteArray &json)
 {
     QJsonParseError fault;
@@ -109,6 +127,10 @@
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.maxAnswer = Bytes(reader.number(QStringLiteral("max_answer_bytes"), 1, MaxAnswerBytes,
                                              settings.maxAnswer.value()));
+    settings.memory =
+        Bytes(BytesPerMegabyte
+              * reader.number(QStringLiteral("memory_mb"), MinMemoryMegabytes, MaxMemoryMegabytes,
+                              settings.memory.value() / BytesPerMegabyte));
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.addUnknownMembers();
     if (!faults.isEmpty())
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -9,6 +9,14 @@
 
 namespace cranberry {
 
+/// The memory of this machine. Thread-safe.
+Bytes defaultMemory();
+
+/// The part of @p memory, that of a process, that callers may make it hold. The rest is for the
+/// program, what it knows of the fleet, and memory that is free but not returned to the system.
+/// Thread-safe.
+Bytes callerMemoryCapacity(Bytes memory);
+
 /// The startup settings of a relay daemon.
 struct RelaySettings {
     VmId vm;
@@ -27,6 +35,8 @@
     bool isFirstStart = false;
     /// Maximum size of an answer of a target that is not a stream.
     Bytes maxAnswer{4 * 1024 * 1024};
+    /// Memory of the process, above which it would be killed.
+    Bytes memory{defaultMemory()};
     /// Time from the stop signal until the process is killed.
     Milliseconds grace{8000};
 };
--- a/test/failure/HostileClients.cpp
+++ b/test/failure/HostileClients.cpp
@@ -67,6 +67,7 @@
         site.setCallerLimits(MaxHeaderBytes, maxBodyBytes);
         site.configure(1);
         site.setDescriptorLimit(descriptors);
+        site.setSetting(QStringLiteral("memory_mb"), MemoryKilobytes / 1024);
         for (int i = 0; i < Targets; ++i)
             runners.push_back(&site.addRunner("plain-" + QByteArray::number(i), "plain"));
         site.startDaemon();
--- a/test/support/RunFixture.h
+++ b/test/support/RunFixture.h
@@ -15,6 +15,7 @@
 #include "relay/PeerDirectory.h"
 #include "relay/PeerForwarding.h"
 #include "relay/ReachMonitor.h"
+#include "http/CallerMemory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayRun.h"
@@ -108,6 +109,7 @@
     AdvancingTimers timers;
     HttpClient client{timers};
     RelayCounters counters;
+    CallerMemory callerMemory;
     StoreProtocol storeProtocol;
     CallerProtocol callerProtocol;
     TargetProtocol targetProtocol;
@@ -165,6 +167,7 @@
                          crashGuard,
                          stops,
                          counters,
+                         callerMemory,
                          shutdown,
                          callerProtocol,
                          targetProtocol,
