Connections of callers leave descriptors to targets and the store

With as many idle connections as the process may have descriptors, accept() failed with EMFILE and the notifier fired again at once: a whole core was busy, and no connection to a target, the store or another daemon could be opened until the idle ones timed out.

Cause: the listener had no limit, and took no step when it could not accept. Callers get a third of the descriptors (RLIMIT_NOFILE, or less by the new setting), other daemons an eighth. At the limit, connections without a request in progress are closed for new ones (chooseReplaced()): new ones that send nothing, then kept ones that were idle longest, then requests of which a part has arrived; one whose request waits to be read stays. If none can be closed, accepting pauses for 100 ms.

A half, and a limit that was passed while requests waited to be read, were tried first and left none free.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -395,11 +395,26 @@
         return;
     if (state() == ConnectionState::AwaitingFirst)
         logUnanswered("no request arrived");
-    // An orderly close, since the caller may not have read the response before.
+    closeOrderly();
+}
+
+void CallerConnection::closeOrderly()
+{
+    // The caller may not have read the response before.
     m_stream->shutDownSending();
     close();
 }
 
+void CallerConnection::closeForOthers()
+{
+    if (m_state == State::Reading && m_parser)
+        reject(ErrorKind::RequestTooSlow);
+    else if (m_state == State::Lingering || unsentBytes() > 0)
+        close();
+    else if (!m_stream->hasUnreadBytes())
+        closeOrderly();
+}
+
 ConnectionState CallerConnection::state() const
 {
     switch (m_state) {
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -58,6 +58,8 @@
     void start();
     /// Closes the connection or rejects its request if connectionAction() says so.
     void closeIfDue(ListenerStage stage);
+    /// Closes a connection without a request in progress, unless a request waits to be read.
+    void closeForOthers();
     /// Logs the connection if its request has no whole response; to be called before the process
     /// ends.
     void logIfUnanswered();
@@ -113,6 +115,7 @@
     void completeResponse();
     void linger();
     void closeUnread();
+    void closeOrderly();
     void close();
     void logUnanswered(const char *reason) const;
 
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -2,6 +2,7 @@
 
 #include "base/TimerService.h"
 #include "base/TimerSubscription.h"
+#include "http/ConnectionReplacement.h"
 #include "http/TcpStream.h"
 
 #include <QSocketNotifier>
@@ -21,6 +22,11 @@
 constexpr Milliseconds TimeoutCheckInterval{250};
 constexpr int ListenBacklog = 1024;
 constexpr int MaxUnansweredLogged = 50;
+/// Part of the connections that is closed at a time for new ones, so that they are not searched for
+/// each new one.
+constexpr int ReplacedFraction = 32;
+/// Accepting is resumed after this time if no connection could be closed.
+constexpr Milliseconds AcceptPause{100};
 
 Error listenError(const HttpEndpoint &endpoint)
 {
@@ -37,7 +43,7 @@
 
 HttpListener::HttpListener(TimerService &timers, Handler handler, RejectionFactory makeRejection)
     : m_timers(timers)
-    , m_context{timers, m_limits, std::move(handler), std::move(makeRejection), m_closing,
+    , m_context{timers, m_callerLimits, std::move(handler), std::move(makeRejection), m_closing,
                 &m_unlimited, {}}
     , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] { closeDue(); }))
 {
@@ -78,10 +84,19 @@
 void HttpListener::accept()
 {
     for (;;) {
+        if (openConnections() >= m_limits.connections && !replaceConnections()) {
+            pauseAccepting();
+            return;
+        }
         const int descriptor =
             ::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (descriptor < 0)
+        if (descriptor < 0) {
+            // Otherwise the notifier fires again at once.
+            if ((errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM)
+                && !replaceConnections())
+                pauseAccepting();
             return;
+        }
         auto connection =
             std::make_shared<CallerConnection>(m_context, TcpStream::adopt(descriptor));
         m_connections.insert(connection.get(), connection);
@@ -89,6 +104,35 @@
     }
 }
 
+bool HttpListener::replaceConnections()
+{
+    std::vector<std::shared_ptr<CallerConnection>> connections;
+    std::vector<ConnectionStatus> statuses;
+    for (const auto &connection : std::as_const(m_connections)) {
+        connections.push_back(connection);
+        statuses.push_back(connection->status());
+    }
+    const std::vector<std::size_t> replaced =
+        chooseReplaced(statuses, connections.size() / ReplacedFraction + 1);
+    const int before = openConnections();
+    for (const std::size_t index : replaced)
+        connections[index]->closeForOthers();
+    // Those whose request waits to be read stay open.
+    const int closed = before - openConnections();
+    m_replaced += closed;
+    return closed > 0;
+}
+
+void HttpListener::pauseAccepting()
+{
+    m_notifier->setEnabled(false);
+    m_acceptTimer = m_timers.after(AcceptPause, [this] {
+        m_acceptTimer.reset();
+        if (m_notifier)
+            m_notifier->setEnabled(true);
+    });
+}
+
 void HttpListener::closeIdle()
 {
     if (m_stage == ListenerStage::Serving)
@@ -124,6 +168,7 @@
 {
     if (m_descriptor < 0)
         return;
+    m_acceptTimer.reset();
     m_notifier->setEnabled(false);
     m_notifier->deleteLater();
     m_notifier = nullptr;
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -6,6 +6,7 @@
 #include "http/CallerMemory.h"
 #include "http/ConnectionClosing.h"
 #include "http/HttpEndpoint.h"
+#include "http/ListenerLimits.h"
 
 #include <QHash>
 
@@ -41,7 +42,9 @@
     /// Replaces the handler that was passed to the constructor.
     void setHandler(Handler handler) { m_context.handler = std::move(handler); }
     /// Applies to each request whose first byte is received from now on.
-    void setLimits(const CallerLimits &limits) { m_limits = limits; }
+    void setLimits(const CallerLimits &limits) { m_callerLimits = limits; }
+    /// Open connections; above it, those without a request in progress are closed for new ones.
+    void setMaxConnections(int connections) { m_limits.connections = connections; }
     /// The account of what callers make the process hold, instead of one without a limit.
     /// Precondition: not listening; @p memory outlives the listener.
     void setMemory(CallerMemory &memory) { m_context.memory = &memory; }
@@ -56,6 +59,8 @@
     void stopAccepting();
 
     bool isAccepting() const { return m_descriptor >= 0; }
+    /// Connections that were closed for new ones.
+    qint64 replacedConnections() const { return m_replaced; }
     int openConnections() const { return int(m_connections.size()); }
     /// Number of connections for which isConnectionBusy().
     int busyConnections() const;
@@ -66,11 +71,15 @@
 
 private:
     void accept();
+    /// Closes connections without a request in progress; false if there are none.
+    bool replaceConnections();
+    void pauseAccepting();
     void setStage(ListenerStage stage);
     void closeDue();
 
     TimerService &m_timers;
-    CallerLimits m_limits;
+    CallerLimits m_callerLimits;
+    ListenerLimits m_limits;
     bool m_closing = false;
     ListenerStage m_stage = ListenerStage::Serving;
     int m_descriptor = -1;
@@ -78,7 +87,10 @@
     CallerMemory m_unlimited;
     CallerConnectionContext m_context;
     QHash<CallerConnection *, std::shared_ptr<CallerConnection>> m_connections;
+    qint64 m_replaced = 0;
     std::unique_ptr<TimerSubscription> m_timeoutTimer;
+    /// Set while accepting is paused.
+    std::unique_ptr<TimerSubscription> m_acceptTimer;
 };
 
 } // namespace cranberry
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -47,6 +47,9 @@
 constexpr int AssumedFleetSize = 770;
 /// Size of a forwarded request beyond that of the caller's.
 constexpr Bytes ForwardOverhead{64 * 1024};
+constexpr int CallerDescriptorFraction = 3;
+constexpr int PeerDescriptorFraction = 8;
+constexpr int MaxReadinessConnections = 16;
 constexpr Milliseconds RetryAfterFull{1000};
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
@@ -252,6 +255,9 @@
     parts.callerMemory.setCapacity(callerMemoryCapacity(settings.memory));
     for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
         listener->setMemory(parts.callerMemory);
+    parts.callers.setMaxConnections(settings.descriptors / CallerDescriptorFraction);
+    parts.peerListener.setMaxConnections(settings.descriptors / PeerDescriptorFraction);
+    parts.readiness.setMaxConnections(MaxReadinessConnections);
     if (settings.isFirstStart)
         parts.crashGuard.setFirstStart();
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -7,6 +7,7 @@
 #include <QJsonObject>
 
 #include <algorithm>
+#include <sys/resource.h>
 #include <sys/sysinfo.h>
 
 namespace cranberry {
@@ -18,6 +19,8 @@
 constexpr double MinWeight = 0.01;
 constexpr double MaxWeight = 100;
 constexpr qint64 MaxAnswerBytes = 1024 * 1024 * 1024;
+constexpr int MinDescriptors = 64;
+constexpr int MaxDescriptors = 1024 * 1024;
 constexpr qint64 BytesPerMegabyte = 1024 * 1024;
 constexpr qint64 MinMemoryMegabytes = 16;
 constexpr qint64 MaxMemoryMegabytes = 1024 * 1024;
@@ -93,6 +96,14 @@
     return Bytes(memory.value() / CallerMemoryFraction);
 }
 
+int descriptorLimit()
+{
+    rlimit limits{};
+    if (::getrlimit(RLIMIT_NOFILE, &limits) != 0)
+        return MinDescriptors;
+    return int(std::clamp<rlim_t>(limits.rlim_cur, MinDescriptors, MaxDescriptors));
+}
+
 Result<RelaySettings> parseRelaySettings(const QByteArray &json)
 {
     QJsonParseError fault;
@@ -131,6 +142,9 @@
         Bytes(BytesPerMegabyte
               * reader.number(QStringLiteral("memory_mb"), MinMemoryMegabytes, MaxMemoryMegabytes,
                               settings.memory.value() / BytesPerMegabyte));
+    settings.descriptors = std::min(settings.descriptors,
+                                    int(reader.number(QStringLiteral("descriptors"), MinDescriptors,
+                                                      MaxDescriptors, MaxDescriptors)));
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.addUnknownMembers();
     if (!faults.isEmpty())
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -17,6 +17,9 @@
 /// Thread-safe.
 Bytes callerMemoryCapacity(Bytes memory);
 
+/// The number of descriptors that this process may open. Thread-safe.
+int descriptorLimit();
+
 /// The startup settings of a relay daemon.
 struct RelaySettings {
     VmId vm;
@@ -37,6 +40,9 @@
     Bytes maxAnswer{4 * 1024 * 1024};
     /// Memory of the process, above which it would be killed.
     Bytes memory{defaultMemory()};
+    /// Descriptors that the process may open. A third of them is for connections of callers, an
+    /// eighth for those of other daemons, the rest for connections to targets and the store.
+    int descriptors{descriptorLimit()};
     /// Time from the stop signal until the process is killed.
     Milliseconds grace{8000};
 };
