A request and the reading of a response have a time limit

A caller that sent its body byte by byte, or read its response so, kept a connection and what it held for ever: each byte renewed the time between two reads, and a connection with an unsent response was kept without a limit (TCP_USER_TIMEOUT ends only peers that read nothing at all).

Both are settings (request_timeout_ms, response_timeout_ms).

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -344,6 +344,7 @@
     m_onCallerGone = {};
     m_requestBytes = Bytes(0);
     m_lastProgress = m_context.timers.now();
+    m_responseEndedAt = m_lastProgress;
     if (m_closeAfterResponse) {
         linger();
         return;
@@ -361,7 +362,7 @@
 
 void CallerConnection::closeIfDue(ListenerStage stage)
 {
-    switch (connectionAction(status(), stage, m_context.limits)) {
+    switch (connectionAction(status(), stage, m_context.limits, m_context.listenerLimits)) {
     case ConnectionAction::Keep:
         break;
     case ConnectionAction::CloseUnread:
@@ -386,6 +387,11 @@
     status.idle = std::chrono::duration_cast<Milliseconds>(m_context.timers.now() - m_lastProgress);
     status.areHeadersPending = m_parser && !m_parser->is_header_done();
     status.hasUnsentBytes = unsentBytes() > 0;
+    const MonotonicTime now = m_context.timers.now();
+    if (m_parser)
+        status.receiving = std::chrono::duration_cast<Milliseconds>(now - m_requestBeganAt);
+    if (status.hasUnsentBytes && !isAnswering())
+        status.sending = std::chrono::duration_cast<Milliseconds>(now - m_responseEndedAt);
     return status;
 }
 
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -21,6 +21,7 @@
 struct ConnectionStatus;
 struct HttpRequest;
 struct HttpResponse;
+struct ListenerLimits;
 struct ReclaimCandidate;
 struct RequestFraming;
 
@@ -34,6 +35,7 @@
     TimerService &timers;
     /// Limits for each request whose first byte is received from now on.
     const CallerLimits &limits;
+    const ListenerLimits &listenerLimits;
     std::function<void(const HttpRequest &, const std::shared_ptr<CallerReply> &)> handler;
     /// Builds the response to a request that cannot be parsed, exceeds a limit or times out.
     std::function<HttpResponse(ErrorKind kind)> makeRejection;
@@ -138,6 +140,7 @@
     /// Held for the request in progress.
     Bytes m_requestBytes{0};
     MonotonicTime m_requestBeganAt;
+    MonotonicTime m_responseEndedAt;
     qint64 m_receivedBytes = 0;
     MonotonicTime m_acceptedAt;
     MonotonicTime m_lastProgress;
--- a/src/http/ConnectionClosing.cpp
+++ b/src/http/ConnectionClosing.cpp
@@ -1,6 +1,7 @@
 #include "http/ConnectionClosing.h"
 
 #include "http/CallerLimits.h"
+#include "http/ListenerLimits.h"
 
 namespace cranberry {
 
@@ -14,20 +15,23 @@
 constexpr Milliseconds FirstRequestTimeout{1000};
 
 ConnectionAction receivingAction(const ConnectionStatus &status, ListenerStage stage,
-                                 const CallerLimits &limits)
+                                 const CallerLimits &limits, Milliseconds requestTimeout)
 {
     if (stage == ListenerStage::Ending)
         return ConnectionAction::RejectEnding;
     const Milliseconds timeout =
         status.areHeadersPending ? limits.headerTimeout : limits.idleTimeout;
-    return status.idle > timeout ? ConnectionAction::RejectSlow : ConnectionAction::Keep;
+    return status.idle > timeout || status.receiving > requestTimeout ? ConnectionAction::RejectSlow
+                                                                      : ConnectionAction::Keep;
 }
 
 } // namespace
 
 ConnectionAction connectionAction(const ConnectionStatus &status, ListenerStage stage,
-                                  const CallerLimits &limits)
+                                  const CallerLimits &limits, const ListenerLimits &listenerLimits)
 {
+    if (status.hasUnsentBytes && status.sending > listenerLimits.responseTimeout)
+        return ConnectionAction::Close;
     const bool isServing = stage == ListenerStage::Serving;
     switch (status.state) {
     case ConnectionState::AwaitingFirst:
@@ -41,7 +45,7 @@
         return !isServing || status.idle > limits.idleTimeout ? ConnectionAction::CloseUnread
                                                               : ConnectionAction::Keep;
     case ConnectionState::Receiving:
-        return receivingAction(status, stage, limits);
+        return receivingAction(status, stage, limits, listenerLimits.requestTimeout);
     case ConnectionState::Lingering:
         return status.idle > LingerTimeout && !status.hasUnsentBytes ? ConnectionAction::Close
                                                                      : ConnectionAction::Keep;
--- a/src/http/ConnectionClosing.h
+++ b/src/http/ConnectionClosing.h
@@ -6,6 +6,7 @@
 namespace cranberry {
 
 struct CallerLimits;
+struct ListenerLimits;
 
 /// What a listener does with connections that have no request.
 enum class ListenerStage {
@@ -26,6 +27,10 @@
     bool areHeadersPending = false;
     /// Bytes of a response were not passed to the system.
     bool hasUnsentBytes = false;
+    /// Time since the first byte of the request that is being received.
+    Milliseconds receiving{0};
+    /// Time for which bytes of complete responses have been unsent.
+    Milliseconds sending{0};
 };
 
 enum class ConnectionAction {
@@ -37,13 +42,14 @@
     RejectSlow,
     /// As above; the process ends.
     RejectEnding,
-    /// Close a connection whose last response is written.
+    /// Close a connection whose last response is written, or is not read in time.
     Close,
 };
 
 /// What to do with a connection now. Thread-safe.
 ConnectionAction connectionAction(const ConnectionStatus &status, ListenerStage stage,
-                                  const CallerLimits &limits);
+                                  const CallerLimits &limits,
+                                  const ListenerLimits &listenerLimits);
 
 /// Whether the process must not end before the connection does or its state changes.
 /// Precondition: connectionAction() was applied in @p stage. Thread-safe.
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -43,7 +43,7 @@
 
 HttpListener::HttpListener(TimerService &timers, Handler handler, RejectionFactory makeRejection)
     : m_timers(timers)
-    , m_context{timers, m_callerLimits, std::move(handler), std::move(makeRejection), m_closing,
+    , m_context{timers, m_callerLimits, m_limits, std::move(handler), std::move(makeRejection), m_closing,
                 &m_unlimited, {}}
     , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] { closeDue(); }))
 {
--- a/src/http/HttpListener.h
+++ b/src/http/HttpListener.h
@@ -43,6 +43,13 @@
     void setHandler(Handler handler) { m_context.handler = std::move(handler); }
     /// Applies to each request whose first byte is received from now on.
     void setLimits(const CallerLimits &limits) { m_callerLimits = limits; }
+    /// Maximum times from the first byte of a request to its last one, and from the end of a
+    /// response until the system has taken all of its bytes.
+    void setTimeouts(Milliseconds request, Milliseconds response)
+    {
+        m_limits.requestTimeout = request;
+        m_limits.responseTimeout = response;
+    }
     /// Open connections; above it, those without a request in progress are closed for new ones.
     void setMaxConnections(int connections) { m_limits.connections = connections; }
     /// The account of what callers make the process hold, instead of one without a limit.
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -255,6 +255,8 @@
     parts.callerMemory.setCapacity(callerMemoryCapacity(settings.memory));
     for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
         listener->setMemory(parts.callerMemory);
+    for (HttpListener *listener : {&parts.callers, &parts.peerListener})
+        listener->setTimeouts(settings.requestTimeout, settings.responseTimeout);
     parts.callers.setMaxConnections(settings.descriptors / CallerDescriptorFraction);
     parts.peerListener.setMaxConnections(settings.descriptors / PeerDescriptorFraction);
     parts.readiness.setMaxConnections(MaxReadinessConnections);
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -138,6 +138,10 @@
     settings.isFirstStart = reader.flag(QStringLiteral("first_start"), settings.isFirstStart);
     settings.maxAnswer = Bytes(reader.number(QStringLiteral("max_answer_bytes"), 1, MaxAnswerBytes,
                                              settings.maxAnswer.value()));
+    settings.requestTimeout =
+        readDuration(reader, QStringLiteral("request_timeout_ms"), settings.requestTimeout);
+    settings.responseTimeout =
+        readDuration(reader, QStringLiteral("response_timeout_ms"), settings.responseTimeout);
     settings.memory =
         Bytes(BytesPerMegabyte
               * reader.number(QStringLiteral("memory_mb"), MinMemoryMegabytes, MaxMemoryMegabytes,
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -3,6 +3,7 @@
 #include "base/Ids.h"
 #include "base/Result.h"
 #include "http/HttpEndpoint.h"
+#include "http/ListenerLimits.h"
 #include "relay/AdmissionSettings.h"
 #include "relay/RetryLimits.h"
 #include "relay/StalenessPlan.h"
@@ -38,6 +39,10 @@
     bool isFirstStart = false;
     /// Maximum size of an answer of a target that is not a stream.
     Bytes maxAnswer{4 * 1024 * 1024};
+    /// Maximum time from the first byte of a caller's request to its last one.
+    Milliseconds requestTimeout = ListenerLimits().requestTimeout;
+    /// Maximum time from the end of a response until the system has taken all of its bytes.
+    Milliseconds responseTimeout = ListenerLimits().responseTimeout;
     /// Memory of the process, above which it would be killed.
     Bytes memory{defaultMemory()};
     /// Descriptors that the process may open. A third of them is for connections of callers, an
--- a/test/correctness/ConnectionClosing.cpp
+++ b/test/correctness/ConnectionClosing.cpp
@@ -4,6 +4,7 @@
 
 #include "http/CallerLimits.h"
 #include "http/ConnectionClosing.h"
+#include "http/ListenerLimits.h"
 
 using namespace cranberry;
 
@@ -15,7 +16,7 @@
                         bool areHeadersPending = false, bool hasUnsentBytes = false)
 {
     return connectionAction({state, idle, areHeadersPending, hasUnsentBytes}, stage,
-                            CallerLimits());
+                            CallerLimits(), ListenerLimits());
 }
 
 } // namespace
@@ -109,3 +110,26 @@
     BOOST_TEST(isConnectionBusy(kept, ListenerStage::Closing));
     BOOST_TEST(isConnectionBusy(kept, ListenerStage::Ending));
 }
+
+// Guards against requests that arrive byte by byte, and responses that are read so, without end.
+BOOST_AUTO_TEST_CASE(SlowRequestsAndResponsesHaveAnEnd)
+{
+    const ListenerLimits limits;
+    const auto actionFor = [&](const ConnectionStatus &status) {
+        return connectionAction(status, ListenerStage::Serving, CallerLimits(), limits);
+    };
+    ConnectionStatus receiving{ConnectionState::Receiving};
+    receiving.receiving = limits.requestTimeout;
+    BOOST_TEST((actionFor(receiving) == ConnectionAction::Keep));
+    receiving.receiving += Milliseconds(1);
+    BOOST_TEST((actionFor(receiving) == ConnectionAction::RejectSlow));
+    for (const ConnectionState state : {ConnectionState::AwaitingNext, ConnectionState::Receiving,
+                                        ConnectionState::Lingering}) {
+        ConnectionStatus sending{state};
+        sending.hasUnsentBytes = true;
+        sending.sending = limits.responseTimeout;
+        BOOST_TEST((actionFor(sending) == ConnectionAction::Keep));
+        sending.sending += Milliseconds(1);
+        BOOST_TEST((actionFor(sending) == ConnectionAction::Close));
+    }
+}
