Limits on callers are logged, counted and documented

Other daemons may take a quarter of the descriptors instead of an eighth: 770 of them keep a call open at one daemon, and calls in progress are not closed for new ones.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -20,6 +20,7 @@
     X(ConnectionUnexpectedData, 1107, "connection.unexpected_data")                                \
     X(ResponseForeign, 1108, "response.foreign")                                                   \
     X(ConnectionUnanswered, 1109, "connection.unanswered")                                         \
+    X(ConnectionsReclaimed, 1110, "connections.reclaimed")                                         \
     X(PlacementChosen, 1201, "placement.chosen")                                                   \
     X(PlacementWaiting, 1202, "placement.waiting")                                                 \
     X(PlacementRefused, 1203, "placement.refused")                                                 \
--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -109,7 +109,7 @@
         return;
     updateCharge();
     m_stream->setReadingEnabled(m_state == State::Lingering || mayParse()
-                                    || m_incoming.size() <= MaxPipelinedBytes);
+                                || m_incoming.size() <= MaxPipelinedBytes);
 }
 
 void CallerConnection::updateCharge()
@@ -245,8 +245,7 @@
     ++m_requestNumber;
     m_closeAfterResponse = !m_parser->keep_alive();
     const HttpRequest request = m_parser->request();
-    m_requestBytes =
-        Bytes(RequestCopies * m_parser->heldBytes().value() + RequestOverhead.value());
+    m_requestBytes = Bytes(RequestCopies * m_parser->heldBytes().value() + RequestOverhead.value());
     m_parser.reset();
     updateCharge();
     if (!m_charge.makeRoom()) {
--- a/src/http/ConnectionClosing.h
+++ b/src/http/ConnectionClosing.h
@@ -48,8 +48,7 @@
 
 /// What to do with a connection now. Thread-safe.
 ConnectionAction connectionAction(const ConnectionStatus &status, ListenerStage stage,
-                                  const CallerLimits &limits,
-                                  const ListenerLimits &listenerLimits);
+                                  const CallerLimits &limits, const ListenerLimits &listenerLimits);
 
 /// Whether the process must not end before the connection does or its state changes.
 /// Precondition: connectionAction() was applied in @p stage. Thread-safe.
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -43,8 +43,8 @@
 
 HttpListener::HttpListener(TimerService &timers, Handler handler, RejectionFactory makeRejection)
     : m_timers(timers)
-    , m_context{timers, m_callerLimits, m_limits, std::move(handler), std::move(makeRejection), m_closing,
-                &m_unlimited, {}}
+    , m_context{timers,    m_callerLimits, m_limits, std::move(handler), std::move(makeRejection),
+                m_closing, &m_unlimited,   {}}
     , m_timeoutTimer(timers.every(TimeoutCheckInterval, [this] { closeDue(); }))
 {
     m_context.ended = [this](CallerConnection *connection) { m_connections.remove(connection); };
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -48,8 +48,8 @@
 /// Size of a forwarded request beyond that of the caller's.
 constexpr Bytes ForwardOverhead{64 * 1024};
 constexpr int CallerDescriptorFraction = 3;
-constexpr int PeerDescriptorFraction = 8;
-constexpr int MaxReadinessConnections = 16;
+constexpr int PeerDescriptorFraction = 4;
+constexpr int MaxReadinessConnections = 32;
 constexpr Milliseconds RetryAfterFull{1000};
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
@@ -139,6 +139,18 @@
     return callers.failure(error, isFull ? std::optional(RetryAfterFull) : std::nullopt);
 }
 
+void limitCallers(RelayParts &parts)
+{
+    parts.callerMemory.setCapacity(callerMemoryCapacity(parts.settings.memory));
+    for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
+        listener->setMemory(parts.callerMemory);
+    for (HttpListener *listener : {&parts.callers, &parts.peerListener})
+        listener->setTimeouts(parts.settings.requestTimeout, parts.settings.responseTimeout);
+    parts.callers.setMaxConnections(parts.settings.descriptors / CallerDescriptorFraction);
+    parts.peerListener.setMaxConnections(parts.settings.descriptors / PeerDescriptorFraction);
+    parts.readiness.setMaxConnections(MaxReadinessConnections);
+}
+
 } // namespace
 
 RelayParts::RelayParts(const RelaySettings &startSettings, const RelayProtocols &platformProtocols)
@@ -252,14 +264,7 @@
     : m_parts(std::make_unique<RelayParts>(settings, protocols))
 {
     RelayParts &parts = *m_parts;
-    parts.callerMemory.setCapacity(callerMemoryCapacity(settings.memory));
-    for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
-        listener->setMemory(parts.callerMemory);
-    for (HttpListener *listener : {&parts.callers, &parts.peerListener})
-        listener->setTimeouts(settings.requestTimeout, settings.responseTimeout);
-    parts.callers.setMaxConnections(settings.descriptors / CallerDescriptorFraction);
-    parts.peerListener.setMaxConnections(settings.descriptors / PeerDescriptorFraction);
-    parts.readiness.setMaxConnections(MaxReadinessConnections);
+    limitCallers(parts);
     if (settings.isFirstStart)
         parts.crashGuard.setFirstStart();
     for (StoreMirror *mirror : {&parts.entries, &parts.configuration})
@@ -375,6 +380,8 @@
     logEvent(LogLevel::Info, EventId::DaemonStarted,
              {{"vm", m_parts->settings.vm.text()},
               {"data_centre", m_parts->settings.dataCentre.text()},
+              {"caller_memory", QString::number(m_parts->callerMemory.capacity().value())},
+              {"descriptors", QString::number(m_parts->settings.descriptors)},
               {"callers", QString::number(callers)},
               {"readiness", QString::number(readiness)},
               {"peer", QString::number(peer)}});
@@ -412,10 +419,28 @@
     recordTimerLateness();
     m_parts->gateway.checkSilence();
     pollEnginesInUse();
+    logReclaims();
     if (isReady() && !std::exchange(m_wasReady, true))
         logEvent(LogLevel::Info, EventId::DaemonReady, {{"vm", m_parts->settings.vm.text()}});
 }
 
+void RelayDaemon::logReclaims()
+{
+    const CallerMemory &memory = m_parts->callerMemory;
+    const ReclaimCounts counts{memory.reclaimed(), m_parts->callers.replacedConnections(),
+                               m_parts->peerListener.replacedConnections()};
+    if (counts == m_loggedReclaims)
+        return;
+    logEvent(LogLevel::Info, EventId::ConnectionsReclaimed,
+             {{"for_memory", QString::number(counts.forMemory - m_loggedReclaims.forMemory)},
+              {"for_callers", QString::number(counts.forCallers - m_loggedReclaims.forCallers)},
+              {"for_peers", QString::number(counts.forPeers - m_loggedReclaims.forPeers)},
+              {"held_bytes", QString::number(memory.held().value())},
+              {"capacity_bytes", QString::number(memory.capacity().value())},
+              {"connections", QString::number(m_parts->callers.openConnections())}});
+    m_loggedReclaims = counts;
+}
+
 void RelayDaemon::pollEnginesInUse()
 {
     // Normally the store reports which engines leave. While it is unavailable, the engines are
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -2,6 +2,7 @@
 
 #include "base/Result.h"
 #include "base/Units.h"
+#include "relay/ReclaimCounts.h"
 
 #include <functional>
 #include <memory>
@@ -49,6 +50,8 @@
     void recordTimerLateness();
     void checkEngines();
     void pollEnginesInUse();
+    /// Logs what was freed of the memory and connections of callers since the last call.
+    void logReclaims();
     void newerVersionAnnounced(const Peer &from, qint64 version);
 
     std::unique_ptr<RelayParts> m_parts;
@@ -61,6 +64,7 @@
     qint64 m_announcedVersion = 0;
     /// Due time of the next checkEngines(); default-constructed before its first run.
     MonotonicTime m_nextEngineCheck;
+    ReclaimCounts m_loggedReclaims;
     bool m_hadEntrySource = false;
     bool m_wasReady = false;
 };
--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -34,6 +34,7 @@
 /// gave up. An answer after 1 s is still within an objective of 1.5 s.
 constexpr Milliseconds RetryAfterNotConfigured{1000};
 constexpr int StatusUnavailable = 503;
+constexpr int MaxRefusedLinesPerSecond = 200;
 
 Error errorOf(ErrorKind kind, const QString &detail)
 {
@@ -60,6 +61,7 @@
 RelayGateway::RelayGateway(RelayContext &context, std::function<bool()> isCurrent)
     : m_context(context)
     , m_isCurrent(std::move(isCurrent))
+    , m_refusedLines(MaxRefusedLinesPerSecond)
 {
 }
 
@@ -182,6 +184,19 @@
 void RelayGateway::refuse(const HttpRequest &request, const Error &error,
                           const std::shared_ptr<CallerReply> &reply)
 {
+    logRefused(request, error);
+    const bool isDraining = error.kind == ErrorKind::Draining;
+    m_context.counters.shutdownRejected += isDraining ? 1 : 0;
+    const Milliseconds retryAfter = isDraining ? RetryAfterDraining
+        : m_configuration                      ? RetryAfterRefusal
+                                               : RetryAfterNotConfigured;
+    reply->send(m_context.callerProtocol.failure(error, retryAfter));
+}
+
+void RelayGateway::logRefused(const HttpRequest &request, const Error &error)
+{
+    if (!m_refusedLines.mayWrite(m_context.timers.now()))
+        return;
     const qint64 version = m_configuration ? m_configuration->version.value() : 0;
     logEvent(LogLevel::Info, EventId::RelayRefused,
              {{"request", m_context.callerProtocol.requestId(request).text()},
@@ -189,13 +204,8 @@
               {"kind", QLatin1String(errorAnswer(error.kind).name)},
               {"version", QString::number(version)},
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
-              {"detail", error.detail}});
-    const bool isDraining = error.kind == ErrorKind::Draining;
-    m_context.counters.shutdownRejected += isDraining ? 1 : 0;
-    const Milliseconds retryAfter = isDraining ? RetryAfterDraining
-        : m_configuration                      ? RetryAfterRefusal
-                                               : RetryAfterNotConfigured;
-    reply->send(m_context.callerProtocol.failure(error, retryAfter));
+              {"detail", error.detail},
+              {"omitted", QString::number(m_refusedLines.takeOmitted())}});
 }
 
 void RelayGateway::startRun(RelayRequest request, const RelayRoute &route,
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/Ids.h"
+#include "base/LogRate.h"
 #include "base/Result.h"
 #include "base/Units.h"
 #include "relay/RelayConfiguration.h"
@@ -66,6 +67,7 @@
     bool outlastsShutdown(const RelayRequest &request, const RelayRoute &route) const;
     void refuse(const HttpRequest &request, const Error &error,
                 const std::shared_ptr<CallerReply> &reply);
+    void logRefused(const HttpRequest &request, const Error &error);
     void startRun(RelayRequest request, const RelayRoute &route,
                   const std::shared_ptr<CallerReply> &reply);
     void start(RelayTask task, const std::shared_ptr<CallerReply> &reply);
@@ -75,6 +77,7 @@
 
     RelayContext &m_context;
     std::function<bool()> m_isCurrent;
+    LogRate m_refusedLines;
     std::shared_ptr<const RelayConfiguration> m_configuration;
     QHash<const RelayRun *, std::shared_ptr<RelayRun>> m_runs;
 };
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -112,6 +112,18 @@
     return text;
 }
 
+QByteArray reclaimText(const RelayParts &parts)
+{
+    const CallerMemory &memory = parts.callerMemory;
+    QByteArray text = gaugeText("cranberry_relay_caller_memory_bytes", memory.held().value());
+    text += gaugeText("cranberry_relay_caller_memory_capacity_bytes", memory.capacity().value());
+    text += counterText("cranberry_relay_memory_reclaimed_total", memory.reclaimed());
+    text +=
+        counterText("cranberry_relay_connections_replaced_total",
+                    parts.callers.replacedConnections() + parts.peerListener.replacedConnections());
+    return text;
+}
+
 QByteArray admissionText(RelayParts &parts)
 {
     const FleetAdmission::Counters &counters = parts.admission.counters();
@@ -287,6 +299,7 @@
     text += stopsText(parts);
     text += lateText(counters);
     text += shutdownText(parts);
+    text += reclaimText(parts);
     text += admissionText(parts);
     text += speedsText(parts);
     text += gaugeText("cranberry_relay_entries_fed", parts.entries.isFed() ? 1 : 0);
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -85,7 +85,8 @@
 
 Bytes defaultMemory()
 {
-    struct sysinfo info {};
+    struct sysinfo info {
+    };
     if (::sysinfo(&info) != 0)
         return Bytes(MaxMemoryMegabytes * BytesPerMegabyte);
     return Bytes(qint64(info.totalram) * info.mem_unit);
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -45,8 +45,8 @@
     Milliseconds responseTimeout = ListenerLimits().responseTimeout;
     /// Memory of the process, above which it would be killed.
     Bytes memory{defaultMemory()};
-    /// Descriptors that the process may open. A third of them is for connections of callers, an
-    /// eighth for those of other daemons, the rest for connections to targets and the store.
+    /// Descriptors that the process may open. A third of them is for connections of callers, a
+    /// quarter for those of other daemons, the rest for connections to targets and the store.
     int descriptors{descriptorLimit()};
     /// Time from the stop signal until the process is killed.
     Milliseconds grace{8000};
--- a/test/correctness/ConnectionClosing.cpp
+++ b/test/correctness/ConnectionClosing.cpp
@@ -15,8 +15,8 @@
 ConnectionAction action(ConnectionState state, ListenerStage stage, Milliseconds idle,
                         bool areHeadersPending = false, bool hasUnsentBytes = false)
 {
-    return connectionAction({state, idle, areHeadersPending, hasUnsentBytes}, stage,
-                            CallerLimits(), ListenerLimits());
+    return connectionAction({state, idle, areHeadersPending, hasUnsentBytes}, stage, CallerLimits(),
+                            ListenerLimits());
 }
 
 } // namespace
@@ -123,8 +123,8 @@
     BOOST_TEST((actionFor(receiving) == ConnectionAction::Keep));
     receiving.receiving += Milliseconds(1);
     BOOST_TEST((actionFor(receiving) == ConnectionAction::RejectSlow));
-    for (const ConnectionState state : {ConnectionState::AwaitingNext, ConnectionState::Receiving,
-                                        ConnectionState::Lingering}) {
+    for (const ConnectionState state :
+         {ConnectionState::AwaitingNext, ConnectionState::Receiving, ConnectionState::Lingering}) {
         ConnectionStatus sending{state};
         sending.hasUnsentBytes = true;
         sending.sending = limits.responseTimeout;
--- a/test/error/RequestBytes.cpp
+++ b/test/error/RequestBytes.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr int Seeds = 60;
+constexpr int Seeds = 600;
 constexpr int Fragments = 120;
 constexpr qint64 MaxHeaders = 2000;
 constexpr qint64 MaxBody = 10'000;
@@ -28,7 +28,7 @@
 
 QByteArray fragment(std::mt19937 &random)
 {
-    static const QList<QByteArray> Texts{
+    static const QList<QByteArray> texts{
         "GET /a HTTP/1.1\r\nHost: x\r\n\r\n",
         "POST /a HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n",
         "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 9000\r\n\r\n",
@@ -48,7 +48,7 @@
     const int kind = int(random() % 10);
     if (kind == 0)
         return QByteArray(int(random() % 5000), char(random() % 256));
-    const QByteArray text = Texts[int(random() % unsigned(Texts.size()))];
+    const QByteArray &text = texts[int(random() % unsigned(texts.size()))];
     return kind < 3 ? text.repeated(1 + int(random() % 400)) : text;
 }
 
--- a/test/support/RunFixture.h
+++ b/test/support/RunFixture.h
@@ -2,6 +2,7 @@
 // tests advance.
 #pragma once
 
+#include "http/CallerMemory.h"
 #include "http/CallerReply.h"
 #include "http/HttpClient.h"
 #include "relay/BrittleServices.h"
@@ -15,7 +16,6 @@
 #include "relay/PeerDirectory.h"
 #include "relay/PeerForwarding.h"
 #include "relay/ReachMonitor.h"
-#include "http/CallerMemory.h"
 #include "relay/RelayContext.h"
 #include "relay/RelayGateway.h"
 #include "relay/RelayRun.h"
