--- a/src/http/MemoryReclaim.cpp
+++ b/src/http/MemoryReclaim.cpp
@@ -11,11 +11,13 @@
 constexpr Bytes SmallRequest{64 * 1024};
 /// Part of the capacity that only small requests use.
 constexpr qint64 ReservedFraction = 8;
+/// Of new holders the largest goes first.
+constexpr double MinAgeSeconds = 0.001;
 
 double byteSeconds(const ReclaimCandidate &candidate)
 {
     const double seconds = std::chrono::duration<double>(candidate.age).count();
-    return double(candidate.held.value()) * (1 + seconds);
+    return double(candidate.held.value()) * std::max(seconds, MinAgeSeconds);
 }
 
 } // namespace
