New connections do not close kept ones needlessly, or whole requests

Found by reading the change before it landed. A listener at its limit closed kept connections before it knew that a new one was waiting; it accepts first now. A connection on which whole pipelined requests had been read, but not begun, was closed without an answer; it gets 503 (not run). A request that arrives for over a second goes before a new connection, whose first request is usually on its way.

With failure/HostileShutdownBesideACrowd: a daemon beside clients that read nothing ends by itself within its grace time.

--- a/src/http/CallerConnection.cpp
+++ b/src/http/CallerConnection.cpp
@@ -146,10 +146,7 @@
 {
     switch (m_state) {
     case State::Reading:
-        if (m_parser && unsentBytes() == 0)
-            reject(ErrorKind::QueueFull);
-        else
-            close();
+        closeForRoom();
         break;
     case State::Lingering:
         close();
@@ -410,12 +407,13 @@
     close();
 }
 
-void CallerConnection::closeForOthers()
+void CallerConnection::closeForRoom()
 {
-    if (m_state == State::Reading && m_parser)
-        reject(ErrorKind::RequestTooSlow);
-    else if (m_state == State::Lingering || unsentBytes() > 0)
+    const bool isReceiving = state() == ConnectionState::Receiving;
+    if (m_state == State::Lingering || unsentBytes() > 0)
         close();
+    else if (isReceiving)
+        reject(ErrorKind::QueueFull);
     else if (!m_stream->hasUnreadBytes())
         closeOrderly();
 }
--- a/src/http/CallerConnection.h
+++ b/src/http/CallerConnection.h
@@ -60,8 +60,9 @@
     void start();
     /// Closes the connection or rejects its request if connectionAction() says so.
     void closeIfDue(ListenerStage stage);
-    /// Closes a connection without a request in progress, unless a request waits to be read.
-    void closeForOthers();
+    /// Closes a connection without a request in progress, and rejects a request of which a part has
+    /// arrived. A connection stays if a request on it waits to be read.
+    void closeForRoom();
     /// Logs the connection if its request has no whole response; to be called before the process
     /// ends.
     void logIfUnanswered();
--- a/src/http/ConnectionReplacement.cpp
+++ b/src/http/ConnectionReplacement.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// The first request of a new connection usually follows at once.
-constexpr Milliseconds FirstRequestDelay{1000};
+/// The first request of a new connection usually follows at once, and arrives as a whole.
+constexpr Milliseconds RequestDelay{1000};
 
 /// Lower ranks are closed first; none for a connection that stays.
 std::optional<int> replacementRank(const ConnectionStatus &status)
@@ -17,11 +17,11 @@
     case ConnectionState::Lingering:
         return 0;
     case ConnectionState::AwaitingFirst:
-        return status.idle > FirstRequestDelay ? 1 : 3;
+        return status.idle > RequestDelay ? 1 : 4;
     case ConnectionState::AwaitingNext:
         return 2;
     case ConnectionState::Receiving:
-        return 4;
+        return status.receiving > RequestDelay ? 3 : 5;
     case ConnectionState::Answering:
     case ConnectionState::Streaming:
     case ConnectionState::Ended:
--- a/src/http/HttpListener.cpp
+++ b/src/http/HttpListener.cpp
@@ -84,10 +84,6 @@
 void HttpListener::accept()
 {
     for (;;) {
-        if (openConnections() >= m_limits.connections && !replaceConnections()) {
-            pauseAccepting();
-            return;
-        }
         const int descriptor =
             ::accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (descriptor < 0) {
@@ -101,6 +97,10 @@
             std::make_shared<CallerConnection>(m_context, TcpStream::adopt(descriptor));
         m_connections.insert(connection.get(), connection);
         connection->start();
+        if (openConnections() > m_limits.connections && !replaceConnections()) {
+            pauseAccepting();
+            return;
+        }
     }
 }
 
@@ -116,7 +116,7 @@
         chooseReplaced(statuses, connections.size() / ReplacedFraction + 1);
     const int before = openConnections();
     for (const std::size_t index : replaced)
-        connections[index]->closeForOthers();
+        connections[index]->closeForRoom();
     // Those whose request waits to be read stay open.
     const int closed = before - openConnections();
     m_replaced += closed;
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -134,7 +134,7 @@
     const bool isFull = kind == ErrorKind::QueueFull;
     Error error;
     error.kind = kind;
-    error.detail = isFull ? QStringLiteral("this daemon has no memory left for requests")
+    error.detail = isFull ? QStringLiteral("this daemon has no room left for requests")
                           : QStringLiteral("the request could not be parsed");
     return callers.failure(error, isFull ? std::optional(RetryAfterFull) : std::nullopt);
 }
--- a/test/correctness/ConnectionReplacement.cpp
+++ b/test/correctness/ConnectionReplacement.cpp
@@ -28,11 +28,13 @@
 
 BOOST_AUTO_TEST_CASE(ConnectionsOfLeastUseGoFirst)
 {
-    const std::vector<ConnectionStatus> connections{
+    std::vector<ConnectionStatus> connections{
         status(ConnectionState::Receiving, 50),        status(ConnectionState::AwaitingFirst, 20),
         status(ConnectionState::AwaitingNext, 3'000),  status(ConnectionState::AwaitingNext, 9'000),
-        status(ConnectionState::AwaitingFirst, 1'500), status(ConnectionState::Lingering, 10)};
-    const std::vector<std::size_t> all{5, 4, 3, 2, 1, 0};
+        status(ConnectionState::AwaitingFirst, 1'500), status(ConnectionState::Lingering, 10),
+        status(ConnectionState::Receiving, 50)};
+    connections.back().receiving = Milliseconds(5'000);
+    const std::vector<std::size_t> all{5, 4, 3, 2, 6, 1, 0};
     BOOST_TEST(chooseReplaced(connections, 10) == all, boost::test_tools::per_element());
     BOOST_TEST(chooseReplaced(connections, 2).size() == 2U);
 }
--- a/test/failure/HostileClients.cpp
+++ b/test/failure/HostileClients.cpp
@@ -308,6 +308,17 @@
     hostile.checkOrdinaryRequest();
 }
 
+// Guards against clients that read nothing and keep a process from ending.
+BOOST_AUTO_TEST_CASE(ShutdownBesideACrowd)
+{
+    HostileSite hostile;
+    const QByteArray request = "GET / HTTP/1.1\r\n\r\n";
+    hostile.endure(repeating(8, request, request, 330));
+    hostile.site.signal(0, SIGTERM);
+    BOOST_TEST(test::waitFor([&] { return hostile.site.hasEnded(0); }));
+    BOOST_TEST(hostile.site.hasEndedWell(0));
+}
+
 // A single request inside the limits is answered.
 BOOST_AUTO_TEST_CASE(LargestRequestInCalm)
 {
