--- a/src/relay/RelayGateway.cpp
+++ b/src/relay/RelayGateway.cpp
@@ -61,7 +61,6 @@
 RelayGateway::RelayGateway(RelayContext &context, std::function<bool()> isCurrent)
     : m_context(context)
     , m_isCurrent(std::move(isCurrent))
-    , m_refusedLines(MaxRefusedLinesPerSecond)
 {
 }
 
@@ -195,7 +194,9 @@
 
 void RelayGateway::logRefused(const HttpRequest &request, const Error &error)
 {
-    if (!m_refusedLines.mayWrite(m_context.timers.now()))
+    // By kind, so that a frequent one does not hide the others.
+    LogRate &lines = m_refusedLines.try_emplace(error.kind, MaxRefusedLinesPerSecond).first->second;
+    if (!lines.mayWrite(m_context.timers.now()))
         return;
     const qint64 version = m_configuration ? m_configuration->version.value() : 0;
     logEvent(LogLevel::Info, EventId::RelayRefused,
@@ -205,7 +206,7 @@
               {"version", QString::number(version)},
               {"current", m_isCurrent() ? QStringLiteral("yes") : QStringLiteral("no")},
               {"detail", error.detail},
-              {"omitted", QString::number(m_refusedLines.takeOmitted())}});
+              {"omitted", QString::number(lines.takeOmitted())}});
 }
 
 void RelayGateway::startRun(RelayRequest request, const RelayRoute &route,
--- a/src/relay/RelayGateway.h
+++ b/src/relay/RelayGateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/ErrorKind.h"
 #include "base/Ids.h"
 #include "base/LogRate.h"
 #include "base/Result.h"
@@ -10,6 +11,7 @@
 #include <QHash>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -77,7 +79,7 @@
 
     RelayContext &m_context;
     std::function<bool()> m_isCurrent;
-    LogRate m_refusedLines;
+    std::map<ErrorKind, LogRate> m_refusedLines;
     std::shared_ptr<const RelayConfiguration> m_configuration;
     QHash<const RelayRun *, std::shared_ptr<RelayRun>> m_runs;
 };
