Known red: a request under load that was said not to have run

The test now prints the daemon's lines of a request whose promise is broken; what it checks is as before.

--- a/test/failure/AnswersOfOtherAttempts.cpp
+++ b/test/failure/AnswersOfOtherAttempts.cpp
@@ -73,10 +73,17 @@
         };
         BOOST_TEST(test::waitFor(step));
     }
-    void checkPromises() const
+    void checkPromises()
     {
-        for (const QString &broken : promises.broken())
-            BOOST_ERROR(broken.toStdString());
+        for (const QString &broken : promises.broken()) {
+            const QByteArray id = broken.section("request ", 1).section(',', 0, 0).toLatin1();
+            QByteArray text = broken.toUtf8();
+            for (const QByteArray &line : site.log(daemon).split('\n')) {
+                if (line.contains("request=" + id + ' '))
+                    text += '\n' + line;
+            }
+            BOOST_ERROR(text.toStdString());
+        }
         for (const auto &[status, count] : statuses)
             BOOST_TEST_MESSAGE("status " << status << ": " << count);
     }
