--- a/review/standin-2/Site.h
+++ b/review/standin-2/Site.h
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <cstdarg>
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <sys/prctl.h>
@@ -151,6 +152,9 @@
             ::waitpid(process, nullptr, 0);
         }
         std::fclose(m_record);
+        // KEEP_LOGS keeps the logs of the processes.
+        if (!std::getenv("KEEP_LOGS"))
+            std::filesystem::remove_all(m_temporary);
     }
 
     Store store;
