A status outside 100 to 599 is no response

Callers got answers with the status 000 of a target in trouble, also 001, 099, 600, 666 and 999, as answers (`HTTP/1.1 0 ...`, which no client parses).

Cause: Boost.Beast's parser accepts any three digits, and nobody judged the status after it.

HttpResponseParser::parse() now asks responseHeadFault() once the header section is complete, before anybody sees the status. A faulty one ends the exchange as malformed for every reader: targets, other daemons, the store, calls, and the own interface, which all read through HttpExchange. The request may have run; the caller gets 502, and a request that may be repeated is sent again.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -157,9 +157,12 @@
     boost::beast::error_code error;
     while (!m_incoming.isEmpty() && !m_parser->is_done()) {
         const bool hadHeaders = m_parser->is_header_done();
-        const std::size_t used = m_parser->put(
-            boost::asio::const_buffer(m_incoming.constData(), size_t(m_incoming.size())), error);
+        const std::size_t used = m_parser->parse(m_incoming, error);
         m_incoming.remove(0, qsizetype(used));
+        if (const char *fault = m_parser->fault()) {
+            finish(HttpExchangeEnd::Malformed, QLatin1String(fault));
+            return false;
+        }
         if (!hadHeaders && m_parser->is_header_done() && !processHeaders())
             return false;
         if (error == boost::beast::http::error::need_more || (!error && used == 0))
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -1,5 +1,7 @@
 #include "http/HttpResponseParser.h"
 
+#include "http/ResponseHead.h"
+
 #include <limits>
 
 // The names of the overridden functions are Boost.Beast's.
@@ -21,6 +23,18 @@
     body_limit(NoBodyLimit);
 }
 
+std::size_t HttpResponseParser::parse(const QByteArray &data, Error &ec)
+{
+    const bool hadHeaders = is_header_done();
+    const std::size_t used =
+        put(boost::asio::const_buffer(data.constData(), size_t(data.size())), ec);
+    if (hadHeaders)
+        return used;
+    if (is_header_done())
+        m_fault = responseHeadFault({m_status});
+    return used;
+}
+
 BodyFraming HttpResponseParser::framing() const
 {
     if (!is_header_done())
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -13,8 +13,17 @@
 class HttpResponseParser final : public boost::beast::http::basic_parser<false>
 {
 public:
+    using Error = boost::beast::error_code;
+
     HttpResponseParser();
 
+    /// Parses bytes from the start of @p data and returns their number. Replaces put(), which does
+    /// not set fault(). Precondition: fault() is null.
+    std::size_t parse(const QByteArray &data, Error &ec);
+    /// Why the header section is not valid although it was parsed; null if it is valid or not
+    /// complete.
+    const char *fault() const { return m_fault; }
+
     int status() const { return m_status; }
     const HttpHeaders &headers() const { return m_headers; }
     BodyFraming framing() const;
@@ -22,7 +31,6 @@
     QByteArray takeBody() { return std::exchange(m_body, {}); }
 
 private:
-    using Error = boost::beast::error_code;
     using View = boost::beast::string_view;
 
     void on_request_impl(boost::beast::http::verb verb, View method, View target, int version,
@@ -39,6 +47,7 @@
 
     int m_status = 0;
     HttpHeaders m_headers;
+    const char *m_fault = nullptr;
     bool m_areHeadersComplete = false;
     QByteArray m_body;
 };
--- /dev/null
+++ b/src/http/ResponseHead.h
@@ -0,0 +1,15 @@
+#pragma once
+
+namespace cranberry {
+
+/// The header section of a response as it was received and parsed.
+struct ResponseHead {
+    int status = 0;
+};
+
+/// Why @p head, which the parser accepted, is still not a valid response to a request of the
+/// client; null if it is valid. An invalid one says nothing about the request.
+/// Source: RFC 9110, section 15. Thread-safe.
+const char *responseHeadFault(const ResponseHead &head);
+
+} // namespace cranberry
--- a/test/error/TrailerFields.cpp
+++ b/test/error/TrailerFields.cpp
@@ -59,8 +59,7 @@
     boost::beast::error_code error;
     qsizetype used = 0;
     while (!error && !parser.is_done() && used < text.size())
-        used += qsizetype(parser.put(
-            boost::asio::const_buffer(text.constData() + used, size_t(text.size() - used)), error));
+        used += qsizetype(parser.parse(text.mid(used), error));
     BOOST_TEST(!error);
     BOOST_TEST(parser.is_done());
     BOOST_TEST((parser.takeBody() == "hello"));
