Interim responses are skipped and never final

A target's 100, 102, 103 or 199 was passed on as the final answer, also where a sound one followed.

Cause: Boost.Beast's parser ends at each header section with a status of 1xx, and the exchange took that for the end of the response.

The exchange skips them, at most 64 KiB before one response, so that they cannot come without end. 101 ends it as malformed: no request asks for another protocol.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -8,6 +8,7 @@
 #include "http/HttpConnectionPool.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponseParser.h"
+#include "http/ResponseHead.h"
 #include "http/TcpStream.h"
 
 namespace cranberry {
@@ -27,6 +28,9 @@
 /// Maximum size of responses to other requests on one connection.
 constexpr Bytes MaxSkipped{1024 * 1024};
 
+/// Maximum size of the interim responses (RFC 9110, section 15.2) before a response.
+constexpr Bytes MaxInterim{64 * 1024};
+
 constexpr qsizetype MaxLoggedEcho = 64;
 
 QByteArray serializeRequest(const HttpEndpoint &endpoint, const HttpRequest &request,
@@ -163,8 +167,15 @@
             finish(HttpExchangeEnd::Malformed, QLatin1String(fault));
             return false;
         }
-        if (!hadHeaders && m_parser->is_header_done() && !processHeaders())
-            return false;
+        if (!hadHeaders && m_parser->is_header_done()) {
+            if (isInterimStatus(m_parser->status())) {
+                if (!skipInterimResponse())
+                    return false;
+                continue;
+            }
+            if (!processHeaders())
+                return false;
+        }
         if (error == boost::beast::http::error::need_more || (!error && used == 0))
             break;
         if (error) {
@@ -179,6 +190,17 @@
     return true;
 }
 
+bool HttpExchange::skipInterimResponse()
+{
+    m_interimBytes += m_parser->headBytes();
+    if (m_interimBytes > MaxInterim) {
+        finish(HttpExchangeEnd::Malformed, QStringLiteral("too many interim responses"));
+        return false;
+    }
+    m_parser = std::make_unique<internal::HttpResponseParser>();
+    return true;
+}
+
 bool HttpExchange::processHeaders()
 {
     if (!m_options.echoHeader.isEmpty()) {
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -70,6 +70,8 @@
     /// Ends the exchange and returns true if @p body makes the response too large.
     bool endIfTooLarge(const QByteArray &body);
     bool isSkipping() const { return m_match == ResponseMatch::Foreign; }
+    /// Returns false if there were too many; the exchange has finished then.
+    bool skipInterimResponse();
     bool processHeaders();
     void logForeignResponse(const QByteArray &echo) const;
     void handleEnd(TcpEnd end);
@@ -93,6 +95,7 @@
     std::unique_ptr<EndpointCheck> m_closeCheck;
     /// Bytes of all bodies received, of skipped responses too.
     Bytes m_bodyBytes;
+    Bytes m_interimBytes{0};
     bool m_connected = false;
     int m_skipped = 0;
     /// Of the response being parsed; a foreign one is skipped.
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -30,6 +30,7 @@
         put(boost::asio::const_buffer(data.constData(), size_t(data.size())), ec);
     if (hadHeaders)
         return used;
+    m_headBytes += Bytes(qsizetype(used));
     if (is_header_done())
         m_fault = responseHeadFault({m_status});
     return used;
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/Units.h"
 #include "http/BodyFraming.h"
 #include "http/HttpHeaders.h"
 
@@ -23,6 +24,8 @@
     /// Why the header section is not valid although it was parsed; null if it is valid or not
     /// complete.
     const char *fault() const { return m_fault; }
+    /// Size of the header section of a response without a body, once it is complete.
+    Bytes headBytes() const { return m_headBytes; }
 
     int status() const { return m_status; }
     const HttpHeaders &headers() const { return m_headers; }
@@ -47,6 +50,7 @@
 
     int m_status = 0;
     HttpHeaders m_headers;
+    Bytes m_headBytes{0};
     const char *m_fault = nullptr;
     bool m_areHeadersComplete = false;
     QByteArray m_body;
--- a/src/http/ResponseHead.h
+++ b/src/http/ResponseHead.h
@@ -12,4 +12,7 @@
 /// Source: RFC 9110, section 15. Thread-safe.
 const char *responseHeadFault(const ResponseHead &head);
 
+/// Whether a response with @p status precedes the final one. Thread-safe.
+bool isInterimStatus(int status);
+
 } // namespace cranberry
--- a/test/failure/BrokenAnswers.cpp
+++ b/test/failure/BrokenAnswers.cpp
@@ -132,6 +132,7 @@
                                               << received.left(200).toStdString());
                 BOOST_TEST(received.contains(Events));
                 BOOST_TEST(received.contains("Cranberryquay-Response-Seal: s"));
+                BOOST_TEST(!received.contains("X-Interim"));
             }
         }
     }
@@ -154,6 +155,27 @@
         checkBroken(inEachFraming(status + QByteArray(" Odd")));
 }
 
+// Guards against an interim response that is taken for the final one.
+BOOST_FIXTURE_TEST_CASE(InterimResponsesAreNotFinal, Fixture)
+{
+    for (const char *status : {"100", "101", "102", "103", "199"}) {
+        checkBroken({{status, "HTTP/1.1 " + QByteArray(status) + " Interim\r\n" + Sealed + "\r\n",
+                      RawAnswer::After::Close}});
+    }
+    const QByteArray interim = "HTTP/1.1 103 Early Hints\r\nX-Interim: yes\r\n\r\n";
+    for (const QByteArray &before : {interim, interim + "HTTP/1.1 100 Continue\r\n\r\n"}) {
+        std::vector<Form> forms = inEachFraming("200 OK");
+        for (Form &sound : forms)
+            sound.bytes.prepend(before);
+        checkSound(forms, "200");
+    }
+    // This client never asks for another protocol.
+    std::vector<Form> switching = inEachFraming("200 OK");
+    for (Form &broken : switching)
+        broken.bytes.prepend("HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n");
+    checkBroken(switching);
+}
+
 // Guards against sound answers that are rejected with the broken ones.
 BOOST_FIXTURE_TEST_CASE(SoundAnswersAreForwarded, Fixture)
 {
--- a/test/failure/EndlessAnswers.cpp
+++ b/test/failure/EndlessAnswers.cpp
@@ -56,6 +56,7 @@
 
 const std::vector<EndlessForm> Forms{
     {"no end of line", false, {}, Filler},
+    {"interim responses", false, {}, "HTTP/1.1 102 Processing\r\n\r\n"},
     {"headers", false, Sealed, "X-Filler: " + QByteArray(1000, 'x') + "\r\n"},
     {"body in chunks", false, Chunked, chunk(Filler)},
     {"body without length", false, Sealed + "Connection: close\r\n\r\n", Filler},
