A header line that begins with whitespace is no field

An answer with the line " Content-Length: 3" was passed on; the line became part of the value before it and the body was everything up to the close.

Cause: Boost.Beast's parser joins such a line to the field before it (obsolete folding, RFC 9112, section 5.2), and the callback for a field no longer shows it. The bytes of the header section are therefore kept until it is complete, and judged with it.

Whitespace before the colon or inside a name, control bytes, NUL, DEL and bytes over 127 in a name, bare CR and LF were rejected before; these cases are kept.

--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -30,9 +30,14 @@
         put(boost::asio::const_buffer(data.constData(), size_t(data.size())), ec);
     if (hadHeaders)
         return used;
-    m_headBytes += Bytes(qsizetype(used));
-    if (is_header_done())
-        m_fault = responseHeadFault({m_status});
+    m_headText += data.left(qsizetype(used));
+    if (is_header_done()) {
+        m_fault = responseHeadFault({m_status, m_headText});
+        m_headBytes = Bytes(m_headText.size());
+        m_headText = {};
+    } else if (m_headText.size() > qsizetype(HeaderLimitBytes)) {
+        ec = boost::beast::http::error::header_limit;
+    }
     return used;
 }
 
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -50,6 +50,8 @@
 
     int m_status = 0;
     HttpHeaders m_headers;
+    /// The bytes of the header section until it is complete.
+    QByteArray m_headText;
     Bytes m_headBytes{0};
     const char *m_fault = nullptr;
     bool m_areHeadersComplete = false;
--- a/test/error/ResponseHeads.cpp
+++ b/test/error/ResponseHeads.cpp
@@ -24,6 +24,11 @@
     return out << head.name;
 }
 
+QByteArray withLine(const QByteArray &line)
+{
+    return "HTTP/1.1 200 OK\r\nX-First: 1\r\n" + line + "\r\nContent-Length: 0\r\n\r\n";
+}
+
 QByteArray withStatus(const QByteArray &status)
 {
     return "HTTP/1.1 " + status + " Reason\r\nContent-Length: 0\r\n\r\n";
@@ -48,6 +53,40 @@
     {"control byte in the reason", "HTTP/1.1 200 O\x01K\r\nContent-Length: 0\r\n\r\n", false},
     {"HTTP/2.0", "HTTP/2.0 200 OK\r\nContent-Length: 0\r\n\r\n", false},
     {"whitespace before the version", " HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false},
+    {"field", withLine("X-Field: value"), true},
+    {"field without a value", withLine("X-Field:"), true},
+    {"whitespace in a value", withLine("X-Field: \t a  b\t "), true},
+    {"byte over 127 in a value", withLine("X-Field: caf\xe9"), true},
+    {"line that begins with a space", withLine(" X-Field: value"), false},
+    {"line that begins with a tab", withLine("\tX-Field: value"), false},
+    {"line of whitespace", withLine(" "), false},
+    {"first line begins with a space", "HTTP/1.1 200 OK\r\n X: 1\r\nContent-Length: 0\r\n\r\n",
+     false},
+    {"last line begins with a space", "HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 0\r\n\r\n",
+     false},
+    {"space before the colon", withLine("X-Field : value"), false},
+    {"tab before the colon", withLine("X-Field\t: value"), false},
+    {"space in a name", withLine("X Field: value"), false},
+    {"no name", withLine(": value"), false},
+    {"no colon", withLine("X-Field"), false},
+    {"NUL in a name", withLine(QByteArray("X-\0Field: value", 15)), false},
+    {"control byte in a name",
+     withLine("X-\x01"
+              "Field: value"),
+     false},
+    {"DEL in a name",
+     withLine("X-\x7f"
+              "Field: value"),
+     false},
+    {"byte over 127 in a name",
+     withLine("X-\xe9"
+              "Field: value"),
+     false},
+    {"NUL in a value", withLine(QByteArray("X-Field: a\0z", 12)), false},
+    {"control byte in a value", withLine("X-Field: a\x01z"), false},
+    {"bare CR", withLine("X-Field: a\rX-Other: b"), false},
+    {"bare LF", withLine("X-Field: a\nX-Other: b"), false},
+    {"two lengths", withLine("Content-Length: 3"), false},
     {"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", false},
     {"length with a letter", "HTTP/1.1 200 OK\r\nContent-Length: 1a\r\n\r\n", false},
 };
--- a/test/failure/BrokenAnswers.cpp
+++ b/test/failure/BrokenAnswers.cpp
@@ -22,6 +22,8 @@
 constexpr int MaxTries = 10;
 
 const QByteArray Sealed = "Cranberryquay-Response-Seal: s\r\nCranberryquay-Request-Id: ID\r\n";
+/// Before fields that may be joined to it.
+const QByteArray Before = "X-Before: value\r\n";
 const QByteArray Events = "id: 1\ndata: event 1\n\n";
 
 struct Form {
@@ -49,6 +51,15 @@
             {line + ", close", head + "\r\n" + Events, RawAnswer::After::Close}};
 }
 
+/// An answer with a length and @p field between its other fields.
+Form withField(const QByteArray &name, const QByteArray &field)
+{
+    return {name,
+            "HTTP/1.1 200 OK\r\n" + Sealed + Before + field + "\r\n" + lengthField() + "\r\n"
+                + Events,
+            RawAnswer::After::Close};
+}
+
 /// One daemon and targets of each service that all send the bytes that the test specifies.
 struct Fixture {
     Fixture()
@@ -176,6 +187,40 @@
     checkBroken(switching);
 }
 
+// Guards against a field whose name holds whitespace or a control byte, and a length hidden so.
+BOOST_FIXTURE_TEST_CASE(InvalidFieldsAreNotForwarded, Fixture)
+{
+    std::vector<Form> forms{
+        withField("begins with a space", " X-Field: value"),
+        withField("begins with a tab", "\tX-Field: value"),
+        withField("only whitespace", " "),
+        withField("space before the colon", "X-Field : value"),
+        withField("tab before the colon", "X-Field\t: value"),
+        withField("space inside", "X Field: value"),
+        withField("empty name", ": value"),
+        withField("no colon", "X-Field"),
+        withField("bare CR", "X-Field: a\rX-Other: b"),
+        withField("bare LF", "X-Field: a\nX-Other: b"),
+        withField("control byte in a value", "X-Field: a\x01z"),
+        withField("NUL in a value", QByteArray("X-Field: a\0z", 12)),
+        withField("NUL in a name", QByteArray("X-\0Field: value", 15)),
+    };
+    for (const char byte : {'\x01', '\x0b', '\x1f', '\x7f', '\xe9'})
+        forms.push_back(withField("byte " + QByteArray::number(int(uchar(byte))) + " in a name",
+                                  QByteArray("X-") + byte + "Field: value"));
+    for (const char *start : {" ", "\t", "\x01", "X "}) {
+        forms.push_back(
+            {"hidden length",
+             "HTTP/1.1 200 OK\r\n" + Sealed + Before + start + lengthField() + "\r\n" + Events,
+             RawAnswer::After::Close});
+        forms.push_back({"hidden chunks",
+                         "HTTP/1.1 200 OK\r\n" + Sealed + Before + start
+                             + "Transfer-Encoding: chunked\r\n\r\n" + chunks(),
+                         RawAnswer::After::Close});
+    }
+    checkBroken(forms);
+}
+
 // Guards against sound answers that are rejected with the broken ones.
 BOOST_FIXTURE_TEST_CASE(SoundAnswersAreForwarded, Fixture)
 {
