A response in an unknown transfer coding is malformed

An answer with Transfer-Encoding: gzip, xchunked or "chunked, identity" was passed on up to the close as if no coding had been named.

Cause: the parser reads such a body up to the close, and only requests were checked for codings. responseHeadFault() now asks hasOtherTransferCoding(), as the request parser does.

failure/BrokenAnswers, UnknownTransferCodingsAreNotForwarded: 54 checks failed on, 0 now.

--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -32,7 +32,7 @@
         return used;
     m_headText += data.left(qsizetype(used));
     if (is_header_done()) {
-        m_fault = responseHeadFault({m_status, m_headText});
+        m_fault = responseHeadFault({m_status, m_headers, m_headText});
         m_headBytes = Bytes(m_headText.size());
         m_headText = {};
     } else if (m_headText.size() > qsizetype(HeaderLimitBytes)) {
--- a/src/http/ResponseHead.cpp
+++ b/src/http/ResponseHead.cpp
@@ -1,5 +1,8 @@
 #include "http/ResponseHead.h"
 
+#include "http/HttpHeaders.h"
+#include "http/TransferCoding.h"
+
 namespace cranberry {
 
 namespace {
@@ -33,6 +36,8 @@
         return "the response switches to another protocol";
     if (hasFoldedLine(head.text))
         return "a line of the header begins with whitespace";
+    if (hasOtherTransferCoding(head.headers))
+        return "the transfer coding is unknown";
     return nullptr;
 }
 
--- a/test/error/ResponseHeads.cpp
+++ b/test/error/ResponseHeads.cpp
@@ -34,6 +34,11 @@
     return "HTTP/1.1 " + status + " Reason\r\nContent-Length: 0\r\n\r\n";
 }
 
+QByteArray withCoding(const QByteArray &coding)
+{
+    return "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + coding + "\r\n\r\n";
+}
+
 const std::vector<HeadCase> Heads{
     {"200", withStatus("200"), true},
     {"299", withStatus("299"), true},
@@ -86,6 +91,14 @@
     {"control byte in a value", withLine("X-Field: a\x01z"), false},
     {"bare CR", withLine("X-Field: a\rX-Other: b"), false},
     {"bare LF", withLine("X-Field: a\nX-Other: b"), false},
+    {"chunked", withCoding("chunked"), true},
+    {"chunked in capitals", withCoding("Chunked"), true},
+    {"gzip", withCoding("gzip"), false},
+    {"unknown coding", withCoding("xchunked"), false},
+    {"coding after chunked", withCoding("chunked, identity"), false},
+    {"coding before chunked", withCoding("gzip, chunked"), false},
+    {"chunked twice", withCoding("chunked\r\nTransfer-Encoding: chunked"), false},
+    {"chunked and a length", withCoding("chunked\r\nContent-Length: 3"), false},
     {"two lengths", withLine("Content-Length: 3"), false},
     {"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", false},
     {"length with a letter", "HTTP/1.1 200 OK\r\nContent-Length: 1a\r\n\r\n", false},
--- a/test/failure/BrokenAnswers.cpp
+++ b/test/failure/BrokenAnswers.cpp
@@ -221,6 +221,20 @@
     checkBroken(forms);
 }
 
+// Guards against a body in a transfer coding that is forwarded as if it were not encoded.
+BOOST_FIXTURE_TEST_CASE(UnknownTransferCodingsAreNotForwarded, Fixture)
+{
+    std::vector<Form> forms;
+    for (const char *coding : {"gzip", "xchunked", "chunked, identity", "gzip, chunked", "identity",
+                               "chunked, chunked", "chunked\r\nTransfer-Encoding: gzip"}) {
+        forms.push_back({coding,
+                         "HTTP/1.1 200 OK\r\n" + Sealed + "Transfer-Encoding: " + coding
+                             + "\r\n\r\n" + chunks(),
+                         RawAnswer::After::Close});
+    }
+    checkBroken(forms);
+}
+
 // Guards against sound answers that are rejected with the broken ones.
 BOOST_FIXTURE_TEST_CASE(SoundAnswersAreForwarded, Fixture)
 {
