A reset that is found by writing is a reset

A target sent part of an answer without a length and reset the connection while the upload was still being written; the caller got the part as a complete answer.

Cause: send() returns ECONNRESET and clears the socket's error, so that the recv() that follows returns 0. TcpStream took this for an orderly close, which ends such an answer, although it knew that writing had failed.

failure/EarlyAnswers, ResetThatIsFoundByWritingIsAReset: a reset arrives, then the stream writes. It ended as Closed on and ends as Reset now.

--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -238,7 +238,7 @@
     }
     if (count < 0 && isTransient(errno))
         return;
-    end(count == 0 ? TcpEnd::Closed : TcpEnd::Reset);
+    end(count == 0 && !m_isBroken ? TcpEnd::Closed : TcpEnd::Reset);
 }
 
 void TcpStream::end(TcpEnd end)
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -99,7 +99,7 @@
     State m_state;
     bool m_shutDownRequested = false;
     bool m_isBlocked = false;
-    /// Writing failed; the reason is found by reading.
+    /// Writing failed, which clears the socket's error: reading then looks like an orderly close.
     bool m_isBroken = false;
     QByteArray m_outgoing;
     qsizetype m_sentBytes = 0;
