An answer without a length that ends during the upload is not whole

Cause: an orderly end ended such an answer whatever had become of the request. A target that has not received the request may have given up, so that its end proves nothing.

TcpStream now reports ClosedEarly if bytes written are not acknowledged by the peer's system when its close arrives; the acknowledgement comes with the close at the latest if it had received them. Only answers that end with the connection depend on it: early answers with a length or chunks are whole as before.

--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -53,6 +53,20 @@
     return text + "\r\n" + request.body;
 }
 
+const char *endReason(TcpEnd end)
+{
+    switch (end) {
+    case TcpEnd::Closed:
+        return "closed by the peer";
+    case TcpEnd::ClosedEarly:
+        return "closed by the peer before it received the request";
+    case TcpEnd::NotConnected:
+    case TcpEnd::Reset:
+        break;
+    }
+    return "reset by the peer";
+}
+
 } // namespace
 
 HttpExchange::HttpExchange(HttpConnectionPool &pool, TimerService &timers,
@@ -246,8 +260,9 @@
         return;
     }
     // A response without a length ends when the peer closes the connection in order; after a reset
-    // its last bytes may be missing. The parser also accepts an end before the first byte as a
-    // complete response, so the headers must have been received.
+    // its last bytes may be missing, and a peer that has not received the whole request may have
+    // given up. The parser also accepts an end before the first byte as a complete response, so the
+    // headers must have been received.
     const bool hadHeaders = m_parser->is_header_done() && !isSkipping();
     bool isComplete = false;
     if (hadHeaders && end == TcpEnd::Closed) {
@@ -260,8 +275,7 @@
         return;
     }
     finish(isComplete ? HttpExchangeEnd::Complete : HttpExchangeEnd::Broken,
-           end == TcpEnd::Closed ? QStringLiteral("closed by the peer")
-                                 : QStringLiteral("reset by the peer"));
+           QLatin1String(endReason(end)));
 }
 
 void HttpExchange::confirmClose()
--- a/src/http/TcpStream.cpp
+++ b/src/http/TcpStream.cpp
@@ -6,8 +6,10 @@
 
 #include <arpa/inet.h>
 #include <cerrno>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -238,7 +240,17 @@
     }
     if (count < 0 && isTransient(errno))
         return;
-    end(count == 0 && !m_isBroken ? TcpEnd::Closed : TcpEnd::Reset);
+    if (count < 0 || m_isBroken)
+        end(TcpEnd::Reset);
+    else
+        end(hasUndeliveredBytes() ? TcpEnd::ClosedEarly : TcpEnd::Closed);
+}
+
+bool TcpStream::hasUndeliveredBytes() const
+{
+    int unacknowledged = 0;
+    return unsentBytes() > 0
+        || (::ioctl(m_descriptor, SIOCOUTQ, &unacknowledged) == 0 && unacknowledged > 0);
 }
 
 void TcpStream::end(TcpEnd end)
--- a/src/http/TcpStream.h
+++ b/src/http/TcpStream.h
@@ -17,8 +17,10 @@
 enum class TcpEnd {
     /// The connection was never established; no byte was sent.
     NotConnected,
-    /// The peer closed its side of the connection in order.
+    /// The peer closed its side of the connection in order and had received all that was written.
     Closed,
+    /// The peer closed its side in order before it had received all that was written.
+    ClosedEarly,
     /// The peer or the system aborted the connection; bytes may be missing.
     Reset,
 };
@@ -88,6 +90,8 @@
     void handleWritable();
     void handleReadable();
     void flush();
+    /// Whether the peer's system has not acknowledged all bytes written.
+    bool hasUndeliveredBytes() const;
     void end(TcpEnd end);
     /// Adapts the time limit for unacknowledged data when the peer begins or ceases to have no
     /// room.
