Answers to a daemon's own calls are small

Engines that answered stop orders, moves, reports, reservations and probes without end made a daemon hold more than its machine has, which ended the requests of other callers there.

Cause: each answer to a call was collected up to 16 MiB, and many calls are in progress at once, several for each stream that is stopped. Such answers have a known size.

A call to a target takes 16 KiB at most, a report of an engine 64 KiB; load reports and cancels of the own interface 16 KiB. Bytes of skipped responses no longer count for the limit of the own one.

Endless header fields, lines without end and interim responses were bounded before.

--- a/src/delivery/TargetCancels.cpp
+++ b/src/delivery/TargetCancels.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr Milliseconds CancelTimeout{2000};
+/// The answer is one object of some hundred bytes.
+constexpr Bytes MaxAnswer{16 * 1024};
 
 CancelOutcome outcomeOf(HttpExchangeEnd end, const HttpResponse &response,
                         Incarnation sentIncarnation)
@@ -46,6 +48,7 @@
     request.path = "/generations/" + QUrl::toPercentEncoding(attempt.text());
     HttpExchangeOptions options;
     options.timeout = CancelTimeout;
+    options.maxBody = MaxAnswer;
     const quint64 number = m_nextNumber++;
     m_exchanges[number] =
         m_client.fetch(endpoint, request, options,
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -161,8 +161,9 @@
 bool HttpExchange::endIfTooLarge(const QByteArray &body)
 {
     const std::optional<Bytes> limit = isSkipping() ? MaxSkipped : m_options.maxBody;
-    m_bodyBytes += Bytes(body.size());
-    if (!limit || m_bodyBytes <= *limit)
+    Bytes &received = isSkipping() ? m_skippedBytes : m_bodyBytes;
+    received += Bytes(body.size());
+    if (!limit || received <= *limit)
         return false;
     finish(HttpExchangeEnd::Malformed,
            QStringLiteral("the body is larger than %1 bytes").arg(limit->value()));
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -93,8 +93,9 @@
     MonotonicTime m_lastProgress;
     ClientConnection m_connection;
     std::unique_ptr<EndpointCheck> m_closeCheck;
-    /// Bytes of all bodies received, of skipped responses too.
-    Bytes m_bodyBytes;
+    Bytes m_bodyBytes{0};
+    /// Of the bodies of all skipped responses.
+    Bytes m_skippedBytes{0};
     Bytes m_interimBytes{0};
     bool m_connected = false;
     int m_skipped = 0;
--- a/src/placement/TargetPoller.cpp
+++ b/src/placement/TargetPoller.cpp
@@ -16,6 +16,8 @@
 
 constexpr int FailuresUntilDead = 3;
 constexpr Milliseconds PollTimeout{1500};
+/// A report is one object of some hundred bytes.
+constexpr Bytes MaxReport{16 * 1024};
 
 LoadReport parseReport(const QByteArray &body)
 {
@@ -81,6 +83,7 @@
 {
     HttpExchangeOptions options;
     options.timeout = PollTimeout;
+    options.maxBody = MaxReport;
     options.reuseConnection = true;
     polled.exchange =
         m_client.fetch(polled.endpoint, {"GET", "/load", {}, {}, {}}, options,
--- a/src/relay/TargetClient.cpp
+++ b/src/relay/TargetClient.cpp
@@ -1,10 +1,25 @@
 #include "relay/TargetClient.h"
 
 #include "relay/TargetAvailability.h"
+#include "relay/TargetCall.h"
 #include "relay/TargetProtocol.h"
 
 namespace cranberry {
 
+namespace {
+
+/// A report names the generations and copies of an engine, of which there are some hundred at most.
+constexpr Bytes MaxReport{64 * 1024};
+/// Other calls are answered with one object.
+constexpr Bytes MaxCallAnswer{16 * 1024};
+
+Bytes maxAnswerTo(CallPurpose purpose)
+{
+    return purpose == CallPurpose::Report ? MaxReport : MaxCallAnswer;
+}
+
+} // namespace
+
 TargetClient::TargetClient(HttpClient &client, const TargetProtocol &protocol,
                            TargetAvailability &availability)
     : m_client(client)
@@ -43,8 +58,9 @@
                                                   const HttpExchangeOptions &options,
                                                   HttpClient::ResponseCallback callback)
 {
-    return send(call, request, collectingOptions(options),
-                collectingCallbacks(std::move(callback)));
+    HttpExchangeOptions bounded = collectingOptions(options);
+    bounded.maxBody = maxAnswerTo(call.purpose);
+    return send(call, request, bounded, collectingCallbacks(std::move(callback)));
 }
 
 } // namespace cranberry
--- a/src/relay/TargetClient.h
+++ b/src/relay/TargetClient.h
@@ -29,7 +29,8 @@
                                                      const HttpRequest &request,
                                                      const HttpExchangeOptions &options,
                                                      HttpExchangeCallbacks callbacks);
-    /// As send(), collecting the response as HttpClient::fetch() does.
+    /// As send(), collecting the response as HttpClient::fetch() does. The purpose of the call
+    /// bounds the size of the response.
     [[nodiscard]] std::unique_ptr<HttpExchange> fetch(const TargetCall &call,
                                                       const HttpRequest &request,
                                                       const HttpExchangeOptions &options,
