Answers of other daemons to forwarded requests are bounded

A daemon that answers a forwarded request without end filled the memory of the one that forwarded it.

Cause: ForwardedExchange collected a response that is not a stream without any limit, and outside the account of what a process holds.

It takes as much as an answer of a target may have, and is part of the account.

--- a/src/relay/ForwardedExchange.cpp
+++ b/src/relay/ForwardedExchange.cpp
@@ -10,6 +10,8 @@
 /// A reachable daemon accepts a connection within a few ms. No byte of the request has been sent
 /// yet, so an early timeout is safe.
 constexpr Milliseconds ConnectTimeout{300};
+/// A larger response is cut off if callers hold too much memory.
+constexpr Bytes MaxBodyWithoutRoom{64 * 1024};
 
 /// A daemon sends its responses with a length or in chunks, so that a response that is cut off is
 /// never complete.
@@ -22,8 +24,10 @@
 
 ForwardedExchange::ForwardedExchange(HttpClient &client, const HttpEndpoint &peer,
                                      const ForwardMessage &message, Milliseconds maxIdle,
-                                     ForwardCallbacks callbacks)
+                                     const ForwardLimits &limits, ForwardCallbacks callbacks)
     : m_callbacks(std::move(callbacks))
+    , m_maxAnswer(limits.maxAnswer)
+    , m_bodyCharge(limits.memory)
     , m_expectsStream(message.route.kind == RequestKind::Stream)
 {
     HttpExchangeOptions options;
@@ -61,12 +65,25 @@
 {
     if (!m_isStream) {
         m_result.body += data;
+        m_bodyCharge.set(Bytes(m_result.body.capacity()));
+        if (Bytes(m_result.body.size()) > m_maxAnswer)
+            cutOff(QStringLiteral("the response is too large"));
+        else if (!m_bodyCharge.makeRoom() && Bytes(m_result.body.size()) > MaxBodyWithoutRoom)
+            cutOff(QStringLiteral("no memory left for the response"));
         return;
     }
     const auto callback = m_callbacks.data;
     callback(data);
 }
 
+void ForwardedExchange::cutOff(const QString &reason)
+{
+    // Closes the connection.
+    m_exchange.reset();
+    m_result.body.clear();
+    finished(HttpExchangeEnd::Malformed, reason);
+}
+
 void ForwardedExchange::finished(HttpExchangeEnd end, const QString &reason)
 {
     const bool isWhole = end == HttpExchangeEnd::Complete && hasOwnEnd(m_exchange->framing());
--- a/src/relay/ForwardedExchange.h
+++ b/src/relay/ForwardedExchange.h
@@ -2,6 +2,7 @@
 
 #include "base/Units.h"
 #include "http/HttpHeaders.h"
+#include "http/MemoryCharge.h"
 #include "relay/ForwardOutcome.h"
 
 #include <functional>
@@ -27,6 +28,13 @@
     QString reason;
 };
 
+/// Bounds of a response that is not a stream.
+struct ForwardLimits {
+    Bytes maxAnswer;
+    /// Outlives the exchange.
+    CallerMemory &memory;
+};
+
 struct ForwardCallbacks {
     /// Called with the head of a stream of a target.
     std::function<void(int status, const HttpHeaders &headers)> began;
@@ -45,16 +53,20 @@
     /// @p maxIdle: maximum idle time of a reused connection; zero opens a new one.
     /// Precondition: @p client outlives the exchange.
     ForwardedExchange(HttpClient &client, const HttpEndpoint &peer, const ForwardMessage &message,
-                      Milliseconds maxIdle, ForwardCallbacks callbacks);
+                      Milliseconds maxIdle, const ForwardLimits &limits,
+                      ForwardCallbacks callbacks);
     ~ForwardedExchange();
 
 private:
     void headersReceived(int status, const HttpHeaders &headers);
     void bodyReceived(const QByteArray &data);
+    void cutOff(const QString &reason);
     void finished(HttpExchangeEnd end, const QString &reason);
 
     ForwardCallbacks m_callbacks;
     ForwardResult m_result;
+    Bytes m_maxAnswer;
+    MemoryCharge m_bodyCharge;
     bool m_expectsStream = false;
     bool m_isStream = false;
     std::unique_ptr<HttpExchange> m_exchange;
--- a/src/relay/RelayRunForwarding.cpp
+++ b/src/relay/RelayRunForwarding.cpp
@@ -92,8 +92,9 @@
     };
     const Milliseconds maxIdle =
         m_task.route.kind == RequestKind::Idempotent ? MaxIdleIdempotent : NoConnectionReuse;
-    m_forward = std::make_unique<ForwardedExchange>(m_context.client, peer->endpoint, message,
-                                                    maxIdle, std::move(callbacks));
+    m_forward = std::make_unique<ForwardedExchange>(
+        m_context.client, peer->endpoint, message, maxIdle,
+        ForwardLimits{m_context.maxAnswer, m_context.callerMemory}, std::move(callbacks));
     if (m_task.route.kind == RequestKind::Idempotent) {
         const auto silence = std::chrono::duration_cast<Milliseconds>(SilenceTimeoutObjectives
                                                                       * m_task.route.objective);
--- a/test/failure/EndlessCalls.cpp
+++ b/test/failure/EndlessCalls.cpp
@@ -5,6 +5,10 @@
 
 #include "base/QtTimerService.h"
 #include "base/TimerSubscription.h"
+#include "http/CallerMemory.h"
+#include "http/HttpClient.h"
+#include "relay/ForwardMessage.h"
+#include "relay/ForwardedExchange.h"
 #include "support/EventLoop.h"
 #include "support/Fleet.h"
 #include "support/PlatformSite.h"
@@ -38,6 +42,7 @@
 /// Calls of the store until its watches and lists have all been answered without end.
 constexpr int StoreCalls = 12;
 constexpr int OwnTargets = 16;
+constexpr Bytes SharedMemory{4 * 1024 * 1024};
 /// Bytes written at a time; the next ones follow as soon as they are sent.
 constexpr int BlockBytes = 256 * 1024;
 
@@ -298,3 +303,30 @@
     BOOST_TEST(peak > 0);
     BOOST_TEST(peak < MemoryKilobytes);
 }
+
+// Guards against an answer without end of another daemon to a forwarded request.
+BOOST_DATA_TEST_CASE(AnswersOfDaemonsAreBounded, data::make(Forms))
+{
+    test::ensureApplication();
+    QtTimerService timers;
+    CallerMemory memory;
+    HttpClient client(timers);
+    EndlessForm form = sample;
+    form.head.replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n");
+    CallProxy peer({}, form);
+    peer.setFaulty();
+    for (const RequestKind kind : {RequestKind::Idempotent, RequestKind::Stream}) {
+        ForwardMessage message;
+        message.request.method = "GET";
+        message.request.target = "/v1/a";
+        message.route.kind = kind;
+        std::optional<ForwardResult> result;
+        ForwardCallbacks callbacks;
+        callbacks.ended = [&](const ForwardResult &ended) { result = ended; };
+        const ForwardedExchange exchange(client, peer.endpoint(), message, Milliseconds(0),
+                                         {SharedMemory, memory}, callbacks);
+        BOOST_TEST(test::waitFor([&] { return result.has_value(); }));
+        BOOST_TEST((result->outcome == ForwardOutcome::Broken));
+        BOOST_TEST(result->body.isEmpty());
+    }
+}
