Responses in progress are part of the account of memory

Cause: responses were bounded one by one; nothing bounded those of the store, of other daemons and of calls together, or the header sections of many at once.

Each exchange charges what it holds (unparsed bytes, header fields, a body that is collected) to the account of what callers hold. An exchange releases what it holds as it ends. The own interface has an account of a quarter of the machine's memory for this.

failure/EndlessCalls: 64 responses without end together stay within the account.

--- a/src/daemon/Daemon.cpp
+++ b/src/daemon/Daemon.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Daemon.h"
 
 #include "base/EventLog.h"
+#include "base/MachineMemory.h"
 #include "daemon/DaemonParts.h"
 #include "daemon/StatusParts.h"
 #include "http/HttpRequest.h"
@@ -15,6 +16,8 @@
 
 namespace {
 
+/// Part of the machine's memory that responses in progress may hold.
+constexpr qint64 ResponseMemoryFraction = 4;
 /// Interval at which a draining daemon checks whether all requests have finished.
 constexpr Milliseconds DrainPollInterval{20};
 constexpr qsizetype MinSecretBytes = 16;
@@ -90,6 +93,10 @@
                  gateway.handle(request, responder);
              })
 {
+    if (const std::optional<Bytes> memory = machineMemory())
+        responseMemory.setCapacity(Bytes(memory->value() / ResponseMemoryFraction));
+    client.setMemory(responseMemory);
+    platform.setMemory(responseMemory);
 }
 
 OperatorStatus DaemonParts::operatorStatus()
--- a/src/daemon/DaemonParts.h
+++ b/src/daemon/DaemonParts.h
@@ -18,6 +18,7 @@
 #include "delivery/TargetCancels.h"
 #include "gateway/Gateway.h"
 #include "gateway/OperatorApi.h"
+#include "http/CallerMemory.h"
 #include "http/HttpClient.h"
 #include "http/HttpServer.h"
 #include "membership/Membership.h"
@@ -37,6 +38,8 @@
 
     QtTimerService timers;
     WorkerPool workers;
+    /// What responses of targets and of the platform's service hold.
+    CallerMemory responseMemory;
     HttpClient client;
     HttpKeyValueStore platform;
     PeerLinks peers;
--- a/src/http/CallerMemory.h
+++ b/src/http/CallerMemory.h
@@ -8,8 +8,9 @@
 
 class CallerConnection;
 
-/// The account of what callers make a process hold: parts of requests, requests in progress, and
-/// responses that are not sent. Frees connections when it is full.
+/// The account of what callers and servers make a process hold: parts of requests, requests in
+/// progress, responses that are not sent, and responses of servers that are being received. Frees
+/// connections of callers when it is full.
 /// Thread safety: only from the thread of the listeners.
 class CallerMemory
 {
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -7,7 +7,9 @@
                                                const HttpExchangeOptions &options,
                                                HttpExchangeCallbacks callbacks)
 {
-    return std::make_unique<HttpExchange>(m_pool, m_timers, endpoint, request, options,
+    HttpExchangeOptions accounted = options;
+    accounted.memory = m_memory;
+    return std::make_unique<HttpExchange>(m_pool, m_timers, endpoint, request, accounted,
                                           std::move(callbacks));
 }
 
@@ -22,6 +24,7 @@
 
 HttpExchangeOptions collectingOptions(HttpExchangeOptions options)
 {
+    options.collectsBody = true;
     if (!options.maxBody)
         options.maxBody = DefaultMaxCollected;
     return options;
--- a/src/http/HttpClient.h
+++ b/src/http/HttpClient.h
@@ -44,17 +44,20 @@
                                                       const HttpExchangeOptions &options,
                                                       ResponseCallback callback);
 
+    /// Responses are accounted for in @p memory, which outlives the client.
+    void setMemory(CallerMemory &memory) { m_memory = &memory; }
     const HttpConnectionPool::Counters &counters() const { return m_pool.counters(); }
 
 private:
     TimerService &m_timers;
     HttpConnectionPool m_pool;
+    CallerMemory *m_memory = nullptr;
 };
 
 /// Maximum size of a collected response if the options set none.
 constexpr Bytes DefaultMaxCollected{16 * 1024 * 1024};
 
-/// Returns @p options with a maximum size of the response. Thread-safe.
+/// Returns @p options of an exchange whose response is collected, with a maximum size. Thread-safe.
 HttpExchangeOptions collectingOptions(HttpExchangeOptions options);
 
 /// Returns callbacks that collect the response and pass it to @p callback. Thread-safe.
--- a/src/http/HttpExchange.cpp
+++ b/src/http/HttpExchange.cpp
@@ -8,6 +8,7 @@
 #include "http/HttpConnectionPool.h"
 #include "http/HttpRequest.h"
 #include "http/HttpResponseParser.h"
+#include "http/MemoryCharge.h"
 #include "http/ResponseHead.h"
 #include "http/TcpStream.h"
 
@@ -80,6 +81,7 @@
           serializeRequest(endpoint, request, options.reuseConnection || options.keepConnection))
     , m_callbacks(std::move(callbacks))
     , m_parser(std::make_unique<internal::HttpResponseParser>())
+    , m_charge(options.memory ? std::make_unique<MemoryCharge>(*options.memory) : nullptr)
     , m_destroyed(std::make_shared<bool>(false))
 {
     if (options.reuseConnection)
@@ -143,7 +145,7 @@
     if (!parse())
         return;
     const QByteArray body = m_parser->takeBody();
-    if (endIfTooLarge(body))
+    if (endIfTooLarge(body) || endIfNoRoom())
         return;
     if (m_incoming.size() > MaxUnparsed && !m_parser->is_done()) {
         finish(HttpExchangeEnd::Malformed, QStringLiteral("a chunk header is too large"));
@@ -170,6 +172,23 @@
     return true;
 }
 
+bool HttpExchange::endIfNoRoom()
+{
+    if (!m_charge)
+        return false;
+    m_charge->set(heldBytes());
+    if (m_charge->bytes() <= m_options.maxWithoutRoom || m_charge->makeRoom())
+        return false;
+    finish(HttpExchangeEnd::Malformed, QStringLiteral("no memory left for the response"));
+    return true;
+}
+
+Bytes HttpExchange::heldBytes() const
+{
+    const Bytes collected = m_options.collectsBody ? m_bodyBytes : Bytes(0);
+    return Bytes(m_incoming.size()) + m_parser->heldBytes() + collected;
+}
+
 /// Parses the received data; returns false if the exchange has finished or is destroyed.
 bool HttpExchange::parse()
 {
@@ -326,9 +345,13 @@
         m_pool.release(m_endpoint, std::move(m_connection), keepAliveTimeout());
     else
         m_connection.stream.reset();
-    const auto callback = std::move(m_callbacks.finished);
-    if (callback)
-        callback(end, reason);
+    // The charge and what the callbacks have collected are released when this function returns,
+    // even if the owner keeps the exchange.
+    m_incoming = {};
+    const std::unique_ptr<MemoryCharge> charge = std::move(m_charge);
+    const HttpExchangeCallbacks callbacks = std::exchange(m_callbacks, {});
+    if (callbacks.finished)
+        callbacks.finished(end, reason);
 }
 
 } // namespace cranberry
--- a/src/http/HttpExchange.h
+++ b/src/http/HttpExchange.h
@@ -18,6 +18,7 @@
 
 class EndpointCheck;
 class HttpConnectionPool;
+class MemoryCharge;
 class TimerService;
 class TimerSubscription;
 enum class TcpEnd;
@@ -69,6 +70,9 @@
     bool parse();
     /// Ends the exchange and returns true if @p body makes the response too large.
     bool endIfTooLarge(const QByteArray &body);
+    /// Ends the exchange and returns true if there is no memory left for what it holds.
+    bool endIfNoRoom();
+    Bytes heldBytes() const;
     bool isSkipping() const { return m_match == ResponseMatch::Foreign; }
     /// Returns false if there were too many; the exchange has finished then.
     bool skipInterimResponse();
@@ -97,6 +101,8 @@
     /// Of the bodies of all skipped responses.
     Bytes m_skippedBytes{0};
     Bytes m_interimBytes{0};
+    /// Null without an account.
+    std::unique_ptr<MemoryCharge> m_charge;
     bool m_connected = false;
     int m_skipped = 0;
     /// Of the response being parsed; a foreign one is skipped.
--- a/src/http/HttpExchangeOptions.h
+++ b/src/http/HttpExchangeOptions.h
@@ -8,6 +8,8 @@
 
 namespace cranberry {
 
+class CallerMemory;
+
 /// Options of one exchange of the client.
 struct HttpExchangeOptions {
     /// Maximum time from the established connection to the complete response; zero means no limit.
@@ -19,6 +21,13 @@
     /// Maximum size of the response's body; a larger one ends the exchange as malformed. No limit
     /// if unset.
     std::optional<Bytes> maxBody;
+    /// The owner keeps the whole body until the end of the exchange.
+    bool collectsBody = false;
+    /// The account of what responses in progress hold; none if null. Outlives the exchange.
+    CallerMemory *memory = nullptr;
+    /// What the response may hold while the account is full; one that holds more ends the exchange
+    /// as malformed.
+    Bytes maxWithoutRoom{16 * 1024};
     /// Use an idle connection if there is one, and return the connection to the pool when done. A
     /// reused connection may prove to be closed after bytes were written. Not for requests for
     /// which the caller must know that they did not run.
--- a/src/http/HttpResponseParser.cpp
+++ b/src/http/HttpResponseParser.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+/// Memory of a field beside its bytes: two arrays with their headers, and the place in the list.
+constexpr qint64 FieldOverhead = 200;
 constexpr std::uint32_t HeaderLimitBytes = 64 * 1024;
 /// Boost 1.74 rejects every Content-Length as too large if the body limit is unset.
 constexpr std::uint64_t NoBodyLimit = std::numeric_limits<std::uint64_t>::max();
@@ -64,6 +66,7 @@
         return;
     m_headers.add(QByteArray(name.data(), qsizetype(name.size())),
                   QByteArray(value.data(), qsizetype(value.size())));
+    m_headerCost += Bytes(FieldOverhead + qint64(name.size() + value.size()));
 }
 
 void HttpResponseParser::on_header_impl(Error &)
--- a/src/http/HttpResponseParser.h
+++ b/src/http/HttpResponseParser.h
@@ -24,6 +24,8 @@
     /// Why the header section is not valid although it was parsed; null if it is valid or not
     /// complete.
     const char *fault() const { return m_fault; }
+    /// Memory of the header fields.
+    Bytes heldBytes() const { return m_headerCost; }
     /// Size of the header section of a response without a body, once it is complete.
     Bytes headBytes() const { return m_headBytes; }
 
@@ -53,6 +55,7 @@
     /// The bytes of the header section until it is complete.
     QByteArray m_headText;
     Bytes m_headBytes{0};
+    Bytes m_headerCost{0};
     const char *m_fault = nullptr;
     bool m_areHeadersComplete = false;
     QByteArray m_body;
--- a/src/platformstore/HttpKeyValueStore.h
+++ b/src/platformstore/HttpKeyValueStore.h
@@ -26,6 +26,9 @@
                       Milliseconds timeout = DefaultTimeout);
     ~HttpKeyValueStore() override;
 
+    /// As HttpClient::setMemory().
+    void setMemory(CallerMemory &memory) { m_client.setMemory(memory); }
+
     void read(const QString &key, ReadCallback callback) override;
     void list(const QString &prefix, ListCallback callback) override;
     void compareAndSwap(const QString &key, Revision expected, const QByteArray &value,
--- a/src/relay/PeerDirectory.cpp
+++ b/src/relay/PeerDirectory.cpp
@@ -6,6 +6,7 @@
 #include "base/TimerSubscription.h"
 #include "http/HttpClient.h"
 #include "relay/RelayCounters.h"
+#include "relay/StateResponses.h"
 #include "relay/StoreProtocol.h"
 
 #include <QJsonDocument>
@@ -158,6 +159,7 @@
     HttpExchangeOptions options;
     options.connectTimeout = CallTimeout;
     options.timeout = CallTimeout;
+    options.maxWithoutRoom = StateWithoutRoom;
     m_listing = m_client.fetch(m_store, m_protocol.staleRange(PeerPrefix), options,
                                [this](HttpExchangeEnd end, const HttpResponse &response) {
                                    handleList(end == HttpExchangeEnd::Complete
--- a/src/relay/PeerState.cpp
+++ b/src/relay/PeerState.cpp
@@ -9,6 +9,7 @@
 #include "relay/FeedMessage.h"
 #include "relay/PeerDirectory.h"
 #include "relay/RelayCounters.h"
+#include "relay/StateResponses.h"
 #include "relay/StoreItemCompression.h"
 #include "relay/StoreMirror.h"
 
@@ -343,6 +344,7 @@
     options.connectTimeout = AskTimeout;
     options.stallTimeout = FetchStallTimeout;
     options.timeout = FetchTimeout;
+    options.maxWithoutRoom = StateWithoutRoom;
     m_fetch = m_client.fetch(
         peer.endpoint, stateRequest(m_configuration.revision().value(), entries), options,
         [this, includesEntries, vm = peer.vm,
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -142,6 +142,7 @@
 void limitCallers(RelayParts &parts)
 {
     parts.callerMemory.setCapacity(callerMemoryCapacity(parts.settings.memory));
+    parts.client.setMemory(parts.callerMemory);
     for (HttpListener *listener : {&parts.callers, &parts.readiness, &parts.peerListener})
         listener->setMemory(parts.callerMemory);
     for (HttpListener *listener : {&parts.callers, &parts.peerListener})
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -1,5 +1,6 @@
 #include "relay/RelaySettings.h"
 
+#include "base/MachineMemory.h"
 #include "daemon/SettingsReader.h"
 
 #include <QHostAddress>
@@ -8,7 +9,6 @@
 
 #include <algorithm>
 #include <sys/resource.h>
-#include <sys/sysinfo.h>
 
 namespace cranberry {
 
@@ -85,11 +85,7 @@
 
 Bytes defaultMemory()
 {
-    struct sysinfo info {
-    };
-    if (::sysinfo(&info) != 0)
-        return Bytes(MaxMemoryMegabytes * BytesPerMegabyte);
-    return Bytes(qint64(info.totalram) * info.mem_unit);
+    return machineMemory().value_or(Bytes(MaxMemoryMegabytes * BytesPerMegabyte));
 }
 
 Bytes callerMemoryCapacity(Bytes memory)
--- a/src/relay/StoreMirror.cpp
+++ b/src/relay/StoreMirror.cpp
@@ -6,6 +6,7 @@
 #include "http/HttpClient.h"
 #include "relay/RelayCounters.h"
 #include "relay/StalenessPlan.h"
+#include "relay/StateResponses.h"
 #include "relay/StoreProtocol.h"
 
 #include <QRandomGenerator>
@@ -74,6 +75,7 @@
     // new one costs a millisecond.
     options.stallTimeout = timeout;
     options.timeout = timeout + TransferAllowance;
+    options.maxWithoutRoom = StateWithoutRoom;
     m_call = m_client.fetch(
         m_store, request, options,
         [this, callback = std::move(callback)](HttpExchangeEnd end, const HttpResponse &response) {
--- a/test/failure/EndlessCalls.cpp
+++ b/test/failure/EndlessCalls.cpp
@@ -42,6 +42,7 @@
 /// Calls of the store until its watches and lists have all been answered without end.
 constexpr int StoreCalls = 12;
 constexpr int OwnTargets = 16;
+constexpr int SharedCalls = 64;
 constexpr Bytes SharedMemory{4 * 1024 * 1024};
 /// Bytes written at a time; the next ones follow as soon as they are sent.
 constexpr int BlockBytes = 256 * 1024;
@@ -304,6 +305,43 @@
     BOOST_TEST(peak < MemoryKilobytes);
 }
 
+// Guards against responses that are bounded one by one but not together.
+BOOST_DATA_TEST_CASE(ResponsesAreBoundedTogether, data::make(Forms))
+{
+    test::ensureApplication();
+    QtTimerService timers;
+    CallerMemory memory;
+    memory.setCapacity(SharedMemory);
+    HttpClient client(timers);
+    client.setMemory(memory);
+    CallProxy server({}, sample);
+    server.setFaulty();
+    HttpExchangeOptions options;
+    options.timeout = Milliseconds(20'000);
+    options.maxBody = SharedMemory;
+    const HttpRequest request{"GET", "/v1/report", {}, {}, {}};
+    std::vector<std::unique_ptr<HttpExchange>> exchanges;
+    exchanges.reserve(SharedCalls);
+    int malformed = 0;
+    Bytes most{0};
+    for (int i = 0; i < SharedCalls; ++i) {
+        exchanges.push_back(client.fetch(server.endpoint(), request, options,
+                                         [&](HttpExchangeEnd end, const HttpResponse &) {
+                                             malformed += end == HttpExchangeEnd::Malformed ? 1 : 0;
+                                         }));
+    }
+    BOOST_TEST(test::waitFor([&] {
+        most = std::max(most, memory.held());
+        return malformed == SharedCalls;
+    }));
+    BOOST_TEST_MESSAGE(sample << ": " << most.value() << " bytes");
+    // A response that is nearly alone always finds room.
+    const Bytes withoutRoom(SharedMemory.value() / 8
+                            + SharedCalls * options.maxWithoutRoom.value());
+    BOOST_TEST((most <= SharedMemory + withoutRoom));
+    BOOST_TEST((memory.held() == Bytes(0)));
+}
+
 // Guards against an answer without end of another daemon to a forwarded request.
 BOOST_DATA_TEST_CASE(AnswersOfDaemonsAreBounded, data::make(Forms))
 {
