Test: the daemon has its share of the retry budget before engines fail

Cause: a daemon that starts alone has a share of the retry budget only some seconds later. Until then no stream continues at its backup, so that no stop order is sent.

The daemon starts as one of a first start, whose share counts from the beginning. No check is changed.

--- a/test/failure/EndlessCalls.cpp
+++ b/test/failure/EndlessCalls.cpp
@@ -164,6 +164,8 @@
     explicit Fixture(const EndlessForm &form)
     {
         site.setSetting(QStringLiteral("memory_mb"), MemoryKilobytes / 1024);
+        // Streams continue at their backups only while the daemon has a share of the retry budget.
+        site.setFirstStart();
         site.configure(1);
         for (int i = 0; i < FaultyEngines + SoundEngines; ++i) {
             standin::RunnerEmulator &engine =
