Test: engines have room for backups; known red: a 503 beside an endless store

By the log of a play that failed again, 3 backups were chosen instead of 40: the 40 streams used 0.83 of the slots of six engines, and no backup is chosen above 0.5, so that only the order of arrival decided. Twelve engines leave 0.42. No check is changed.

A plain request beside an endless store got 503 once, not reproduced in 57 plays; listed with what is suspected.

--- a/test/failure/EndlessCalls.cpp
+++ b/test/failure/EndlessCalls.cpp
@@ -29,8 +29,9 @@
 
 /// The memory of the smallest machines.
 constexpr qint64 MemoryKilobytes = 88 * 1024;
-constexpr int FaultyEngines = 3;
-constexpr int SoundEngines = 3;
+/// With the streams, under half of the slots are in use: no backups are chosen above that.
+constexpr int FaultyEngines = 6;
+constexpr int SoundEngines = 6;
 constexpr int PlainTargets = 3;
 constexpr int Streams = 40;
 constexpr int Events = 1500;
