Durations in the settings have a unit and may have fractions

Cause: deploy/settings.json turned seconds into milliseconds by writing "000" behind the text of the number, so that 7.5 became 7.5000 ms, and SettingsReader took whole milliseconds and megabytes only, though the platform gives its bounds as whole numbers or fractions.

Change: a duration is a member with its unit in its name, X_ms or X_s, and SettingsReader::duration() reads either, with fractions. Fractions of a millisecond are rounded down, so that no time limit is exceeded, but the window of the retry budget up, as a longer one allows fewer retries; a positive duration never becomes 0. memory_mb takes fractions. The own interface reads its durations with the same function.

--- a/src/daemon/DaemonSettings.cpp
+++ b/src/daemon/DaemonSettings.cpp
@@ -11,7 +11,6 @@
 
 constexpr qint64 MaxPort = 65535;
 constexpr qint64 MaxBytes = qint64(1) << 30;
-constexpr qint64 MaxMilliseconds = 3'600'000;
 constexpr qint64 MaxConnections = 100'000;
 constexpr qint64 MaxWorkers = 64;
 
@@ -41,7 +40,7 @@
 
 Milliseconds readDuration(SettingsReader &reader, const QString &name, Milliseconds fallback)
 {
-    return Milliseconds(reader.number(name, 1, MaxMilliseconds, fallback.count()));
+    return reader.duration(name, DurationRounding::Down, fallback);
 }
 
 void readLimits(SettingsReader reader, DaemonSettings &settings)
--- a/src/daemon/SettingsReader.cpp
+++ b/src/daemon/SettingsReader.cpp
@@ -3,12 +3,19 @@
 #include <QJsonArray>
 #include <QJsonDocument>
 
+#include <algorithm>
 #include <cmath>
 
 namespace cranberry {
 
 namespace {
 
+constexpr Milliseconds MaxDuration{3'600'000};
+constexpr double MillisecondsPerSecond = 1000;
+/// Fractions of a millisecond below this come from the conversion to binary and from the
+/// multiplication.
+constexpr double NegligibleMilliseconds = 1e-6;
+
 QString compactJson(const QJsonValue &value)
 {
     if (value.isUndefined())
@@ -108,4 +115,32 @@
     return fallback;
 }
 
+Milliseconds SettingsReader::duration(const QString &name, DurationRounding rounding,
+                                      Milliseconds fallback)
+{
+    const QString nameInSeconds = name.chopped(2) + u's';
+    m_faults.addKnownMember(pathOf(name));
+    m_faults.addKnownMember(pathOf(nameInSeconds));
+    const bool isInSeconds = m_object.contains(nameInSeconds);
+    if (isInSeconds && m_object.contains(name))
+        fault(nameInSeconds, QStringLiteral("nothing beside %1").arg(pathOf(name)));
+    const QString &present = isInSeconds ? nameInSeconds : name;
+    const double unit = isInSeconds ? MillisecondsPerSecond : 1;
+    const QJsonValue value = m_object.value(present);
+    if (value.isUndefined())
+        return fallback;
+    const double milliseconds = unit * value.toDouble(std::nan(""));
+    const bool allowed = milliseconds > 0 && milliseconds <= double(MaxDuration.count());
+    if (!allowed) {
+        fault(present,
+              QStringLiteral("more than 0, up to %1")
+                  .arg(qint64(double(MaxDuration.count()) / unit)));
+        return fallback;
+    }
+    const double rounded = rounding == DurationRounding::Down
+        ? std::floor(milliseconds + NegligibleMilliseconds)
+        : std::ceil(milliseconds - NegligibleMilliseconds);
+    return std::max(Milliseconds(1), Milliseconds(qint64(rounded)));
+}
+
 } // namespace cranberry
--- a/src/daemon/SettingsReader.h
+++ b/src/daemon/SettingsReader.h
@@ -1,11 +1,18 @@
 #pragma once
 
+#include "base/Units.h"
 #include "daemon/SettingsFaults.h"
 
 #include <QJsonObject>
 
 namespace cranberry {
 
+/// How a fraction of a millisecond is rounded.
+enum class DurationRounding {
+    Down,
+    Up,
+};
+
 /// Reads the members of one JSON object in a settings file. An invalid value adds a fault that
 /// names the member's path, and the fallback (for an object or a required string an empty value)
 /// is returned, so that parsing continues.
@@ -25,6 +32,10 @@
     qint64 number(const QString &name, qint64 min, qint64 max, qint64 fallback);
     /// A number in [@p min, @p max].
     double decimal(const QString &name, double min, double max, double fallback);
+    /// A positive duration of up to an hour, rounded to milliseconds but never to 0. It is given
+    /// either in milliseconds by the member @p name or in seconds by the one that ends in "_s"
+    /// instead; fractions are allowed. Precondition: @p name ends in "_ms".
+    Milliseconds duration(const QString &name, DurationRounding rounding, Milliseconds fallback);
 
     /// A boolean.
     bool flag(const QString &name, bool fallback);
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -14,16 +14,15 @@
 
 namespace {
 
-constexpr qint64 MaxMilliseconds = 3'600'000;
 constexpr double MaxSlack = 1e6;
 constexpr double MinWeight = 0.01;
 constexpr double MaxWeight = 100;
 constexpr qint64 MaxAnswerBytes = 1024 * 1024 * 1024;
 constexpr int MinDescriptors = 64;
 constexpr int MaxDescriptors = 1024 * 1024;
-constexpr qint64 BytesPerMegabyte = 1024 * 1024;
-constexpr qint64 MinMemoryMegabytes = 16;
-constexpr qint64 MaxMemoryMegabytes = 1024 * 1024;
+constexpr double BytesPerMegabyte = 1024 * 1024;
+constexpr double MinMemoryMegabytes = 16;
+constexpr double MaxMemoryMegabytes = 1024 * 1024;
 constexpr qint64 CallerMemoryFraction = 4;
 
 HttpEndpoint readAddress(SettingsReader &reader, const QString &name)
@@ -36,9 +35,18 @@
     return {parts.first(), port};
 }
 
+/// Rounds down, so that no time limit is exceeded by a fraction of a millisecond.
 Milliseconds readDuration(SettingsReader &reader, const QString &name, Milliseconds fallback)
 {
-    return Milliseconds(reader.number(name, 1, MaxMilliseconds, fallback.count()));
+    return reader.duration(name, DurationRounding::Down, fallback);
+}
+
+Bytes readMemory(SettingsReader &reader, Bytes fallback)
+{
+    const double megabytes =
+        reader.decimal(QStringLiteral("memory_mb"), MinMemoryMegabytes, MaxMemoryMegabytes,
+                       double(fallback.value()) / BytesPerMegabyte);
+    return Bytes(qint64(megabytes * BytesPerMegabyte));
 }
 
 RetryLimits readRetries(SettingsReader reader)
@@ -46,7 +54,9 @@
     RetryLimits limits;
     limits.ratio = reader.decimal(QStringLiteral("ratio"), 0, 1, limits.ratio);
     limits.slack = reader.decimal(QStringLiteral("slack"), 0, MaxSlack, limits.slack);
-    limits.window = readDuration(reader, QStringLiteral("window_ms"), limits.window);
+    // A longer window allows fewer retries.
+    limits.window =
+        reader.duration(QStringLiteral("window_ms"), DurationRounding::Up, limits.window);
     return limits;
 }
 
@@ -74,9 +84,11 @@
 StalenessBounds readBounds(SettingsReader &reader)
 {
     StalenessBounds bounds;
-    bounds.configuration = std::min(
-        readDuration(reader, QStringLiteral("configuration_apply_ms"), bounds.configuration),
-        readDuration(reader, QStringLiteral("evacuation_ms"), Milliseconds(MaxMilliseconds)));
+    bounds.configuration =
+        readDuration(reader, QStringLiteral("configuration_apply_ms"), bounds.configuration);
+    bounds.configuration =
+        std::min(bounds.configuration,
+                 readDuration(reader, QStringLiteral("evacuation_ms"), bounds.configuration));
     bounds.targets = readDuration(reader, QStringLiteral("target_drain_ms"), bounds.targets);
     return bounds;
 }
@@ -85,7 +97,7 @@
 
 Bytes defaultMemory()
 {
-    return machineMemory().value_or(Bytes(MaxMemoryMegabytes * BytesPerMegabyte));
+    return machineMemory().value_or(Bytes(qint64(MaxMemoryMegabytes * BytesPerMegabyte)));
 }
 
 Bytes callerMemoryCapacity(Bytes memory)
@@ -139,10 +151,7 @@
         readDuration(reader, QStringLiteral("request_timeout_ms"), settings.requestTimeout);
     settings.responseTimeout =
         readDuration(reader, QStringLiteral("response_timeout_ms"), settings.responseTimeout);
-    settings.memory =
-        Bytes(BytesPerMegabyte
-              * reader.number(QStringLiteral("memory_mb"), MinMemoryMegabytes, MaxMemoryMegabytes,
-                              settings.memory.value() / BytesPerMegabyte));
+    settings.memory = readMemory(reader, settings.memory);
     settings.descriptors = std::min(settings.descriptors,
                                     int(reader.number(QStringLiteral("descriptors"), MinDescriptors,
                                                       MaxDescriptors, MaxDescriptors)));
--- a/test/error/PlatformInput.cpp
+++ b/test/error/PlatformInput.cpp
@@ -32,6 +32,29 @@
     BOOST_TEST(faultOf(Good + R"(, "unknown": 1})").contains("unknown"));
 }
 
+// Guards against a unit that is misread, and against two units of which one is silently ignored.
+BOOST_AUTO_TEST_CASE(DurationsHaveOneOfTwoUnits)
+{
+    const auto graceOf = [](const QByteArray &member) {
+        const Result<RelaySettings> read = parseRelaySettings(Good + ", " + member + '}');
+        return read ? read.value().grace.count() : -1;
+    };
+    BOOST_TEST(graceOf(R"("grace_ms": 7500)") == 7500);
+    BOOST_TEST(graceOf(R"("grace_ms": 7500.9)") == 7500);
+    BOOST_TEST(graceOf(R"("grace_s": 7.5)") == 7500);
+    BOOST_TEST(graceOf(R"("grace_s": 1e1)") == 10000);
+    BOOST_TEST(graceOf(R"("grace_s": 0.0001)") == 1);
+    BOOST_TEST(faultOf(Good + R"(, "grace_s": 8, "grace_ms": 8000})").toStdString()
+               == "grace_s: expected nothing beside grace_ms, got 8");
+    BOOST_TEST(faultOf(Good + R"(, "grace_s": "8"})").toStdString()
+               == "grace_s: expected more than 0, up to 3600, got \"8\"");
+    BOOST_TEST(faultOf(Good + R"(, "grace_s": 3600.5})").toStdString()
+               == "grace_s: expected more than 0, up to 3600, got 3600.5");
+    for (const QByteArray number : {"0", "-1", "3600001", "1e+300", "true", "null"})
+        BOOST_TEST(faultOf(Good + R"(, "grace_ms": )" + number + "}").toStdString()
+                   == "grace_ms: expected more than 0, up to 3600000, got " + number.toStdString());
+}
+
 // A setting of admission control that is ignored or misread would change who is rejected under
 // overload, unseen until then.
 BOOST_AUTO_TEST_CASE(AdmissionFaultsNamePathAllowedAndFound)
--- a/test/support/PlatformSite.cpp
+++ b/test/support/PlatformSite.cpp
@@ -4,7 +4,6 @@
 
 #include <QJsonDocument>
 #include <QJsonObject>
-#include <QTemporaryFile>
 
 #include <csignal>
 #include <stdexcept>
@@ -115,19 +114,29 @@
                               const QString &dataCentre)
 {
     const int number = int(m_daemons.size());
-    const QString store = QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
     QJsonObject settings{{"vm", QStringLiteral("vm%1").arg(number)},
                          {"data_centre", dataCentre},
                          {"callers", "127.0.0.1:0"},
                          {"readiness", "127.0.0.1:0"},
                          {"peer", "127.0.0.1:0"},
-                         {"store", store},
+                         {"store", storeAddress(door)},
                          {"grace_ms", double(m_grace.count())}};
     if (m_isFirstStart)
         settings.insert("first_start", true);
     for (auto entry = m_moreSettings.constBegin(); entry != m_moreSettings.constEnd(); ++entry)
         settings.insert(entry.key(), entry.value());
-    m_daemons.push_back({nullptr, {}, {}, QJsonDocument(settings).toJson(), {}});
+    return startDaemonWith(QJsonDocument(settings).toJson(), limit);
+}
+
+QString PlatformSite::storeAddress(standin::StoreEmulator::Door door) const
+{
+    return QStringLiteral("127.0.0.1:%1").arg(m_store.endpoint(door).port);
+}
+
+int PlatformSite::startDaemonWith(const QByteArray &settings, std::chrono::milliseconds limit)
+{
+    const int number = int(m_daemons.size());
+    m_daemons.push_back({nullptr, {}, {}, settings, nullptr, {}});
     launch(m_daemons.back());
     // A daemon has its share of the retry budget once the daemons are listed.
     const auto hasStarted = [&] {
@@ -148,13 +157,26 @@
     launch(ended);
 }
 
-void PlatformSite::launch(Daemon &daemon)
+void PlatformSite::changeSettings(int daemon, const QByteArray &settings)
 {
-    QTemporaryFile file;
-    if (!file.open())
+    Daemon &changed = m_daemons[size_t(daemon)];
+    changed.settings = settings;
+    writeSettings(changed);
+}
+
+void PlatformSite::writeSettings(Daemon &daemon)
+{
+    if (!daemon.settingsFile)
+        daemon.settingsFile = std::make_unique<QTemporaryFile>();
+    if (!daemon.settingsFile->open() || !daemon.settingsFile->resize(0))
         throw std::runtime_error("no settings file");
-    file.write(daemon.settings);
-    file.close();
+    daemon.settingsFile->write(daemon.settings);
+    daemon.settingsFile->close();
+}
+
+void PlatformSite::launch(Daemon &daemon)
+{
+    writeSettings(daemon);
     daemon.process = std::make_unique<QProcess>();
     daemon.process->setProcessChannelMode(QProcess::MergedChannels);
     if (m_descriptorLimit > 0) {
@@ -164,7 +186,7 @@
         });
     }
     daemon.process->start(QStringLiteral(CRANBERRY_PROGRAM_DIRECTORY "/cranberryd-platform"),
-                          {QStringLiteral("--settings"), file.fileName()});
+                          {QStringLiteral("--settings"), daemon.settingsFile->fileName()});
     daemon.callers = {QStringLiteral("127.0.0.1"), portOf(daemon, "callers")};
     daemon.readiness = {QStringLiteral("127.0.0.1"), portOf(daemon, "readiness")};
 }
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -10,6 +10,7 @@
 #include <QJsonArray>
 #include <QJsonObject>
 #include <QProcess>
+#include <QTemporaryFile>
 
 #include <memory>
 #include <vector>
@@ -85,6 +86,14 @@
     int startDaemon(std::chrono::milliseconds limit = std::chrono::seconds(30),
                     standin::StoreEmulator::Door store = standin::StoreEmulator::Door::First,
                     const QString &dataCentre = QStringLiteral("hall"));
+    /// As above, with the content @p settings of the settings file.
+    int startDaemonWith(const QByteArray &settings,
+                        std::chrono::milliseconds limit = std::chrono::seconds(30));
+    /// The address of the store in settings files.
+    QString
+    storeAddress(standin::StoreEmulator::Door door = standin::StoreEmulator::Door::First) const;
+    /// Writes @p settings to the settings file of @p daemon, for its next start too.
+    void changeSettings(int daemon, const QByteArray &settings);
     /// Starts a process again in the place of @p daemon, which has ended; does not wait for it to
     /// become ready.
     void restart(int daemon);
@@ -137,6 +146,7 @@
         HttpEndpoint callers;
         HttpEndpoint readiness;
         QByteArray settings;
+        std::unique_ptr<QTemporaryFile> settingsFile;
         QByteArray log;
     };
 
@@ -145,6 +155,7 @@
     std::shared_ptr<ClientCall> sendRequest(const HttpEndpoint &endpoint,
                                             const HttpRequest &request);
     void launch(Daemon &daemon);
+    void writeSettings(Daemon &daemon);
     HttpResponse askReadiness(int daemon, const QByteArray &path);
     quint16 portOf(Daemon &daemon, const QByteArray &name);
 
