A daemon starts with settings that are out of range or unknown

What callers would see: a value that the platform may give and our own ranges exclude (retryRatio 1.5, retrySlack 2,000,000, 10 descriptors, a zero), an absent one, or a member that a later version of the template writes ends each daemon of the fleet at its next start. SIGHUP wrote one line, and everybody ran on until the next restart.

Cause: the same strictness serves an operator who starts one process by hand and a fleet whose file the platform renders; each fault of the file was fatal.

Change: readRelaySettings() replaces what is invalid by the nearest allowed number or the default and lists the faults; only a file without a usable name, data centre or address is fatal.

--- a/src/base/EventId.h
+++ b/src/base/EventId.h
@@ -127,6 +127,7 @@
     X(PeerListFailed, 1914, "peers.list_failed")                                                   \
     X(PeerStateFailed, 1915, "peers.state_failed")                                                 \
     X(SettingsReloaded, 1005, "settings.reloaded")                                                 \
+    X(SettingsFault, 1008, "settings.fault")                                                       \
     X(LogDropped, 1006, "log.dropped")                                                             \
     X(ShutdownProgress, 1007, "daemon.shutdown_progress")
 
--- a/src/daemon/SettingsFaults.h
+++ b/src/daemon/SettingsFaults.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include "daemon/SettingsFault.h"
+
 #include <QList>
 #include <QSet>
-#include <QString>
 
 namespace cranberry {
 
@@ -12,10 +13,11 @@
 class SettingsFaults
 {
 public:
-    void add(const QString &fault) { m_faults.append(fault); }
+    void add(const SettingsFault &fault) { m_faults.append(fault); }
+    const QList<SettingsFault> &all() const { return m_faults; }
     bool isEmpty() const { return m_faults.isEmpty(); }
-    /// Precondition: not empty.
-    const QString &first() const { return m_faults.first(); }
+    /// The text of the first fault. Precondition: not empty.
+    const QString &first() const { return m_faults.first().text; }
 
     /// Records that the file contains the member at @p path.
     void addPresentMember(const QString &path) { m_presentMembers.append(path); }
@@ -25,7 +27,7 @@
     void addUnknownMembers();
 
 private:
-    QList<QString> m_faults;
+    QList<SettingsFault> m_faults;
     QList<QString> m_presentMembers;
     QSet<QString> m_knownMembers;
 };
--- a/src/daemon/SettingsReader.cpp
+++ b/src/daemon/SettingsReader.cpp
@@ -2,6 +2,7 @@
 
 #include <QJsonArray>
 #include <QJsonDocument>
+#include <QVariant>
 
 #include <algorithm>
 #include <cmath>
@@ -40,10 +41,20 @@
     return m_path.isEmpty() ? name : m_path + u'.' + name;
 }
 
-void SettingsReader::fault(const QString &name, const QString &allowed)
+QString SettingsReader::faultText(const QString &name, const QString &allowed) const
 {
-    m_faults.add(QStringLiteral("%1: expected %2, got %3")
-                     .arg(pathOf(name), allowed, compactJson(m_object.value(name))));
+    return QStringLiteral("%1: expected %2, got %3")
+        .arg(pathOf(name), allowed, compactJson(m_object.value(name)));
+}
+
+void SettingsReader::fault(const QString &name, const QString &allowed, const QString &used)
+{
+    m_faults.add({faultText(name, allowed), used});
+}
+
+void SettingsReader::fatalFault(const QString &name, const QString &allowed)
+{
+    m_faults.add({faultText(name, allowed), {}, true});
 }
 
 SettingsReader SettingsReader::object(const QString &name)
@@ -51,7 +62,7 @@
     m_faults.addKnownMember(pathOf(name));
     const QJsonValue value = m_object.value(name);
     if (!value.isUndefined() && !value.isObject())
-        fault(name, QStringLiteral("an object"));
+        fault(name, QStringLiteral("an object"), QStringLiteral("{}"));
     return {value.toObject(), pathOf(name), m_faults};
 }
 
@@ -62,7 +73,7 @@
     if (value.isUndefined())
         return fallback;
     if (!value.isString())
-        fault(name, QStringLiteral("a string"));
+        fault(name, QStringLiteral("a string"), fallback);
     return value.toString(fallback);
 }
 
@@ -71,7 +82,7 @@
     m_faults.addKnownMember(pathOf(name));
     QString value = m_object.value(name).toString();
     if (value.isEmpty())
-        fault(name, QStringLiteral("a non-empty string"));
+        fatalFault(name, QStringLiteral("a non-empty string"));
     return value;
 }
 
@@ -82,7 +93,7 @@
     if (value.isUndefined())
         return fallback;
     if (!value.isBool())
-        fault(name, QStringLiteral("true or false"));
+        fault(name, QStringLiteral("true or false"), QVariant(fallback).toString());
     return value.toBool(fallback);
 }
 
@@ -93,13 +104,12 @@
     if (value.isUndefined())
         return fallback;
     const double number = value.toDouble(std::nan(""));
-    const bool allowed = value.isDouble() && number >= double(min) && number <= double(max)
-        && std::floor(number) == number;
-    if (!allowed) {
-        fault(name, QStringLiteral("%1..%2").arg(min).arg(max));
-        return fallback;
-    }
-    return qint64(number);
+    const qint64 used = value.isDouble()
+        ? qint64(std::clamp(std::floor(number), double(min), double(max)))
+        : fallback;
+    if (double(used) != number)
+        fault(name, QStringLiteral("%1..%2").arg(min).arg(max), QString::number(used));
+    return used;
 }
 
 double SettingsReader::decimal(const QString &name, double min, double max, double fallback)
@@ -109,10 +119,11 @@
     if (value.isUndefined())
         return fallback;
     const double number = value.toDouble(std::nan(""));
-    if (value.isDouble() && number >= min && number <= max)
-        return number;
-    fault(name, QStringLiteral("a number from %1 to %2").arg(min).arg(max));
-    return fallback;
+    const double used = value.isDouble() ? std::clamp(number, min, max) : fallback;
+    if (used != number)
+        fault(name, QStringLiteral("a number from %1 to %2").arg(min).arg(max),
+              QString::number(used));
+    return used;
 }
 
 Milliseconds SettingsReader::duration(const QString &name, DurationRounding rounding,
@@ -123,24 +134,28 @@
     m_faults.addKnownMember(pathOf(nameInSeconds));
     const bool isInSeconds = m_object.contains(nameInSeconds);
     if (isInSeconds && m_object.contains(name))
-        fault(nameInSeconds, QStringLiteral("nothing beside %1").arg(pathOf(name)));
+        fault(nameInSeconds, QStringLiteral("nothing beside %1").arg(pathOf(name)),
+              QStringLiteral("%1 alone").arg(nameInSeconds));
     const QString &present = isInSeconds ? nameInSeconds : name;
     const double unit = isInSeconds ? MillisecondsPerSecond : 1;
     const QJsonValue value = m_object.value(present);
     if (value.isUndefined())
         return fallback;
+    const double max = double(MaxDuration.count());
     const double milliseconds = unit * value.toDouble(std::nan(""));
-    const bool allowed = milliseconds > 0 && milliseconds <= double(MaxDuration.count());
-    if (!allowed) {
-        fault(present,
-              QStringLiteral("more than 0, up to %1")
-                  .arg(qint64(double(MaxDuration.count()) / unit)));
-        return fallback;
+    const bool isPositive = milliseconds > 0;
+    Milliseconds used = fallback;
+    if (isPositive) {
+        const double bounded = std::min(milliseconds, max);
+        const double rounded = rounding == DurationRounding::Down
+            ? std::floor(bounded + NegligibleMilliseconds)
+            : std::ceil(bounded - NegligibleMilliseconds);
+        used = std::max(Milliseconds(1), Milliseconds(qint64(rounded)));
     }
-    const double rounded = rounding == DurationRounding::Down
-        ? std::floor(milliseconds + NegligibleMilliseconds)
-        : std::ceil(milliseconds - NegligibleMilliseconds);
-    return std::max(Milliseconds(1), Milliseconds(qint64(rounded)));
+    if (!isPositive || milliseconds > max)
+        fault(present, QStringLiteral("more than 0, up to %1").arg(qint64(max / unit)),
+              QStringLiteral("%1 ms").arg(used.count()));
+    return used;
 }
 
 } // namespace cranberry
--- a/src/daemon/SettingsReader.h
+++ b/src/daemon/SettingsReader.h
@@ -14,8 +14,9 @@
 };
 
 /// Reads the members of one JSON object in a settings file. An invalid value adds a fault that
-/// names the member's path, and the fallback (for an object or a required string an empty value)
-/// is returned, so that parsing continues.
+/// names the member's path and the value that is used instead: for a number that is out of range
+/// the nearest one that is allowed, else the fallback, also for a duration that is not positive.
+/// Parsing continues.
 /// Thread safety: none.
 class SettingsReader
 {
@@ -26,7 +27,7 @@
     /// Returns a reader of the object member @p name; of an empty object if it is absent.
     SettingsReader object(const QString &name);
     QString string(const QString &name, const QString &fallback);
-    /// A mandatory, non-empty string.
+    /// A mandatory, non-empty string. A fault is fatal, and an empty string is returned.
     QString requiredString(const QString &name);
     /// An integer in [@p min, @p max].
     qint64 number(const QString &name, qint64 min, qint64 max, qint64 fallback);
@@ -40,11 +41,15 @@
     /// A boolean.
     bool flag(const QString &name, bool fallback);
 
-    /// Adds a fault for member @p name: the values @p allowed and the value found.
-    void fault(const QString &name, const QString &allowed);
+    /// Adds a fault for member @p name: the values @p allowed, the value found and what is @p used
+    /// instead.
+    void fault(const QString &name, const QString &allowed, const QString &used = {});
+    /// As above, for a member that nothing can replace.
+    void fatalFault(const QString &name, const QString &allowed);
 
 private:
     QString pathOf(const QString &name) const;
+    QString faultText(const QString &name, const QString &allowed) const;
 
     QJsonObject m_object;
     QString m_path;
--- a/src/relay/RelayCounters.h
+++ b/src/relay/RelayCounters.h
@@ -55,6 +55,10 @@
     LatencyHistogram timerLateness;
     /// Target entries that could not be parsed because another program wrote them.
     qint64 unreadableEntries = 0;
+    /// Faults of the settings file when it was last read.
+    qint64 settingsFaults = 0;
+    /// Whether a daemon could start with the settings file when it was last read.
+    bool isSettingsFileUsable = true;
 
     /// Ends of answers by the framing of their bodies.
     std::array<std::array<qint64, AnswerEndCount>, BodyFramingCount> answerEnds{};
--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -7,6 +7,7 @@
 #include "relay/ForwardMessage.h"
 #include "relay/RelayMetrics.h"
 #include "relay/RelayParts.h"
+#include "relay/SettingsReading.h"
 
 #include <QCborArray>
 #include <QRandomGenerator>
@@ -508,6 +509,12 @@
     m_parts->peerListener.setLimits(peerLimits(read.value().limits));
 }
 
+void RelayDaemon::settingsRead(const SettingsReading &read)
+{
+    m_parts->counters.settingsFaults = read.faults.size();
+    m_parts->counters.isSettingsFileUsable = !read.fatalFault();
+}
+
 void RelayDaemon::drain(std::function<void()> done)
 {
     if (m_onDrained)
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -16,6 +16,7 @@
 struct RelayParts;
 struct RelayProtocols;
 struct RelaySettings;
+struct SettingsReading;
 
 /// Relays requests of a platform's callers to its targets. Has no persistent state: configuration
 /// and targets are read from the platform's store.
@@ -28,6 +29,8 @@
 
     /// Listens and starts to read the store. Error: BadRequest naming an address.
     Result<void> start();
+    /// The settings file was read, at startup or later.
+    void settingsRead(const SettingsReading &read);
     /// Completes the requests in progress and calls @p done, before the end of the grace time. New
     /// connections are accepted until the balancer has removed the daemon, and for as long as it
     /// has requests. Later calls do nothing.
--- a/src/relay/RelayMetrics.cpp
+++ b/src/relay/RelayMetrics.cpp
@@ -274,6 +274,9 @@
     text += counterText("cranberry_relay_store_calls_total", counters.storeCalls);
     text += counterText("cranberry_relay_reports_asked_total", counters.reportsAsked);
     text += counterText("cranberry_relay_unreadable_entries_total", counters.unreadableEntries);
+    text += gaugeText("cranberry_relay_settings_faults", counters.settingsFaults);
+    text +=
+        gaugeText("cranberry_relay_settings_file_usable", counters.isSettingsFileUsable ? 1 : 0);
     text += counterText("cranberry_relay_peer_state_sent_bytes_total", counters.peerStateBytesSent);
     text += counterText("cranberry_relay_peer_state_received_bytes_total",
                         counters.peerStateBytesReceived);
--- a/src/relay/RelayProgram.cpp
+++ b/src/relay/RelayProgram.cpp
@@ -5,7 +5,7 @@
 #include "base/LogSink.h"
 #include "relay/RelayDaemon.h"
 #include "relay/RelayProtocols.h"
-#include "relay/RelaySettings.h"
+#include "relay/SettingsReading.h"
 
 #include <QCoreApplication>
 #include <QFile>
@@ -13,6 +13,7 @@
 
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
 #include <cstdio>
@@ -26,6 +27,8 @@
 namespace {
 
 constexpr int ExitBadUse = 2;
+/// Faults of one file that are logged.
+constexpr qsizetype MaxFaults = 50;
 
 int signalPipe[2];
 
@@ -59,24 +62,36 @@
                                   : QString::fromStdString(FLAGS_settings);
 }
 
-Result<RelaySettings> readSettings(const QString &path)
+SettingsReading readSettings(const QString &path)
 {
     QFile file(path);
     if (path.isEmpty() || !file.open(QIODevice::ReadOnly)) {
-        Error error;
-        error.detail =
+        const QString text =
             QStringLiteral("--settings: cannot read \"%1\": %2").arg(path, file.errorString());
-        return error;
+        return {{}, {{text, {}, true}}};
     }
-    return parseRelaySettings(file.readAll());
+    return readRelaySettings(file.readAll());
 }
 
-/// Settings take effect only at startup; a reload only reports whether the file is still valid.
-void reload(const QString &path)
+void logFaults(const SettingsReading &read)
 {
-    const Result<RelaySettings> read = readSettings(path);
-    logEvent(read ? LogLevel::Info : LogLevel::Error, EventId::SettingsReloaded,
-             {{"detail", read ? QStringLiteral("valid") : read.error().detail}});
+    for (const SettingsFault &fault : read.faults.first(std::min(read.faults.size(), MaxFaults)))
+        logEvent(fault.isFatal ? LogLevel::Error : LogLevel::Warning, EventId::SettingsFault,
+                 {{"detail", fault.text},
+                  {"used", fault.used},
+                  {"fatal", fault.isFatal ? QStringLiteral("yes") : QStringLiteral("no")}});
+}
+
+/// Most settings take effect only at startup. The faults of the file show what the next start will
+/// find.
+void reload(RelayDaemon &daemon, const QString &path)
+{
+    const SettingsReading read = readSettings(path);
+    logEvent(
+        read.fatalFault() ? LogLevel::Error : LogLevel::Info, EventId::SettingsReloaded,
+        {{"detail", read.faults.isEmpty() ? QStringLiteral("valid") : read.faults.first().text}});
+    logFaults(read);
+    daemon.settingsRead(read);
 }
 
 } // namespace
@@ -89,11 +104,11 @@
                             "SIGTERM drains the daemon; SIGHUP checks the settings file again.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const QString path = settingsPath(settingsVariable);
-    const Result<RelaySettings> settings = readSettings(path);
-    if (!settings)
-        return reportError(settings.error().detail);
+    const SettingsReading settings = readSettings(path);
     if (FLAGS_check)
-        return 0;
+        return settings.faults.isEmpty() ? 0 : reportError(settings.faults.first().text);
+    if (const SettingsFault *fault = settings.fatalFault())
+        return reportError(fault->text);
     installCrashReport();
     // After the crash report, whose handlers end the process on SIGTERM too, and before the daemon
     // listens.
@@ -102,7 +117,9 @@
     qputenv("QT_NO_GLIB", "1");
     QCoreApplication application(argc, argv);
     LogSink sink;
-    RelayDaemon daemon(settings.value(), protocols);
+    logFaults(settings);
+    RelayDaemon daemon(settings.settings, protocols);
+    daemon.settingsRead(settings);
     if (const auto started = daemon.start(); !started)
         return reportError(started.error().detail);
 
@@ -111,7 +128,7 @@
         char number = 0;
         (void)!read(signalPipe[0], &number, 1);
         if (number == SIGHUP)
-            reload(path);
+            reload(daemon, path);
         else
             daemon.drain([] { QCoreApplication::quit(); });
     });
--- a/src/relay/RelaySettings.cpp
+++ b/src/relay/RelaySettings.cpp
@@ -2,6 +2,7 @@
 
 #include "base/MachineMemory.h"
 #include "daemon/SettingsReader.h"
+#include "relay/SettingsReading.h"
 
 #include <QHostAddress>
 #include <QJsonDocument>
@@ -31,7 +32,7 @@
     bool isPort = false;
     const quint16 port = parts.last().toUShort(&isPort);
     if (parts.size() != 2 || !isPort || QHostAddress(parts.first()).isNull())
-        reader.fault(name, QStringLiteral("\"ADDRESS:PORT\" with an IP number"));
+        reader.fatalFault(name, QStringLiteral("\"ADDRESS:PORT\" with an IP number"));
     return {parts.first(), port};
 }
 
@@ -113,18 +114,16 @@
     return int(std::clamp<rlim_t>(limits.rlim_cur, MinDescriptors, MaxDescriptors));
 }
 
-Result<RelaySettings> parseRelaySettings(const QByteArray &json)
+SettingsReading readRelaySettings(const QByteArray &json)
 {
     QJsonParseError fault;
     const QJsonDocument document = QJsonDocument::fromJson(json, &fault);
-    if (fault.error != QJsonParseError::NoError || !document.isObject())
-        return Error{ErrorKind::BadRequest,
-                     Ran::No,
-                     QStringLiteral("settings: not a JSON object (byte %1: %2)")
-                         .arg(fault.offset)
-                         .arg(fault.errorString()),
-                     {},
-                     {}};
+    if (fault.error != QJsonParseError::NoError || !document.isObject()) {
+        const QString text = QStringLiteral("settings: not a JSON object (byte %1: %2)")
+                                 .arg(fault.offset)
+                                 .arg(fault.errorString());
+        return {{}, {{text, {}, true}}};
+    }
     SettingsFaults faults;
     SettingsReader reader(document.object(), QString(), faults);
     RelaySettings settings;
@@ -157,9 +156,15 @@
                                                       MaxDescriptors, MaxDescriptors)));
     settings.grace = readDuration(reader, QStringLiteral("grace_ms"), settings.grace);
     faults.addUnknownMembers();
-    if (!faults.isEmpty())
-        return Error{ErrorKind::BadRequest, Ran::No, faults.first(), {}, {}};
-    return settings;
+    return {settings, faults.all()};
+}
+
+Result<RelaySettings> parseRelaySettings(const QByteArray &json)
+{
+    const SettingsReading read = readRelaySettings(json);
+    if (!read.faults.isEmpty())
+        return Error{ErrorKind::BadRequest, Ran::No, read.faults.first().text, {}, {}};
+    return read.settings;
 }
 
 } // namespace cranberry
--- a/src/relay/RelaySettings.h
+++ b/src/relay/RelaySettings.h
@@ -10,6 +10,8 @@
 
 namespace cranberry {
 
+struct SettingsReading;
+
 /// The memory of this machine. Thread-safe.
 Bytes defaultMemory();
 
@@ -52,8 +54,12 @@
     Milliseconds grace{8000};
 };
 
-/// Reads the settings file; docs/OPERATIONS.md lists its fields. Error: BadRequest naming the
-/// field, its value and what is allowed. Thread-safe.
+/// Reads the settings file; docs/OPERATIONS.md lists its fields. Replaces what is invalid, so that
+/// a daemon can run with each file without a fatal fault. Thread-safe.
+SettingsReading readRelaySettings(const QByteArray &json);
+
+/// As above, but each fault is an error: BadRequest naming the first faulty field, its value and
+/// what is allowed. Thread-safe.
 Result<RelaySettings> parseRelaySettings(const QByteArray &json);
 
 } // namespace cranberry
