A stop uses the grace time that the settings file has now

What callers would see: after the grace time became shorter, 8 to 4 s, a daemon that had started before went on for the old one and was killed at the end of the new one: requests in progress were cut without an answer. After it became longer, requests were given up that had time left.

Cause: the grace time was read at the start only, but the platform sends SIGKILL at the end of the one that is in force at SIGTERM, and the settings file may change with SIGHUP or without any signal.

Evidence: 4 of the 6 cases of failure/ChangedGraceTime fail on, told by SIGHUP or not: 3 of 3 requests cut after a change from 8 to 2.5 s, and 3 of 3 answered with 504 instead of 200 after one from 2 to 10.5 s.

Change: SIGHUP and SIGTERM read the file; a usable one sets the grace time of the next shutdown.

--- a/src/relay/RelayDaemon.cpp
+++ b/src/relay/RelayDaemon.cpp
@@ -513,6 +513,8 @@
 {
     m_parts->counters.settingsFaults = read.faults.size();
     m_parts->counters.isSettingsFileUsable = !read.fatalFault();
+    if (!read.fatalFault() && !m_onDrained)
+        m_parts->settings.grace = read.settings.grace;
 }
 
 void RelayDaemon::drain(std::function<void()> done)
@@ -523,6 +525,7 @@
     m_parts->shutdown = planShutdown(m_parts->timers.now(), m_parts->settings.grace);
     logEvent(LogLevel::Info, EventId::DaemonDraining,
              {{"vm", m_parts->settings.vm.text()},
+              {"grace_ms", QString::number(m_parts->settings.grace.count())},
               {"running", QString::number(m_parts->gateway.running())}});
     m_parts->gateway.shutdownBegan();
     m_parts->callers.closeAfterResponses();
--- a/src/relay/RelayDaemon.h
+++ b/src/relay/RelayDaemon.h
@@ -29,7 +29,8 @@
 
     /// Listens and starts to read the store. Error: BadRequest naming an address.
     Result<void> start();
-    /// The settings file was read, at startup or later.
+    /// The settings file was read, at startup or later. If it is usable, the next shutdown has its
+    /// grace time; other settings stay as they were at startup.
     void settingsRead(const SettingsReading &read);
     /// Completes the requests in progress and calls @p done, before the end of the grace time. New
     /// connections are accepted until the balancer has removed the daemon, and for as long as it
--- a/src/relay/RelayProgram.cpp
+++ b/src/relay/RelayProgram.cpp
@@ -82,16 +82,29 @@
                   {"fatal", fault.isFatal ? QStringLiteral("yes") : QStringLiteral("no")}});
 }
 
-/// Most settings take effect only at startup. The faults of the file show what the next start will
-/// find.
+/// Reads the file for a daemon that runs.
+SettingsReading readAgain(RelayDaemon &daemon, const QString &path)
+{
+    SettingsReading read = readSettings(path);
+    logFaults(read);
+    daemon.settingsRead(read);
+    return read;
+}
+
 void reload(RelayDaemon &daemon, const QString &path)
 {
-    const SettingsReading read = readSettings(path);
+    const SettingsReading read = readAgain(daemon, path);
     logEvent(
         read.fatalFault() ? LogLevel::Error : LogLevel::Info, EventId::SettingsReloaded,
         {{"detail", read.faults.isEmpty() ? QStringLiteral("valid") : read.faults.first().text}});
-    logFaults(read);
-    daemon.settingsRead(read);
+}
+
+/// The platform kills the process at the end of the grace time that is in the file now, which may
+/// have changed without a signal.
+void shutDown(RelayDaemon &daemon, const QString &path)
+{
+    readAgain(daemon, path);
+    daemon.drain([] { QCoreApplication::quit(); });
 }
 
 } // namespace
@@ -101,7 +114,7 @@
 {
     gflags::SetUsageMessage("runs one entry VM of cranberryquay on a platform\n"
                             "  cranberryd-platform [--settings FILE] [--check]\n"
-                            "SIGTERM drains the daemon; SIGHUP checks the settings file again.");
+                            "SIGTERM drains the daemon; SIGHUP reads the settings file again.");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     const QString path = settingsPath(settingsVariable);
     const SettingsReading settings = readSettings(path);
@@ -130,7 +143,7 @@
         if (number == SIGHUP)
             reload(daemon, path);
         else
-            daemon.drain([] { QCoreApplication::quit(); });
+            shutDown(daemon, path);
     });
     return QCoreApplication::exec();
 }
