--- a/src/relay/RelayConfiguration.cpp
+++ b/src/relay/RelayConfiguration.cpp
@@ -39,12 +39,12 @@
 
 ServiceId serviceFor(const RelayRoute &route, const RequestId &id)
 {
-    int total = 0;
+    qint64 total = 0;
     for (const ServiceShare &share : route.services)
         total += std::max(share.weight, 0);
     if (total == 0)
         return route.services.isEmpty() ? ServiceId() : route.services.first().service;
-    int remaining = int(stableHash(id.text()) % quint64(total));
+    qint64 remaining = qint64(stableHash(id.text()) % quint64(total));
     for (const ServiceShare &share : route.services) {
         remaining -= std::max(share.weight, 0);
         if (remaining < 0)
