--- a/apps/soak/CranberrySoak.cpp
+++ b/apps/soak/CranberrySoak.cpp
@@ -33,10 +33,10 @@
     cranberry::soak::ShutdownSoak run(options);
     run.run();
     const QStringList broken = run.broken();
-    std::printf("seed %u: %d shutdowns, %d requests, %d served, %d rejected, %d neither read nor "
-                "run, %d promises broken\n",
-                options.seed, run.shutdowns(), run.requests(), run.served(), run.rejected(),
-                run.unread(), int(broken.size()));
+    std::printf("seed %u: %d shutdowns, %d changes of grace times, %d requests, %d served, "
+                "%d rejected, %d neither read nor run, %d promises broken\n",
+                options.seed, run.shutdowns(), run.graceChanges(), run.requests(), run.served(),
+                run.rejected(), run.unread(), int(broken.size()));
     return report(broken);
 }
 
--- a/apps/soak/ShutdownSoak.cpp
+++ b/apps/soak/ShutdownSoak.cpp
@@ -5,7 +5,11 @@
 #include "standins/users/RetryChecks.h"
 #include "support/EventLoop.h"
 
+#include <QJsonDocument>
+#include <QJsonObject>
+
 #include <algorithm>
+#include <array>
 #include <csignal>
 
 namespace cranberry::soak {
@@ -17,8 +21,11 @@
 constexpr Milliseconds PlainObjective{150};
 /// A stream that is sent this long after the signal must not be cut.
 constexpr Milliseconds BalancerRemovalDelay{3000};
-/// Streams may be cut in the last sixth of the grace time.
-constexpr Milliseconds MayCutAfter = Grace * 5 / 6;
+/// In the last sixth of the grace time.
+constexpr int MayCutDivisor = 6;
+/// Grace times to which settings files change, in seconds.
+constexpr std::array<double, 4> ChangedGraces{6.25, 7.5, 8, 10.75};
+constexpr double MillisecondsPerSecond = 1000;
 /// Deadline of streams, after which they may be cut.
 constexpr Milliseconds StreamDeadline{15000};
 /// How late a process may read its signal.
@@ -33,6 +40,7 @@
 constexpr int StreamIntervalMs = 900;
 constexpr int StopIntervalMs = 7000;
 constexpr int ChangeIntervalMs = 1500;
+constexpr int GraceChangeIntervalMs = 2000;
 constexpr int MaxRestartDelayMs = 1500;
 /// Work of plain targets; one request in SlowShare takes up to MaxSlowWorkMs.
 constexpr int MinWorkMs = 30;
@@ -46,6 +54,7 @@
 ShutdownSoak::ShutdownSoak(const SoakOptions &options)
     : m_options(options)
     , m_random(options.seed)
+    , m_settingsRandom(options.seed)
 {
     m_site.setGrace(Grace);
     m_site.setPlainTimes(PlainTimeout, PlainObjective);
@@ -56,9 +65,9 @@
     addTargets();
     for (int i = 0; i < options.daemons; ++i) {
         m_site.startDaemon();
-        m_daemons.emplace_back();
+        m_daemons.emplace_back().grace = Grace;
     }
-    m_nextPlain = m_nextStream = m_nextStop = m_nextChange = m_timers.now();
+    m_nextPlain = m_nextStream = m_nextStop = m_nextChange = m_nextGraceChange = m_timers.now();
 }
 
 ShutdownSoak::~ShutdownSoak() = default;
@@ -185,7 +194,7 @@
     if (m_timers.now() >= stream.sent + StreamDeadline)
         return true;
     return daemon.isStopping && stream.sent <= daemon.signalled + BalancerRemovalDelay
-        && m_timers.now() >= daemon.signalled + MayCutAfter;
+        && m_timers.now() >= daemon.signalled + daemon.grace - daemon.grace / MayCutDivisor;
 }
 
 void ShutdownSoak::collectStreams()
@@ -241,7 +250,7 @@
         });
     }
     m_site.signal(number, SIGTERM);
-    daemon.kill = m_timers.after(Grace, [this, number] {
+    daemon.kill = m_timers.after(daemon.grace, [this, number] {
         if (m_site.hasEnded(number))
             return;
         breaks(number, "name=relay.unfinished",
@@ -250,6 +259,33 @@
     });
 }
 
+void ShutdownSoak::changeSomeGrace()
+{
+    if (m_settingsRandom() % 5 == 0) {
+        for (int daemon = 0; daemon < m_options.daemons; ++daemon)
+            changeGrace(daemon);
+        return;
+    }
+    changeGrace(int(m_settingsRandom() % quint32(m_options.daemons)));
+}
+
+void ShutdownSoak::changeGrace(int number)
+{
+    Daemon &daemon = m_daemons[std::size_t(number)];
+    // A signal that is read late would meet a file that is newer than the signal.
+    if (daemon.isStopping)
+        return;
+    const double seconds = ChangedGraces[m_settingsRandom() % ChangedGraces.size()];
+    daemon.grace = Milliseconds(qint64(seconds * MillisecondsPerSecond));
+    QJsonObject settings = QJsonDocument::fromJson(m_site.settings(number)).object();
+    settings.remove(QStringLiteral("grace_ms"));
+    settings.insert(QStringLiteral("grace_s"), seconds);
+    m_site.changeSettings(number, QJsonDocument(settings).toJson());
+    if (m_settingsRandom() % 2 == 0)
+        m_site.signal(number, SIGHUP);
+    ++m_graceChanges;
+}
+
 void ShutdownSoak::breaks(int daemon, const QByteArray &subject, const QString &what)
 {
     QString text = what;
@@ -295,7 +331,9 @@
                         [number](const StreamCall &stream) { return stream.daemon == number; });
         if (now < daemon.restartAt || hasStreams)
             continue;
+        const Milliseconds grace = daemon.grace;
         daemon = Daemon();
+        daemon.grace = grace;
         m_site.restart(number);
     }
 }
@@ -315,6 +353,9 @@
     for (; !m_isOver && m_nextChange <= now;
          m_nextChange += Milliseconds(1 + randomBelow(2 * ChangeIntervalMs)))
         m_site.configure(++m_version, randomBelow(2) == 0);
+    for (; !m_isOver && m_nextGraceChange <= now;
+         m_nextGraceChange += Milliseconds(1 + m_settingsRandom() % (2 * GraceChangeIntervalMs)))
+        changeSomeGrace();
     collectPlain();
     collectStreams();
     restartEnded();
--- a/apps/soak/ShutdownSoak.h
+++ b/apps/soak/ShutdownSoak.h
@@ -15,9 +15,9 @@
 
 /// One seeded run in which daemons are shut down in series and at once while callers arrive on new
 /// and kept connections until each process is gone. Some requests arrive in parts, some streams
-/// outlast the grace time, and some signals are read late. Checks that each request that ran has a
-/// whole answer, and that each process ends before the platform would kill it.
-/// Thread safety: only from its own thread.
+/// outlast the grace time, some signals are read late, and grace times change. Checks that each
+/// request that ran has a whole answer, and that each process ends before the platform would kill
+/// it. Thread safety: only from its own thread.
 class ShutdownSoak
 {
 public:
@@ -29,6 +29,7 @@
     /// One line for each violation. Precondition: run() has returned.
     QStringList broken() const { return m_broken + m_checks.broken() + m_longChecks.broken(); }
     int shutdowns() const { return m_shutdowns; }
+    int graceChanges() const { return m_graceChanges; }
     int requests() const { return m_count; }
     int served() const { return m_checks.wholeAnswers() + m_longChecks.wholeAnswers(); }
     int rejected() const { return m_rejected; }
@@ -41,6 +42,8 @@
         bool isStopping = false;
         bool isFrozen = false;
         MonotonicTime signalled;
+        /// That of its settings file.
+        Milliseconds grace;
         std::unique_ptr<TimerSubscription> wake;
         std::unique_ptr<TimerSubscription> kill;
         MonotonicTime restartAt;
@@ -75,6 +78,9 @@
     bool mayBeCut(const StreamCall &stream) const;
     void stopSome();
     void stopDaemon(int daemon);
+    /// Changes the grace time in the settings file of a daemon, or of all, with or without SIGHUP.
+    void changeSomeGrace();
+    void changeGrace(int daemon);
     void restartEnded();
     void checkLog(int daemon);
     /// Records a violation with what @p daemon logged of @p subject and of its shutdown.
@@ -83,6 +89,7 @@
 
     const SoakOptions m_options;
     std::mt19937 m_random;
+    std::mt19937 m_settingsRandom;
     QtTimerService m_timers;
     test::PlatformSite m_site;
     /// Of plain requests and short streams, and of long streams.
@@ -99,10 +106,12 @@
     MonotonicTime m_nextStream;
     MonotonicTime m_nextStop;
     MonotonicTime m_nextChange;
+    MonotonicTime m_nextGraceChange;
     bool m_isOver = false;
     int m_version = 1;
     int m_count = 0;
     int m_shutdowns = 0;
+    int m_graceChanges = 0;
     int m_rejected = 0;
     int m_unread = 0;
 };
--- a/test/support/PlatformSite.h
+++ b/test/support/PlatformSite.h
@@ -92,6 +92,7 @@
     /// The address of the store in settings files.
     QString
     storeAddress(standin::StoreEmulator::Door door = standin::StoreEmulator::Door::First) const;
+    QByteArray settings(int daemon) const { return m_daemons[size_t(daemon)].settings; }
     /// Writes @p settings to the settings file of @p daemon, for its next start too.
     void changeSettings(int daemon, const QByteArray &settings);
     /// Starts a process again in the place of @p daemon, which has ended; does not wait for it to
